--- /dev/null
+++ b/internal/checker/manifest.go
@@ -0,0 +1,71 @@
+package checker
+
+// Manifest is the content of one manifest part.
+type Manifest struct {
+	// Part is the name of the part, equal to the customer's name.
+	Part        string       `toml:"part"`
+	Groups      []Group      `toml:"group"`
+	Reads       []ReadRule   `toml:"read"`
+	Callers     []Caller     `toml:"caller"`
+	Drains      []Drain      `toml:"drain"`
+	Switchovers []Switchover `toml:"switchover"`
+}
+
+// Group states one database group.
+type Group struct {
+	Name string `toml:"name"`
+	// Database is the database name that callers use.
+	Database string `toml:"database"`
+	// ServerUser and ServerPasswordFile are the credentials of the proxy at
+	// the backend servers. The file is read by each instance.
+	ServerUser         string   `toml:"server_user"`
+	ServerPasswordFile string   `toml:"server_password_file"`
+	ServerTLS          string   `toml:"server_tls"`
+	Servers            []Server `toml:"server"`
+}
+
+// Server states one backend server. Roles are never set here.
+type Server struct {
+	Name            string `toml:"name"`
+	Address         string `toml:"address"`
+	Zone            string `toml:"zone"`
+	ConnectionLimit int    `toml:"connection_limit"`
+}
+
+// ReadRule states that reads of the tables accept data of a stated age.
+type ReadRule struct {
+	Name   string   `toml:"name"`
+	Group  string   `toml:"group"`
+	Tables []string `toml:"tables"`
+	MaxAge Duration `toml:"max_age"`
+}
+
+// Caller states who may connect and to which groups.
+type Caller struct {
+	Name   string   `toml:"name"`
+	Groups []string `toml:"groups"`
+	// ScramVerifier has PostgreSQL's form
+	// "SCRAM-SHA-256$iterations:salt$stored_key:server_key".
+	ScramVerifier string `toml:"scram_verifier"`
+	// ConnectionLimit bounds the caller's connections at one instance.
+	ConnectionLimit int `toml:"connection_limit"`
+	// PinnedLimit bounds the server connections that the caller may pin at
+	// one instance.
+	PinnedLimit int `toml:"pinned_limit"`
+	// TLSRequired refuses connections without TLS.
+	TLSRequired bool `toml:"tls_required"`
+}
+
+// Drain ends new work on a backend server.
+type Drain struct {
+	Group  string `toml:"group"`
+	Server string `toml:"server"`
+}
+
+// Switchover asks for a planned change of primary. It runs once per ID.
+type Switchover struct {
+	ID    string `toml:"id"`
+	Group string `toml:"group"`
+	// To is the server that becomes primary.
+	To string `toml:"to"`
+}
--- /dev/null
+++ b/internal/launcher/doc.go
@@ -0,0 +1,3 @@
+// Package launcher builds an entry instance from its settings and starts and
+// stops its parts in order.
+package launcher
--- /dev/null
+++ b/internal/recorder/recorder.go
@@ -0,0 +1,86 @@
+package recorder
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Recorder is a bounded ring of events. It is safe for concurrent use; a nil
+// *Recorder drops every event.
+type Recorder struct {
+	instance string
+	clock    clockwork.Clock
+
+	mu      sync.Mutex
+	lamport uint64
+	ring    []Event
+	next    int
+	full    bool
+}
+
+// New returns a recorder that keeps the newest size events.
+func New(instance string, size int, clock clockwork.Clock) *Recorder {
+	return &Recorder{instance: instance, clock: clock, ring: make([]Event, size)}
+}
+
+// Record adds an event. Fields alternate names in snake case and values.
+func (r *Recorder) Record(part, kind, group string, fields ...any) {
+	if r == nil {
+		return
+	}
+	e := Event{Instance: r.instance, Wall: r.clock.Now(), Part: part, Kind: kind, Group: group, Fields: fieldMap(fields)}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lamport++
+	e.Lamport = r.lamport
+	r.ring[r.next] = e
+	r.next = (r.next + 1) % len(r.ring)
+	r.full = r.full || r.next == 0
+}
+
+func fieldMap(fields []any) map[string]string {
+	if len(fields) == 0 {
+		return nil
+	}
+	m := make(map[string]string, len(fields)/2)
+	for i := 0; i+1 < len(fields); i += 2 {
+		m[fmt.Sprint(fields[i])] = fmt.Sprint(fields[i+1])
+	}
+	return m
+}
+
+// Time advances the Lamport time and returns it, for use in a message.
+func (r *Recorder) Time() uint64 {
+	if r == nil {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lamport++
+	return r.lamport
+}
+
+// Observe advances the Lamport time past that of a received message.
+func (r *Recorder) Observe(lamport uint64) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lamport = max(r.lamport, lamport)
+}
+
+// Events returns the events in the order in which they were recorded.
+func (r *Recorder) Events() []Event {
+	if r == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.full {
+		return append([]Event(nil), r.ring[:r.next]...)
+	}
+	return append(append([]Event(nil), r.ring[r.next:]...), r.ring[:r.next]...)
+}
--- /dev/null
+++ b/internal/tracker/group.go
@@ -0,0 +1,34 @@
+package tracker
+
+// Server describes a backend server as the manifest states it.
+type Server struct {
+	Name string
+	// Address is "host:port" with an IP number.
+	Address string
+	// Zone is the availability zone.
+	Zone string
+	// ConnectionLimit is the number of client connections that the server
+	// accepts.
+	ConnectionLimit int
+}
+
+// Group describes a database group as the manifest states it.
+type Group struct {
+	Name string
+	// Database is the database name that callers use.
+	Database string
+	Servers  []Server
+}
+
+// Majority returns the number of servers that form a majority of the group.
+func (g Group) Majority() int { return len(g.Servers)/2 + 1 }
+
+// Server returns the server with the given name.
+func (g Group) Server(name string) (Server, bool) {
+	for _, s := range g.Servers {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Server{}, false
+}
--- /dev/null
+++ b/internal/tracker/lineage.go
@@ -0,0 +1,79 @@
+package tracker
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Branch states that the records after Start, up to the next branch's Start,
+// were written in Term.
+type Branch struct {
+	Term  uint64
+	Start uint64
+}
+
+// Lineage lists the branches of a log in ascending order of term.
+type Lineage []Branch
+
+// ParseLineage parses the form "1:0,2:57". The empty string is the empty
+// lineage.
+func ParseLineage(s string) (Lineage, error) {
+	if s == "" {
+		return nil, nil
+	}
+	var l Lineage
+	for field := range strings.SplitSeq(s, ",") {
+		b, err := parseBranch(field)
+		if err != nil {
+			return nil, err
+		}
+		if n := len(l); n > 0 && (b.Term <= l[n-1].Term || b.Start < l[n-1].Start) {
+			return nil, fmt.Errorf("lineage %q is not in ascending order", s)
+		}
+		l = append(l, b)
+	}
+	return l, nil
+}
+
+func parseBranch(s string) (Branch, error) {
+	term, start, ok := strings.Cut(s, ":")
+	if !ok {
+		return Branch{}, fmt.Errorf("branch %q has no colon", s)
+	}
+	t, err := strconv.ParseUint(term, 10, 64)
+	if err != nil {
+		return Branch{}, fmt.Errorf("branch %q: term: %w", s, err)
+	}
+	o, err := strconv.ParseUint(start, 10, 64)
+	if err != nil {
+		return Branch{}, fmt.Errorf("branch %q: start: %w", s, err)
+	}
+	return Branch{Term: t, Start: o}, nil
+}
+
+// String returns the form that [ParseLineage] accepts.
+func (l Lineage) String() string {
+	var b strings.Builder
+	for i, br := range l {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, "%d:%d", br.Term, br.Start)
+	}
+	return b.String()
+}
+
+// Contains reports whether the record at p is part of a log with this lineage
+// that ends at or past the start of its last branch. For a p in the last
+// branch the caller also compares p with the end of the log.
+func (l Lineage) Contains(p Position) bool {
+	for i, br := range l {
+		if br.Term != p.Term {
+			continue
+		}
+		last := i == len(l)-1
+		return p.Offset > br.Start && (last || p.Offset <= l[i+1].Start)
+	}
+	return false
+}
