--- /dev/null
+++ b/internal/approver/chain.go
@@ -0,0 +1,182 @@
+package approver
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// Chain is the proven sequence of owners revisions from the genesis keys. It
+// is immutable.
+type Chain struct {
+	genesis ownerSet
+	links   []link
+}
+
+// link is one owners revision.
+type link struct {
+	envelope Envelope
+	encoded  []byte
+	hash     Hash
+	owners   ownerSet
+}
+
+// NewChain returns a chain that holds only the genesis keys.
+func NewChain(genesis []Owner) (*Chain, error) {
+	set := newOwnerSet(genesis)
+	if len(set) != ownerCount {
+		return nil, fmt.Errorf("genesis must name exactly %d co-owners", ownerCount)
+	}
+	seen := map[string]bool{}
+	for _, o := range genesis {
+		if len(set[o.Name]) != len(o.Keys) || len(o.Keys) == 0 {
+			return nil, fmt.Errorf("genesis key of %q is missing or malformed", o.Name)
+		}
+		for _, k := range o.Keys {
+			if seen[k.ID] {
+				return nil, errors.New("genesis key appears twice")
+			}
+			seen[k.ID] = true
+		}
+	}
+	return &Chain{genesis: set}, nil
+}
+
+// Head returns the newest owners revision; 0 when only genesis is known.
+func (c *Chain) Head() uint64 {
+	if len(c.links) == 0 {
+		return 0
+	}
+	return c.links[len(c.links)-1].envelope.Revision
+}
+
+// HeadHash returns the hash of the newest owners revision, or zero.
+func (c *Chain) HeadHash() Hash {
+	if len(c.links) == 0 {
+		return Hash{}
+	}
+	return c.links[len(c.links)-1].hash
+}
+
+// Encoded returns the encoded owners revisions in ascending order.
+func (c *Chain) Encoded() [][]byte {
+	var list [][]byte
+	for _, l := range c.links {
+		list = append(list, l.encoded)
+	}
+	return list
+}
+
+// Find returns an owners revision of the chain.
+func (c *Chain) Find(revision uint64) (Envelope, bool) {
+	i, ok := slices.BinarySearchFunc(c.links, revision, func(l link, r uint64) int {
+		return compareRevisions(l.envelope.Revision, r)
+	})
+	if !ok {
+		return Envelope{}, false
+	}
+	return c.links[i].envelope, true
+}
+
+func compareRevisions(a, b uint64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func (c *Chain) owners(revision uint64) (ownerSet, bool) {
+	if revision == 0 {
+		return c.genesis, true
+	}
+	i, ok := slices.BinarySearchFunc(c.links, revision, func(l link, r uint64) int {
+		return compareRevisions(l.envelope.Revision, r)
+	})
+	if !ok {
+		return nil, false
+	}
+	return c.links[i].owners, true
+}
+
+func (c *Chain) headOwners() ownerSet {
+	set, _ := c.owners(c.Head())
+	return set
+}
+
+// With verifies the next owners revision and returns the longer chain. It
+// returns a VerifyError when the envelope does not follow the head or is not
+// approved by both co-owners of the head.
+func (c *Chain) With(e Envelope) (*Chain, error) {
+	if err := c.checkNext(e); err != nil {
+		return nil, err
+	}
+	if err := c.headOwners().prove(e); err != nil {
+		return nil, err
+	}
+	owners, findings := CheckOwners(e.Part, e.Content)
+	if err := findings.Err(); err != nil {
+		return nil, e.fault(ReasonContent, err.Error())
+	}
+	next := link{envelope: e, encoded: e.Encode(), hash: e.Hash(), owners: newOwnerSet(owners.Owners)}
+	return &Chain{genesis: c.genesis, links: append(slices.Clone(c.links), next)}, nil
+}
+
+// checkNext checks that the envelope follows the head. Numbers may be skipped,
+// because withdrawn ones are spent.
+func (c *Chain) checkNext(e Envelope) error {
+	switch {
+	case !e.IsOwners():
+		return e.fault(ReasonPredecessor, "not an owners revision")
+	case e.Revision <= c.Head():
+		return e.fault(ReasonPredecessor, fmt.Sprintf("revision %d is the newest", c.Head()))
+	case e.OwnersRevision != c.Head():
+		return e.fault(ReasonOwnersRevision, fmt.Sprintf("revision %d is the newest, not %d", c.Head(), e.OwnersRevision))
+	case e.Predecessor != c.HeadHash():
+		return e.fault(ReasonPredecessor, "predecessor hash differs")
+	}
+	return nil
+}
+
+// WithAll adds the owners revisions of the list that are not yet known, in
+// ascending order of revision.
+func (c *Chain) WithAll(envelopes []Envelope) (*Chain, error) {
+	sorted := slices.SortedFunc(slices.Values(envelopes), func(a, b Envelope) int {
+		return compareRevisions(a.Revision, b.Revision)
+	})
+	for _, e := range sorted {
+		if known, ok := c.Find(e.Revision); ok && known.Hash() == e.Hash() {
+			continue
+		}
+		longer, err := c.With(e)
+		if err != nil {
+			return c, err
+		}
+		c = longer
+	}
+	return c, nil
+}
+
+// Verify checks that the envelope of a customer's part is approved by both
+// co-owners of its owners revision. It returns a VerifyError; the reason
+// ReasonOwnersRevision may be cured by a longer chain. It does not check the
+// content.
+func (c *Chain) Verify(e Envelope) error {
+	if e.IsOwners() {
+		return e.fault(ReasonPredecessor, "owners revisions are verified by the chain")
+	}
+	return c.VerifySignatures(e)
+}
+
+// VerifySignatures checks only that the envelope of any part is approved by
+// both co-owners of its owners revision. It tells a second, differing envelope
+// of the same revision from a forged one.
+func (c *Chain) VerifySignatures(e Envelope) error {
+	set, ok := c.owners(e.OwnersRevision)
+	if !ok || e.OwnersRevision == 0 && !e.IsOwners() {
+		return e.fault(ReasonOwnersRevision, fmt.Sprint(e.OwnersRevision))
+	}
+	return set.prove(e)
+}
--- /dev/null
+++ b/internal/approver/content.go
@@ -0,0 +1,60 @@
+package approver
+
+import (
+	"context"
+	"fmt"
+
+	"marigoldhub.example/hub/internal/checker"
+)
+
+// CheckContent checks the content of one part by itself. The file name appears
+// in findings.
+func CheckContent(file, part string, content []byte) (checker.Document, checker.Findings) {
+	if part == ownersPart {
+		_, findings := CheckOwners(file, content)
+		return checker.Document{}, findings
+	}
+	d, findings := checker.CheckDocument(file, content)
+	if len(findings) == 0 && d.Part != part {
+		findings = checker.Findings{{File: file, Line: 1, Column: 1, Key: "part", Message: fmt.Sprintf("must be %q", part)}}
+	}
+	return d, findings
+}
+
+// checkContent checks the content by itself and against the other parts in
+// force.
+func (p *Proposals) checkContent(ctx context.Context, chain *Chain, part string, content []byte) error {
+	d, findings := CheckContent(part, part, content)
+	if err := findings.Err(); err != nil || part == ownersPart {
+		return err
+	}
+	others, err := p.otherDocuments(ctx, chain, part)
+	if err != nil {
+		return err
+	}
+	_, clashes := checker.CheckCatalog(append(others, d)...)
+	return clashes.Err()
+}
+
+// otherDocuments returns the proven content of the other parts in force.
+func (p *Proposals) otherDocuments(ctx context.Context, chain *Chain, part string) ([]checker.Document, error) {
+	entries, _, err := p.cfg.Store.List(ctx, CurrentPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var documents []checker.Document
+	for _, entry := range entries {
+		name := partOf(entry.Key, CurrentPrefix)
+		if name == part || name == ownersPart {
+			continue
+		}
+		e, err := proveStored(chain, name, entry.Value)
+		if err != nil {
+			continue
+		}
+		if d, findings := checker.CheckDocument(name, e.Content); len(findings) == 0 {
+			documents = append(documents, d)
+		}
+	}
+	return documents, nil
+}
--- /dev/null
+++ b/internal/approver/keys.go
@@ -0,0 +1,38 @@
+package approver
+
+import (
+	"fmt"
+	"strings"
+
+	"marigoldhub.example/hub/internal/checker"
+)
+
+// Prefixes and keys in the store.
+const (
+	// CurrentPrefix precedes the part's name; the value is the envelope in
+	// force.
+	CurrentPrefix = "/marigold/current/"
+	// CatalogKey changes with every envelope that comes into force. Comparing
+	// it keeps two parts that clash from being accepted at the same time, and
+	// reading it reveals a watch that missed a change.
+	CatalogKey = "/marigold/catalog"
+
+	proposalPrefix = "/marigold/proposals/"
+	historyPrefix  = "/marigold/history/"
+	counterPrefix  = "/marigold/counter/"
+)
+
+// OwnersHistoryPrefix is the prefix of the owners chain.
+const OwnersHistoryPrefix = historyPrefix + checker.OwnersPart + "/"
+
+func currentKey(part string) string  { return CurrentPrefix + part }
+func proposalKey(part string) string { return proposalPrefix + part }
+func counterKey(part string) string  { return counterPrefix + part }
+
+// historyKey pads the revision, so that keys sort by revision.
+func historyKey(part string, revision uint64) string {
+	return fmt.Sprintf("%s%s/%020d", historyPrefix, part, revision)
+}
+
+// partOf returns the part's name of a key under one of the flat prefixes.
+func partOf(key, prefix string) string { return strings.TrimPrefix(key, prefix) }
--- /dev/null
+++ b/internal/approver/proposals.go
@@ -0,0 +1,205 @@
+package approver
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/jonboulle/clockwork"
+
+	"marigoldhub.example/hub/internal/storer"
+)
+
+// Config describes the operations of one operator.
+type Config struct {
+	Store storer.Store
+	// Genesis are the co-owners' keys from settings.
+	Genesis []Owner
+	// Operator is recorded as the proposer, for information only.
+	Operator string
+	// Clock is the real clock by default.
+	Clock clockwork.Clock
+}
+
+// Proposals runs the operations that put a revision in force.
+//
+// Operations return a ConflictError when the state of the part does not allow
+// them, checker.Findings when the content does not pass the checks, a
+// VerifyError when a signature or key is at fault, and a
+// storer.UnknownOutcomeError when a write's effect could not be determined.
+// Each operation can be repeated.
+type Proposals struct {
+	cfg     Config
+	genesis *Chain
+}
+
+// NewProposals returns the operations.
+func NewProposals(cfg Config) (*Proposals, error) {
+	chain, err := NewChain(cfg.Genesis)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = clockwork.NewRealClock()
+	}
+	return &Proposals{cfg: cfg, genesis: chain}, nil
+}
+
+// Propose checks the content and opens a proposal under a new revision. When
+// the open proposal already has this content, it is returned and repeated is
+// true.
+func (p *Proposals) Propose(ctx context.Context, part string, content []byte) (proposal Proposal, repeated bool, err error) {
+	s, err := p.load(ctx, part)
+	if err != nil {
+		return Proposal{}, false, err
+	}
+	if s.proposal != nil && string(s.proposal.Envelope.Content) == string(content) {
+		return *s.proposal, true, nil
+	}
+	if err := s.checkOpen(content); err != nil {
+		return Proposal{}, false, err
+	}
+	if err := p.checkContent(ctx, s.chain, part, content); err != nil {
+		return Proposal{}, false, err
+	}
+	proposal = p.newProposal(s, content)
+	if len(proposal.Envelope.Encode()) > MaxEnvelopeSize-maxApprovals*approvalSize {
+		return Proposal{}, false, storer.ErrTooLarge
+	}
+	landed, err := p.settle(ctx, proposeTransaction(s, proposal), func(ctx context.Context) (settlement, error) {
+		return p.findProposed(ctx, proposal)
+	})
+	if err != nil {
+		return Proposal{}, false, err
+	}
+	if !landed {
+		return Proposal{}, false, p.explain(ctx, s)
+	}
+	return proposal, false, nil
+}
+
+// approvalSize bounds the encoded size of one approval.
+const approvalSize = 3*4 + 2*maxNameSize + 64
+
+// checkOpen refuses a proposal beside an open one and one without a change.
+func (s *state) checkOpen(content []byte) error {
+	if s.proposalMod != 0 {
+		return s.conflict("withdraw or approve it first", s.describeProposal())
+	}
+	if s.base != nil && string(s.base.Content) == string(content) {
+		return s.conflict(fmt.Sprintf("revision %d in force has the same content", s.base.Revision))
+	}
+	if s.part != ownersPart && s.chain.Head() == 0 {
+		return s.conflict("the first owners revision is not in force; run genesis first")
+	}
+	return nil
+}
+
+func (p *Proposals) newProposal(s *state, content []byte) Proposal {
+	nonce := make([]byte, nonceSize)
+	rand.Read(nonce)
+	return Proposal{
+		Envelope: Envelope{
+			Part:           s.part,
+			Revision:       s.next(),
+			Predecessor:    s.baseHash(),
+			OwnersRevision: s.chain.Head(),
+			Content:        content,
+		},
+		Proposer: p.cfg.Operator,
+		Proposed: p.cfg.Clock.Now().UTC(),
+		nonce:    hex.EncodeToString(nonce),
+	}
+}
+
+func proposeTransaction(s *state, proposal Proposal) storer.Transaction {
+	taken := counter{proposal.Envelope.Revision, proposal.nonce}
+	return storer.Transaction{}.
+		WithUnchanged(counterKey(s.part), s.counterMod).
+		WithAbsent(proposalKey(s.part)).
+		WithUnchanged(currentKey(s.part), s.currentMod).
+		WithPut(counterKey(s.part), taken.encode()).
+		WithPut(proposalKey(s.part), proposal.encode())
+}
+
+// findProposed tells whether the proposal was written.
+func (p *Proposals) findProposed(ctx context.Context, mine Proposal) (settlement, error) {
+	s, err := p.load(ctx, mine.Envelope.Part)
+	if err != nil {
+		return undetermined, err
+	}
+	if s.counter.nonce == mine.nonce || s.proposal != nil && s.proposal.nonce == mine.nonce {
+		return landed, nil
+	}
+	if s.counter.revision < mine.Envelope.Revision {
+		return absent, nil
+	}
+	// The number was taken by this proposal or by another one; the history
+	// tells when it came into force.
+	if e, ok, err := p.historic(ctx, s.chain, mine.Envelope.Part, mine.Envelope.Revision); err != nil || ok {
+		return settlementOf(ok && e.Hash() == mine.Envelope.Hash()), err
+	}
+	if s.counter.revision == mine.Envelope.Revision {
+		return absent, nil
+	}
+	return undetermined, nil
+}
+
+// Withdraw deletes the open proposal. Its revision number stays spent.
+func (p *Proposals) Withdraw(ctx context.Context, part string) (Proposal, error) {
+	s, err := p.load(ctx, part)
+	if err != nil {
+		return Proposal{}, err
+	}
+	if s.proposalMod == 0 {
+		return Proposal{}, s.conflict("there is no open proposal", s.describeBase())
+	}
+	tx := storer.Transaction{}.
+		WithUnchanged(proposalKey(part), s.proposalMod).
+		WithDelete(proposalKey(part))
+	gone, err := p.settle(ctx, tx, func(ctx context.Context) (settlement, error) {
+		return p.findWithdrawn(ctx, s)
+	})
+	if err != nil {
+		return Proposal{}, err
+	}
+	if !gone {
+		return Proposal{}, p.explain(ctx, s)
+	}
+	if s.proposal == nil {
+		return Proposal{Envelope: Envelope{Part: part}}, nil
+	}
+	return *s.proposal, nil
+}
+
+// findWithdrawn tells whether the proposal that was read before is gone
+// without having come into force.
+func (p *Proposals) findWithdrawn(ctx context.Context, before *state) (settlement, error) {
+	now, err := p.load(ctx, before.part)
+	if err != nil {
+		return undetermined, err
+	}
+	if now.proposalMod == before.proposalMod {
+		return absent, nil
+	}
+	if before.proposal == nil {
+		return settlementOf(now.proposalMod == 0), nil
+	}
+	revision := before.proposal.Envelope.Revision
+	if now.proposal != nil && now.proposal.Envelope.Revision == revision {
+		return absent, nil
+	}
+	_, accepted, err := p.historic(ctx, now.chain, before.part, revision)
+	return settlementOf(!accepted), err
+}
+
+// historic returns a proven envelope of the history.
+func (p *Proposals) historic(ctx context.Context, chain *Chain, part string, revision uint64) (Envelope, bool, error) {
+	entry, ok, err := p.cfg.Store.Get(ctx, historyKey(part, revision))
+	if err != nil || !ok {
+		return Envelope{}, false, err
+	}
+	e, err := proveStored(chain, part, entry.Value)
+	return e, err == nil, nil
+}
--- /dev/null
+++ b/internal/approver/state.go
@@ -0,0 +1,157 @@
+package approver
+
+import (
+	"context"
+	"fmt"
+
+	"marigoldhub.example/hub/internal/storer"
+)
+
+// state is what the store holds about a part. The reads are not atomic; every
+// transaction compares the revisions that it relies on.
+type state struct {
+	part    string
+	chain   *Chain
+	counter counter
+	// proposal is nil when none is open; proposalErr is set when the stored
+	// value is malformed.
+	proposal    *Proposal
+	proposalErr error
+	// base is the newest proven envelope, or nil.
+	base *Envelope
+	// currentErr is set when the value stored as current is not proven.
+	currentErr error
+
+	counterMod, proposalMod, currentMod int64
+}
+
+func (p *Proposals) load(ctx context.Context, part string) (*state, error) {
+	s := &state{part: part}
+	var err error
+	if s.chain, err = p.loadChain(ctx); err != nil {
+		return nil, err
+	}
+	for _, step := range []func(context.Context, *state) error{p.loadCounter, p.loadProposal, p.loadBase} {
+		if err := step(ctx, s); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// loadChain returns the proven owners revisions. A value that does not extend
+// the chain is ignored: a forged one must not block the operators.
+func (p *Proposals) loadChain(ctx context.Context) (*Chain, error) {
+	entries, _, err := p.cfg.Store.List(ctx, OwnersHistoryPrefix)
+	if err != nil {
+		return nil, err
+	}
+	chain := p.genesis
+	for _, entry := range entries {
+		e, err := Decode(entry.Value)
+		if err != nil {
+			continue
+		}
+		if longer, err := chain.With(e); err == nil {
+			chain = longer
+		}
+	}
+	return chain, nil
+}
+
+func (p *Proposals) loadCounter(ctx context.Context, s *state) error {
+	entry, ok, err := p.cfg.Store.Get(ctx, counterKey(s.part))
+	if err != nil || !ok {
+		return err
+	}
+	s.counterMod = entry.ModRevision
+	s.counter, err = decodeCounter(entry.Value)
+	return err
+}
+
+func (p *Proposals) loadProposal(ctx context.Context, s *state) error {
+	entry, ok, err := p.cfg.Store.Get(ctx, proposalKey(s.part))
+	if err != nil || !ok {
+		return err
+	}
+	s.setProposal(entry)
+	return nil
+}
+
+func (s *state) setProposal(entry storer.Entry) {
+	s.proposalMod = entry.ModRevision
+	proposal, err := decodeProposal(entry.Value)
+	if err == nil && proposal.Envelope.Part != s.part {
+		err = fmt.Errorf("proposal is for part %q", proposal.Envelope.Part)
+	}
+	if err != nil {
+		s.proposalErr = err
+		return
+	}
+	s.proposal = &proposal
+}
+
+// loadBase reads the envelope in force. When it is not proven, the newest
+// proven one of the history takes its place.
+func (p *Proposals) loadBase(ctx context.Context, s *state) error {
+	entry, ok, err := p.cfg.Store.Get(ctx, currentKey(s.part))
+	if err != nil || !ok {
+		return err
+	}
+	s.currentMod = entry.ModRevision
+	e, err := s.prove(entry.Value)
+	if err == nil {
+		s.base = &e
+		return nil
+	}
+	s.currentErr = err
+	entries, _, err := p.cfg.Store.List(ctx, historyPrefix+s.part+"/")
+	if err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		if e, err := s.prove(entry.Value); err == nil {
+			s.base = &e
+		}
+	}
+	return nil
+}
+
+// prove decodes a stored envelope of the part and verifies it.
+func (s *state) prove(data []byte) (Envelope, error) {
+	return proveStored(s.chain, s.part, data)
+}
+
+func proveStored(chain *Chain, part string, data []byte) (Envelope, error) {
+	e, err := Decode(data)
+	if err != nil {
+		return e, err
+	}
+	if e.Part != part {
+		return e, e.fault(ReasonEncoding, fmt.Sprintf("stored under part %q", part))
+	}
+	if !e.IsOwners() {
+		return e, chain.Verify(e)
+	}
+	if known, ok := chain.Find(e.Revision); !ok || known.Hash() != e.Hash() {
+		return e, e.fault(ReasonPredecessor, "not part of the owners chain")
+	}
+	return e, nil
+}
+
+// next returns the number for a new proposal. It is above every number that
+// was ever seen for the part.
+func (s *state) next() uint64 {
+	n := s.counter.revision
+	if s.base != nil {
+		n = max(n, s.base.Revision)
+	}
+	return n + 1
+}
+
+func (s *state) baseHash() Hash {
+	if s.base == nil {
+		return Hash{}
+	}
+	return s.base.Hash()
+}
--- /dev/null
+++ b/internal/checker/decode.go
@@ -0,0 +1,169 @@
+package checker
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// maxDecodeFindings bounds the number of decoding attempts for one file,
+// because each wrong type costs one attempt.
+const maxDecodeFindings = 100
+
+// Decode parses a TOML file strictly into a value of type T.
+//
+// Unknown keys (compared case-sensitively), duplicate keys, values of a wrong
+// type and syntax errors are findings. After a syntax error only the part of
+// the file before it is searched for further findings. The value is usable
+// only when there are no findings.
+func Decode[T any](file string, data []byte) (T, Findings) {
+	value, r := decode[T](file, data)
+	return value, r.Findings()
+}
+
+func decode[T any](file string, data []byte) (T, *Report) {
+	var value T
+	r := newReport(file, data)
+	blanked := bytes.Clone(data)
+	r.addUnknown(reflect.TypeFor[T]())
+	r.addDuplicates(blanked)
+	for range maxDecodeFindings {
+		value = *new(T)
+		err := toml.NewDecoder(bytes.NewReader(blanked)).Decode(&value)
+		if err == nil {
+			break
+		}
+		if !r.addDecodeError(err, blanked) {
+			break
+		}
+	}
+	return value, r
+}
+
+// addDecodeError adds the finding and blanks the expression at fault, so that
+// the next attempt finds the next fault. It returns false when the library
+// gives no place to continue from.
+func (r *Report) addDecodeError(err error, blanked []byte) bool {
+	var de *toml.DecodeError
+	if !errors.As(err, &de) {
+		r.addAt(Place{1, 1}, "", strings.TrimPrefix(err.Error(), "toml: "))
+		return false
+	}
+	line, column := de.Position()
+	offset := offsetOf(blanked, line, column)
+	o, ok := r.places.expression(line, column, offset)
+	if !r.findings.hasLine(line) {
+		r.addAt(Place{line, column}, o.path, describe(de))
+	}
+	if ok {
+		return blank(blanked[o.start:o.end])
+	}
+	if r.places.broken && offset >= r.places.valid {
+		return blank(blanked[r.places.valid:])
+	}
+	return false
+}
+
+var wrongType = regexp.MustCompile(`^cannot decode TOML (.+) into (?:struct field \S+|a Go value) of type (\S+)$`)
+
+// describe returns the library's message without names of Go types' fields.
+func describe(err *toml.DecodeError) string {
+	text := strings.TrimPrefix(err.Error(), "toml: ")
+	if m := wrongType.FindStringSubmatch(text); m != nil {
+		return fmt.Sprintf("must be of type %s, not %s", m[2], m[1])
+	}
+	return text
+}
+
+// blank overwrites everything but line ends, which keeps positions valid. It
+// returns false when there was nothing to overwrite.
+func blank(b []byte) bool {
+	changed := false
+	for i, c := range b {
+		if c != '\n' && c != ' ' {
+			b[i] = ' '
+			changed = true
+		}
+	}
+	return changed
+}
+
+func offsetOf(data []byte, line, column int) int {
+	offset := 0
+	for range line - 1 {
+		i := bytes.IndexByte(data[offset:], '\n')
+		if i < 0 {
+			return len(data)
+		}
+		offset += i + 1
+	}
+	return min(offset+column-1, len(data))
+}
+
+func (r *Report) addDuplicates(blanked []byte) {
+	for _, o := range r.places.list {
+		if o.first == nil {
+			continue
+		}
+		r.addAt(o.place, o.path, fmt.Sprintf("duplicate key, first set in line %d", o.first.Line))
+		blank(blanked[o.start:o.end])
+	}
+}
+
+// addUnknown adds one finding for each outermost unknown key.
+func (r *Report) addUnknown(t reflect.Type) {
+	var unknown []string
+	for _, o := range r.places.list {
+		inside := func(path string) bool {
+			return o.path == path || strings.HasPrefix(o.path, path+".") || strings.HasPrefix(o.path, path+"[")
+		}
+		if acceptsKey(t, o.names) || slices.ContainsFunc(unknown, inside) {
+			continue
+		}
+		unknown = append(unknown, o.path)
+		r.addAt(o.place, o.path, "unknown key")
+	}
+}
+
+// acceptsKey reports whether the type has a field for the key path.
+func acceptsKey(t reflect.Type, names []string) bool {
+	for t.Kind() == reflect.Slice || t.Kind() == reflect.Pointer || t.Kind() == reflect.Array {
+		t = t.Elem()
+	}
+	if len(names) == 0 {
+		return true
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		f, ok := fieldOf(t, names[0])
+		return ok && acceptsKey(f, names[1:])
+	case reflect.Map:
+		return acceptsKey(t.Elem(), names[1:])
+	default:
+		// A key below a scalar is reported as a wrong type.
+		return true
+	}
+}
+
+func fieldOf(t reflect.Type, name string) (reflect.Type, bool) {
+	for i := range t.NumField() {
+		f := t.Field(i)
+		tag, _, _ := strings.Cut(f.Tag.Get("toml"), ",")
+		if f.Anonymous && tag == "" && f.Type.Kind() == reflect.Struct {
+			if ft, ok := fieldOf(f.Type, name); ok {
+				return ft, true
+			}
+			continue
+		}
+		if f.IsExported() && tag != "-" && (tag == name || tag == "" && f.Name == name) {
+			return f.Type, true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/distributor/config.go
@@ -0,0 +1,95 @@
+package distributor
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/approver"
+	"marigoldhub.example/hub/internal/enroller"
+	"marigoldhub.example/hub/internal/messenger"
+	"marigoldhub.example/hub/internal/recorder"
+	"marigoldhub.example/hub/internal/storer"
+)
+
+// Mode selects how new envelopes reach the instance.
+type Mode string
+
+const (
+	// ZoneWatcher is the normal mode.
+	ZoneWatcher Mode = "zone_watcher"
+	// EveryInstanceWatches is the baseline for experiments: every instance
+	// watches the store, and instances do not talk to each other.
+	EveryInstanceWatches Mode = "every_instance_watches"
+)
+
+const (
+	watchDuty             = "manifest_watch"
+	defaultDigestInterval = time.Second
+	defaultStaleAfter     = 5 * time.Second
+	defaultPollInterval   = 2 * time.Second
+	freshInterval         = 100 * time.Millisecond // Until the first synchronisation.
+	peerTimeout           = time.Second
+	storeTimeout          = 2 * time.Second
+	minWatchPause         = 100 * time.Millisecond
+	maxWatchPause         = 2 * time.Second
+	maxParallelPushes     = 32
+	maxFetchSize          = 2 << 20 // Half of drpc's default message limit of 4 MB.
+	maxRefusedMemory      = 64
+)
+
+// Config holds the collaborators of a Distributor.
+type Config struct {
+	// Genesis are the co-owners' keys from settings.
+	Genesis []approver.Owner
+	// Store may be nil; then only peers are asked.
+	Store     storer.Store
+	Directory enroller.Directory
+	Dialer    messenger.Dialer
+	// Recorder receives the events manifest_in_force, envelope_refused,
+	// manifest_conflict and manifest_out_of_force. It may be nil.
+	Recorder *recorder.Recorder
+	// Clock is the real clock by default.
+	Clock clockwork.Clock
+	// Log is logrus' standard logger by default.
+	Log logrus.FieldLogger
+	// Metrics receives the counters "manifest.*". It may be nil.
+	Metrics metrics.Registry
+	// Mode is ZoneWatcher by default.
+	Mode Mode
+	// DigestInterval is the time between digest exchanges. The default is 1 s.
+	DigestInterval time.Duration
+	// PollInterval is the time between the watcher's checks that the watch
+	// missed nothing. The default is 2 s.
+	PollInterval time.Duration
+	// StaleAfter is the time without the store and peers after which Stale
+	// reports true. The default is 5 s.
+	StaleAfter time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	if c.Clock == nil {
+		c.Clock = clockwork.NewRealClock()
+	}
+	if c.Log == nil {
+		c.Log = logrus.StandardLogger()
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+	if c.Mode == "" {
+		c.Mode = ZoneWatcher
+	}
+	if c.DigestInterval <= 0 {
+		c.DigestInterval = defaultDigestInterval
+	}
+	if c.PollInterval <= 0 {
+		c.PollInterval = defaultPollInterval
+	}
+	if c.StaleAfter <= 0 {
+		c.StaleAfter = defaultStaleAfter
+	}
+	return c
+}
--- /dev/null
+++ b/internal/distributor/distributor.go
@@ -0,0 +1,148 @@
+package distributor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"storj.io/drpc"
+
+	"marigoldhub.example/hub/internal/checker"
+	"marigoldhub.example/hub/internal/enroller"
+	"marigoldhub.example/hub/internal/messenger/wire"
+)
+
+// Distributor keeps the manifest parts in force. It implements
+// checker.CatalogSource.
+type Distributor struct {
+	cfg      Config
+	counters counters
+	pushes   chan struct{}
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+	done   chan struct{}
+
+	mu      sync.Mutex
+	set     *set
+	changed chan struct{}
+	// heard is when the store or a peer was last heard from.
+	heard time.Time
+	// synced is set once everything that the store or one peer holds was taken
+	// in.
+	synced bool
+	closed bool
+}
+
+var _ checker.CatalogSource = (*Distributor)(nil)
+
+// New starts a distributor. Close stops it.
+func New(cfg Config) (*Distributor, error) {
+	cfg = cfg.withDefaults()
+	s, err := newSet(cfg.Genesis)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Distributor{
+		cfg:      cfg,
+		counters: newCounters(cfg.Metrics),
+		pushes:   make(chan struct{}, maxParallelPushes),
+		ctx:      ctx,
+		cancel:   cancel,
+		done:     make(chan struct{}),
+		set:      s,
+		changed:  make(chan struct{}),
+		heard:    cfg.Clock.Now(),
+	}
+	if cfg.Store != nil {
+		d.start(d.watchLoop)
+		d.start(d.freshLoop)
+	}
+	if cfg.Mode != EveryInstanceWatches {
+		d.start(d.digestLoop)
+	}
+	return d, nil
+}
+
+// start runs the task unless the distributor is closed.
+func (d *Distributor) start(task func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return
+	}
+	d.tasks.Add(1)
+	go func() {
+		defer d.tasks.Done()
+		task()
+	}()
+}
+
+// Close stops all tasks and waits for them.
+func (d *Distributor) Close() {
+	d.mu.Lock()
+	first := !d.closed
+	d.closed = true
+	d.mu.Unlock()
+	if first {
+		d.cancel()
+		d.tasks.Wait()
+		close(d.done)
+	}
+	<-d.done
+}
+
+// Done returns a channel that is closed when the distributor has stopped.
+func (d *Distributor) Done() <-chan struct{} { return d.done }
+
+// Register adds the service Manifests to the mux.
+func (d *Distributor) Register(mux drpc.Mux) error {
+	return wire.DRPCRegisterManifests(mux, &service{d})
+}
+
+// Catalog implements checker.CatalogSource.
+func (d *Distributor) Catalog() *checker.Catalog {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.set.catalog
+}
+
+// Changed implements checker.CatalogSource.
+func (d *Distributor) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+// sleep waits and returns false when the distributor is closed.
+func (d *Distributor) sleep(t time.Duration) bool {
+	select {
+	case <-d.ctx.Done():
+		return false
+	case <-d.cfg.Clock.After(t):
+		return true
+	}
+}
+
+func (d *Distributor) self() enroller.Member { return d.cfg.Directory.Self() }
+
+// markHeard notes that the store or a peer answered.
+func (d *Distributor) markHeard() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.heard = d.cfg.Clock.Now()
+}
+
+func (d *Distributor) markSynced() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.synced = true
+}
+
+func (d *Distributor) isSynced() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.synced
+}
--- /dev/null
+++ b/internal/distributor/service.go
@@ -0,0 +1,95 @@
+package distributor
+
+import (
+	"bytes"
+	"context"
+
+	"marigoldhub.example/hub/internal/checker"
+	"marigoldhub.example/hub/internal/messenger/wire"
+)
+
+// service answers peers.
+type service struct{ d *Distributor }
+
+var _ wire.DRPCManifestsServer = (*service)(nil)
+
+// Digest implements wire.DRPCManifestsServer.
+func (s *service) Digest(_ context.Context, req *wire.DigestRequest) (*wire.DigestResponse, error) {
+	d := s.d
+	d.observe(req.Header)
+	d.markHeard()
+	d.mu.Lock()
+	resp := &wire.DigestResponse{Hash: d.set.digest}
+	if !bytes.Equal(req.Hash, d.set.digest) {
+		for _, r := range d.set.revisions() {
+			resp.Parts = append(resp.Parts, &wire.PartRevision{Part: r.part, Revision: r.number})
+		}
+	}
+	d.mu.Unlock()
+	resp.Header = d.header()
+	return resp, nil
+}
+
+// Fetch implements wire.DRPCManifestsServer. A response that would be too
+// large holds only some of the parts; the peer asks again. The owners chain
+// comes first, because the other parts need it.
+func (s *service) Fetch(_ context.Context, req *wire.FetchRequest) (*wire.FetchResponse, error) {
+	d := s.d
+	d.observe(req.Header)
+	resp := &wire.FetchResponse{}
+	size := 0
+	for _, name := range ownersFirst(req.Parts) {
+		d.mu.Lock()
+		offers := d.set.offers(name)
+		d.mu.Unlock()
+		for _, o := range offers {
+			if size > 0 && size+len(o.encoded) > maxFetchSize {
+				break
+			}
+			size += len(o.encoded)
+			resp.Envelopes = append(resp.Envelopes, o.encoded)
+			resp.AgesMs = append(resp.AgesMs, d.age(o.born))
+		}
+	}
+	resp.Header = d.header()
+	return resp, nil
+}
+
+func ownersFirst(parts []string) []string {
+	var list []string
+	for _, name := range parts {
+		if name == checker.OwnersPart {
+			list = append([]string{name}, list...)
+		} else {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// Push implements wire.DRPCManifestsServer.
+func (s *service) Push(_ context.Context, req *wire.PushRequest) (*wire.PushResponse, error) {
+	d := s.d
+	d.observe(req.Header)
+	d.markHeard()
+	sender := req.Header.GetInstance()
+	out := d.accept(d.received(req.Envelopes, req.AgesMs), fromPeer)
+	if req.Forward && len(out.proven) > 0 {
+		d.pushToZone(out.proven, sender)
+	}
+	if out.needsOwners {
+		d.start(func() { d.exchangeWith(sender) })
+	}
+	return &wire.PushResponse{Header: d.header()}, nil
+}
+
+// exchangeWith exchanges with a member that is known by name.
+func (d *Distributor) exchangeWith(instance string) {
+	for _, m := range d.cfg.Directory.Members() {
+		if m.Instance == instance {
+			if err := d.exchange(m); err != nil && d.ctx.Err() == nil {
+				d.cfg.Log.WithError(err).WithField("instance", instance).Debug("distributor: digest exchange failed")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/storer/store.go
@@ -0,0 +1,54 @@
+package storer
+
+import (
+	"context"
+	"time"
+)
+
+// MaxValueSize is the largest value in bytes that the service holds.
+const MaxValueSize = 1 << 20
+
+// Entry is one key with its value.
+type Entry struct {
+	Key   string
+	Value []byte
+	// CreateRevision, ModRevision and Version are the service's counters.
+	CreateRevision int64
+	ModRevision    int64
+	Version        int64
+	// Lease is the lease that the key is attached to, or 0.
+	Lease int64
+}
+
+// Store is the platform's key-value service. All methods are safe for
+// concurrent use and return within the earlier of ctx's deadline and the
+// store's own.
+type Store interface {
+	// Get returns the entry and whether it exists.
+	Get(ctx context.Context, key string) (Entry, bool, error)
+	// List returns the entries with the prefix in ascending order of keys and
+	// the revision of the store at which they were read.
+	List(ctx context.Context, prefix string) ([]Entry, int64, error)
+	// Commit runs the transaction atomically. A write whose response was lost
+	// returns an UnknownOutcomeError.
+	Commit(ctx context.Context, tx Transaction) (Result, error)
+	// GrantLease returns the id of a new lease.
+	GrantLease(ctx context.Context, ttl time.Duration) (int64, error)
+	// KeepAlive renews the lease and returns its remaining time. It returns
+	// ErrLeaseNotFound when the lease has expired.
+	KeepAlive(ctx context.Context, lease int64) (time.Duration, error)
+	// Revoke ends the lease.
+	Revoke(ctx context.Context, lease int64) error
+	// Watch reports changes of keys with the prefix from the revision on,
+	// until ctx ends or the watch fails. It returns once the service has
+	// confirmed the watch.
+	Watch(ctx context.Context, prefix string, from int64) (*Watch, error)
+}
+
+// Result is the outcome of a transaction.
+type Result struct {
+	// Succeeded reports whether all compares held and the operations ran.
+	Succeeded bool
+	// Revision is the revision of the store after the transaction.
+	Revision int64
+}
