--- /dev/null
+++ b/internal/classifier/classifier_test.go
@@ -0,0 +1,133 @@
+package classifier
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// Guards against a statement with side effects passing as a read, and against
+// reads being sent to the primary without need.
+func TestClassify(t *testing.T) {
+	cases := []struct {
+		text   string
+		kinds  []Kind
+		tables []string
+	}{
+		{"", nil, nil},
+		{"-- nothing", nil, nil},
+		{"select * from titles where id = $1", []Kind{Read}, []string{"titles"}},
+		{"SELECT t.a, lower(b) FROM public.titles t JOIN catalog.items i ON true", []Kind{Read}, []string{"titles", "catalog.items"}},
+		{"select 1", []Kind{Read}, nil},
+		{"table titles", []Kind{Read}, []string{"titles"}},
+		{"select * from titles for update", []Kind{Write}, nil},
+		{"select * into copy_of from titles", []Kind{Write}, nil},
+		{"select * into temp copy_of from titles", []Kind{Pinning}, nil},
+		{"with x as (delete from titles returning *) select * from x", []Kind{Write}, nil},
+		{"with x as (select * from titles) select * from x", []Kind{Read}, []string{"titles"}},
+		{"with titles as (select * from titles) select * from titles", []Kind{Read}, []string{"titles"}},
+		{"with recursive x as (select 1 union all select * from x) select * from x", []Kind{Read}, nil},
+		{"select * from secret, (with secret as (select 1) select * from secret) y", []Kind{Read}, []string{"secret"}},
+		{"select (select count(*) from notes) from titles", []Kind{Read}, []string{"notes", "titles"}},
+		{"select nextval('s')", []Kind{Write}, nil},
+		{"select my_schema.lower('x')", []Kind{Write}, nil},
+		{"select pg_catalog.lower('x')", []Kind{Read}, nil},
+		{"select set_config('a', 'b', false)", []Kind{Pinning}, nil},
+		{"select pg_advisory_lock(1)", []Kind{Pinning}, nil},
+		{"insert into titles select pg_try_advisory_lock(1)", []Kind{Pinning}, nil},
+		{"select pg_advisory_xact_lock(1)", []Kind{Write}, nil},
+		{"insert into titles values (1)", []Kind{Write}, nil},
+		{"begin; update titles set a = 1; commit", []Kind{Begin, Write, Commit}, nil},
+		{"start transaction read only", []Kind{Begin}, nil},
+		{"commit and chain", []Kind{Refused}, nil},
+		{"prepare transaction 'x'", []Kind{Refused}, nil},
+		{"rollback to savepoint a", []Kind{Savepoint}, nil},
+		{"abort", []Kind{Rollback}, nil},
+		{"set search_path to a, b", []Kind{SetSession}, nil},
+		{"set local statement_timeout = 5", []Kind{SetLocal}, nil},
+		{"set transaction isolation level serializable", []Kind{SetLocal}, nil},
+		{"set session characteristics as transaction read only", []Kind{SetSession}, nil},
+		{"reset all", []Kind{SetSession}, nil},
+		{"show server_version", []Kind{Show}, nil},
+		{"show marigold.request_outcome", []Kind{HubShow}, nil},
+		{"set local marigold.request_key = 'k'", []Kind{HubSet}, nil},
+		{"listen c", []Kind{Pinning}, nil},
+		{"create temp table x (a int)", []Kind{Pinning}, nil},
+		{"create table x (a int)", []Kind{Write}, nil},
+		{"declare c cursor with hold for select 1", []Kind{Pinning}, nil},
+		{"declare c cursor for select 1", []Kind{Write}, nil},
+		{"copy titles from stdin", []Kind{Copy}, nil},
+		{"discard all", []Kind{Discard}, nil},
+		{"deallocate all", []Kind{Deallocate}, nil},
+		{"explain analyze delete from titles", []Kind{Write}, nil},
+		{"selec 1", []Kind{Unparsed}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.text, func(t *testing.T) {
+			r := classify(c.text)
+			var kinds []Kind
+			for _, s := range r.Statements {
+				kinds = append(kinds, s.Kind)
+			}
+			if !slices.Equal(kinds, c.kinds) {
+				t.Fatalf("kinds = %v, want %v", kinds, c.kinds)
+			}
+			got, want := slices.Sorted(slices.Values(r.Tables())), slices.Sorted(slices.Values(c.tables))
+			if !slices.Equal(got, want) {
+				t.Errorf("tables = %v, want %v", got, want)
+			}
+		})
+	}
+}
+
+// Guards against wrong values of settings and wrong statement ranges, which
+// the relayer uses to replace statements.
+func TestSetting(t *testing.T) {
+	text := "begin; SET LOCAL Marigold.Request_Key = 'a''b' ; commit"
+	s := classify(text).Statements[1]
+	if s.Setting != "marigold.request_key" || s.Value != "a'b" || !s.HasValue || !s.Local {
+		t.Errorf("got %+v", s)
+	}
+	if got := strings.TrimSpace(text[s.Start:s.End]); got != "SET LOCAL Marigold.Request_Key = 'a''b'" {
+		t.Errorf("range holds %q", got)
+	}
+}
+
+// Guards against a cache that outgrows its bounds or keeps oversized texts.
+func TestCacheBounds(t *testing.T) {
+	c := New(Config{MaxEntries: 8, MaxBytes: 4 << 10})
+	for i := range 100 {
+		c.Classify(fmt.Sprintf("select %d", i))
+	}
+	c.Classify("select 99")
+	if hits, _ := c.Stats(); hits != 1 {
+		t.Errorf("hits = %d, want 1", hits)
+	}
+	c.Classify("select '" + strings.Repeat("x", maxTextBytes) + "'")
+	if c.recent.Len() != 8 || len(c.entries) != 8 {
+		t.Errorf("%d entries, want 8", c.recent.Len())
+	}
+	c = New(Config{MaxBytes: 1 << 10})
+	for i := range 100 {
+		c.Classify(fmt.Sprintf("select %d", i))
+	}
+	if c.bytes > 1<<10 {
+		t.Errorf("%d bytes kept", c.bytes)
+	}
+}
+
+const benchText = "select t.id, t.name from titles t join notes n on n.title = t.id where t.id = $1 order by t.name limit 10"
+
+func BenchmarkHit(b *testing.B) {
+	c := New(Config{})
+	for b.Loop() {
+		c.Classify(benchText)
+	}
+}
+
+func BenchmarkMiss(b *testing.B) {
+	for b.Loop() {
+		classify(benchText)
+	}
+}
--- /dev/null
+++ b/internal/classifier/classify.go
@@ -0,0 +1,143 @@
+package classifier
+
+import (
+	"strconv"
+	"strings"
+
+	pg_query "github.com/pganalyze/pg_query_go/v6"
+)
+
+// hubPrefix starts the names of settings that the proxy handles itself.
+const hubPrefix = "marigold."
+
+// cursorHold is CURSOR_OPT_HOLD of PostgreSQL's parsenodes.h.
+const cursorHold = 0x0020
+
+func classify(text string) *Result {
+	tree, err := pg_query.Parse(text)
+	if err != nil {
+		return &Result{Statements: []Statement{{Kind: Unparsed, End: len(text)}}}
+	}
+	r := &Result{Statements: make([]Statement, 0, len(tree.Stmts))}
+	for _, raw := range tree.Stmts {
+		s := classifyNode(raw.Stmt)
+		s.Start = int(raw.StmtLocation)
+		s.End = s.Start + int(raw.StmtLen)
+		if raw.StmtLen == 0 {
+			s.End = len(text)
+		}
+		r.Statements = append(r.Statements, s)
+	}
+	return r
+}
+
+func classifyNode(node *pg_query.Node) Statement {
+	switch n := node.Node.(type) {
+	case *pg_query.Node_SelectStmt:
+		return classifySelect(n.SelectStmt)
+	case *pg_query.Node_TransactionStmt:
+		return classifyTransaction(n.TransactionStmt)
+	case *pg_query.Node_VariableSetStmt:
+		return classifySet(n.VariableSetStmt)
+	case *pg_query.Node_VariableShowStmt:
+		return classifyShow(n.VariableShowStmt)
+	case *pg_query.Node_CopyStmt:
+		return Statement{Kind: Copy}
+	case *pg_query.Node_DiscardStmt:
+		if n.DiscardStmt.Target == pg_query.DiscardMode_DISCARD_ALL {
+			return Statement{Kind: Discard}
+		}
+		return Statement{Kind: Pinning}
+	case *pg_query.Node_DeallocateStmt:
+		return Statement{Kind: Deallocate, Setting: n.DeallocateStmt.Name}
+	case *pg_query.Node_ListenStmt, *pg_query.Node_UnlistenStmt, *pg_query.Node_PrepareStmt,
+		*pg_query.Node_ExecuteStmt, *pg_query.Node_LoadStmt:
+		return Statement{Kind: Pinning}
+	case *pg_query.Node_DeclareCursorStmt:
+		if n.DeclareCursorStmt.Options&cursorHold != 0 {
+			return Statement{Kind: Pinning}
+		}
+	}
+	return classifyOther(node)
+}
+
+func classifySelect(n *pg_query.SelectStmt) Statement {
+	var f findings
+	f.walk(n.ProtoReflect(), nil)
+	switch {
+	case f.pinning:
+		return Statement{Kind: Pinning}
+	case f.impure:
+		return Statement{Kind: Write}
+	}
+	return Statement{Kind: Read, Tables: f.tables}
+}
+
+func classifyOther(node *pg_query.Node) Statement {
+	var f findings
+	f.walk(node.ProtoReflect(), nil)
+	if f.pinning {
+		return Statement{Kind: Pinning}
+	}
+	return Statement{Kind: Write}
+}
+
+func classifyTransaction(n *pg_query.TransactionStmt) Statement {
+	if n.Chain {
+		return Statement{Kind: Refused}
+	}
+	switch n.Kind {
+	case pg_query.TransactionStmtKind_TRANS_STMT_BEGIN, pg_query.TransactionStmtKind_TRANS_STMT_START:
+		return Statement{Kind: Begin}
+	case pg_query.TransactionStmtKind_TRANS_STMT_COMMIT:
+		return Statement{Kind: Commit}
+	case pg_query.TransactionStmtKind_TRANS_STMT_ROLLBACK:
+		return Statement{Kind: Rollback}
+	case pg_query.TransactionStmtKind_TRANS_STMT_SAVEPOINT, pg_query.TransactionStmtKind_TRANS_STMT_RELEASE,
+		pg_query.TransactionStmtKind_TRANS_STMT_ROLLBACK_TO:
+		return Statement{Kind: Savepoint}
+	}
+	return Statement{Kind: Refused} // two-phase commit
+}
+
+func classifySet(n *pg_query.VariableSetStmt) Statement {
+	s := Statement{Kind: SetSession, Setting: strings.ToLower(n.Name), Local: n.IsLocal}
+	if n.Kind == pg_query.VariableSetKind_VAR_SET_VALUE && len(n.Args) == 1 {
+		s.Value, s.HasValue = constant(n.Args[0].GetAConst())
+	}
+	switch {
+	case strings.HasPrefix(s.Setting, hubPrefix):
+		s.Kind = HubSet
+	case n.IsLocal, s.Setting == "transaction", s.Setting == "transaction snapshot":
+		s.Kind = SetLocal
+	}
+	return s
+}
+
+func constant(c *pg_query.A_Const) (string, bool) {
+	if c == nil || c.Isnull {
+		return "", false
+	}
+	switch v := c.Val.(type) {
+	case *pg_query.A_Const_Sval:
+		return v.Sval.Sval, true
+	case *pg_query.A_Const_Ival:
+		return strconv.Itoa(int(v.Ival.Ival)), true
+	case *pg_query.A_Const_Fval:
+		return v.Fval.Fval, true
+	case *pg_query.A_Const_Boolval:
+		if v.Boolval.Boolval {
+			return "on", true
+		}
+		return "off", true
+	}
+	return "", false
+}
+
+func classifyShow(n *pg_query.VariableShowStmt) Statement {
+	s := Statement{Kind: Show, Setting: strings.ToLower(n.Name)}
+	if strings.HasPrefix(s.Setting, hubPrefix) {
+		s.Kind = HubShow
+	}
+	return s
+}
