--- a/internal/classifier/classify.go
+++ b/internal/classifier/classify.go
@@ -88,7 +88,7 @@
 	}
 	switch n.Kind {
 	case pg_query.TransactionStmtKind_TRANS_STMT_BEGIN, pg_query.TransactionStmtKind_TRANS_STMT_START:
-		return Statement{Kind: Begin}
+		return Statement{Kind: Begin, ReadOnly: asksReadOnly(n.Options)}
 	case pg_query.TransactionStmtKind_TRANS_STMT_COMMIT:
 		return Statement{Kind: Commit}
 	case pg_query.TransactionStmtKind_TRANS_STMT_ROLLBACK:
@@ -101,7 +101,7 @@
 }
 
 func classifySet(n *pg_query.VariableSetStmt) Statement {
-	s := Statement{Kind: SetSession, Setting: strings.ToLower(n.Name), Local: n.IsLocal}
+	s := Statement{Kind: SetSession, ReadOnly: asksReadOnly(n.Args), Setting: strings.ToLower(n.Name), Local: n.IsLocal}
 	if n.Kind == pg_query.VariableSetKind_VAR_SET_VALUE && len(n.Args) == 1 {
 		s.Value, s.HasValue = constant(n.Args[0].GetAConst())
 	}
@@ -114,6 +114,17 @@
 	return s
 }
 
+// asksReadOnly reports whether the options of a transaction include READ ONLY.
+func asksReadOnly(options []*pg_query.Node) bool {
+	for _, o := range options {
+		def := o.GetDefElem()
+		if def.GetDefname() == "transaction_read_only" && def.GetArg().GetAConst().GetIval().GetIval() != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func constant(c *pg_query.A_Const) (string, bool) {
 	if c == nil || c.Isnull {
 		return "", false
--- a/internal/classifier/statement.go
+++ b/internal/classifier/statement.go
@@ -15,6 +15,8 @@
 	HasValue bool
 	// Local is set for SET LOCAL.
 	Local bool
+	// ReadOnly is set for BEGIN and SET TRANSACTION with READ ONLY.
+	ReadOnly bool
 	// Start and End are the byte range of the statement in the text.
 	Start, End int
 }
--- /dev/null
+++ b/internal/relayer/config.go
@@ -0,0 +1,102 @@
+package relayer
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/checker"
+	"marigoldhub.example/hub/internal/classifier"
+	"marigoldhub.example/hub/internal/confirmer"
+	"marigoldhub.example/hub/internal/pooler"
+	"marigoldhub.example/hub/internal/recorder"
+	"marigoldhub.example/hub/internal/router"
+	"marigoldhub.example/hub/internal/tokener"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// Config bounds what a session may use. Zero fields take the defaults.
+type Config struct {
+	// Policy selects which reads may go to replicas.
+	Policy router.Policy
+	// Zone is the availability zone of this instance.
+	Zone string
+	// MessageLimit is the largest message of a caller, in bytes.
+	MessageLimit int
+	// BatchLimit is the largest batch of a caller, in bytes.
+	BatchLimit int
+	// HoldLimit is the size up to which a whole answer is withheld until it is
+	// confirmed, in bytes. Rows beyond it may be passed on earlier.
+	HoldLimit int
+	// PrimaryWait is the time for which new work waits for an established
+	// primary.
+	PrimaryWait time.Duration
+	// DrainWait is the time for which new work waits while a planned change of
+	// primary is announced.
+	DrainWait time.Duration
+	// ConfirmWait is the time for which a commit or strict read waits for its
+	// confirmation.
+	ConfirmWait time.Duration
+	// ReplicaWait is the time for which a read waits for a connection to a
+	// replica before it goes elsewhere.
+	ReplicaWait time.Duration
+	// WriteWait is the time that a caller may take to accept data.
+	WriteWait time.Duration
+}
+
+// Defaults of Config.
+const (
+	DefaultMessageLimit = 16 << 20
+	DefaultBatchLimit   = 64 << 20
+	DefaultHoldLimit    = 64 << 10
+	DefaultPrimaryWait  = 5 * time.Second
+	DefaultDrainWait    = 200 * time.Millisecond
+	DefaultConfirmWait  = 10 * time.Second
+	DefaultReplicaWait  = 100 * time.Millisecond
+	DefaultWriteWait    = 30 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Policy, router.Session)
+	setDefault(&c.MessageLimit, DefaultMessageLimit)
+	setDefault(&c.BatchLimit, DefaultBatchLimit)
+	setDefault(&c.HoldLimit, DefaultHoldLimit)
+	setDefault(&c.PrimaryWait, DefaultPrimaryWait)
+	setDefault(&c.DrainWait, DefaultDrainWait)
+	setDefault(&c.ConfirmWait, DefaultConfirmWait)
+	setDefault(&c.ReplicaWait, DefaultReplicaWait)
+	setDefault(&c.WriteWait, DefaultWriteWait)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// RetryBudget limits how many requests are repeated inside the proxy.
+type RetryBudget interface {
+	// Request counts a request.
+	Request()
+	// Retry reports whether one more retry is allowed, and counts it.
+	Retry() bool
+}
+
+// Parts are what a Relayer works with. Recorder may be nil.
+type Parts struct {
+	Catalogs   checker.CatalogSource
+	Views      tracker.ViewSource
+	Acquirer   pooler.Acquirer
+	Confirmer  confirmer.Confirmer
+	Budget     RetryBudget
+	Classifier *classifier.Classifier
+	Tokener    *tokener.Tokener
+	Clock      clockwork.Clock
+	Recorder   *recorder.Recorder
+	Metrics    metrics.Registry
+	Log        logrus.FieldLogger
+}
--- /dev/null
+++ b/internal/relayer/confirm.go
@@ -0,0 +1,88 @@
+package relayer
+
+import (
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"marigoldhub.example/hub/internal/confirmer"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// proof is a fresh confirmation that runs in parallel with a strict read. It
+// asks for the current primary's own position, because the position of the
+// read is not known yet.
+type proof struct {
+	done chan struct{}
+	res  confirmer.Result
+	err  error
+}
+
+func (s *Session) beginProof() *proof {
+	p := &proof{done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		p.res, p.err = s.confirm(tracker.Position{}, true)
+	}()
+	return p
+}
+
+func (s *Session) confirm(pos tracker.Position, fresh bool) (confirmer.Result, error) {
+	ctx, cancel := contextWithTimeout(s.r.cfg.ConfirmWait)
+	defer cancel()
+	return s.r.parts.Confirmer.Confirm(ctx, confirmer.Request{Group: s.name, Position: pos, Fresh: fresh})
+}
+
+// confirmRead confirms the position of a strict read. The parallel proof shows
+// that no later term was established when it began, which was after the read
+// was received. What it covers needs nothing more; a position past it needs a
+// confirmation without freshness.
+func (s *Session) confirmRead(p *proof, pos tracker.Position) (confirmer.Result, error) {
+	<-p.done
+	if p.err != nil || p.res.Outcome != confirmer.Confirmed || p.res.Position.Term != pos.Term {
+		return s.confirm(pos, true)
+	}
+	if p.res.Position.Offset >= pos.Offset {
+		return p.res, nil
+	}
+	return s.confirm(pos, false)
+}
+
+// takeFloor sets the floor of a session that has none to the position of the
+// current primary.
+func (s *Session) takeFloor() {
+	if s.floorSet {
+		return
+	}
+	ctx, cancel := contextWithTimeout(floorWait)
+	defer cancel()
+	res, err := s.r.parts.Confirmer.Confirm(ctx, confirmer.Request{Group: s.name, Fresh: true})
+	if err == nil && res.Outcome == confirmer.Confirmed {
+		s.floor, s.floorSet = res.Position, true
+	}
+}
+
+// raiseFloor raises the floor to the position of an own confirmed commit. It
+// lies past everything that was acknowledged before the commit began, so that
+// it also serves as the first floor.
+func (s *Session) raiseFloor(p tracker.Position) {
+	if p.Compare(s.floor) > 0 || !s.floorSet {
+		s.floor, s.floorSet = p, true
+	}
+}
+
+// sendToken reports a token that carries the position of the commit.
+func (s *Session) sendToken(p tracker.Position) {
+	token := s.r.parts.Tokener.Sign(s.caller.Name, s.name, p)
+	if token != "" {
+		s.send(&pgproto3.ParameterStatus{Name: TokenParameter, Value: token})
+	}
+}
+
+// floorWait bounds the confirmation that gives a session its first floor; the
+// read goes to the primary without it.
+const floorWait = time.Second
+
+// TokenParameter names the session token, as a startup parameter and in
+// ParameterStatus.
+const TokenParameter = "marigold.session_token"
--- /dev/null
+++ b/internal/relayer/serve.go
@@ -0,0 +1,200 @@
+package relayer
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"marigoldhub.example/hub/internal/classifier"
+	"marigoldhub.example/hub/internal/resolver"
+)
+
+// serve runs one batch and answers it.
+func (s *Session) serve(b *batch) error {
+	if s.held.open != nil {
+		return s.serveOpen(b)
+	}
+	s.r.counts.batches.Inc(1)
+	defer s.settlePin()
+	p := s.plan(b)
+	local, mixed := p.local()
+	switch {
+	case p.refusal != nil:
+		return s.refuse(b, p.refusal)
+	case mixed:
+		return s.refuse(b, resolver.Error(resolver.CodeNotSupported,
+			"marigold settings, DISCARD and DEALLOCATE cannot be combined with other statements in one batch", ""))
+	case !p.needsServer:
+		return s.serveClose(b)
+	case s.lost:
+		return s.serveLost(b, p)
+	case local:
+		return s.serveLocal(b)
+	}
+	if err := s.checkKeys(p); err != nil {
+		return s.refuse(b, err)
+	}
+	if err := s.checkPin(p); err != nil {
+		return s.refuse(b, err)
+	}
+	s.r.parts.Budget.Request()
+	switch {
+	case s.held.conn != nil:
+		return s.serveHeld(b, p)
+	case p.readOnly() && !b.flushed:
+		return s.serveRead(b, p)
+	}
+	return s.servePrimary(b, p)
+}
+
+// refuse answers a batch with an error without running it. An open transaction
+// fails, as it would at a server.
+func (s *Session) refuse(b *batch, e *pgproto3.ErrorResponse) error {
+	if s.held.tx.active {
+		s.failTransaction()
+	}
+	return s.fail(b, e)
+}
+
+// failTransaction rolls back the open transaction. The session remains in a
+// failed transaction until the caller ends it.
+func (s *Session) failTransaction() {
+	s.lost = true
+	s.dropHeld()
+}
+
+// fail answers a batch with an error.
+func (s *Session) fail(b *batch, e *pgproto3.ErrorResponse) error {
+	switch e.Code {
+	case resolver.CodeNotRun:
+		s.r.counts.notRun.Inc(1)
+	case resolver.CodeUnknown:
+		s.r.counts.unknown.Inc(1)
+		s.r.parts.Recorder.Record("relayer", "outcome_unknown", s.name, "caller", s.caller.Name)
+		// The commit may have happened past the floor.
+		s.floorSet = false
+	}
+	s.send(e)
+	if b.flushed {
+		if err := s.flush(); err != nil {
+			return err
+		}
+		return s.skipToSync()
+	}
+	return s.ready()
+}
+
+// skipToSync drops messages up to Sync, as a server does after an error, and
+// answers the Sync.
+func (s *Session) skipToSync() error {
+	for {
+		b, err := s.nextBatch()
+		if err != nil {
+			return err
+		}
+		if b.query != nil {
+			return fatal(resolver.CodeProtocolViolation, "simple query inside an extended-protocol batch")
+		}
+		if !b.flushed {
+			return s.ready()
+		}
+	}
+}
+
+// serveClose answers a batch that needs no server.
+func (s *Session) serveClose(b *batch) error {
+	for _, m := range b.msgs {
+		if c, ok := m.(*pgproto3.Close); ok && c.ObjectType == 'S' {
+			s.stmts.Remove(c.Name)
+		}
+		s.send(&pgproto3.CloseComplete{})
+	}
+	if b.flushed {
+		return s.flush()
+	}
+	return s.ready()
+}
+
+// serveLost answers a batch of a caller whose transaction has failed and is no
+// longer backed by a server connection. Only its end is accepted.
+func (s *Session) serveLost(b *batch, p *plan) error {
+	if !endsTransaction(p.executed) || !endsTransaction(p.parsed) {
+		return s.fail(b, resolver.Error(resolver.CodeFailedTransaction,
+			"current transaction is aborted, commands ignored until end of transaction block", ""))
+	}
+	s.lost = len(p.executed) == 0
+	return s.answerLocal(b, func(classifier.Statement) (localAnswer, *pgproto3.ErrorResponse) {
+		return localAnswer{tag: "ROLLBACK"}, nil
+	})
+}
+
+func endsTransaction(list []classifier.Statement) bool {
+	for _, st := range list {
+		if st.Kind != classifier.Commit && st.Kind != classifier.Rollback {
+			return false
+		}
+	}
+	return true
+}
+
+// checkPin refuses a batch that would pin more server connections than the
+// caller may.
+func (s *Session) checkPin(p *plan) *pgproto3.ErrorResponse {
+	if !p.pins() || s.held.pinned {
+		return nil
+	}
+	if !s.r.pin(s.caller.Name, s.caller.PinnedLimit) {
+		return resolver.Error(resolver.CodeTooManyConnections,
+			"caller may not pin more server connections", "Session settings, LISTEN, advisory locks and temporary tables pin a server connection.")
+	}
+	s.pinReserved = true
+	return nil
+}
+
+// settlePin gives the reserved pin to the connection that the session keeps, or
+// returns it when there is none.
+func (s *Session) settlePin() {
+	if !s.pinReserved {
+		return
+	}
+	s.pinReserved = false
+	if s.held.conn == nil {
+		s.r.unpin(s.caller.Name)
+		return
+	}
+	s.held.pinned = true
+}
+
+// pinned reports whether the connection stays with the session.
+func (s *Session) pinned() bool { return s.held.pinned || s.pinReserved }
+
+// keepsKey matches SET LOCAL marigold.request_key.
+func keepsKey(st classifier.Statement) bool {
+	return st.Kind == classifier.HubSet && st.Local && st.Setting == keySetting
+}
+
+// checkKeys refuses SET LOCAL of marigold settings that cannot take effect.
+func (s *Session) checkKeys(p *plan) *pgproto3.ErrorResponse {
+	inTx := s.held.tx.active
+	for _, st := range p.executed {
+		switch st.Kind {
+		case classifier.Begin:
+			inTx = true
+		case classifier.Commit, classifier.Rollback:
+			inTx = false
+		case classifier.HubSet:
+			if e := checkKey(st, inTx); e != nil {
+				return e
+			}
+		}
+	}
+	return nil
+}
+
+func checkKey(st classifier.Statement, inTx bool) *pgproto3.ErrorResponse {
+	switch {
+	case !keepsKey(st):
+		return unknownSetting(st.Setting)
+	case !inTx:
+		return resolver.Error(resolver.CodeNoTransaction, "SET LOCAL marigold.request_key can only be used in transaction blocks", "")
+	}
+	return validKey(st.Value)
+}
--- /dev/null
+++ b/internal/resolver/errors.go
@@ -0,0 +1,66 @@
+package resolver
+
+import "github.com/jackc/pgx/v5/pgproto3"
+
+// SQLSTATEs that the proxy reports.
+const (
+	CodeNotRun             = "40001"
+	CodeUnknown            = "08007"
+	CodeAlreadyRan         = "MG001"
+	CodeProtocolViolation  = "08P01"
+	CodeNotSupported       = "0A000"
+	CodeTooManyConnections = "53300"
+	CodeLimitExceeded      = "54000"
+	CodeShutdown           = "57P01"
+	CodeCanceled           = "57014"
+	CodeFailedTransaction  = "25P02"
+	CodeNoTransaction      = "25P01"
+	CodeReadOnly           = "25006"
+	CodeUniqueViolation    = "23505"
+	CodeInvalidValue       = "22023"
+	CodeUnknownSetting     = "42704"
+	CodeUnknownStatement   = "26000"
+	CodeUnknownPortal      = "34000"
+	CodeInvalidLogin       = "28000"
+	CodeInvalidPassword    = "28P01"
+	CodeUnknownDatabase    = "3D000"
+)
+
+// Error returns an ERROR of the proxy.
+func Error(code, message, hint string) *pgproto3.ErrorResponse {
+	return &pgproto3.ErrorResponse{
+		Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: code, Message: message, Hint: hint,
+	}
+}
+
+// Fatal returns a FATAL error of the proxy, after which the caller's
+// connection is closed.
+func Fatal(code, message string) *pgproto3.ErrorResponse {
+	return &pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: code, Message: message}
+}
+
+// NotRunError states that the request did not run.
+func NotRunError(why string) *pgproto3.ErrorResponse {
+	return Error(CodeNotRun, "request was not run: "+why, "The request had no effect and can be repeated.")
+}
+
+// UnknownError states that the outcome of the request is not known.
+func UnknownError(why string) *pgproto3.ErrorResponse {
+	return Error(CodeUnknown, "outcome of the request is unknown: "+why,
+		"A request with marigold.request_key can be repeated, or its outcome read with SHOW marigold.request_outcome.")
+}
+
+// ProvesNotRun reports whether an error of the server proves that the
+// statement did not run and that another server may run it.
+func ProvesNotRun(e *pgproto3.ErrorResponse) bool {
+	return e.Code == CodeReadOnly || e.Code == CodeTooManyConnections
+}
+
+// IsFatal reports whether the server ends the connection with this error.
+func IsFatal(e *pgproto3.ErrorResponse) bool {
+	severity := e.SeverityUnlocalized
+	if severity == "" {
+		severity = e.Severity
+	}
+	return severity == "FATAL" || severity == "PANIC"
+}
--- /dev/null
+++ b/internal/resolver/outcome.go
@@ -0,0 +1,75 @@
+package resolver
+
+import (
+	"marigoldhub.example/hub/internal/confirmer"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// Outcome is the fate of a request.
+type Outcome int
+
+const (
+	// Unknown means that the request may or may not have taken effect.
+	Unknown Outcome = iota
+	// Done means that the request took effect and survives.
+	Done
+	// NotRun means that the request never takes effect.
+	NotRun
+)
+
+var outcomeNames = [...]string{"unknown", "done", "not_run"}
+
+// String returns the name in snake case.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Commit places a commit in the log of the primary that ran it.
+type Commit struct {
+	// Lower was reached before the request was sent. The zero position is
+	// always a valid bound.
+	Lower tracker.Position
+	// Upper was reported after the commit.
+	Upper tracker.Position
+	// Wrote is set when the answer proves that the request wrote a record.
+	// Without a record, a position that survives proves nothing.
+	Wrote bool
+	// ReadOnly is set when the answer proves that nothing was written.
+	ReadOnly bool
+}
+
+// Resolve returns the outcome of a commit after a confirmation.
+func (c Commit) Resolve(res confirmer.Result) Outcome {
+	switch res.Outcome {
+	case confirmer.Confirmed:
+		return Done
+	case confirmer.Superseded:
+		return c.resolveSuperseded(res)
+	}
+	return Unknown
+}
+
+func (c Commit) resolveSuperseded(res confirmer.Result) Outcome {
+	if c.ReadOnly || c.cutBefore(res) {
+		return NotRun
+	}
+	if c.Wrote && res.Contains(c.Upper) {
+		return Done
+	}
+	return Unknown
+}
+
+// cutBefore reports whether the established log holds no record of the
+// commit's term past Lower.
+func (c Commit) cutBefore(res confirmer.Result) bool {
+	for i, b := range res.Lineage {
+		if b.Term != c.Upper.Term {
+			continue
+		}
+		if i+1 >= len(res.Lineage) || c.Lower.Term != b.Term {
+			return false
+		}
+		return res.Lineage[i+1].Start <= c.Lower.Offset
+	}
+	// A branch that is missing although a later one exists was cut whole.
+	n := len(res.Lineage)
+	return n > 0 && res.Lineage[n-1].Term > c.Upper.Term
+}
--- /dev/null
+++ b/internal/tokener/token.go
@@ -0,0 +1,101 @@
+package tokener
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+const (
+	// Lifetime is the time for which a token is valid.
+	Lifetime = 24 * time.Hour
+	// clockSkew is the difference tolerated between the clocks of instances.
+	clockSkew = 5 * time.Minute
+
+	version    = 1
+	bodyBytes  = 1 + 3*8
+	tokenBytes = bodyBytes + sha256.Size
+	domain     = "marigold session token\x00"
+)
+
+// ErrInvalid is returned for every token that is not accepted.
+var ErrInvalid = errors.New("session token is not valid")
+
+// Keys gives the HMAC keys in force. The first key signs, all keys verify.
+type Keys interface {
+	TokenKeys() [][]byte
+}
+
+// Tokener makes and checks tokens.
+type Tokener struct {
+	keys  Keys
+	clock clockwork.Clock
+}
+
+// New returns a Tokener. Without keys it makes no token and accepts none.
+func New(keys Keys, clock clockwork.Clock) *Tokener {
+	return &Tokener{keys: keys, clock: clock}
+}
+
+// Sign returns a token, and the empty string when there is no key.
+func (t *Tokener) Sign(caller, group string, p tracker.Position) string {
+	keys := t.keys.TokenKeys()
+	if len(keys) == 0 {
+		return ""
+	}
+	b := make([]byte, 0, tokenBytes)
+	b = append(b, version)
+	b = binary.BigEndian.AppendUint64(b, uint64(t.clock.Now().Unix()))
+	b = binary.BigEndian.AppendUint64(b, p.Term)
+	b = binary.BigEndian.AppendUint64(b, p.Offset)
+	b = append(b, sum(keys[0], caller, group, b)...)
+	return base64.RawURLEncoding.EncodeToString(b)
+}
+
+// Verify returns the position that the token carries.
+func (t *Tokener) Verify(caller, group, token string) (tracker.Position, error) {
+	if len(token) != base64.RawURLEncoding.EncodedLen(tokenBytes) {
+		return tracker.Position{}, ErrInvalid
+	}
+	b, err := base64.RawURLEncoding.DecodeString(token)
+	if err != nil || len(b) != tokenBytes || b[0] != version {
+		return tracker.Position{}, ErrInvalid
+	}
+	body, mac := b[:bodyBytes], b[bodyBytes:]
+	if !t.authentic(caller, group, body, mac) {
+		return tracker.Position{}, ErrInvalid
+	}
+	age := t.clock.Now().Sub(time.Unix(int64(binary.BigEndian.Uint64(body[1:])), 0))
+	if age > Lifetime || age < -clockSkew {
+		return tracker.Position{}, ErrInvalid
+	}
+	return tracker.Position{Term: binary.BigEndian.Uint64(body[9:]), Offset: binary.BigEndian.Uint64(body[17:])}, nil
+}
+
+func (t *Tokener) authentic(caller, group string, body, mac []byte) bool {
+	ok := false
+	for _, key := range t.keys.TokenKeys() {
+		if hmac.Equal(mac, sum(key, caller, group, body)) {
+			ok = true
+		}
+	}
+	return ok
+}
+
+func sum(key []byte, caller, group string, body []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write([]byte(domain))
+	for _, field := range []string{caller, group} {
+		h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(field))))
+		h.Write([]byte(field))
+	}
+	h.Write(body)
+	return h.Sum(nil)
+}
