--- /dev/null
+++ b/internal/gatekeeper/config.go
@@ -0,0 +1,60 @@
+package gatekeeper
+
+import (
+	"context"
+	"crypto/tls"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/checker"
+	"marigoldhub.example/hub/internal/relayer"
+)
+
+// Config states how connections are accepted. Zero fields take the defaults.
+type Config struct {
+	// Instance is the name of this entry instance.
+	Instance string
+	// ServerVersion is reported to callers.
+	ServerVersion string
+	// AuthWait is the time until a connection must be authenticated.
+	AuthWait time.Duration
+	// MaxUnauthenticated bounds the connections that are not authenticated.
+	MaxUnauthenticated int
+	// MockKey makes the salts that unknown callers see. It is the same at all
+	// instances, so that salts do not tell whether a caller exists. Without it
+	// the instance makes its own.
+	MockKey []byte
+	// TLS is used for callers that ask for TLS. Without it TLS is declined.
+	TLS *tls.Config
+}
+
+// Defaults of Config.
+const (
+	DefaultServerVersion      = "16.0 (marigoldhub)"
+	DefaultAuthWait           = 10 * time.Second
+	DefaultMaxUnauthenticated = 256
+)
+
+// Parts are what a Gatekeeper works with.
+type Parts struct {
+	Catalogs checker.CatalogSource
+	Relayer  *relayer.Relayer
+	// Forward delivers a cancel request that names another instance. See
+	// [InstanceTag].
+	Forward func(ctx context.Context, processID uint32, secret []byte) error
+	Log     logrus.FieldLogger
+}
+
+func (c Config) withDefaults() Config {
+	if c.ServerVersion == "" {
+		c.ServerVersion = DefaultServerVersion
+	}
+	if c.AuthWait <= 0 {
+		c.AuthWait = DefaultAuthWait
+	}
+	if c.MaxUnauthenticated <= 0 {
+		c.MaxUnauthenticated = DefaultMaxUnauthenticated
+	}
+	return c
+}
--- /dev/null
+++ b/internal/gatekeeper/startup.go
@@ -0,0 +1,65 @@
+package gatekeeper
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"marigoldhub.example/hub/internal/relayer"
+	"marigoldhub.example/hub/internal/resolver"
+)
+
+// maxParameterBytes is the longest name or value of a startup parameter.
+const maxParameterBytes = 1 << 10
+
+// startup is what a caller asked for in its startup message.
+type startup struct {
+	user, database, application, token string
+	// declined are protocol options that are not supported.
+	declined []string
+}
+
+// parseStartup checks the parameters of a startup message. Settings that would
+// need a server connection of their own are refused.
+func parseStartup(m *pgproto3.StartupMessage) (startup, error) {
+	s := startup{database: m.Parameters["database"]}
+	for name, value := range m.Parameters {
+		if len(name) > maxParameterBytes || len(value) > maxParameterBytes {
+			return startup{}, &loginError{resolver.CodeProtocolViolation, "startup parameter is too long"}
+		}
+		switch {
+		case name == "user":
+			s.user = value
+		case name == "database":
+		case name == relayer.TokenParameter:
+			s.token = value
+		case name == "application_name":
+			s.application = printable(value)
+		case strings.HasPrefix(name, "_pq_."):
+			s.declined = append(s.declined, name)
+		case name == "options" && strings.TrimSpace(value) == "":
+		case !relayer.HarmlessSetting(name, value):
+			return startup{}, &loginError{resolver.CodeNotSupported, "startup parameter \"" + printable(name) + "\" with this value is not supported by the proxy"}
+		}
+	}
+	if s.user == "" {
+		return startup{}, &loginError{resolver.CodeInvalidLogin, "no user name in startup message"}
+	}
+	if s.database == "" {
+		s.database = s.user
+	}
+	slices.Sort(s.declined)
+	return s, nil
+}
+
+// printable replaces everything but printable ASCII, as a server does with
+// application names.
+func printable(s string) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r > '~' {
+			return '?'
+		}
+		return r
+	}, s)
+}
--- a/internal/relayer/plan.go
+++ b/internal/relayer/plan.go
@@ -201,12 +201,6 @@
 	return tables
 }
 
-// has reports whether a statement that runs has one of the kinds.
-func (p *plan) has(kinds ...classifier.Kind) bool {
-	r := classifier.Result{Statements: p.executed}
-	return r.Has(kinds...)
-}
-
 // pins reports whether the batch leaves state in the server connection.
 func (p *plan) pins() bool {
 	for _, st := range p.executed {
