--- a/internal/relayer/batch.go
+++ b/internal/relayer/batch.go
@@ -27,6 +27,8 @@
 	// flushed is set when the batch ends with Flush instead of Sync.
 	flushed bool
 	size    int
+	// refusal is set for a message that the proxy does not support.
+	refusal *pgproto3.ErrorResponse
 }
 
 // readLoop passes on the caller's messages. It reads ahead by one message, so
@@ -148,7 +150,11 @@
 	case *pgproto3.Terminate:
 		return false, errClosed
 	case *pgproto3.FunctionCall:
-		return false, fatal(resolver.CodeNotSupported, "function call messages are not supported")
+		if len(b.msgs) > 0 || s.held.open != nil {
+			return false, fatal(resolver.CodeProtocolViolation, "function call inside an extended-protocol batch")
+		}
+		b.refusal = resolver.Error(resolver.CodeNotSupported, "function call messages are not supported by the proxy", "")
+		return true, nil
 	case *pgproto3.CopyFail:
 		return false, nil // left over from a refused COPY, ignored as by a server
 	}
@@ -160,10 +166,10 @@
 // drain.
 func (s *Session) next(start bool) (input, error) {
 	var draining <-chan struct{}
-	if start && s.held.conn == nil && !s.lost {
+	if start && !s.held.tx.active && s.held.open == nil && !s.lost {
 		draining = s.draining
 	}
-	s.idle.Store(draining != nil || start)
+	s.idle.Store(draining != nil)
 	defer s.idle.Store(false)
 	select {
 	case in := <-s.incoming:
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -52,6 +52,9 @@
 	sent bool
 	// stale is set when the connection must not be used again.
 	stale bool
+	// pinned is set while the proxy runs statements of its own on a pinned
+	// connection.
+	pinned bool
 	// goneAt is when the vanished caller was noticed.
 	goneAt time.Time
 	// foreign counts successive checks that saw another primary.
@@ -158,6 +161,10 @@
 	if !x.pipelinesStatus() {
 		return nil
 	}
+	if x.status != 'I' {
+		_, err := x.readStatus() // a failed transaction answers it with an error
+		return err
+	}
 	return x.receiveStatus()
 }
 
--- a/internal/relayer/keys.go
+++ b/internal/relayer/keys.go
@@ -142,18 +142,16 @@
 	s := x.s
 	defer s.leavePrimary()
 	s.setRunning(x.conn)
-	defer s.setRunning(nil)
 	r, err := x.query(s.insertKey(key, outcomeNotRun))
 	switch {
 	case err != nil:
-		x.conn.Discard()
+		x.dispose(false)
 		return "", resolver.UnknownError(err.Error())
 	case r.err == nil:
 		x.evidence = provedWrite
 		return outcomeNotRun, x.confirmInternal()
 	case r.err.Code != resolver.CodeUniqueViolation:
-		s.setRunning(nil)
-		x.conn.Release()
+		x.dispose(true)
 		return "", r.err
 	}
 	return x.readKey(key)
@@ -164,7 +162,7 @@
 func (x *exchange) readKey(key string) (string, *pgproto3.ErrorResponse) {
 	r, err := x.query(selectKey(key))
 	if err != nil {
-		x.conn.Discard()
+		x.dispose(false)
 		return "", resolver.UnknownError(err.Error())
 	}
 	x.evidence = unproved
@@ -184,12 +182,10 @@
 // back.
 func (x *exchange) confirmInternal() *pgproto3.ErrorResponse {
 	err := x.askStatus()
-	x.s.setRunning(nil)
+	x.dispose(err == nil)
 	if err != nil {
-		x.conn.Discard()
 		return resolver.UnknownError(err.Error())
 	}
-	x.conn.Release()
 	res, err := x.s.confirm(x.row.Log, x.evidence != provedWrite)
 	if err != nil {
 		return resolver.UnknownError(err.Error())
@@ -202,18 +198,32 @@
 	return nil
 }
 
+// dispose gives back the connection of a statement of the proxy's own.
+func (x *exchange) dispose(atRest bool) {
+	s := x.s
+	s.setRunning(nil)
+	switch {
+	case x.pinned && atRest:
+		s.held.conn = x.conn
+	case x.pinned:
+		s.held.conn = x.conn
+		s.dropHeld()
+	case atRest:
+		x.conn.Release()
+	default:
+		x.conn.Discard()
+	}
+}
+
 // settleKeyClash answers a keyed request whose key exists already. The
 // transaction is rolled back; what is stored for the key decides the answer.
 func (x *exchange) settleKeyClash() attempt {
 	s := x.s
 	s.lost = true
 	defer s.leavePrimary()
-	wasPinned := s.held.pinned
-	s.held = held{}
+	x.pinned = s.pinned()
+	s.held = held{pinned: s.held.pinned}
 	s.portals = nil
-	if wasPinned {
-		s.r.unpin(s.caller.Name)
-	}
 	outcome, failure := x.rollBackAndRead()
 	switch {
 	case failure != nil:
@@ -226,8 +236,8 @@
 
 func (x *exchange) rollBackAndRead() (string, *pgproto3.ErrorResponse) {
 	r, err := x.query("ROLLBACK")
-	if err != nil || r.status != 'I' || x.s.pinReserved {
-		x.conn.Discard()
+	if err != nil || r.status != 'I' {
+		x.dispose(false)
 		return "", resolver.UnknownError("the stored outcome of the request key was not read")
 	}
 	return x.readKey(x.keyClash)
--- a/internal/relayer/local.go
+++ b/internal/relayer/local.go
@@ -247,5 +247,6 @@
 	s.stmts.Clear()
 	s.key = ""
 	s.dropHeld()
+	s.ending = false
 	return localAnswer{tag: "DISCARD ALL"}, nil
 }
--- a/internal/relayer/plan.go
+++ b/internal/relayer/plan.go
@@ -115,7 +115,7 @@
 
 // simulate follows the transaction state through the statements.
 func (p *plan) simulate(inTx bool) {
-	start := inTx
+	start, ended := inTx, false
 	p.explicit = inTx
 	for _, st := range p.executed {
 		p.readOnlyTx = p.readOnlyTx || st.ReadOnly
@@ -123,7 +123,7 @@
 		case classifier.Begin:
 			inTx, p.explicit = true, true
 		case classifier.Commit:
-			p.commits = true
+			p.commits, ended = true, true
 			inTx = false
 		case classifier.Rollback:
 			inTx = false
@@ -131,6 +131,9 @@
 			p.refuse("COPY is not supported by the proxy")
 		case classifier.Refused:
 			p.refuse("two-phase commit and AND CHAIN are not supported by the proxy")
+		case classifier.Unparsed:
+			p.commits, p.reads = true, true
+			p.implicit = p.implicit || !inTx
 		default:
 			p.implicit = p.implicit || (!inTx && st.Kind.MayWrite())
 			p.reads = p.reads || (!inTx && returnsData(st.Kind))
@@ -141,6 +144,11 @@
 			p.refuse("COPY is not supported by the proxy")
 		}
 	}
+	if ended && inTx {
+		// The commit could only be confirmed by a query inside the transaction
+		// that follows it.
+		p.refuse("a batch that commits and leaves another transaction open is not supported by the proxy")
+	}
 	p.commits = p.commits || p.implicit
 	p.begins = inTx && !start
 }
--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -300,6 +300,9 @@
 	if x.keyClash != "" {
 		return x.settleKeyClash()
 	}
+	if x.status != 'I' && x.committed {
+		return x.afterLoss(lost("the batch committed and left a transaction open"))
+	}
 	if x.status != 'I' {
 		s.keep(x)
 		return x.settleInTransaction()
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -12,6 +12,9 @@
 	if s.held.open != nil {
 		return s.serveOpen(b)
 	}
+	if b.refusal != nil {
+		return s.refuse(b, b.refusal)
+	}
 	s.r.counts.batches.Inc(1)
 	defer s.settlePin()
 	p := s.plan(b)
@@ -61,6 +64,16 @@
 	s.dropHeld()
 }
 
+// end sends the last error of a session.
+func (s *Session) end(e *pgproto3.ErrorResponse) error {
+	e.Severity, e.SeverityUnlocalized = "FATAL", "FATAL"
+	s.send(e)
+	if err := s.flush(); err != nil {
+		return err
+	}
+	return errClosed
+}
+
 // fail answers a batch with an error.
 func (s *Session) fail(b *batch, e *pgproto3.ErrorResponse) error {
 	switch e.Code {
@@ -72,6 +85,9 @@
 		// The commit may have happened past the floor.
 		s.floorSet = false
 	}
+	if s.ending {
+		return s.end(e)
+	}
 	s.send(e)
 	if b.flushed {
 		if err := s.flush(); err != nil {
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -68,7 +68,10 @@
 	// lost is set while the caller's transaction has failed and no server
 	// connection backs it.
 	lost bool
-	out  []byte
+	// ending is set when settings of the session were lost with its pinned
+	// connection. The next error is its last answer.
+	ending bool
+	out    []byte
 }
 
 // held is the server connection that stays with the session between batches.
@@ -188,6 +191,7 @@
 	if s.held.conn == nil {
 		return
 	}
+	s.ending = s.ending || s.held.pinned
 	s.held.conn.Discard()
 	s.forgetHeld()
 }
