--- a/internal/classifier/classifier_test.go
+++ b/internal/classifier/classifier_test.go
@@ -81,6 +81,56 @@
 	}
 }
 
+// Guards against one caller ending the process with a text that overflows the
+// parser's stack, and against bulk inserts being taken for such a text.
+func TestTooComplex(t *testing.T) {
+	row := ", (-1, 'a-b:c/d', now() - interval '1' day, null, 3::int)"
+	chain := func(link string) string { return "select 1" + strings.Repeat(link, 100_000) }
+	cases := []struct {
+		name, text string
+		want       Kind
+	}{
+		{"operators", chain("+1"), TooComplex},
+		{"spaced operators", chain(" - 1"), TooComplex},
+		{"casts", chain("::a"), TooComplex},
+		{"set operations", chain(" union select 1"), TooComplex},
+		{"set operations with commas", chain(" union select 1, 2"), TooComplex},
+		{"collations", chain(" collate a"), TooComplex},
+		{"operators behind an escaped quote", "select E'\\''" + strings.Repeat("||''", 100_000), TooComplex},
+		{"calls", chain("+f(1,2)"), TooComplex},
+		{"joins", "select 1 from a" + strings.Repeat(" join a on true", 100_000), TooComplex},
+		{"subscripts", "select a" + strings.Repeat("[1]", 100_000), TooComplex},
+		{"deep tree", "select 1" + strings.Repeat("+1", 8000), TooComplex},
+		{"parentheses", "select " + strings.Repeat("(", 100_000) + "1" + strings.Repeat(")", 100_000), Unparsed},
+		{"bulk insert", "insert into t values (1)" + strings.Repeat(row, 10_000), Write},
+		{"long list", "select 1 in (1" + strings.Repeat(", -1", 100_000) + ")", Read},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := classify(c.text).Statements[0].Kind; got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against panics on texts of any kind, and against a text that starts
+// with a write passing as a read.
+func FuzzClassify(f *testing.F) {
+	f.Add("select 1")
+	f.Add("set marigold.request_key = 'x'")
+	f.Add("insert into t values (1); select 2")
+	f.Fuzz(func(t *testing.T, text string) {
+		if strings.ContainsRune(text, 0) {
+			return // cannot occur in a message
+		}
+		word := strings.ToLower(strings.TrimSpace(text))
+		if classify(text).ReadOnly() && (strings.HasPrefix(word, "insert") || strings.HasPrefix(word, "delete") || strings.HasPrefix(word, "update")) {
+			t.Errorf("%q counts as a read", text)
+		}
+	})
+}
+
 // Guards against wrong values of settings and wrong statement ranges, which
 // the relayer uses to replace statements.
 func TestSetting(t *testing.T) {
--- a/internal/classifier/classify.go
+++ b/internal/classifier/classify.go
@@ -1,10 +1,12 @@
 package classifier
 
 import (
+	"errors"
 	"strconv"
 	"strings"
 
 	pg_query "github.com/pganalyze/pg_query_go/v6"
+	"github.com/pganalyze/pg_query_go/v6/parser"
 )
 
 // hubPrefix starts the names of settings that the proxy handles itself.
@@ -14,9 +16,16 @@
 const cursorHold = 0x0020
 
 func classify(text string) *Result {
+	if isTooComplex(text) {
+		return whole(text, TooComplex)
+	}
 	tree, err := pg_query.Parse(text)
-	if err != nil {
-		return &Result{Statements: []Statement{{Kind: Unparsed, End: len(text)}}}
+	var syntax *parser.Error
+	switch {
+	case errors.As(err, &syntax):
+		return whole(text, Unparsed)
+	case err != nil: // the tree is too deep to be decoded
+		return whole(text, TooComplex)
 	}
 	r := &Result{Statements: make([]Statement, 0, len(tree.Stmts))}
 	for _, raw := range tree.Stmts {
@@ -31,6 +40,11 @@
 	return r
 }
 
+// whole returns the result for a text that is not analysed further.
+func whole(text string, k Kind) *Result {
+	return &Result{Statements: []Statement{{Kind: k, End: len(text)}}}
+}
+
 func classifyNode(node *pg_query.Node) Statement {
 	switch n := node.Node.(type) {
 	case *pg_query.Node_SelectStmt:
--- /dev/null
+++ b/internal/classifier/complexity.go
@@ -0,0 +1,85 @@
+package classifier
+
+import pg_query "github.com/pganalyze/pg_query_go/v6"
+
+// The C parser recurses over its tree to encode it and has no guard against
+// that: chains of 40,000 left-associative operators overflowed a stack of
+// 8 MB, which ends the process. Chains of 20,000 did not.
+const (
+	// maxChain bounds the operators and keywords of one expression, and the
+	// joins and set operations of one text.
+	maxChain = 10_000
+	// maxScanBytes is the longest text whose tokens are counted exactly. The
+	// list of tokens takes many times the memory of the text.
+	maxScanBytes = 2 << 20
+)
+
+// isTooComplex reports whether parsing the text could overflow the stack.
+func isTooComplex(text string) bool {
+	if !mayBeComplex(text) {
+		return false
+	}
+	if len(text) > maxScanBytes {
+		return true
+	}
+	scan, err := pg_query.Scan(text)
+	if err != nil {
+		return false // the parser fails in the same way, before it builds a tree
+	}
+	return hasLongChain(scan.Tokens)
+}
+
+// mayBeComplex counts everything that could be an operator or a keyword, also
+// inside literals and comments.
+func mayBeComplex(text string) bool {
+	if len(text) < maxChain {
+		return false
+	}
+	n, word := 0, false
+	for i := range len(text) {
+		c := text[i] | 0x20
+		letter := c >= 'a' && c <= 'z'
+		if (letter && !word) || isOperator(text[i]) {
+			n++
+		}
+		word = letter
+	}
+	return n > maxChain
+}
+
+func isOperator(c byte) bool {
+	switch c {
+	case '+', '-', '*', '/', '<', '>', '=', '~', '!', '@', '#', '%', '^', '&', '|', '`', '?', ':', '[':
+		return true
+	}
+	return false
+}
+
+// hasLongChain counts operators and keywords between commas of one nesting
+// level, and joins and set operations of the whole text.
+func hasLongChain(tokens []*pg_query.ScanToken) bool {
+	var outer []int
+	chain, sets := 0, 0
+	for _, t := range tokens {
+		switch t.Token {
+		case pg_query.Token_ASCII_40, pg_query.Token_ASCII_91: // ( [
+			outer, chain = append(outer, chain), 0
+		case pg_query.Token_ASCII_41, pg_query.Token_ASCII_93: // ) ]
+			if n := len(outer); n > 0 {
+				outer, chain = outer[:n-1], outer[n-1]
+			}
+			chain++
+		case pg_query.Token_ASCII_44, pg_query.Token_ASCII_59: // , ;
+			chain = 0
+		case pg_query.Token_UNION, pg_query.Token_INTERSECT, pg_query.Token_EXCEPT, pg_query.Token_JOIN:
+			sets++
+		case pg_query.Token_ICONST, pg_query.Token_FCONST, pg_query.Token_SCONST, pg_query.Token_IDENT:
+		default:
+			chain++
+		}
+		if chain > maxChain || sets > maxChain {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/classifier/kind.go
+++ b/internal/classifier/kind.go
@@ -39,11 +39,13 @@
 	Refused
 	// Unparsed is a text that PostgreSQL's parser rejects.
 	Unparsed
+	// TooComplex is a text that is nested too deeply to be analysed.
+	TooComplex
 )
 
 var kindNames = [...]string{
 	"empty", "read", "write", "begin", "commit", "rollback", "savepoint", "set_session", "set_local", "show",
-	"pinning", "copy", "hub_set", "hub_show", "discard", "deallocate", "refused", "unparsed",
+	"pinning", "copy", "hub_set", "hub_show", "discard", "deallocate", "refused", "unparsed", "too_complex",
 }
 
 // String returns the name in snake case.
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -80,7 +80,7 @@
 func (s *Session) newExchange(conn pooler.Conn, b *batch, p *plan) *exchange {
 	x := &exchange{s: s, conn: conn, b: b, p: p, lower: s.group.reached()}
 	if s.held.tx.active {
-		x.evidence = s.held.tx.evidence
+		x.evidence, x.stale = s.held.tx.evidence, s.held.stale
 	}
 	x.streams = p.begins || (s.held.tx.active && !p.commits)
 	return x
--- /dev/null
+++ b/internal/relayer/fuzz_test.go
@@ -0,0 +1,32 @@
+package relayer
+
+import (
+	"testing"
+
+	"marigoldhub.example/hub/internal/checker"
+	"marigoldhub.example/hub/internal/classifier"
+)
+
+// Guards against a request key that ends its literal early in the statement
+// that the proxy puts in place of SET LOCAL.
+func FuzzSetKey(f *testing.F) {
+	for _, key := range []string{"k", "a'b", "a\\", "x'); delete from t; --", "ü", "\x00", ""} {
+		f.Add(key)
+	}
+	s := &Session{caller: checker.Caller{Name: "o'web"}}
+	c := classifier.New(classifier.Config{})
+	f.Fuzz(func(t *testing.T, key string) {
+		if !ValidKey(key) {
+			return
+		}
+		text := "begin; set local marigold.request_key = " + quote(key) + "; commit"
+		r := c.Classify(text)
+		if len(r.Statements) != 3 || r.Statements[1].Value != key {
+			t.Fatalf("key %q is read as %+v", key, r.Statements)
+		}
+		replaced := c.Classify(s.replaceKeys(text, r.Statements))
+		if len(replaced.Statements) != 3 || replaced.Statements[1].Kind != classifier.Write {
+			t.Errorf("key %q makes %+v", key, replaced.Statements)
+		}
+	})
+}
--- a/internal/relayer/plan.go
+++ b/internal/relayer/plan.go
@@ -129,6 +129,8 @@
 			inTx = false
 		case classifier.Copy:
 			p.refuse("COPY is not supported by the proxy")
+		case classifier.TooComplex:
+			p.refuseComplex()
 		case classifier.Refused:
 			p.refuse("two-phase commit and AND CHAIN are not supported by the proxy")
 		case classifier.Unparsed:
@@ -140,8 +142,11 @@
 		}
 	}
 	for _, st := range p.parsed {
-		if st.Kind == classifier.Copy {
+		switch st.Kind {
+		case classifier.Copy:
 			p.refuse("COPY is not supported by the proxy")
+		case classifier.TooComplex:
+			p.refuseComplex()
 		}
 	}
 	if ended && inTx {
@@ -163,6 +168,12 @@
 	}
 }
 
+func (p *plan) refuseComplex() {
+	if p.refusal == nil {
+		p.refusal = resolver.Error(resolver.CodeTooComplex, "statement is too complex for the proxy", "")
+	}
+}
+
 // merge adds the plan of a later part of the same open batch.
 func (p *plan) merge(q *plan) {
 	p.executed = append(p.executed, q.executed...)
--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -330,6 +330,7 @@
 	s.held.conn = x.conn
 	s.held.open = nil
 	s.held.tx.active = true
+	s.held.stale = x.stale
 	s.held.tx.failed = x.status == 'E'
 	s.held.tx.evidence = x.evidence
 	s.held.tx.readOnly = s.held.tx.readOnly || x.p.readOnlyTx
@@ -351,7 +352,7 @@
 
 // giveBack ends the use of a connection at rest.
 func (s *Session) giveBack(x *exchange) {
-	if s.pinned() && !x.stale {
+	if s.pinned() {
 		s.held.conn = x.conn
 		s.held.open = nil
 		s.held.tx = txState{}
--- a/internal/relayer/receive.go
+++ b/internal/relayer/receive.go
@@ -100,8 +100,10 @@
 }
 
 func (x *exchange) handleTag(m *pgproto3.CommandComplete) error {
-	st, _ := x.current()
+	st, known := x.current()
 	tag := string(m.CommandTag)
+	// What the parser does not know may leave state in the connection.
+	x.stale = x.stale || !known || st.Kind == classifier.Unparsed
 	if tag == "COMMIT" {
 		x.committed = true
 	}
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -78,7 +78,9 @@
 type held struct {
 	conn   pooler.Conn
 	pinned bool
-	tx     txState
+	// stale is set when the connection must be closed after the transaction.
+	stale bool
+	tx    txState
 	// open is an extended batch that was flushed and awaits Sync.
 	open *exchange
 }
