--- a/internal/relayer/bench_test.go
+++ b/internal/relayer/bench_test.go
@@ -61,8 +61,8 @@
 }
 
 // BenchmarkIdleSession reports the memory that an idle session holds after one
-// statement. It counts the proxy's side only as far as the process's heap and
-// stacks grow less what the raw test caller needs.
+// statement, as the growth of heap and stacks. The test callers keep nothing but
+// their sockets.
 func BenchmarkIdleSession(b *testing.B) {
 	const n = 500
 	fx := newFixture(b)
--- a/internal/relayer/protocol_test.go
+++ b/internal/relayer/protocol_test.go
@@ -25,13 +25,18 @@
 }
 
 func (fx *fixture) raw(t testing.TB) *raw {
-	hijacked, err := fx.connect().PgConn().Hijack()
+	c, err := pgconn.Connect(bg, fx.url())
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = hijacked.Conn.Close() })
-	_ = hijacked.Conn.SetDeadline(time.Now().Add(10 * time.Second))
-	return &raw{t: t, conn: hijacked.Conn, fe: pgproto3.NewFrontend(hijacked.Conn, hijacked.Conn)}
+	hijacked, err := c.Hijack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := hijacked.Conn
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	return &raw{t: t, conn: conn, fe: pgproto3.NewFrontend(conn, conn)}
 }
 
 func (r *raw) send(msgs ...pgproto3.FrontendMessage) {
