loader: callers that survive connections and record what they were told

Cause: histories need sessions that move between instances and a truthful record of outcomes. Ruled out: an own client dialect; pgx is a real caller. Conclusion: a broken connection after sending counts as unknown, before it as not run.

--- /dev/null
+++ b/internal/loader/outcome.go
@@ -0,0 +1,52 @@
+package loader
+
+import (
+	"errors"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"marigoldhub.example/hub/internal/examiner"
+)
+
+// SQLSTATEs of section 4.7 of the design page, and of refusals that a
+// connection attempt or a statement may get.
+const (
+	stateNotRun      = "40001"
+	stateUnknown     = "08007"
+	stateAlreadyDone = "MG001"
+	stateShutdown    = "57P01"
+	stateConnections = "53300"
+)
+
+// OutcomeOf translates the error of a statement into what the caller was told.
+// A broken connection tells nothing: the outcome is unknown unless pgx knows
+// that nothing was sent. A COMMIT that the server answered with ROLLBACK was
+// not run.
+func OutcomeOf(err error) examiner.Outcome {
+	if err == nil {
+		return examiner.Done
+	}
+	var pgErr *pgconn.PgError
+	if errors.As(err, &pgErr) {
+		return outcomeOfState(pgErr.Code)
+	}
+	if errors.Is(err, pgx.ErrTxCommitRollback) || pgconn.SafeToRetry(err) {
+		return examiner.NotRun
+	}
+	return examiner.Unknown
+}
+
+func outcomeOfState(code string) examiner.Outcome {
+	switch code {
+	case stateAlreadyDone:
+		return examiner.Done
+	case stateUnknown:
+		return examiner.Unknown
+	case stateNotRun, stateShutdown, stateConnections:
+		return examiner.NotRun
+	default:
+		// Any other error of the server rolls the statement back.
+		return examiner.NotRun
+	}
+}
--- /dev/null
+++ b/internal/loader/target.go
@@ -0,0 +1,63 @@
+package loader
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+)
+
+// Target names the entry instances, or backend servers, that callers connect
+// to.
+type Target struct {
+	// Addresses are "host:port".
+	Addresses []string
+	// LocalIP is the IP number that callers connect from.
+	LocalIP  string
+	User     string
+	Password string
+	Database string
+	TLS      *tls.Config
+	// ConnectTimeout bounds one connection attempt.
+	ConnectTimeout time.Duration
+	// Simple selects the simple protocol instead of prepared statements.
+	Simple bool
+}
+
+// connect opens a connection to the given address.
+func (t Target) connect(ctx context.Context, address string) (*pgx.Conn, error) {
+	cfg, err := pgx.ParseConfig("postgres://" + address + "/" + t.Database + "?sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	cfg.User = t.User
+	cfg.Password = t.Password
+	cfg.TLSConfig = t.TLS
+	cfg.Fallbacks = nil
+	cfg.ConnectTimeout = t.ConnectTimeout
+	if t.Simple {
+		cfg.DefaultQueryExecMode = pgx.QueryExecModeSimpleProtocol
+	}
+	dialer := &net.Dialer{Timeout: t.ConnectTimeout}
+	if t.LocalIP != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(t.LocalIP)}
+	}
+	cfg.DialFunc = dialer.DialContext
+	ctx, cancel := context.WithTimeout(ctx, t.ConnectTimeout)
+	defer cancel()
+	return pgx.ConnectConfig(ctx, cfg)
+}
+
+// anyAddress returns a random address that differs from the given one when
+// there is a choice.
+func (t Target) anyAddress(rnd *rand.Rand, not string) string {
+	for range 8 {
+		if a := t.Addresses[rnd.IntN(len(t.Addresses))]; a != not {
+			return a
+		}
+	}
+	return t.Addresses[0]
+}
