standin: backend server and platform store

Cause: all packages need a server and a store to test against. Change: standin/server speaks the PostgreSQL v3 protocol over SQLite rows, with terms, replication and the group functions; standin/platform speaks the etcd v3 JSON gateway and keeps the instance list. Conclusion: go test -race ./standin/... passes; the platform has no tests yet.

--- /dev/null
+++ b/standin/platform/handler.go
@@ -0,0 +1,145 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+)
+
+// maxBody is larger than any request whose values are within their limit, so
+// that the store itself refuses larger values.
+const maxBody = 16 << 20
+
+func (p *Platform) handler() http.Handler {
+	mux := http.NewServeMux()
+	handle(p, mux, "/v3/kv/range", "range", false, func(req rangeRequest) (any, error) { return p.kv.read(req), nil })
+	handle(p, mux, "/v3/kv/txn", "txn", true, func(req txnRequest) (any, error) { return p.kv.txn(req) })
+	handle(p, mux, "/v3/kv/put", "put", true, func(req putRequest) (any, error) {
+		resp, err := p.kv.one(requestOp{Put: &req})
+		return resp.Put, err
+	})
+	handle(p, mux, "/v3/kv/deleterange", "deleterange", true, func(req deleteRequest) (any, error) {
+		resp, err := p.kv.one(requestOp{Delete: &req})
+		return resp.Delete, err
+	})
+	handle(p, mux, "/v3/kv/compaction", "compaction", true, func(req compactRequest) (any, error) {
+		h, err := p.kv.compact(int64(req.Revision))
+		return compactResponse{Header: h}, err
+	})
+	handle(p, mux, "/v3/lease/grant", "lease_grant", true, func(req leaseRequest) (any, error) { return p.kv.grant(req) })
+	handle(p, mux, "/v3/lease/keepalive", "lease_keepalive", true, func(req leaseRequest) (any, error) {
+		return streamed[leaseResponse]{p.kv.keepAlive(int64(req.ID))}, nil
+	})
+	revoke := func(req leaseRequest) (any, error) { return p.kv.revoke(int64(req.ID)) }
+	handle(p, mux, "/v3/lease/revoke", "lease_revoke", true, revoke)
+	handle(p, mux, "/v3/kv/lease/revoke", "lease_revoke", true, revoke)
+	mux.HandleFunc("POST /v3/watch", p.watch)
+	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, _ *http.Request) {
+		p.counts.call("instances")
+		writeJSON(w, http.StatusOK, p.instances.published())
+	})
+	mux.HandleFunc("PUT /v1/instances", p.putInstances)
+	return mux
+}
+
+// one runs a single operation as a transaction.
+func (s *kv) one(op requestOp) (responseOp, error) {
+	resp, err := s.txn(txnRequest{Success: []requestOp{op}})
+	if err != nil {
+		return responseOp{}, err
+	}
+	return resp.Responses[0], nil
+}
+
+// handle serves one kind of call with the faults that are switched on.
+func handle[T any](p *Platform, mux *http.ServeMux, path, kind string, writes bool, call func(T) (any, error)) {
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		p.counts.call(kind)
+		var req T
+		if !p.receive(w, r, &req) {
+			return
+		}
+		resp, err := call(req)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		if writes && p.takeLoss() || p.upContext().Err() != nil {
+			panic(http.ErrAbortHandler)
+		}
+		writeJSON(w, http.StatusOK, resp)
+	})
+}
+
+// receive reads a request and reports whether it is to be served.
+func (p *Platform) receive(w http.ResponseWriter, r *http.Request, req any) bool {
+	up := p.upContext()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		writeError(w, newError(codeInvalidArgument, "etcdserver: request is too large"))
+		return false
+	}
+	p.pause(r.Context(), up)
+	if up.Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if err := decode(body, req); err != nil {
+		writeError(w, newError(codeInvalidArgument, err.Error()))
+		return false
+	}
+	return true
+}
+
+// pause waits for the delay that is switched on.
+func (p *Platform) pause(ctx, up context.Context) {
+	d := time.Duration(p.slow.Load())
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-up.Done():
+	}
+}
+
+func (p *Platform) takeLoss() bool {
+	for {
+		n := p.lose.Load()
+		if n <= 0 {
+			return false
+		}
+		if p.lose.CompareAndSwap(n, n-1) {
+			return true
+		}
+	}
+}
+
+func (p *Platform) putInstances(w http.ResponseWriter, r *http.Request) {
+	var list []Instance
+	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.instances.set(list)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	var e *Error
+	if !errors.As(err, &e) {
+		e = newError(codeInvalidArgument, err.Error())
+	}
+	writeJSON(w, e.status(), e)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/standin/server/node/command.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// Fence takes a term for a promoter if the term is greater than the node's
+// own, or equal to it with the same promoter. The row tells which term and
+// promoter hold.
+func (n *Node) Fence(term uint64, promoter string) (tracker.Status, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var err error
+	// A repeated fence of the same term by the same promoter changes nothing:
+	// the server may lead or follow in that term already.
+	if term > n.meta.Term {
+		err = n.fenceLocked(term, promoter)
+	}
+	return n.statusLocked(), err
+}
+
+func (n *Node) fenceLocked(term uint64, promoter string) error {
+	n.meta.Term, n.meta.Promoter = term, promoter
+	n.meta.Role, n.meta.Follow = tracker.RoleFenced, ""
+	return n.newEpoch()
+}
+
+// newEpoch ends all work of the current epoch and saves the new state. The
+// caller holds mu and has changed meta.
+func (n *Node) newEpoch() error {
+	n.epoch++
+	n.stopFollowing()
+	n.stopFollowing = func() {}
+	n.closeFeeds()
+	if n.open != nil {
+		n.open.kill()
+		n.open = nil
+	}
+	n.signal()
+	n.logState()
+	return n.meta.Save(n.cfg.Dir)
+}
+
+func (n *Node) logState() {
+	n.cfg.Log.WithFields(map[string]any{
+		"term": n.meta.Term, "role": n.meta.Role, "promoter": n.meta.Promoter, "log_end": n.log.End().String(),
+	}).Info("server: state changed")
+}
+
+// Promote makes the node primary if its term and promoter equal the given
+// ones, and appends the record that starts the term.
+func (n *Node) Promote(term uint64, promoter string) (tracker.Status, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if term != n.meta.Term || promoter != n.meta.Promoter || n.meta.Role == tracker.RolePrimary {
+		return n.statusLocked(), nil
+	}
+	n.meta.Role, n.meta.Follow = tracker.RolePrimary, ""
+	err := n.newEpoch()
+	if err == nil {
+		err = n.log.Append(newRecord(n.meta.Term, n.log.End().Offset+1, nil))
+	}
+	n.signal()
+	return n.statusLocked(), err
+}
+
+// Follow makes the node a replica of the server at addr if the term is at
+// least its own.
+func (n *Node) Follow(term uint64, server, addr string) (tracker.Status, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if term < n.meta.Term || server == n.cfg.Name {
+		return n.statusLocked(), nil
+	}
+	if term == n.meta.Term && n.meta.Role == tracker.RoleReplica && n.meta.Follow == addr {
+		return n.statusLocked(), nil
+	}
+	if term > n.meta.Term {
+		n.meta.Term, n.meta.Promoter = term, ""
+	}
+	n.meta.Role, n.meta.Follow = tracker.RoleReplica, addr
+	err := n.newEpoch()
+	n.startFollowing()
+	return n.statusLocked(), err
+}
