--- /dev/null
+++ b/internal/enroller/member.go
@@ -0,0 +1,76 @@
+package enroller
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"marigoldhub.example/hub/internal/messenger/wire"
+)
+
+const maxNameBytes = 128
+
+func (m Member) toWire() *wire.Member {
+	return &wire.Member{Instance: m.Instance, Address: m.Address, Zone: m.Zone, Incarnation: m.Incarnation, Leaving: m.Leaving}
+}
+
+// memberFromWire returns false when the message names no complete member.
+func memberFromWire(w *wire.Member) (Member, bool) {
+	m := Member{
+		Instance:    w.GetInstance(),
+		Address:     w.GetAddress(),
+		Zone:        w.GetZone(),
+		Incarnation: w.GetIncarnation(),
+		Leaving:     w.GetLeaving(),
+	}
+	complete := m.Instance != "" && m.Address != ""
+	bounded := len(m.Instance) <= maxNameBytes && len(m.Address) <= maxNameBytes && len(m.Zone) <= maxNameBytes
+	return m, complete && bounded
+}
+
+// supersedes reports whether m wins over another process with the same
+// instance name.
+func (m Member) supersedes(other Member) bool {
+	if m.Incarnation != other.Incarnation {
+		return m.Incarnation > other.Incarnation
+	}
+	return m.Address > other.Address
+}
+
+func (m Member) sameProcess(other Member) bool {
+	return m.Instance == other.Instance && m.Address == other.Address && m.Incarnation == other.Incarnation
+}
+
+// hashMembers returns a hash of members in their order, never 0. 0 in a
+// message means that the sender of the hash does not know its peer.
+func hashMembers(members []Member) uint64 {
+	d := xxhash.New()
+	var buf [9]byte
+	for _, m := range members {
+		_, _ = d.WriteString(m.Instance + "\x00" + m.Address + "\x00" + m.Zone + "\x00")
+		binary.BigEndian.PutUint64(buf[:], m.Incarnation)
+		buf[8] = 0
+		if m.Leaving {
+			buf[8] = 1
+		}
+		_, _ = d.Write(buf[:])
+	}
+	return max(d.Sum64(), 1)
+}
+
+// entry is what this instance knows about one member.
+type entry struct {
+	member Member
+	// heard is the local time of the last message at first hand.
+	heard time.Time
+	// inbound is the local time of the last heartbeat that the member sent.
+	inbound time.Time
+	// listHash and listSent tell which list the member received last.
+	listHash uint64
+	listSent time.Time
+}
+
+func (e *entry) alive(now time.Time, limit time.Duration) bool {
+	return now.Sub(e.heard) <= limit
+}
--- /dev/null
+++ b/internal/enroller/platform.go
@@ -0,0 +1,167 @@
+package enroller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	platformTimeout    = time.Second
+	maxPlatformBackoff = 10 * time.Second
+	// maxPlatformBytes holds a list of about 40,000 instances.
+	maxPlatformBytes = 4 << 20
+)
+
+// platformInstance is one element of GET /v1/instances. Unknown keys are
+// ignored: the platform may add some.
+type platformInstance struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Kind    string `json:"kind"`
+	State   string `json:"state"`
+}
+
+const (
+	kindEntry    = "entry"
+	kindServer   = "server"
+	stateLeaving = "leaving"
+)
+
+// platformMarks are the leaving marks of the newest list.
+type platformMarks struct {
+	// entries holds name and address, so that a stale mark does not hit a
+	// replacement of the same name.
+	entries map[[2]string]bool
+	servers map[string]bool
+}
+
+func (p platformMarks) entryLeaving(m Member) bool {
+	return p.entries[[2]string{m.Instance, m.Address}]
+}
+
+// ServerLeaving reports whether the platform's newest list marks the backend
+// server as leaving.
+func (r *Roster) ServerLeaving(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.platform.servers[name]
+}
+
+// pollPlatform reads the platform's list until the roster closes. The newest
+// list that was read stays in use while the platform does not answer.
+func (r *Roster) pollPlatform() {
+	client := r.cfg.HTTPClient
+	if client == nil {
+		client = newPlatformClient(r.cfg.LocalIP)
+	}
+	defer client.CloseIdleConnections()
+	etag := ""
+	pause := r.cfg.PlatformInterval
+	for {
+		next, err := r.readPlatform(client, etag)
+		if err != nil {
+			if r.ctx.Err() == nil {
+				r.cfg.Log.WithError(err).Warn("enroller: platform list not read")
+			}
+			pause = min(pause*2, maxPlatformBackoff)
+		} else {
+			etag, pause = next, r.cfg.PlatformInterval
+		}
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-r.cfg.Clock.After(pause):
+		}
+	}
+}
+
+func newPlatformClient(localIP net.IP) *http.Client {
+	d := &net.Dialer{Timeout: platformTimeout}
+	if localIP != nil {
+		d.LocalAddr = &net.TCPAddr{IP: localIP}
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConns: 1, IdleConnTimeout: time.Minute}}
+}
+
+// readPlatform reads and applies the list once. It returns the entity tag for
+// the next request, so that an unchanged list need not be sent.
+func (r *Roster) readPlatform(client *http.Client, etag string) (string, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, platformTimeout)
+	defer cancel()
+	url := strings.TrimSuffix(r.cfg.PlatformURL, "/") + "/v1/instances"
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return "", err
+	}
+	if etag != "" {
+		req.Header.Set("If-None-Match", etag)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusNotModified {
+		return etag, nil
+	}
+	if resp.StatusCode != http.StatusOK {
+		return "", errors.Errorf("platform list: status %d", resp.StatusCode)
+	}
+	instances, err := parsePlatformList(resp.Body)
+	if err != nil {
+		return "", err
+	}
+	r.applyPlatform(instances)
+	return resp.Header.Get("ETag"), nil
+}
+
+// parsePlatformList refuses a list that is too long or malformed. Elements
+// without a name or with an overlong field are left out.
+func parsePlatformList(body io.Reader) ([]platformInstance, error) {
+	data, err := io.ReadAll(io.LimitReader(body, maxPlatformBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read platform list")
+	}
+	if len(data) > maxPlatformBytes {
+		return nil, errors.Errorf("platform list exceeds %d bytes", maxPlatformBytes)
+	}
+	var all []platformInstance
+	if err := json.Unmarshal(data, &all); err != nil {
+		return nil, errors.Wrap(err, "parse platform list")
+	}
+	instances := all[:0]
+	for _, i := range all {
+		if i.Name != "" && len(i.Name) <= maxNameBytes && len(i.Address) <= maxNameBytes {
+			instances = append(instances, i)
+		}
+	}
+	return instances, nil
+}
+
+func (r *Roster) applyPlatform(instances []platformInstance) {
+	marks := platformMarks{entries: make(map[[2]string]bool), servers: make(map[string]bool)}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Clock.Now()
+	for _, i := range instances {
+		leaving := i.State == stateLeaving
+		switch {
+		case i.Kind == kindServer && leaving:
+			marks.servers[i.Name] = true
+		case i.Kind == kindEntry && leaving:
+			marks.entries[[2]string{i.Name, i.Address}] = true
+		case i.Kind == kindEntry && i.Name != r.self.Instance:
+			r.addCandidate(i.Address, false, now)
+		}
+	}
+	r.platform = marks
+	r.refresh(now)
+}
--- /dev/null
+++ b/internal/messenger/counter.go
@@ -0,0 +1,47 @@
+package messenger
+
+import (
+	"net"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Names of the metrics that count control traffic below TLS, in bytes.
+const (
+	MetricBytesIn  = "messenger.bytes_in"
+	MetricBytesOut = "messenger.bytes_out"
+)
+
+// counter counts the bytes of all connections of one server or dialer.
+type counter struct {
+	in, out metrics.Counter
+}
+
+func newCounter(r metrics.Registry) *counter {
+	if r == nil {
+		r = metrics.NewRegistry()
+	}
+	return &counter{
+		in:  metrics.GetOrRegisterCounter(MetricBytesIn, r),
+		out: metrics.GetOrRegisterCounter(MetricBytesOut, r),
+	}
+}
+
+func (c *counter) wrap(conn net.Conn) net.Conn { return &countedConn{Conn: conn, counter: c} }
+
+type countedConn struct {
+	net.Conn
+	counter *counter
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counter.in.Inc(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counter.out.Inc(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/messenger/messenger_test.go
@@ -0,0 +1,234 @@
+package messenger
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/goleak"
+
+	"marigoldhub.example/hub/internal/messenger/wire"
+	"marigoldhub.example/hub/internal/recorder"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// sessions answers Cancel after the gate opens.
+type sessions struct {
+	gate chan struct{}
+	mu   sync.Mutex
+	n    int
+}
+
+func (s *sessions) Cancel(ctx context.Context, req *wire.CancelRequest) (*wire.CancelResponse, error) {
+	s.mu.Lock()
+	s.n++
+	s.mu.Unlock()
+	if s.gate != nil {
+		select {
+		case <-s.gate:
+		case <-ctx.Done():
+		}
+	}
+	if len(req.GetSecretKey()) == 1 {
+		return nil, errors.New("refused")
+	}
+	return &wire.CancelResponse{Header: &wire.Header{Instance: "server", Lamport: 41}}, nil
+}
+
+func startServer(t *testing.T, impl wire.DRPCSessionsServer, cfg ServerConfig) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Listener = lis
+	s := NewServer(cfg)
+	if err := wire.DRPCRegisterSessions(s.Mux(), impl); err != nil {
+		t.Fatal(err)
+	}
+	s.Start()
+	t.Cleanup(func() {
+		_ = s.Close()
+		<-s.Done()
+	})
+	return lis.Addr().String()
+}
+
+func call(p *Pool, address string, limit time.Duration, req *wire.CancelRequest) (*wire.CancelResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	conn, err := p.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return wire.NewDRPCSessionsClient(conn).Cancel(ctx, req)
+}
+
+func newPool(t *testing.T, cfg PoolConfig) *Pool {
+	t.Helper()
+	p := NewPool(cfg)
+	t.Cleanup(func() { _ = p.Close() })
+	return p
+}
+
+func (p *Pool) idleAt(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pr, ok := p.peers[address]; ok {
+		return len(pr.idle)
+	}
+	return -1
+}
+
+// Guards against calls that wait for each other on one connection, and against
+// a pool that opens a connection for every call.
+func TestCallsShareConnections(t *testing.T) {
+	impl := &sessions{gate: make(chan struct{})}
+	address := startServer(t, impl, ServerConfig{})
+	p := newPool(t, PoolConfig{MaxPerAddress: 3})
+	var wg sync.WaitGroup
+	for range 6 {
+		wg.Go(func() {
+			if _, err := call(p, address, 5*time.Second, &wire.CancelRequest{}); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	impl.mu.Lock()
+	if impl.n != 3 {
+		t.Errorf("%d concurrent calls, want 3", impl.n)
+	}
+	impl.mu.Unlock()
+	close(impl.gate)
+	wg.Wait()
+	if n := p.idleAt(address); n != 3 {
+		t.Errorf("%d idle connections, want 3", n)
+	}
+}
+
+// Guards against a frozen peer that blocks its caller or leaves a connection
+// whose late response meets the next call.
+func TestFrozenPeer(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	p := newPool(t, PoolConfig{})
+	begun := time.Now()
+	_, err = call(p, lis.Addr().String(), 100*time.Millisecond, &wire.CancelRequest{})
+	if !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("error %v, want deadline exceeded", err)
+	}
+	if d := time.Since(begun); d > 300*time.Millisecond {
+		t.Errorf("the call took %v", d)
+	}
+	if n := p.idleAt(lis.Addr().String()); n > 0 {
+		t.Errorf("%d idle connections after the timeout, want none", n)
+	}
+}
+
+// Guards against connections and addresses that are kept after a failed call
+// or long after their last use.
+func TestConnectionsAreDropped(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	address := startServer(t, &sessions{}, ServerConfig{})
+	p := newPool(t, PoolConfig{Clock: clock})
+	if _, err := call(p, address, time.Second, &wire.CancelRequest{SecretKey: []byte{1}}); err == nil {
+		t.Error("no error from a refused call")
+	}
+	if n := p.idleAt(address); n > 0 {
+		t.Errorf("%d idle connections after an error, want none", n)
+	}
+	if _, err := call(p, address, time.Second, &wire.CancelRequest{}); err != nil {
+		t.Fatal(err)
+	}
+	if n := p.idleAt(address); n != 1 {
+		t.Fatalf("%d idle connections, want 1", n)
+	}
+	for deadline := time.Now().Add(5 * time.Second); p.idleAt(address) != -1; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the address is still kept")
+		}
+		clock.Advance(DefaultIdleTimeout)
+	}
+}
+
+// Guards against a peer that exhausts a server with connections or with one
+// large message.
+func TestServerLimits(t *testing.T) {
+	address := startServer(t, &sessions{}, ServerConfig{MaxConnections: 1, MaxMessageBytes: 1024})
+	p := newPool(t, PoolConfig{})
+	if _, err := call(p, address, time.Second, &wire.CancelRequest{}); err != nil {
+		t.Fatal(err)
+	}
+	other := newPool(t, PoolConfig{})
+	if _, err := call(other, address, time.Second, &wire.CancelRequest{}); err == nil {
+		t.Error("a connection above the limit was served")
+	}
+	if _, err := call(p, address, time.Second, &wire.CancelRequest{SecretKey: make([]byte, 1<<20)}); err == nil {
+		t.Error("a message above the limit was served")
+	}
+}
+
+// Guards against control traffic that is not counted, and Lamport times that
+// do not advance past a received message.
+func TestCountersAndStamper(t *testing.T) {
+	registry := metrics.NewRegistry()
+	address := startServer(t, &sessions{}, ServerConfig{})
+	p := newPool(t, PoolConfig{Registry: registry, LocalIP: net.IPv4(127, 0, 0, 7)})
+	stamper := Stamper{Instance: "entry-1", Recorder: recorder.New("entry-1", 4, clockwork.NewRealClock())}
+	resp, err := call(p, address, time.Second, &wire.CancelRequest{Header: stamper.Header()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	stamper.Observe(resp.GetHeader())
+	if got := stamper.Header().GetLamport(); got != 42 {
+		t.Errorf("Lamport time %d, want 42", got)
+	}
+	for _, name := range []string{MetricBytesIn, MetricBytesOut} {
+		if metrics.GetOrRegisterCounter(name, registry).Count() == 0 {
+			t.Errorf("%s is 0", name)
+		}
+	}
+}
+
+// Guards against a pool whose calls outlive Close.
+func TestCloseEndsCalls(t *testing.T) {
+	address := startServer(t, &sessions{gate: make(chan struct{})}, ServerConfig{})
+	p := newPool(t, PoolConfig{})
+	errs := make(chan error, 1)
+	go func() {
+		_, err := call(p, address, 10*time.Second, &wire.CancelRequest{})
+		errs <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	_ = p.Close()
+	select {
+	case err := <-errs:
+		if err == nil {
+			t.Error("no error from an interrupted call")
+		}
+	case <-time.After(2 * time.Second):
+		t.Fatal("the call outlives Close")
+	}
+}
+
+// Guards against successive calls that fail or reconnect because the context
+// of the previous call ended.
+func TestSuccessiveCallsReuseConnection(t *testing.T) {
+	address := startServer(t, &sessions{}, ServerConfig{MaxConnections: 1})
+	p := newPool(t, PoolConfig{})
+	for i := range 500 {
+		if _, err := call(p, address, time.Second, &wire.CancelRequest{}); err != nil {
+			t.Fatalf("call %d: %v", i, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/messenger/peerconn.go
@@ -0,0 +1,56 @@
+package messenger
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+)
+
+// peerConn is what [Pool.Dial] returns: every call uses a connection of its
+// own.
+type peerConn struct {
+	pool    *Pool
+	address string
+}
+
+// Close does nothing: the pool owns the connections.
+func (c *peerConn) Close() error { return nil }
+
+// Closed implements drpc.Conn.
+func (c *peerConn) Closed() <-chan struct{} { return c.pool.done }
+
+// NewStream implements drpc.Conn. The wire services have no streams.
+func (c *peerConn) NewStream(context.Context, string, drpc.Encoding) (drpc.Stream, error) {
+	return nil, errors.New("streams between instances are not supported")
+}
+
+// Invoke implements drpc.Conn.
+func (c *peerConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(c.pool.ctx, cancel)()
+	pr, err := c.pool.enter(ctx, c.address)
+	if err != nil {
+		return err
+	}
+	conn, err := c.invoke(ctx, pr, rpc, enc, in, out)
+	c.pool.leave(pr, conn)
+	return err
+}
+
+// invoke returns the connection when it can be used again. A call is never
+// repeated here: the receiver may have run it.
+func (c *peerConn) invoke(ctx context.Context, pr *peer, rpc string, enc drpc.Encoding, in, out drpc.Message) (*drpcconn.Conn, error) {
+	conn, err := c.pool.take(ctx, pr, c.address)
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.Invoke(ctx, rpc, enc, in, out); err != nil {
+		// Closing may wait for a write to a frozen peer.
+		go func() { _ = conn.Close() }()
+		return nil, err
+	}
+	return conn, nil
+}
--- /dev/null
+++ b/internal/messenger/server.go
@@ -0,0 +1,168 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+)
+
+// Defaults of [ServerConfig].
+const (
+	// DefaultMaxConnections allows 16 connections of each of 64 members.
+	DefaultMaxConnections = 1024
+	// DefaultMaxMessageBytes holds several envelopes of the store's 1 MB.
+	DefaultMaxMessageBytes = 8 << 20
+)
+
+const (
+	handshakeTimeout = time.Second
+	// serverIdleTimeout is longer than the idle expiry of the dialer, so that
+	// the client side closes first and no call meets a closing connection.
+	serverIdleTimeout = time.Minute
+	acceptRetryDelay  = 20 * time.Millisecond
+)
+
+// ServerConfig configures a [Server].
+type ServerConfig struct {
+	// Listener accepts connections. The server closes it.
+	Listener net.Listener
+	// TLS returns the configuration for the next connection. Nil means
+	// plain TCP.
+	TLS func() *tls.Config
+	// MaxConnections bounds the open connections; further ones are closed at
+	// once. 0 means DefaultMaxConnections.
+	MaxConnections int
+	// MaxMessageBytes bounds one message. 0 means DefaultMaxMessageBytes.
+	MaxMessageBytes int
+	// Registry receives the byte counters. It may be nil.
+	Registry metrics.Registry
+	// Log may be nil.
+	Log logrus.FieldLogger
+}
+
+// Server serves drpc services to other instances.
+type Server struct {
+	cfg     ServerConfig
+	mux     *drpcmux.Mux
+	rpc     *drpcserver.Server
+	counter *counter
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    chan struct{}
+	conns   sync.WaitGroup
+	slots   chan struct{}
+	start   sync.Once
+}
+
+// NewServer returns a server that does not accept connections yet. Services
+// are registered on Mux before Start.
+func NewServer(cfg ServerConfig) *Server {
+	if cfg.MaxConnections == 0 {
+		cfg.MaxConnections = DefaultMaxConnections
+	}
+	if cfg.MaxMessageBytes == 0 {
+		cfg.MaxMessageBytes = DefaultMaxMessageBytes
+	}
+	if cfg.Log == nil {
+		cfg.Log = logrus.StandardLogger()
+	}
+	s := &Server{
+		cfg:     cfg,
+		mux:     drpcmux.New(),
+		counter: newCounter(cfg.Registry),
+		done:    make(chan struct{}),
+		slots:   make(chan struct{}, cfg.MaxConnections),
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.rpc = drpcserver.NewWithOptions(s.mux, drpcserver.Options{Manager: drpcmanager.Options{
+		Reader:            drpcwire.ReaderOptions{MaximumBufferSize: cfg.MaxMessageBytes},
+		InactivityTimeout: serverIdleTimeout,
+	}})
+	return s
+}
+
+// Mux registers generated services: wire.DRPCRegisterMembership(s.Mux(), impl).
+func (s *Server) Mux() drpc.Mux { return s.mux }
+
+// Start begins to accept connections. Further calls do nothing.
+func (s *Server) Start() {
+	s.start.Do(func() { go s.accept() })
+}
+
+// Done is closed when the server stopped and all its connections are closed.
+func (s *Server) Done() <-chan struct{} { return s.done }
+
+// Close stops the server and waits for its connections. Calls in progress are
+// canceled.
+func (s *Server) Close() error {
+	s.cancel()
+	err := s.cfg.Listener.Close()
+	s.start.Do(func() { close(s.done) })
+	<-s.done
+	return err
+}
+
+func (s *Server) accept() {
+	defer close(s.done)
+	defer s.conns.Wait()
+	for {
+		conn, err := s.cfg.Listener.Accept()
+		if s.ctx.Err() != nil {
+			if err == nil {
+				_ = conn.Close()
+			}
+			return
+		}
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			s.cfg.Log.WithError(err).Warn("messenger: accept failed")
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		select {
+		case s.slots <- struct{}{}:
+			s.conns.Go(func() { s.serve(conn) })
+		default:
+			s.cfg.Log.WithField("remote", conn.RemoteAddr()).Warn("messenger: connection limit reached")
+			_ = conn.Close()
+		}
+	}
+}
+
+func (s *Server) serve(conn net.Conn) {
+	defer func() { <-s.slots }()
+	conn = s.counter.wrap(conn)
+	defer func() { _ = conn.Close() }()
+	// A handshake or a read that blocks ends when the server closes.
+	stop := context.AfterFunc(s.ctx, func() { _ = conn.Close() })
+	defer stop()
+	if s.cfg.TLS != nil {
+		secured, err := s.handshake(conn)
+		if err != nil {
+			s.cfg.Log.WithError(err).WithField("remote", conn.RemoteAddr()).Warn("messenger: TLS handshake failed")
+			return
+		}
+		conn = secured
+	}
+	_ = s.rpc.ServeOne(s.ctx, conn)
+}
+
+func (s *Server) handshake(conn net.Conn) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, handshakeTimeout)
+	defer cancel()
+	secured := tls.Server(conn, s.cfg.TLS())
+	return secured, secured.HandshakeContext(ctx)
+}
