pooler, divider: hand out server connections within grants

pooler keeps an idle list per server, a queue per group that orders by class and arrival, and returns a connection only at rest. divider gives grants for the groups that this instance monitors.

--- /dev/null
+++ b/internal/pooler/conn.go
@@ -0,0 +1,148 @@
+package pooler
+
+import (
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+const statusIdle = 'I'
+
+// conn is one authenticated server connection. It is used by one goroutine at
+// a time.
+type conn struct {
+	server *backend
+	net    net.Conn
+	raw    *net.TCPConn
+	fe     *pgproto3.Frontend
+
+	processID uint32
+	secretKey []byte
+
+	// pending counts the ReadyForQuery messages that are still expected.
+	pending int
+	// unsynced is set while extended-protocol messages were sent that no Sync
+	// follows, and unflushed while messages are buffered here.
+	unsynced  bool
+	unflushed bool
+	// status is the transaction status of the last ReadyForQuery.
+	status byte
+	broken bool
+
+	statements statements
+	// class is the class of the request that uses the connection, and since
+	// the time at which it became idle.
+	class Class
+	since time.Time
+}
+
+func newConn(netConn net.Conn, raw *net.TCPConn) *conn {
+	return &conn{net: netConn, raw: raw, fe: pgproto3.NewFrontend(netConn, netConn)}
+}
+
+// Server implements [Conn].
+func (c *conn) Server() string { return c.server.name }
+
+// Send implements [Conn].
+func (c *conn) Send(msgs ...pgproto3.FrontendMessage) {
+	for _, msg := range msgs {
+		switch msg.(type) {
+		case *pgproto3.Query, *pgproto3.Sync, *pgproto3.FunctionCall:
+			c.pending++
+			c.unsynced = false
+		case *pgproto3.Flush:
+		case *pgproto3.Terminate:
+			c.broken = true
+		default:
+			c.unsynced = true
+		}
+		c.unflushed = true
+		c.fe.Send(msg)
+	}
+}
+
+// Flush implements [Conn].
+func (c *conn) Flush() error {
+	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err := c.fe.Flush(); err != nil {
+		c.broken = true
+		return err
+	}
+	c.unflushed = false
+	return nil
+}
+
+// Receive implements [Conn].
+func (c *conn) Receive() (pgproto3.BackendMessage, error) {
+	msg, err := c.fe.Receive()
+	if err != nil {
+		// A message that was read in part is continued by the next call.
+		c.broken = c.broken || !isTimeout(err)
+		return nil, err
+	}
+	switch msg := msg.(type) {
+	case *pgproto3.ReadyForQuery:
+		c.pending--
+		c.status = msg.TxStatus
+	case *pgproto3.ErrorResponse:
+		c.broken = c.broken || msg.Severity == "FATAL" || msg.Severity == "PANIC"
+	}
+	return msg, nil
+}
+
+// SetReadDeadline implements [Conn].
+func (c *conn) SetReadDeadline(t time.Time) error { return c.net.SetReadDeadline(t) }
+
+// HasStatement implements [Conn].
+func (c *conn) HasStatement(name string) bool { return c.statements.use(name) }
+
+// AddStatement implements [Conn].
+func (c *conn) AddStatement(name string) { c.statements.add(name) }
+
+// RemoveStatement implements [Conn].
+func (c *conn) RemoveStatement(name string) { c.statements.remove(name) }
+
+// atRest reports whether every expected response was read, no transaction is
+// open and no byte is left over.
+func (c *conn) atRest() bool {
+	return !c.broken && c.pending == 0 && !c.unsynced && !c.unflushed &&
+		c.status == statusIdle && c.fe.ReadBufferLen() == 0
+}
+
+// usable reports whether an idle connection can be handed out.
+func (c *conn) usable() bool { return c.atRest() && quiet(c.raw) }
+
+// close ends the connection. A server that does not read must not block it.
+func (c *conn) close() {
+	_ = c.net.SetDeadline(time.Now().Add(100 * time.Millisecond))
+	if c.atRest() {
+		c.fe.Send(&pgproto3.Terminate{})
+		_ = c.fe.Flush()
+	}
+	_ = c.net.Close()
+}
+
+// trim closes the least recently used prepared statements beyond the bound.
+func (c *conn) trim() error {
+	names := c.statements.oldest(trimmedStatements)
+	if err := c.SetReadDeadline(time.Now().Add(trimTimeout)); err != nil {
+		return err
+	}
+	for _, name := range names {
+		c.Send(&pgproto3.Close{ObjectType: 'S', Name: name})
+	}
+	c.Send(&pgproto3.Sync{})
+	if err := c.Flush(); err != nil {
+		return err
+	}
+	for c.pending > 0 {
+		if _, err := c.Receive(); err != nil {
+			return err
+		}
+	}
+	for _, name := range names {
+		c.statements.remove(name)
+	}
+	return c.SetReadDeadline(time.Time{})
+}
--- /dev/null
+++ b/internal/pooler/grants.go
@@ -0,0 +1,126 @@
+package pooler
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"marigoldhub.example/hub/internal/messenger/wire"
+)
+
+const (
+	grantInterval = time.Second
+	// grantRetry is the pause after a request that brought no grant, and the
+	// shortest time between two requests.
+	grantRetry   = 200 * time.Millisecond
+	grantTimeout = 300 * time.Millisecond
+)
+
+// MonitorDuty names the duty of monitoring a group.
+func MonitorDuty(group string) string { return "monitor/" + group }
+
+// requestGrants asks the group's monitor for grants until the group or the
+// pool ends.
+func (g *group) requestGrants() {
+	for {
+		pause := grantInterval - rand.N(grantInterval/10)
+		if !g.requestGrant() {
+			pause = grantRetry
+		}
+		if !g.pauseGrants(pause) {
+			return
+		}
+	}
+}
+
+// pauseGrants waits, for less time when the demand or the members change.
+func (g *group) pauseGrants(pause time.Duration) bool {
+	clock := g.pool.cfg.Clock
+	select {
+	case <-g.pool.ctx.Done():
+		return false
+	case <-g.stop:
+		return false
+	case <-clock.After(min(pause, grantRetry)):
+	}
+	if pause <= grantRetry {
+		return true
+	}
+	select {
+	case <-g.pool.ctx.Done():
+		return false
+	case <-g.stop:
+		return false
+	case <-g.demand:
+	case <-g.pool.cfg.Directory.Changed():
+	case <-clock.After(pause - grantRetry):
+	}
+	return true
+}
+
+// requestGrant makes one request and reports whether a monitor answered it.
+func (g *group) requestGrant() bool {
+	ctx, cancel := context.WithTimeout(g.pool.ctx, grantTimeout)
+	defer cancel()
+	sent := g.pool.cfg.Clock.Now()
+	resp, err := g.callMonitor(ctx, g.grantRequest(sent))
+	if err != nil || !resp.GetIsMonitor() {
+		return false
+	}
+	g.pool.stamper.Observe(resp.GetHeader())
+	g.acceptGrant(resp, sent)
+	return true
+}
+
+func (g *group) callMonitor(ctx context.Context, req *wire.GrantRequest) (*wire.GrantResponse, error) {
+	directory := g.pool.cfg.Directory
+	monitor := directory.Holder(MonitorDuty(g.name))
+	if monitor.Instance == directory.Self().Instance {
+		return g.pool.cfg.Granter.Grant(ctx, req)
+	}
+	conn, err := g.pool.cfg.Dialer.Dial(ctx, monitor.Address)
+	if err != nil {
+		return nil, err
+	}
+	return wire.NewDRPCGroupsClient(conn).Grant(ctx, req)
+}
+
+func (g *group) grantRequest(now time.Time) *wire.GrantRequest {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	req := &wire.GrantRequest{Header: g.pool.stamper.Header(), Group: g.name}
+	for _, b := range g.backends {
+		req.Demands = append(req.Demands, &wire.ServerDemand{
+			Server:  b.name,
+			Open:    uint32(b.open),
+			InUse:   uint32(b.inUse()),
+			Waiting: uint32(g.queue.countFor(b)),
+			Granted: uint32(b.allowance(now)),
+		})
+	}
+	return req
+}
+
+// acceptGrant applies a grant. A response that overtook a later one is
+// ignored.
+func (g *group) acceptGrant(resp *wire.GrantResponse, sent time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if sent.Before(g.grantSent) {
+		return
+	}
+	g.grantSent = sent
+	now := g.pool.cfg.Clock.Now()
+	duration := min(time.Duration(resp.GetDurationMs())*time.Millisecond, GrantDuration)
+	for _, grant := range resp.GetGrants() {
+		b, ok := g.backends[grant.GetServer()]
+		if !ok {
+			continue
+		}
+		// A faulty monitor cannot raise an instance above the server's limit.
+		b.granted = min(int(grant.GetConnections()), max(b.limit-ReservedConnections, 1))
+		b.grantExpires = sent.Add(duration)
+		b.shrink(now)
+		b.serve(now)
+	}
+}
--- /dev/null
+++ b/internal/pooler/pool_test.go
@@ -0,0 +1,642 @@
+package pooler
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
+
+	"marigoldhub.example/hub/internal/checker"
+	"marigoldhub.example/hub/internal/enroller"
+	"marigoldhub.example/hub/internal/messenger/wire"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fixture stands in for the parts that the pool asks.
+type fixture struct {
+	mu      sync.Mutex
+	catalog *checker.Catalog
+	changed chan struct{}
+	primary string
+	leaving map[string]bool
+	// grants per server; nil means that nobody monitors.
+	grants map[string]int
+	asked  atomic.Int64
+}
+
+func (f *fixture) Catalog() *checker.Catalog {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.catalog
+}
+
+func (f *fixture) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *fixture) setCatalog(m checker.Manifest) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.catalog = checker.NewCatalog(m)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fixture) setGrants(grants map[string]int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.grants = grants
+}
+
+func (f *fixture) Grant(context.Context, *wire.GrantRequest) (*wire.GrantResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked.Add(1)
+	resp := &wire.GrantResponse{IsMonitor: f.grants != nil, DurationMs: 3000}
+	for server, n := range f.grants {
+		resp.Grants = append(resp.Grants, &wire.ServerGrant{Server: server, Connections: uint32(n)})
+	}
+	return resp, nil
+}
+
+type views struct{ f *fixture }
+
+func (v views) View(group string) (tracker.View, bool) {
+	v.f.mu.Lock()
+	defer v.f.mu.Unlock()
+	return tracker.View{Group: group, Primary: v.f.primary}, true
+}
+
+func (v views) Changed(string) <-chan struct{} { return nil }
+
+type directory struct{}
+
+var self = enroller.Member{Instance: "entry-0", Address: "127.0.0.1:1"}
+
+func (directory) Self() enroller.Member                               { return self }
+func (directory) Members() []enroller.Member                          { return []enroller.Member{self} }
+func (directory) Holder(string) enroller.Member                       { return self }
+func (directory) HolderInZone(string, string) (enroller.Member, bool) { return self, true }
+func (directory) Changed() <-chan struct{}                            { return nil }
+
+func manifest(servers ...checker.Server) checker.Manifest {
+	return checker.Manifest{Groups: []checker.Group{{
+		Name: "g", Database: "core", ServerUser: "proxy", ServerPasswordFile: "pw", Servers: servers,
+	}}}
+}
+
+func entryOf(name string, s *scriptedServer, limit int) checker.Server {
+	return checker.Server{Name: name, Address: s.address(), ConnectionLimit: limit}
+}
+
+func startPool(t testing.TB, f *fixture, m checker.Manifest, edit func(*Config)) *Pool {
+	t.Helper()
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	f.catalog, f.changed = checker.NewCatalog(m), make(chan struct{})
+	cfg := Config{
+		Catalog: f, Views: views{f}, Directory: directory{}, Granter: f, Log: log,
+		Password: func(string) (string, error) { return "secret", nil },
+		ServerLeaving: func(name string) bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.leaving[name]
+		},
+	}
+	if edit != nil {
+		edit(&cfg)
+	}
+	p := New(cfg)
+	t.Cleanup(func() { _ = p.Close() })
+	return p
+}
+
+func acquire(t testing.TB, p *Pool, class Class) Conn {
+	t.Helper()
+	c, err := p.Acquire(context.Background(), Request{Group: "g", Server: "a", Class: class})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func reasonOf(err error) Reason {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return refused.Reason
+	}
+	return ""
+}
+
+func waitFor(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("timeout waiting for " + what)
+		}
+	}
+}
+
+func statsOf(p *Pool, server string) Stats {
+	for _, s := range p.Stats() {
+		if s.Server == server {
+			return s
+		}
+	}
+	return Stats{}
+}
+
+// Guards against connections that are handed to the next user with an open
+// transaction, unread responses or buffered messages.
+func TestOnlyConnectionsAtRestReturn(t *testing.T) {
+	tests := []struct {
+		name string
+		use  func(Conn)
+		kept bool
+	}{
+		{"at rest", func(c Conn) { run(t, c, "select") }, true},
+		{"unused", func(Conn) {}, true},
+		{"open transaction", func(c Conn) { run(t, c, "begin") }, false},
+		{"unread response", func(c Conn) {
+			c.Send(&pgproto3.Query{String: "select"})
+			_ = c.Flush()
+		}, false},
+		{"response read in part", func(c Conn) {
+			c.Send(&pgproto3.Query{String: "select"})
+			_ = c.Flush()
+			_, _ = c.Receive()
+		}, false},
+		{"message not flushed", func(c Conn) { c.Send(&pgproto3.Query{String: "select"}) }, false},
+		{"no sync", func(c Conn) {
+			c.Send(&pgproto3.Parse{Name: "s", Query: "select"})
+			_ = c.Flush()
+		}, false},
+		{"two syncs, one response", func(c Conn) {
+			c.Send(&pgproto3.Sync{}, &pgproto3.Sync{})
+			_ = c.Flush()
+			_, _ = c.Receive()
+		}, false},
+		{"server closed", func(c Conn) {
+			c.Send(&pgproto3.Query{String: "die"})
+			_ = c.Flush()
+			_, _ = c.Receive()
+		}, false},
+		{"discarded", func(c Conn) { c.Discard() }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := startServer(t, "secret")
+			f := &fixture{grants: map[string]int{"a": 1}}
+			p := startPool(t, f, manifest(entryOf("a", s, 20)), nil)
+			c := acquire(t, p, Submission)
+			id := c.(*lease).processID
+			tt.use(c)
+			c.Release()
+			c.Release()
+			next := acquire(t, p, Submission)
+			defer next.Release()
+			if kept := next.(*lease).processID == id; kept != tt.kept {
+				t.Errorf("connection kept: %v, want %v", kept, tt.kept)
+			}
+			if code := run(t, next, "select"); code != "" {
+				t.Errorf("next user got error %s", code)
+			}
+		})
+	}
+}
+
+// Guards against an idle connection that is handed out although the server
+// closed it.
+func TestClosedIdleConnectionIsNoticed(t *testing.T) {
+	s := startServer(t, "secret")
+	p := startPool(t, &fixture{}, manifest(entryOf("a", s, 20)), nil)
+	acquire(t, p, Submission).Release()
+	s.closeConns()
+	waitFor(t, "close at the server", func() bool { return s.open() == 0 })
+	c := acquire(t, p, Submission)
+	defer c.Release()
+	run(t, c, "select")
+}
+
+// Guards against a wrong password that passes, and against an error that does
+// not prove "nothing was sent".
+func TestRefusals(t *testing.T) {
+	s := startServer(t, "other")
+	up := startServer(t, "secret")
+	m := manifest(entryOf("a", s, 20), entryOf("b", up, 20), checker.Server{Name: "c", Address: "127.0.0.1:1", ConnectionLimit: 20})
+	m.Drains = []checker.Drain{{Group: "g", Server: "b"}}
+	p := startPool(t, &fixture{}, m, nil)
+	tests := []struct {
+		server string
+		want   Reason
+	}{{"a", ReasonUnreachable}, {"b", ReasonLeaving}, {"c", ReasonUnreachable}, {"d", ReasonUnknown}}
+	for _, tt := range tests {
+		_, err := p.Acquire(context.Background(), Request{Group: "g", Server: tt.server, Class: Submission})
+		if got := reasonOf(err); got != tt.want {
+			t.Errorf("server %s: reason %q (%v), want %q", tt.server, got, err, tt.want)
+		}
+	}
+}
+
+// Guards against a frozen server that holds its callers for longer than the
+// connect timeout.
+func TestFrozenServer(t *testing.T) {
+	s := startServer(t, "secret")
+	s.frozen.Store(true)
+	p := startPool(t, &fixture{}, manifest(entryOf("a", s, 20)), nil)
+	begun := time.Now()
+	_, err := p.Acquire(context.Background(), Request{Group: "g", Server: "a", Class: Submission})
+	if got := reasonOf(err); got != ReasonUnreachable {
+		t.Errorf("reason %q (%v), want unreachable", got, err)
+	}
+	if d := time.Since(begun); d > 1500*time.Millisecond {
+		t.Errorf("refused after %v", d)
+	}
+}
+
+// Guards against work that a leaving server still receives after 3 s: also a
+// primary is refused, after the grace for a planned change.
+func TestLeavingServer(t *testing.T) {
+	s := startServer(t, "secret")
+	f := &fixture{primary: "a", grants: map[string]int{"a": 4}}
+	p := startPool(t, f, manifest(entryOf("a", s, 20)), nil)
+	acquire(t, p, Submission).Release()
+	f.mu.Lock()
+	f.leaving = map[string]bool{"a": true}
+	f.mu.Unlock()
+	begun := time.Now()
+	for {
+		c, err := p.Acquire(context.Background(), Request{Group: "g", Server: "a", Class: Submission})
+		if err != nil {
+			if got := reasonOf(err); got != ReasonLeaving {
+				t.Errorf("reason %q, want leaving", got)
+			}
+			break
+		}
+		c.Release()
+		if time.Since(begun) > 3*time.Second {
+			t.Fatal("a leaving server still receives work after 3 s")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	waitFor(t, "idle connections to close", func() bool { return s.open() == 0 })
+}
+
+// Guards against more open connections than granted, and against waiters that
+// are not served in the order class, then arrival.
+func TestQueueOrder(t *testing.T) {
+	s := startServer(t, "secret")
+	p := startPool(t, &fixture{grants: map[string]int{"a": 1}}, manifest(entryOf("a", s, 20)), nil)
+	waitFor(t, "the grant", func() bool { return statsOf(p, "a").Allowance == 1 })
+	first := acquire(t, p, Submission)
+	classes := []Class{BoundedRead, StrictRead, Submission, BoundedRead, Submission, StrictRead}
+	var mu sync.Mutex
+	var served []int
+	var wg sync.WaitGroup
+	for i, class := range classes {
+		wg.Go(func() {
+			c := acquire(t, p, class)
+			mu.Lock()
+			served = append(served, i)
+			mu.Unlock()
+			c.Release()
+		})
+		waitFor(t, "the waiter", func() bool { return statsOf(p, "a").Waiting == i+1 })
+	}
+	first.Release()
+	wg.Wait()
+	if want := []int{2, 4, 1, 5, 0, 3}; !slices.Equal(served, want) {
+		t.Errorf("served in order %v, want %v", served, want)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mostOpen > 2 {
+		t.Errorf("%d connections open at the server, want at most the ungranted share of 2", s.mostOpen)
+	}
+}
+
+// Guards against an unbounded queue and against submissions that are refused
+// while bounded-staleness reads wait.
+func TestQueueOverload(t *testing.T) {
+	s := startServer(t, "secret")
+	p := startPool(t, &fixture{grants: map[string]int{"a": 1}}, manifest(entryOf("a", s, 20)), nil)
+	waitFor(t, "the grant", func() bool { return statsOf(p, "a").Allowance == 1 })
+	first := acquire(t, p, Submission)
+	defer first.Discard()
+	request := func(class Class) Reason {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		c, err := p.Acquire(ctx, Request{Group: "g", Server: "a", Class: class})
+		if err == nil {
+			c.Release()
+		}
+		return reasonOf(err)
+	}
+	reasons := make(chan Reason, QueueLimit)
+	for range QueueLimit {
+		go func() { reasons <- request(BoundedRead) }()
+	}
+	waitFor(t, "a full queue", func() bool { return statsOf(p, "a").Waiting == QueueLimit })
+	if got := request(BoundedRead); got != ReasonQueueFull {
+		t.Errorf("reason %q for a read above the queue limit, want queue_full", got)
+	}
+	go request(Submission)
+	if got := <-reasons; got != ReasonQueueFull {
+		t.Errorf("reason %q for the read that gives way, want queue_full", got)
+	}
+	for range QueueLimit - 1 {
+		if got := <-reasons; got != ReasonDeadline {
+			t.Fatalf("reason %q at the deadline, want deadline", got)
+		}
+	}
+}
+
+// Guards against bounded-staleness reads that take more than half of a
+// primary's connections.
+func TestBoundedReadsUseHalfOfPrimary(t *testing.T) {
+	s := startServer(t, "secret")
+	f := &fixture{primary: "a", grants: map[string]int{"a": 4}}
+	p := startPool(t, f, manifest(entryOf("a", s, 20)), nil)
+	waitFor(t, "the grant", func() bool { return statsOf(p, "a").Allowance == 4 })
+	reads := []Conn{acquire(t, p, BoundedRead), acquire(t, p, BoundedRead)}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := p.Acquire(ctx, Request{Group: "g", Server: "a", Class: BoundedRead})
+	if got := reasonOf(err); got != ReasonDeadline {
+		t.Errorf("reason %q for the third read, want deadline", got)
+	}
+	writes := []Conn{acquire(t, p, Submission), acquire(t, p, Submission)}
+	reads[0].Release()
+	reads = append(reads[1:], acquire(t, p, BoundedRead))
+	for _, c := range append(reads, writes...) {
+		c.Release()
+	}
+}
+
+// Guards against connections kept above a grant: idle ones are closed at once
+// and busy ones when they are released.
+func TestGrantShrinks(t *testing.T) {
+	s := startServer(t, "secret")
+	f := &fixture{grants: map[string]int{"a": 4}}
+	p := startPool(t, f, manifest(entryOf("a", s, 20)), nil)
+	waitFor(t, "the grant", func() bool { return statsOf(p, "a").Allowance == 4 })
+	var conns []Conn
+	for range 4 {
+		conns = append(conns, acquire(t, p, Submission))
+	}
+	conns[0].Release()
+	conns[1].Release()
+	f.setGrants(map[string]int{"a": 1})
+	waitFor(t, "idle connections to close", func() bool { return statsOf(p, "a").Open == 2 })
+	conns[2].Release()
+	waitFor(t, "the busy connection to close", func() bool { return s.open() == 1 })
+	conns[3].Release()
+	if got := statsOf(p, "a"); got.Open != 1 || got.InUse != 0 {
+		t.Errorf("stats %+v, want one idle connection", got)
+	}
+}
+
+// Guards against a paused process that uses connections of an expired grant:
+// the first request after the pause must not be served above the ungranted
+// share.
+func TestGrantExpiresWhilePaused(t *testing.T) {
+	s := startServer(t, "secret")
+	clock := clockwork.NewFakeClock()
+	f := &fixture{grants: map[string]int{"a": 6}}
+	p := startPool(t, f, manifest(entryOf("a", s, 20)), func(c *Config) { c.Clock = clock })
+	waitFor(t, "the grant", func() bool { return statsOf(p, "a").Allowance == 6 })
+	var conns []Conn
+	for range 6 {
+		got := make(chan Conn, 1)
+		go func() { got <- acquire(t, p, Submission) }()
+		waitFor(t, "a connection", func() bool {
+			clock.Advance(openJitter)
+			return len(got) == 1
+		})
+		conns = append(conns, <-got)
+	}
+	for _, c := range conns[:5] {
+		c.Release()
+	}
+	f.setGrants(nil)
+	clock.Advance(GrantDuration)
+	conns[5].Release()
+	waitFor(t, "connections to close", func() bool { return s.open() <= Ungranted(20) })
+	if got := statsOf(p, "a"); got.Open > Ungranted(20) {
+		t.Errorf("stats %+v, want at most %d open", got, Ungranted(20))
+	}
+}
+
+// Guards against late grants that replace newer ones.
+func TestLateGrantIsIgnored(t *testing.T) {
+	s := startServer(t, "secret")
+	p := startPool(t, &fixture{}, manifest(entryOf("a", s, 20)), nil)
+	g := p.group("g")
+	now := time.Now()
+	grant := func(n uint32) *wire.GrantResponse {
+		return &wire.GrantResponse{DurationMs: 3000, Grants: []*wire.ServerGrant{{Server: "a", Connections: n}}}
+	}
+	g.acceptGrant(grant(3), now.Add(time.Second))
+	g.acceptGrant(grant(9), now)
+	if got := statsOf(p, "a").Allowance; got != 3 {
+		t.Errorf("allowance %d, want 3", got)
+	}
+}
+
+// Guards against the server's refusal (53300) that ends a request although
+// another connection of the instance becomes free.
+func TestServerLimitReached(t *testing.T) {
+	s := startServer(t, "secret")
+	s.limit.Store(1)
+	p := startPool(t, &fixture{grants: map[string]int{"a": 4}}, manifest(entryOf("a", s, 20)), nil)
+	waitFor(t, "the grant", func() bool { return statsOf(p, "a").Allowance == 4 })
+	first := acquire(t, p, Submission)
+	time.AfterFunc(100*time.Millisecond, first.Release)
+	acquire(t, p, Submission).Release()
+	f2 := startPool(t, &fixture{}, manifest(entryOf("a", s, 20)), nil)
+	_, err := f2.Acquire(context.Background(), Request{Group: "g", Server: "a", Class: Submission})
+	if got := reasonOf(err); got != ReasonLimit {
+		t.Errorf("reason %q (%v), want limit", got, err)
+	}
+}
+
+// Guards against a cancel request that reaches the statement of the next
+// holder: Release waits for it, and an ended lease cancels nothing.
+func TestCancelReachesOnlyItsHolder(t *testing.T) {
+	s := startServer(t, "secret")
+	p := startPool(t, &fixture{grants: map[string]int{"a": 1}}, manifest(entryOf("a", s, 20)), nil)
+	c := acquire(t, p, Submission)
+	c.Send(&pgproto3.Query{String: "sleep"})
+	if err := c.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Cancel(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if code, err := drain(c); err != nil || code != "57014" {
+		t.Fatalf("code %q, error %v, want 57014", code, err)
+	}
+	// The race: cancel requests start while the holder releases.
+	s.cancelDelay.Store(int64(2 * time.Millisecond))
+	for range 30 {
+		var wg sync.WaitGroup
+		for range 3 {
+			wg.Go(func() { _ = c.Cancel(context.Background()) })
+		}
+		run(t, c, "select")
+		c.Release()
+		next := acquire(t, p, Submission)
+		before := s.cancelCount()
+		run(t, next, "other")
+		wg.Wait()
+		if n := s.cancelCount(); n != before {
+			t.Fatalf("%d cancel requests arrived after Release", n-before)
+		}
+		if err := c.Cancel(context.Background()); !errors.Is(err, ErrReleased) {
+			t.Fatalf("error %v from an ended lease, want ErrReleased", err)
+		}
+		// A cancel that arrived between statements stays with its holder; the
+		// scripted server reports it with the next statement.
+		c = next
+	}
+	c.Release()
+}
+
+func (s *scriptedServer) cancelCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.canceled)
+}
+
+// Guards against a connection that returns to the pool while a cancel request
+// of unknown fate may still arrive.
+func TestUnansweredCancelDropsConnection(t *testing.T) {
+	s := startServer(t, "secret")
+	p := startPool(t, &fixture{grants: map[string]int{"a": 1}}, manifest(entryOf("a", s, 20)), nil)
+	c := acquire(t, p, Submission)
+	s.cancelDelay.Store(int64(300 * time.Millisecond))
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	if err := c.Cancel(ctx); err == nil {
+		t.Error("no error from a cancel request without an answer")
+	}
+	id := c.(*lease).processID
+	c.Release()
+	next := acquire(t, p, Submission)
+	defer next.Release()
+	if next.(*lease).processID == id {
+		t.Error("the connection was reused")
+	}
+}
+
+// Guards against prepared statements that accumulate on a connection.
+func TestStatementsAreBounded(t *testing.T) {
+	s := startServer(t, "secret")
+	p := startPool(t, &fixture{grants: map[string]int{"a": 1}}, manifest(entryOf("a", s, 20)), nil)
+	waitFor(t, "the grant", func() bool { return statsOf(p, "a").Allowance == 1 })
+	c := acquire(t, p, Submission)
+	for i := range maxStatements + 1 {
+		c.AddStatement(fmt.Sprint("s", i))
+	}
+	c.HasStatement("s0")
+	c.Release()
+	c = acquire(t, p, Submission)
+	defer c.Release()
+	if !c.HasStatement("s0") || c.HasStatement("s1") || !c.HasStatement(fmt.Sprint("s", maxStatements)) {
+		t.Error("the least recently used statements were not the ones closed")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := len(s.closed); n != maxStatements+1-trimmedStatements {
+		t.Errorf("%d statements closed at the server", n)
+	}
+}
+
+// Guards against requests that are served by a server that the manifest no
+// longer names.
+func TestCatalogChange(t *testing.T) {
+	a, b := startServer(t, "secret"), startServer(t, "secret")
+	f := &fixture{}
+	p := startPool(t, f, manifest(entryOf("a", a, 20)), nil)
+	held := acquire(t, p, Submission)
+	f.setCatalog(manifest(entryOf("b", b, 20)))
+	waitFor(t, "the new server", func() bool { return statsOf(p, "b").Open == 1 })
+	_, err := p.Acquire(context.Background(), Request{Group: "g", Server: "a", Class: Submission})
+	if got := reasonOf(err); got != ReasonUnknown {
+		t.Errorf("reason %q, want unknown_server", got)
+	}
+	run(t, held, "select")
+	held.Release()
+	waitFor(t, "the old connection to close", func() bool { return a.open() == 0 })
+}
+
+// Guards against retries above 10 % of requests plus 10.
+func TestBudget(t *testing.T) {
+	b := NewBudget(RetryRatio, RetryReserve)
+	retries := 0
+	for range 1000 {
+		b.Request()
+		if b.Retry() {
+			retries++
+		}
+	}
+	if retries != 110 {
+		t.Errorf("%d retries of 1000 requests, want 110", retries)
+	}
+}
+
+func BenchmarkAcquireRelease(b *testing.B) {
+	s := startServer(b, "secret")
+	p := startPool(b, &fixture{grants: map[string]int{"a": 4}}, manifest(entryOf("a", s, 20)), nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		acquire(b, p, Submission).Release()
+	}
+}
+
+// TestMeasureIdleMemory prints the memory of an idle server connection when
+// MARIGOLD_MEASURE is set. The scripted server's half is part of the figure.
+func TestMeasureIdleMemory(t *testing.T) {
+	if os.Getenv("MARIGOLD_MEASURE") == "" {
+		t.Skip("MARIGOLD_MEASURE is not set")
+	}
+	const n = 1000
+	s := startServer(t, "secret")
+	f := &fixture{grants: map[string]int{"a": n}}
+	p := startPool(t, f, manifest(entryOf("a", s, n+ReservedConnections)), nil)
+	waitFor(t, "the grant", func() bool { return statsOf(p, "a").Allowance == n })
+	acquire(t, p, Submission).Release()
+	before := heap()
+	var conns []Conn
+	for range n {
+		conns = append(conns, acquire(t, p, Submission))
+	}
+	for _, c := range conns {
+		c.Release()
+	}
+	conns = nil
+	fmt.Printf("idle_connections=%d bytes_per_connection_both_ends=%d goroutines=%d\n",
+		statsOf(p, "a").Open, (heap()-before)/n, runtime.NumGoroutine())
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
