standin: map server names to replication addresses

Cause: follow names the primary with its manifest address, which serves SQL; replication has a port of its own. Ruled out: replication on the SQL port (links could not cut one without the other).

--- a/cmd/standin-server/root.go
+++ b/cmd/standin-server/root.go
@@ -47,6 +47,7 @@
 	f.DurationVar(&cfg.ApplyDelay, "apply-delay", 0, "age at which a replica applies a record")
 	f.BoolVar(&cfg.InitialPrimary, "initial-primary", false, "with an empty directory, begin as primary of term 1")
 	f.StringVar(&cfg.Follow, "follow", "", "with an empty directory, replication address of the primary to follow")
+	f.StringToStringVar(&cfg.Peers, "peer", nil, "replication address of a server, as name=host:port")
 	f.StringVar(&cfg.LocalIP, "local-ip", "", "source IP number of outgoing connections")
 	f.StringVar(&cfg.Password, "password", "", "password required of every user (SCRAM-SHA-256)")
 	f.StringVar(&cert, "tls-cert", "", "certificate file; accepts TLS")
--- a/standin/server/config.go
+++ b/standin/server/config.go
@@ -32,6 +32,9 @@
 	// Follow is the replication address of the primary that a server with an
 	// empty Dir follows.
 	Follow string
+	// Peers maps server names to replication addresses. A server that is told
+	// to follow a known server uses this address in place of the given one.
+	Peers map[string]string
 	// LocalIP is the source of outgoing connections, empty for any.
 	LocalIP string
 	// Password, if not empty, is required of every user by SCRAM-SHA-256.
--- a/standin/server/node/command.go
+++ b/standin/server/node/command.go
@@ -72,6 +72,9 @@
 	if term < n.meta.Term || server == n.cfg.Name {
 		return n.statusLocked(), nil
 	}
+	if known, ok := n.cfg.Peers[server]; ok {
+		addr = known
+	}
 	if term == n.meta.Term && n.meta.Role == tracker.RoleReplica && n.meta.Follow == addr {
 		return n.statusLocked(), nil
 	}
--- a/standin/server/node/config.go
+++ b/standin/server/node/config.go
@@ -20,6 +20,8 @@
 	// Follow is the replication address of the primary that a node with an
 	// empty Dir follows, empty for none.
 	Follow string
+	// Peers maps server names to replication addresses.
+	Peers map[string]string
 	// ApplyDelay is the age at which a replica applies a record.
 	ApplyDelay time.Duration
 	// DropClients closes all client connections. It must not block.
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -43,7 +43,7 @@
 	registry := session.NewRegistry()
 	n, err := node.Start(node.Config{
 		Name: cfg.Name, Dir: cfg.Dir, ReplicationListen: cmp.Or(cfg.ReplicationListen, anyPort), LocalIP: cfg.LocalIP,
-		InitialPrimary: cfg.InitialPrimary, Follow: cfg.Follow, ApplyDelay: cfg.ApplyDelay,
+		InitialPrimary: cfg.InitialPrimary, Follow: cfg.Follow, Peers: cfg.Peers, ApplyDelay: cfg.ApplyDelay,
 		DropClients: registry.DropAll, Log: entry,
 	})
 	if err != nil {
