--- a/internal/divider/account.go
+++ b/internal/divider/account.go
@@ -10,8 +10,21 @@
 // account keeps who may hold connections to one server.
 type account struct {
 	holders map[string]*holder
+	// left bounds the connections of silent instances. It follows a lower
+	// server count only after countSettles, in which lowest counts did not
+	// exceed low: reports and the count are of different moments.
+	left     int
+	low      int
+	lowSince time.Time
 }
 
+const (
+	countSettles = 2 * time.Second
+	// reportIsFresh bounds the age of a report that explains a part of the
+	// server's count. Receivers report every second.
+	reportIsFresh = 1500 * time.Millisecond
+)
+
 // holder is one instance with its last report and grant.
 type holder struct {
 	// held bounds the connections that the instance may hold until its next
@@ -23,12 +36,18 @@
 	// expires is the local time at which the grant has expired for certain.
 	// The instance counts from its sending, which is earlier.
 	expires time.Time
+	// reported is the local time of the last report.
+	reported time.Time
+	// silent is set while the holder is neither alive nor granted anything.
+	silent bool
 }
 
 // terms are the conditions of one decision.
 type terms struct {
 	// capacity is the server's limit without the reserved connections.
 	capacity int
+	// ungranted is what an instance may hold when its grant has expired.
+	ungranted int
 	// shares is the number of guaranteed shares.
 	shares int
 	live   map[string]bool
@@ -59,6 +78,8 @@
 	}
 	h.held = max(granted, h.open, before)
 	h.expires = now.Add(pooler.GrantDuration)
+	h.reported = now
+	h.silent = false
 	return granted
 }
 
@@ -77,15 +98,21 @@
 		case name == instance:
 			continue
 		case !now.Before(h.expires) && !t.live[name]:
+			if !h.silent {
+				h.silent = true
+				// Its grant may have ended without a new one before the
+				// instance went away.
+				h.held = max(h.held, t.ungranted)
+				a.left, a.lowSince = a.left+h.held, time.Time{}
+			}
 			silent += h.held
 			continue
-		case !now.Before(h.expires):
-			// Without a grant an instance falls back to a smaller share, but
-			// may have connections in use above it.
-			held = max(h.open, t.base())
 		}
+		h.silent = false
 		total += held
-		reported += h.open
+		if now.Sub(h.reported) <= reportIsFresh {
+			reported += h.open
+		}
 		allowed += held
 	}
 	for name := range t.live {
@@ -94,18 +121,33 @@
 			allowed += t.base()
 		}
 	}
+	a.left = min(a.left, silent)
 	if !t.counted {
-		return total + silent
+		return total + a.left
 	}
 	if silent == 0 {
 		// Instances that an earlier monitor served may be unknown here.
 		return total + max(t.count-allowed, 0)
 	}
-	left := max(t.count-reported, 0)
-	if left == 0 {
+	a.observeLeft(min(max(t.count-reported, 0), silent), now)
+	if a.left == 0 {
 		a.dropSilent(t, now)
 	}
-	return total + min(silent, left)
+	return total + a.left
+}
+
+func (a *account) observeLeft(left int, now time.Time) {
+	switch {
+	case left >= a.left:
+		a.left, a.lowSince = left, time.Time{}
+	case a.lowSince.IsZero():
+		a.low, a.lowSince = left, now
+	default:
+		a.low = max(a.low, left)
+		if now.Sub(a.lowSince) >= countSettles {
+			a.left, a.lowSince = a.low, time.Time{}
+		}
+	}
 }
 
 // ownProbes is the connection over which the server's count was read.
--- a/internal/divider/divider.go
+++ b/internal/divider/divider.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,14 +38,17 @@
 	done    chan struct{}
 
 	mu sync.Mutex
-	// sizes are the member counts of the last grant duration.
-	sizes  []size
-	groups map[string]*ledger
+	// members is the current member count, and past are the counts of the last
+	// grant duration.
+	members int
+	past    []size
+	groups  map[string]*ledger
 }
 
 var _ pooler.Granter = (*Divider)(nil)
 
-// size is a number of members until a time; the newest one is current.
+// size is a former number of members and the time until which grants that
+// rest on it may be in force.
 type size struct {
 	members int
 	until   time.Time
@@ -73,6 +77,9 @@
 		stamper: messenger.Stamper{Instance: cfg.Directory.Self().Instance, Recorder: cfg.Recorder},
 		done:    make(chan struct{}),
 		groups:  make(map[string]*ledger),
+		// A process that has just started does not know the members yet and
+		// must not take itself for the only one.
+		past: []size{{members: pooler.UngrantedShares, until: cfg.Clock.Now().Add(pooler.GrantDuration)}},
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	go func() {
@@ -111,18 +118,11 @@
 // another instance monitors. The caller holds mu.
 func (d *Divider) noteMembers(now time.Time) {
 	n := max(len(d.cfg.Directory.Members()), 1)
-	kept := d.sizes[:0]
-	for _, s := range d.sizes {
-		if now.Before(s.until) {
-			kept = append(kept, s)
-		}
-	}
-	d.sizes = kept
-	if last := len(d.sizes) - 1; last >= 0 && d.sizes[last].members == n {
-		d.sizes[last].until = now.Add(pooler.GrantDuration)
-	} else {
-		d.sizes = append(d.sizes, size{members: n, until: now.Add(pooler.GrantDuration)})
+	if n != d.members {
+		d.past = append(d.past, size{members: d.members, until: now.Add(pooler.GrantDuration)})
+		d.members = n
 	}
+	d.past = slices.DeleteFunc(d.past, func(s size) bool { return !now.Before(s.until) })
 	for group := range d.groups {
 		if !d.isMonitor(group) {
 			delete(d.groups, group)
@@ -134,8 +134,8 @@
 // membership stay in force for one grant duration, so the largest recent
 // count applies. The caller holds mu.
 func (d *Divider) shares() int {
-	n := 1
-	for _, s := range d.sizes {
+	n := max(d.members, 1)
+	for _, s := range d.past {
 		n = max(n, s.members)
 	}
 	return n
@@ -204,12 +204,13 @@
 	}
 	live[instance] = true
 	terms := terms{
-		capacity: max(limit-pooler.ReservedConnections, 0),
-		shares:   max(d.shares(), len(live)),
-		live:     live,
-		count:    count,
-		counted:  counted,
-		settled:  now.Sub(l.since) >= pooler.GrantDuration,
+		capacity:  max(limit-pooler.ReservedConnections, 0),
+		ungranted: pooler.Ungranted(limit),
+		shares:    max(d.shares(), len(live)),
+		live:      live,
+		count:     count,
+		counted:   counted,
+		settled:   now.Sub(l.since) >= pooler.GrantDuration,
 	}
 	return a.grant(terms, instance, demand, now)
 }
--- a/internal/pooler/backend.go
+++ b/internal/pooler/backend.go
@@ -26,6 +26,8 @@
 
 	granted      int
 	grantExpires time.Time
+	// heldUntil is the time before which nothing is opened without a grant.
+	heldUntil time.Time
 
 	// removed is set when the catalog has no such server any more.
 	removed bool
@@ -49,11 +51,21 @@
 	}
 }
 
-// allowance is the number of connections that may be open at now.
+// allowance is the number of connections that may be open at now. It is asked
+// at every tick of the maintenance loop.
 func (b *backend) allowance(now time.Time) int {
 	if now.Before(b.grantExpires) {
 		return b.granted
 	}
+	if !b.grantExpires.IsZero() {
+		if now.Sub(b.grantExpires) > pauseSign {
+			b.heldUntil = now.Add(startHold)
+		}
+		b.grantExpires = time.Time{}
+	}
+	if now.Before(b.heldUntil) {
+		return 0
+	}
 	return Ungranted(b.limit)
 }
 
--- a/internal/pooler/config.go
+++ b/internal/pooler/config.go
@@ -31,12 +31,19 @@
 	// GrantDuration is counted on the receiver's monotonic clock from the
 	// time at which its request was sent.
 	GrantDuration = 3 * time.Second
-	// ungrantedShares is the number of instances that may hold connections
+	// UngrantedShares is the number of instances that may hold connections
 	// without any grant.
-	ungrantedShares = 8
+	UngrantedShares = 8
 )
 
 const (
+	// startHold lets an instance that is new or was paused ask the monitor
+	// first: the others may hold everything until they have reported and
+	// shrunk.
+	startHold = time.Second
+	// pauseSign is the delay in noticing an expired grant from which on this
+	// process counts as paused.
+	pauseSign      = 500 * time.Millisecond
 	connectTimeout = time.Second
 	writeTimeout   = 5 * time.Second
 	cancelTimeout  = 2 * time.Second
@@ -61,7 +68,7 @@
 // Ungranted returns the number of connections that an instance may hold to a
 // server with the given connection limit while it has no grant.
 func Ungranted(connectionLimit int) int {
-	return max((connectionLimit-ReservedConnections)/ungrantedShares, 1)
+	return max((connectionLimit-ReservedConnections)/UngrantedShares, 1)
 }
 
 // Granter divides the connections of a group. The divider of this instance
--- a/internal/pooler/group.go
+++ b/internal/pooler/group.go
@@ -48,7 +48,7 @@
 			ok = false
 		}
 		if !ok {
-			b = &backend{group: g, name: s.Name, target: t}
+			b = &backend{group: g, name: s.Name, target: t, heldUntil: g.pool.cfg.Clock.Now().Add(startHold)}
 			g.backends[s.Name] = b
 		}
 		b.limit = s.ConnectionLimit
