relayer: strict reads need the primary's own status row

A read that a former primary answers as a lagging replica of the new term passed the confirmation, because only its position was checked. The status row behind the read must now come from a primary, unless a write is proved.

--- a/internal/preparer/statement.go
+++ b/internal/preparer/statement.go
@@ -17,6 +17,7 @@
 
 // Statement is a prepared statement.
 type Statement struct {
+	// Text is what the server prepares.
 	Text string
 	OIDs []uint32
 	// ServerName is the name on the server side.
@@ -24,15 +25,21 @@
 	Result     *classifier.Result
 }
 
-// NewStatement returns the statement of a Parse message.
-func NewStatement(p *pgproto3.Parse, result *classifier.Result) *Statement {
-	s := &Statement{Text: p.Query, OIDs: p.ParameterOIDs, Result: result}
+// NewStatement returns the statement of a Parse message for which the server
+// prepares text.
+func NewStatement(p *pgproto3.Parse, text string, result *classifier.Result) *Statement {
+	s := &Statement{Text: text, OIDs: p.ParameterOIDs, Result: result}
 	if p.Name != "" {
-		s.ServerName = serverName(p.Query, p.ParameterOIDs)
+		s.ServerName = serverName(text, p.ParameterOIDs)
 	}
 	return s
 }
 
+// Parse returns the message that prepares the statement under a name.
+func (s *Statement) Parse(name string) *pgproto3.Parse {
+	return &pgproto3.Parse{Name: name, Query: s.Text, ParameterOIDs: s.OIDs}
+}
+
 func serverName(text string, oids []uint32) string {
 	h := sha256.New()
 	h.Write([]byte(text))
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -103,7 +103,7 @@
 			return msg, nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil, &lostError{err}
+			return nil, lost("connection to backend server %s was lost", x.conn.Server())
 		}
 		if err := x.check(); err != nil {
 			return nil, err
--- a/internal/relayer/keys.go
+++ b/internal/relayer/keys.go
@@ -8,7 +8,6 @@
 
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/pooler"
-	"marigoldhub.example/hub/internal/preparer"
 	"marigoldhub.example/hub/internal/resolver"
 )
 
@@ -84,11 +83,6 @@
 	return b.String()
 }
 
-// parseMessage returns the Parse message for the server side.
-func (s *Session) parseMessage(name string, st *preparer.Statement) *pgproto3.Parse {
-	return &pgproto3.Parse{Name: name, Query: s.replaceKeys(st.Text, st.Result.Statements), ParameterOIDs: st.OIDs}
-}
-
 // setHub runs SET of a marigold setting for the session.
 func (s *Session) setHub(st classifier.Statement) (localAnswer, *pgproto3.ErrorResponse) {
 	if st.Setting != keySetting {
--- a/internal/relayer/local.go
+++ b/internal/relayer/local.go
@@ -4,7 +4,6 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"marigoldhub.example/hub/internal/classifier"
-	"marigoldhub.example/hub/internal/preparer"
 	"marigoldhub.example/hub/internal/resolver"
 )
 
@@ -85,7 +84,7 @@
 	s := l.s
 	switch m := m.(type) {
 	case *pgproto3.Parse:
-		st := preparer.NewStatement(m, s.r.parts.Classifier.Classify(m.Query))
+		st := s.newStatement(m)
 		if err := s.stmts.Put(m.Name, st); err != nil {
 			return resolver.Error(resolver.CodeLimitExceeded, err.Error(), "")
 		}
--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -10,6 +10,7 @@
 
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
+	"marigoldhub.example/hub/internal/router"
 	"marigoldhub.example/hub/internal/tracker"
 )
 
@@ -87,7 +88,7 @@
 	if !p.readOnly() {
 		return pooler.Submission
 	}
-	if _, bounded := s.r.router.Bounded(s.name, p.tables()); bounded {
+	if _, bounded := s.r.router.Bounded(s.name, p.tables()); bounded && s.r.router.Policy() != router.AllPrimary {
 		return pooler.BoundedRead
 	}
 	return pooler.StrictRead
@@ -215,15 +216,16 @@
 		return resolver.Error(resolver.CodeCanceled, "canceling statement due to user request", "")
 	}
 	var refused *pooler.RefusedError
-	if errors.As(err, &refused) {
-		switch refused.Reason {
-		case pooler.ReasonUnreachable, pooler.ReasonLeaving, pooler.ReasonUnknown:
-			if !w.over() {
-				return nil
-			}
+	if !errors.As(err, &refused) {
+		return resolver.NotRunError("no connection to the primary")
+	}
+	switch refused.Reason {
+	case pooler.ReasonUnreachable, pooler.ReasonLeaving, pooler.ReasonUnknown:
+		if !w.over() {
+			return nil
 		}
 	}
-	return resolver.NotRunError(err.Error())
+	return resolver.NotRunError("no connection to backend server " + refused.Server + ": " + string(refused.Reason))
 }
 
 // errCanceled is returned when a cancel request ends the wait for a
@@ -376,6 +378,11 @@
 func (x *exchange) settleConfirmed(p *proof) attempt {
 	s := x.s
 	commit := x.evidence.commit(resolver.Commit{Lower: x.lower, Upper: x.row.Log})
+	// A server that is not the primary may have shown old data. Only a proved
+	// write shows that it was the primary when it ran the batch.
+	if x.row.Role != tracker.RolePrimary && x.evidence != provedWrite {
+		return x.settleForeign()
+	}
 	if !x.p.commits && !x.committed {
 		return x.settleRead(p, commit)
 	}
@@ -399,6 +406,15 @@
 	return x.give(resolver.UnknownError(fmt.Sprintf("term %d was replaced", x.row.Log.Term)), false)
 }
 
+// settleForeign answers a batch whose server was not the primary after it.
+func (x *exchange) settleForeign() attempt {
+	why := "backend server " + x.conn.Server() + " is not the primary"
+	if !x.p.commits || x.evidence == provedReadOnly {
+		return x.give(resolver.NotRunError(why), !x.p.explicit)
+	}
+	return x.give(resolver.UnknownError(why), false)
+}
+
 func (x *exchange) settleRead(p *proof, commit resolver.Commit) attempt {
 	if p == nil {
 		p = x.s.beginProof()
--- a/internal/relayer/protocol_test.go
+++ b/internal/relayer/protocol_test.go
@@ -274,6 +274,20 @@
 	}
 }
 
+// Guards against a strict read being answered by a server that is no longer
+// the primary and lags behind it.
+func TestStrictReadOnFormerPrimary(t *testing.T) {
+	fx := newFixture(t)
+	c := fx.connect()
+	for _, sql := range []string{"select w from other", "select unknown_function()", "begin; select w from other; commit"} {
+		fx.a.setRole(tracker.RoleReplica)
+		_, err := c.Exec(bg, sql)
+		if err == nil {
+			t.Errorf("%s: answered", sql)
+		}
+	}
+}
+
 // Guards against an answer that is cut off in the middle being taken for a
 // whole one.
 func TestServerClosesMidAnswer(t *testing.T) {
--- a/internal/relayer/replica.go
+++ b/internal/relayer/replica.go
@@ -19,6 +19,8 @@
 	// maxDiscard is the largest unproved answer that is read to its end, so
 	// that the connection can be kept, in bytes.
 	maxDiscard = 64 << 10
+	// discardWait bounds the time for it.
+	discardWait = 20 * time.Millisecond
 )
 
 // replicaRead is the state of a read on a replica.
@@ -167,9 +169,10 @@
 // connection is at rest.
 func (x *exchange) discardAnswer() bool {
 	x.sealed = true
+	_ = x.conn.SetReadDeadline(time.Now().Add(discardWait))
 	for x.status == 0 {
 		x.answerSynthetic()
-		msg, err := x.receive()
+		msg, err := x.conn.Receive()
 		if err != nil || x.handle(msg) != nil || len(x.s.out) > maxDiscard {
 			return false
 		}
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -69,7 +69,7 @@
 
 func (x *exchange) flushConn() error {
 	if err := x.conn.Flush(); err != nil {
-		return &lostError{err}
+		return lost("connection to backend server %s was lost", x.conn.Server())
 	}
 	return nil
 }
@@ -125,19 +125,25 @@
 	x.queue = append(x.queue, expectation{synthetic: m, onSuccess: onSuccess})
 }
 
+// newStatement returns the statement of a Parse message.
+func (s *Session) newStatement(m *pgproto3.Parse) *preparer.Statement {
+	r := s.r.parts.Classifier.Classify(m.Query)
+	return preparer.NewStatement(m, s.replaceKeys(m.Query, r.Statements), r)
+}
+
 func (x *exchange) sendParse(m *pgproto3.Parse) {
 	s := x.s
-	st := preparer.NewStatement(m, s.r.parts.Classifier.Classify(m.Query))
+	st := s.newStatement(m)
 	if m.Name == "" {
 		x.unnamed = true
 		setEntry(&x.named, "", st)
-		x.send(expectation{kind: 'P', onSuccess: func() { x.remember("", st) }}, s.parseMessage("", st))
+		x.send(expectation{kind: 'P', onSuccess: func() { x.remember("", st) }}, st.Parse(""))
 		return
 	}
 	if _, exists := x.statement(m.Name); exists {
 		// The server reports the duplicate itself.
 		x.ensure(st)
-		x.send(expectation{kind: 'P'}, s.parseMessage(st.ServerName, st))
+		x.send(expectation{kind: 'P'}, st.Parse(st.ServerName))
 		return
 	}
 	remember := func() { x.remember(m.Name, st) }
@@ -147,7 +153,7 @@
 		x.send(expectation{kind: 'P', onSuccess: func() {
 			x.conn.AddStatement(st.ServerName)
 			remember()
-		}}, s.parseMessage(st.ServerName, st))
+		}}, st.Parse(st.ServerName))
 	}
 	setEntry(&x.named, m.Name, st)
 	setEntry(&x.ensured, st.ServerName, true)
@@ -193,7 +199,7 @@
 	}
 	setEntry(&x.ensured, st.ServerName, true)
 	x.send(expectation{kind: 'P', hidden: true, onSuccess: func() { x.conn.AddStatement(st.ServerName) }},
-		x.s.parseMessage(st.ServerName, st))
+		st.Parse(st.ServerName))
 }
 
 // resolve returns the name on the server side of a caller's statement, which
@@ -208,7 +214,7 @@
 		return preparer.ForeignName(name)
 	case name == "":
 		x.unnamed = true
-		x.send(expectation{kind: 'P', hidden: true}, x.s.parseMessage("", st))
+		x.send(expectation{kind: 'P', hidden: true}, st.Parse(""))
 		return ""
 	}
 	x.ensure(st)
--- a/internal/relayer/standin_test.go
+++ b/internal/relayer/standin_test.go
@@ -229,9 +229,16 @@
 	}
 }
 
-func (c *cluster) connect() *pgx.Conn {
+func (c *cluster) connect(change ...func(*pgx.ConnConfig)) *pgx.Conn {
 	c.t.Helper()
-	conn, err := pgx.Connect(bg, c.url)
+	cfg, err := pgx.ParseConfig(c.url)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	for _, f := range change {
+		f(cfg)
+	}
+	conn, err := pgx.ConnectConfig(bg, cfg)
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -242,8 +249,17 @@
 // Guards against a driver's default mode failing against a whole server, and
 // against a read on a replica that misses the session's own write.
 func TestStandinDriver(t *testing.T) {
+	for _, mode := range []pgx.QueryExecMode{
+		pgx.QueryExecModeCacheStatement, pgx.QueryExecModeCacheDescribe, pgx.QueryExecModeDescribeExec,
+		pgx.QueryExecModeExec, pgx.QueryExecModeSimpleProtocol,
+	} {
+		t.Run(mode.String(), func(t *testing.T) { testDriver(t, mode) })
+	}
+}
+
+func testDriver(t *testing.T, mode pgx.QueryExecMode) {
 	c := newCluster(t)
-	conn := c.connect()
+	conn := c.connect(func(cfg *pgx.ConnConfig) { cfg.DefaultQueryExecMode = mode })
 	exec(t, conn, "create table title (id bigint primary key, name text)")
 	for i := range 200 {
 		exec(t, conn, "insert into title (id, name) values ($1, $2)", i, fmt.Sprint("title ", i))
