--- a/internal/enroller/candidate.go
+++ b/internal/enroller/candidate.go
@@ -22,6 +22,8 @@
 	heard time.Time
 	// peerHash is the list hash in the last answer.
 	peerHash uint64
+	// channel carries the heartbeats; only the task of this candidate uses it.
+	channel channel
 }
 
 // addCandidate starts a heartbeat task for an address that has none. The
@@ -46,6 +48,7 @@
 
 // heartbeats is the task of one peer.
 func (r *Roster) heartbeats(c *candidate) {
+	defer c.channel.close()
 	pause := r.cfg.HeartbeatInterval
 	for r.keep(c) {
 		started := r.cfg.Clock.Now()
@@ -60,6 +63,7 @@
 				pause = r.backoff(c, pause)
 			}
 		} else {
+			c.channel.close()
 			pause = r.cfg.HeartbeatInterval
 		}
 		select {
@@ -128,16 +132,12 @@
 // exchange sends one heartbeat. It reports again when the peer did not know
 // this process and needs the full request.
 func (r *Roster) exchange(c *candidate) (again bool, err error) {
-	ctx, cancel := r.timeout(heartbeatTimeout)
-	defer cancel()
-	conn, err := r.cfg.Dialer.Dial(ctx, c.address)
-	if err != nil {
+	if err := c.channel.open(r.ctx, r.cfg.Dialer, c.address); err != nil {
 		return false, err
 	}
 	begun := r.cfg.Clock.Now()
-	req := r.heartbeatRequest(c)
 	r.sent.Inc(1)
-	resp, err := wire.NewDRPCMembershipClient(conn).Heartbeat(ctx, req)
+	resp, err := c.channel.exchange(r.heartbeatRequest(c))
 	if err != nil {
 		return false, err
 	}
@@ -155,6 +155,9 @@
 		Sender:      &wire.Member{Incarnation: r.self.Incarnation},
 		MembersHash: r.listHash,
 	}
+	if c.channel.fresh() {
+		c.peerHash = 0
+	}
 	if c.peerHash != r.listHash {
 		req.Sender = r.self.toWire()
 		req.Members = r.listFor(r.members[c.instance], c.peerHash, now)
--- a/internal/enroller/member.go
+++ b/internal/enroller/member.go
@@ -43,7 +43,9 @@
 }
 
 // hashMembers returns a hash of members in their order, never 0. 0 in a
-// message means that the sender of the hash does not know its peer.
+// message means that the sender of the hash does not know its peer. It has 32
+// bits to keep heartbeats short; an unnoticed difference lasts until the next
+// change of either list.
 func hashMembers(members []Member) uint64 {
 	d := xxhash.New()
 	var buf [9]byte
@@ -56,7 +58,7 @@
 		}
 		_, _ = d.Write(buf[:])
 	}
-	return max(d.Sum64(), 1)
+	return max(d.Sum64()&0xffffffff, 1)
 }
 
 // entry is what this instance knows about one member.
--- a/internal/enroller/platform.go
+++ b/internal/enroller/platform.go
@@ -163,5 +163,6 @@
 		}
 	}
 	r.platform = marks
+	r.dirty = true
 	r.refresh(now)
 }
--- a/internal/enroller/rendezvous.go
+++ b/internal/enroller/rendezvous.go
@@ -18,6 +18,10 @@
 }
 
 func dutyScore(duty, instance string) uint64 {
+	var space [2 * maxNameBytes]byte
+	buf := append(space[:0], instance...)
 	// The separator cannot occur in names.
-	return xxhash.Sum64String(instance + "\x00" + duty)
+	buf = append(buf, 0)
+	buf = append(buf, duty...)
+	return xxhash.Sum64(buf)
 }
--- a/internal/enroller/roster.go
+++ b/internal/enroller/roster.go
@@ -42,6 +42,10 @@
 	// leaving ones included, and listHash is their hash.
 	listed   []Member
 	listHash uint64
+	// dirty is set when something changed that the lists depend on, and
+	// nextDeath is the time until which they hold otherwise.
+	dirty     bool
+	nextDeath time.Time
 	// active is listed without the leaving members.
 	active  []Member
 	changed chan struct{}
@@ -180,6 +184,10 @@
 		r.resume(now, gap)
 	}
 	r.lastTick = now
+	if !r.dirty && now.Before(r.nextDeath) {
+		return
+	}
+	r.dirty = false
 	listed := r.aliveMembers(now)
 	hash := hashMembers(listed)
 	active := r.withoutLeaving(listed)
@@ -202,12 +210,14 @@
 		}
 	}
 	r.suspendedUntil = now.Add(r.cfg.AliveLimit)
+	r.dirty = true
 	r.cfg.Recorder.Record("enroller", "paused", "", "gap", gap)
 	r.cfg.Log.WithField("gap", gap).Warn("enroller: this process was paused")
 }
 
 func (r *Roster) aliveMembers(now time.Time) []Member {
 	members := make([]Member, 0, len(r.members)+1)
+	r.nextDeath = now.Add(r.cfg.AliveLimit)
 	if !r.superseded(now) {
 		members = append(members, r.self)
 	}
@@ -217,12 +227,20 @@
 		}
 		if e.alive(now, r.cfg.AliveLimit) {
 			members = append(members, e.member)
+			r.nextDeath = earlier(r.nextDeath, e.heard.Add(r.cfg.AliveLimit+1))
 		}
 	}
 	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
 	return members
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // withoutLeaving drops the members that announced a stop and those that the
 // platform marks. The platform's marks are dropped when nobody would remain.
 func (r *Roster) withoutLeaving(listed []Member) []Member {
@@ -287,8 +305,10 @@
 	if e == nil {
 		return nil
 	}
+	r.dirty = r.dirty || !e.alive(now, r.cfg.AliveLimit)
 	e.heard = now
 	if m.Instance == r.self.Instance {
+		r.dirty = true
 		r.supersededAt = now
 		r.warn(now, m, "enroller: a newer process uses the name of this instance")
 	}
@@ -306,10 +326,12 @@
 		}
 		e = &entry{member: m}
 		r.members[m.Instance] = e
+		r.dirty = true
 		return e
 	}
 	if e.member.sameProcess(m) {
 		m.Leaving = m.Leaving || e.member.Leaving
+		r.dirty = r.dirty || e.member != m
 		e.member = m
 		return e
 	}
@@ -320,6 +342,7 @@
 		return nil
 	}
 	*e = entry{member: m}
+	r.dirty = true
 	return e
 }
 
@@ -347,10 +370,12 @@
 			// must not hide this process.
 			if m.Incarnation > r.self.Incarnation {
 				r.self.Incarnation = m.Incarnation + 1
+				r.dirty = true
 			}
 			continue
 		}
 		if e, ok := r.members[m.Instance]; ok && e.member.sameProcess(m) && m.Leaving {
+			r.dirty = r.dirty || !e.member.Leaving
 			e.member.Leaving = true
 		}
 		r.addCandidate(m.Address, false, now)
--- a/internal/enroller/roster_test.go
+++ b/internal/enroller/roster_test.go
@@ -51,12 +51,58 @@
 	return f.DRPCMembershipServer.Heartbeat(ctx, req)
 }
 
+func (f frozenService) Heartbeats(stream wire.DRPCMembership_HeartbeatsStream) error {
+	return f.DRPCMembershipServer.Heartbeats(frozenServerStream{stream, f.n})
+}
+
+type frozenServerStream struct {
+	wire.DRPCMembership_HeartbeatsStream
+	n *node
+}
+
+func (s frozenServerStream) Recv() (*wire.HeartbeatRequest, error) {
+	req, err := s.DRPCMembership_HeartbeatsStream.Recv()
+	if s.n.frozen.Load() {
+		<-s.Context().Done()
+		return nil, s.Context().Err()
+	}
+	return req, err
+}
+
+// Dial returns connections that do nothing while the node is frozen.
 func (n *node) Dial(ctx context.Context, address string) (drpc.Conn, error) {
-	if n.frozen.Load() {
+	conn, err := n.pool.Dial(ctx, address)
+	return frozenConn{conn, n}, err
+}
+
+type frozenConn struct {
+	drpc.Conn
+	n *node
+}
+
+func (c frozenConn) NewStream(ctx context.Context, rpc string, enc drpc.Encoding) (drpc.Stream, error) {
+	if c.n.frozen.Load() {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	return n.pool.Dial(ctx, address)
+	stream, err := c.Conn.NewStream(ctx, rpc, enc)
+	if err != nil {
+		return nil, err
+	}
+	return frozenStream{stream, c.n}, nil
+}
+
+type frozenStream struct {
+	drpc.Stream
+	n *node
+}
+
+func (s frozenStream) MsgSend(msg drpc.Message, enc drpc.Encoding) error {
+	if s.n.frozen.Load() {
+		<-s.Context().Done()
+		return s.Context().Err()
+	}
+	return s.Stream.MsgSend(msg, enc)
 }
 
 type option func(*Config)
@@ -379,6 +425,19 @@
 	}
 }
 
+func BenchmarkHolder(b *testing.B) {
+	n := startNode(b, "entry-0", listen(b), nil)
+	n.mu.Lock()
+	for i := range 7 {
+		n.heard(Member{Instance: fmt.Sprintf("entry-%d", i+1), Address: fmt.Sprintf("127.0.0.1:%d", i+1), Incarnation: 1}, time.Now())
+	}
+	n.mu.Unlock()
+	b.ReportAllocs()
+	for b.Loop() {
+		n.Holder("monitor/core")
+	}
+}
+
 func FuzzParsePlatformList(f *testing.F) {
 	f.Add(`[{"name":"entry-1","address":"127.0.0.1:1","zone":"a","kind":"entry","state":"live"}]`)
 	f.Add(`[{"name":1}]`)
--- a/internal/enroller/service.go
+++ b/internal/enroller/service.go
@@ -36,6 +36,30 @@
 	return resp, nil
 }
 
+// Heartbeats implements wire.DRPCMembershipServer.
+func (r *Roster) Heartbeats(stream wire.DRPCMembership_HeartbeatsStream) error {
+	var sender *wire.Member
+	for {
+		req, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if req.GetSender() != nil {
+			sender = req.GetSender()
+		} else {
+			req.Header = &wire.Header{Instance: sender.GetInstance(), Lamport: req.GetHeader().GetLamport()}
+			req.Sender = &wire.Member{Incarnation: sender.GetIncarnation()}
+		}
+		resp, err := r.Heartbeat(stream.Context(), req)
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(shortResponse(resp)); err != nil {
+			return err
+		}
+	}
+}
+
 // heardSender returns the sender's entry, nil when the sender is unknown or
 // refused. A short sender carries only its incarnation.
 func (r *Roster) heardSender(name string, sender *wire.Member, now time.Time) *entry {
@@ -70,6 +94,7 @@
 func (r *Roster) AnnounceLeave(ctx context.Context) {
 	r.mu.Lock()
 	r.self.Leaving = true
+	r.dirty = true
 	self := r.self
 	now := r.cfg.Clock.Now()
 	r.refresh(now)
@@ -96,7 +121,3 @@
 	}
 	wg.Wait()
 }
-
-func (r *Roster) timeout(d time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(r.ctx, d)
-}
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"testing"
@@ -12,6 +13,8 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/goleak"
 
+	"marigoldhub.example/hub/internal/keyer"
+	"marigoldhub.example/hub/internal/keyer/keyertest"
 	"marigoldhub.example/hub/internal/messenger/wire"
 	"marigoldhub.example/hub/internal/recorder"
 )
@@ -232,3 +235,40 @@
 		}
 	}
 }
+
+// Guards against calls that are served without a certificate of the CA, on
+// either side.
+func TestMutualTLS(t *testing.T) {
+	keys := func(ca *keyertest.CA, name string) *keyer.TLS {
+		k, err := keyer.NewTLS(keyer.Config{}, ca.Issue(t, name, net.IPv4(127, 0, 0, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = k.Close() })
+		return k
+	}
+	ca, other := keyertest.NewCA(t), keyertest.NewCA(t)
+	address := startServer(t, &sessions{}, ServerConfig{TLS: keys(ca, "server").Peer})
+	tests := []struct {
+		name string
+		cfg  PoolConfig
+		ok   bool
+	}{
+		{"same CA", PoolConfig{TLS: keys(ca, "client").Peer}, true},
+		{"other CA", PoolConfig{TLS: keys(other, "client").Peer}, false},
+		{"no certificate", PoolConfig{TLS: func() *tls.Config {
+			cfg := keys(ca, "client2").Peer()
+			cfg.Certificates = nil
+			return cfg
+		}}, false},
+		{"plain", PoolConfig{}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := call(newPool(t, tt.cfg), address, time.Second, &wire.CancelRequest{})
+			if (err == nil) != tt.ok {
+				t.Errorf("error %v, want success %v", err, tt.ok)
+			}
+		})
+	}
+}
--- a/internal/messenger/peerconn.go
+++ b/internal/messenger/peerconn.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"github.com/go-faster/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 )
@@ -21,9 +20,50 @@
 // Closed implements drpc.Conn.
 func (c *peerConn) Closed() <-chan struct{} { return c.pool.done }
 
-// NewStream implements drpc.Conn. The wire services have no streams.
-func (c *peerConn) NewStream(context.Context, string, drpc.Encoding) (drpc.Stream, error) {
-	return nil, errors.New("streams between instances are not supported")
+// NewStream implements drpc.Conn. The stream ends with its context; its
+// connection is not used again.
+func (c *peerConn) NewStream(ctx context.Context, rpc string, enc drpc.Encoding) (drpc.Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(c.pool.ctx, cancel)
+	stream, err := c.openStream(ctx, rpc, enc)
+	if err != nil {
+		stop()
+		cancel()
+		return nil, err
+	}
+	return &peerStream{Stream: stream, cancel: func() {
+		stop()
+		cancel()
+	}}, nil
+}
+
+func (c *peerConn) openStream(ctx context.Context, rpc string, enc drpc.Encoding) (drpc.Stream, error) {
+	pr, err := c.pool.enter(ctx, c.address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := c.pool.take(ctx, pr, c.address)
+	if err != nil {
+		c.pool.leave(pr, nil)
+		return nil, err
+	}
+	context.AfterFunc(ctx, func() {
+		_ = conn.Close()
+		c.pool.leave(pr, nil)
+	})
+	return conn.NewStream(ctx, rpc, enc)
+}
+
+// peerStream ends its context when it is closed.
+type peerStream struct {
+	drpc.Stream
+	cancel context.CancelFunc
+}
+
+// Close implements drpc.Stream.
+func (s *peerStream) Close() error {
+	s.cancel()
+	return nil
 }
 
 // Invoke implements drpc.Conn.
--- a/internal/pooler/pool_test.go
+++ b/internal/pooler/pool_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
+	"net"
 	"os"
 	"runtime"
 	"slices"
@@ -19,6 +22,8 @@
 
 	"marigoldhub.example/hub/internal/checker"
 	"marigoldhub.example/hub/internal/enroller"
+	"marigoldhub.example/hub/internal/keyer"
+	"marigoldhub.example/hub/internal/keyer/keyertest"
 	"marigoldhub.example/hub/internal/messenger/wire"
 	"marigoldhub.example/hub/internal/tracker"
 )
@@ -585,6 +590,44 @@
 	waitFor(t, "the old connection to close", func() bool { return a.open() == 0 })
 }
 
+// Guards against TLS connections whose idle check sees TLS records as data,
+// cancel requests in plain text, and a server that is not verified.
+func TestTLS(t *testing.T) {
+	ca := keyertest.NewCA(t)
+	keys, err := keyer.NewTLS(keyer.Config{}, ca.Issue(t, "server", net.IPv4(127, 0, 0, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = keys.Close() }()
+	s := startServer(t, "secret")
+	s.tls = keys.Caller()
+	m := manifest(entryOf("a", s, 20))
+	m.Groups[0].ServerTLS = "verify"
+	p := startPool(t, &fixture{grants: map[string]int{"a": 1}}, m, func(c *Config) { c.TLS = keys.Backend })
+	c := acquire(t, p, Submission)
+	id := c.(*lease).processID
+	c.Send(&pgproto3.Query{String: "sleep"})
+	if err := errors.Join(c.Flush(), c.Cancel(context.Background())); err != nil {
+		t.Fatal(err)
+	}
+	if code, err := drain(c); err != nil || code != "57014" {
+		t.Fatalf("code %q, error %v, want 57014", code, err)
+	}
+	c.Release()
+	next := acquire(t, p, Submission)
+	defer next.Release()
+	if next.(*lease).processID != id {
+		t.Error("an idle TLS connection was not reused")
+	}
+	strange := startPool(t, &fixture{grants: map[string]int{"a": 1}}, m, func(c *Config) {
+		c.TLS = func() *tls.Config { return &tls.Config{RootCAs: x509.NewCertPool()} }
+	})
+	_, err = strange.Acquire(context.Background(), Request{Group: "g", Server: "a", Class: Submission})
+	if got := reasonOf(err); got != ReasonUnreachable {
+		t.Errorf("reason %q (%v) for an unverified server, want unreachable", got, err)
+	}
+}
+
 // Guards against retries above 10 % of requests plus 10.
 func TestBudget(t *testing.T) {
 	b := NewBudget(RetryRatio, RetryReserve)
--- a/internal/pooler/server_test.go
+++ b/internal/pooler/server_test.go
@@ -1,6 +1,7 @@
 package pooler
 
 import (
+	"crypto/tls"
 	"encoding/binary"
 	"fmt"
 	"net"
@@ -20,6 +21,8 @@
 	t        testing.TB
 	lis      net.Listener
 	password string
+	// tls is set when the server offers TLS.
+	tls *tls.Config
 	// limit of client connections; 0 means none.
 	limit atomic.Int64
 	// frozen servers accept connections and answer nothing.
@@ -88,6 +91,12 @@
 	}
 	be := pgproto3.NewBackend(conn, conn)
 	msg, err := be.ReceiveStartupMessage()
+	if _, ok := msg.(*pgproto3.SSLRequest); ok && s.tls != nil {
+		_, _ = conn.Write([]byte("S"))
+		conn = tls.Server(conn, s.tls)
+		be = pgproto3.NewBackend(conn, conn)
+		msg, err = be.ReceiveStartupMessage()
+	}
 	if err != nil {
 		return
 	}
