--- /dev/null
+++ b/internal/distributor/distributor_test.go
@@ -0,0 +1,262 @@
+package distributor
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"marigoldhub.example/hub/internal/approver"
+	"marigoldhub.example/hub/internal/messenger/wire"
+	"marigoldhub.example/hub/internal/storer"
+)
+
+// TestSpread guards against instances that a new revision does not reach, and
+// against instances other than the zone watchers that watch the store.
+func TestSpread(t *testing.T) {
+	for _, mode := range []Mode{ZoneWatcher, EveryInstanceWatches} {
+		t.Run(string(mode), func(t *testing.T) {
+			c := newCluster(t)
+			c.mode = mode
+			c.enforceGenesis()
+			c.enforce("a", content("a", "a", 20))
+			c.start("z1", "z1", "z2", "z2", "z3", "z3", "z3")
+			c.wait("ready", func(n *node) bool { ready, _ := n.Ready(); return ready })
+			for limit := 21; limit < 26; limit++ {
+				e := c.enforce("a", content("a", "a", limit))
+				c.wait("new revision", func(n *node) bool { return n.revision("a") == e.Revision })
+			}
+			for _, n := range c.nodes {
+				if g, ok := n.Catalog().Group("a"); !ok || g.Servers[0].ConnectionLimit != 25 {
+					t.Errorf("%s has another catalog", n.directory.self.Instance)
+				}
+			}
+			if open, want := c.platform.Counts().OpenWatches, map[Mode]int{ZoneWatcher: 3, EveryInstanceWatches: 7}[mode]; open != want {
+				t.Errorf("%d watches, want %d", open, want)
+			}
+		})
+	}
+}
+
+// TestWatchDutyMoves guards against changes that are lost when the watching
+// instance is gone.
+func TestWatchDutyMoves(t *testing.T) {
+	c := newCluster(t)
+	c.enforceGenesis()
+	c.enforce("a", content("a", "a", 20))
+	c.start("z1", "z1", "z1")
+	c.wait("ready", func(n *node) bool { ready, _ := n.Ready(); return ready })
+	c.nodes[0].Close()
+	c.nodes = c.nodes[1:]
+	for _, n := range c.nodes {
+		n.directory.set(c.members[1:])
+	}
+	e := c.enforce("a", content("a", "a", 30))
+	c.wait("new revision", func(n *node) bool { return n.revision("a") == e.Revision })
+}
+
+// TestFreshInstanceWithStoreDown guards against an instance that serves
+// without a proven configuration, and one that cannot start without the store.
+func TestFreshInstanceWithStoreDown(t *testing.T) {
+	c := newCluster(t)
+	c.enforceGenesis()
+	owners := append([]approver.Owner(nil), c.genesis...)
+	extra, _ := approver.GenerateSigner()
+	owners[0].Keys = append(owners[0].Keys, extra.Key())
+	c.enforce("owners", approver.FormatOwners(owners))
+	e := c.enforce("a", content("a", "a", 20))
+	c.start("z1")
+	c.wait("ready", func(n *node) bool { ready, _ := n.Ready(); return ready })
+	c.platform.SetDown(true)
+	c.start("z2")
+	c.wait("ready from a peer", func(n *node) bool { ready, _ := n.Ready(); return ready && n.revision("a") == e.Revision })
+
+	// An instance without store and peers is not ready, says why and is stale.
+	lone := newCluster(t)
+	lone.platform.SetDown(true)
+	lone.start("z1")
+	if ready, reason := lone.nodes[0].Ready(); ready || reason == "" {
+		t.Errorf("got ready %v, reason %q", ready, reason)
+	}
+	lone.wait("stale", func(n *node) bool { return n.Stale() })
+	if len(lone.nodes[0].Catalog().Groups()) != 0 {
+		t.Error("groups without proof")
+	}
+	// With peers alone the configuration is not stale.
+	time.Sleep(1200 * time.Millisecond)
+	if c.nodes[0].Stale() {
+		t.Error("stale although a peer answers")
+	}
+}
+
+// TestForgedStoreValue guards against what somebody with access to the store
+// writes there: an unsigned change, an old revision under a new number, and
+// the deletion of a part.
+func TestForgedStoreValue(t *testing.T) {
+	c := newCluster(t)
+	c.enforceGenesis()
+	old := c.enforce("a", content("a", "a", 20))
+	e := c.enforce("a", content("a", "a", 30))
+	c.start("z1", "z2")
+	c.wait("ready", func(n *node) bool { return n.revision("a") == e.Revision })
+	replay := old
+	replay.Revision = 99
+	forged := e
+	forged.Revision, forged.Content = 100, []byte(content("a", "a", 40))
+	for _, value := range [][]byte{replay.Encode(), forged.Encode(), []byte("garbage"), old.Encode()} {
+		c.force("a", value)
+	}
+	if _, err := c.gateway(nil).Commit(context.Background(), storer.Transaction{}.WithDelete(approver.CurrentPrefix+"a")); err != nil {
+		t.Fatal(err)
+	}
+	next := c.enforceDirect(e, 31)
+	c.wait("next proven revision", func(n *node) bool { return n.revision("a") == next.Revision })
+	if n := c.nodes[0].events("envelope_refused"); n < 3 {
+		t.Errorf("%d refusals recorded, want 3", n)
+	}
+}
+
+func (c *cluster) force(part string, value []byte) {
+	c.t.Helper()
+	tx := storer.Transaction{}.WithPut(approver.CurrentPrefix+part, value)
+	if _, err := c.gateway(nil).Commit(context.Background(), tx); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// enforceDirect signs the revision after e with both keys and writes it.
+func (c *cluster) enforceDirect(e approver.Envelope, limit int) approver.Envelope {
+	next := c.sign(approver.Envelope{
+		Part: e.Part, Revision: e.Revision + 1, Predecessor: e.Hash(), OwnersRevision: e.OwnersRevision,
+		Content: []byte(content(e.Part, e.Part, limit)),
+	})
+	c.force(e.Part, next.Encode())
+	return next
+}
+
+// TestHostilePeer guards against a peer that pushes an older or a forged
+// revision, or a second proven envelope with the number of the one in force.
+func TestHostilePeer(t *testing.T) {
+	c := newCluster(t)
+	c.enforceGenesis()
+	old := c.enforce("a", content("a", "a", 20))
+	e := c.enforce("a", content("a", "a", 30))
+	c.start("z1")
+	n := c.nodes[0]
+	c.wait("ready", func(n *node) bool { return n.revision("a") == e.Revision })
+	forged := e
+	forged.Revision++
+	twin := c.sign(approver.Envelope{
+		Part: "a", Revision: e.Revision, Predecessor: e.Predecessor, OwnersRevision: e.OwnersRevision, Content: []byte(content("a", "a", 40)),
+	})
+	req := &wire.PushRequest{Envelopes: [][]byte{old.Encode(), forged.Encode(), twin.Encode(), {1, 2}}, AgesMs: []uint64{1 << 63}}
+	for range 2 {
+		if _, err := (&service{n.Distributor}).Push(context.Background(), req); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if g, _ := n.Catalog().Group("a"); n.revision("a") != e.Revision || g.Servers[0].ConnectionLimit != 30 {
+		t.Errorf("revision %d with limit %d is in force", n.revision("a"), g.Servers[0].ConnectionLimit)
+	}
+	if n.events("manifest_conflict") != 1 || n.events("envelope_refused") != 2 {
+		t.Errorf("got %d conflicts and %d refusals, want 1 and 2", n.events("manifest_conflict"), n.events("envelope_refused"))
+	}
+}
+
+// TestStoreWithOldData guards against a revision that reverts when the store
+// answers with an earlier state.
+func TestStoreWithOldData(t *testing.T) {
+	c := newCluster(t)
+	c.enforceGenesis()
+	c.enforce("a", content("a", "a", 20))
+	c.platform.SetStale(true)
+	e := c.enforceStale(t)
+	c.start("z1")
+	n := c.nodes[0]
+	if _, err := (&service{n.Distributor}).Push(context.Background(), &wire.PushRequest{Envelopes: [][]byte{e.Encode()}}); err != nil {
+		t.Fatal(err)
+	}
+	c.wait("both revisions were received", func(n *node) bool { return n.revision("a") == e.Revision })
+	for range 3 {
+		if _, err := n.readStore(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if got := n.revision("a"); got != e.Revision {
+			t.Fatalf("revision %d is in force, want %d", got, e.Revision)
+		}
+	}
+}
+
+// enforceStale returns a proven next revision that the stale store does not
+// show.
+func (c *cluster) enforceStale(t *testing.T) approver.Envelope {
+	t.Helper()
+	entry, ok, err := c.gateway(nil).Get(context.Background(), approver.CurrentPrefix+"a")
+	if err != nil || !ok {
+		t.Fatal(err)
+	}
+	e, err := approver.Decode(entry.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c.enforceDirect(e, 33)
+}
+
+// TestBrokenPartLeavesOthers guards against one unusable part that takes the
+// others out of force.
+func TestBrokenPartLeavesOthers(t *testing.T) {
+	c := newCluster(t)
+	c.enforceGenesis()
+	a := c.enforce("a", content("a", "a", 20))
+	c.start("z1")
+	c.wait("ready", func(n *node) bool { return n.revision("a") == a.Revision })
+	broken := c.sign(approver.Envelope{Part: "a", Revision: 9, OwnersRevision: 1, Content: []byte("part = 1")})
+	clash := c.sign(approver.Envelope{Part: "b", Revision: 1, OwnersRevision: 1, Content: []byte(content("b", "a", 20))})
+	c.force("a", broken.Encode())
+	c.force("b", clash.Encode())
+	c.enforceDirect(approver.Envelope{Part: "c", OwnersRevision: 1}, 20)
+	c.wait("part c", func(n *node) bool { return n.revision("c") == 1 && n.revision("a") == a.Revision && n.revision("b") == 0 })
+	if n := c.nodes[0].events("manifest_out_of_force"); n != 2 {
+		t.Errorf("%d alarms, want 2", n)
+	}
+	// The clash ends when part a gives the name up.
+	c.force("a", c.sign(approver.Envelope{Part: "a", Revision: 10, OwnersRevision: 1, Content: []byte(content("a", "x", 20))}).Encode())
+	c.wait("part b", func(n *node) bool { return n.revision("a") == 10 && n.revision("b") == 1 })
+}
+
+// silentStore never reports a change through its watch.
+type silentStore struct{ storer.Store }
+
+func (s silentStore) Watch(ctx context.Context, _ string, _ int64) (*storer.Watch, error) {
+	return storer.NewWatch(ctx, func(ctx context.Context, _ func(storer.Batch) error) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}), nil
+}
+
+// TestSilentWatch guards against a watch that stays open and reports nothing.
+func TestSilentWatch(t *testing.T) {
+	c := newCluster(t)
+	c.enforceGenesis()
+	c.enforce("a", content("a", "a", 20))
+	c.start("z1")
+	c.wait("ready", func(n *node) bool { ready, _ := n.Ready(); return ready })
+	n := c.nodes[0]
+	n.Close()
+	n.store = silentStore{n.store}
+	d, err := New(Config{Genesis: c.genesis, Store: n.store, Directory: n.directory, Dialer: c.pool, Log: quiet(), PollInterval: 50 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Distributor = d
+	c.wait("ready", func(n *node) bool { ready, _ := n.Ready(); return ready })
+	e := c.enforce("a", content("a", "a", 30))
+	c.wait("missed change", func(n *node) bool { return n.revision("a") == e.Revision })
+}
+
+// TestNewRefusesBadGenesis guards against an instance that trusts one owner.
+func TestNewRefusesBadGenesis(t *testing.T) {
+	c := newCluster(t)
+	if _, err := New(Config{Genesis: c.genesis[:1]}); err == nil {
+		t.Error("one owner is accepted")
+	}
+}
