tracker, prober, promoter, confirmer, overseer: control of database groups

The tracker derives established terms, confirmed positions and replica ages from server statuses. The prober reads them and carries commands, the promoter replaces failed primaries and runs planned changes, the confirmer asks the local, remote or no monitor, and the overseer runs one task for each group.

GroupView carries the completed switchovers, so that a new monitor does not repeat them.

Packages prober, promoter, confirmer and overseer have no tests yet.

--- /dev/null
+++ b/internal/confirmer/local.go
@@ -0,0 +1,56 @@
+package confirmer
+
+import (
+	"context"
+
+	"github.com/jonboulle/clockwork"
+
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// TrackerSource gives the trackers of the groups that this instance monitors.
+type TrackerSource interface {
+	// Tracker returns the group's tracker while this instance monitors the
+	// group.
+	Tracker(group string) (*tracker.Tracker, bool)
+}
+
+// Local confirms from the trackers of this instance.
+type Local struct {
+	trackers TrackerSource
+	clock    clockwork.Clock
+}
+
+// NewLocal returns a confirmer for groups that this instance monitors.
+func NewLocal(trackers TrackerSource, clock clockwork.Clock) *Local {
+	return &Local{trackers: trackers, clock: clock}
+}
+
+// Confirm implements [Confirmer]. It returns [ErrNotMonitor] when this
+// instance does not monitor the group or ceases to while it waits.
+func (l *Local) Confirm(ctx context.Context, req Request) (Result, error) {
+	t, ok := l.trackers.Tracker(req.Group)
+	if !ok {
+		return Result{}, ErrNotMonitor
+	}
+	proof, err := t.Await(ctx, req.Position, req.Fresh, l.clock.Now())
+	if err == tracker.ErrRetired {
+		return Result{}, ErrNotMonitor
+	}
+	return ResultOf(proof), err
+}
+
+// isBlind reports whether the local tracker cannot confirm anything.
+func (l *Local) isBlind(group string) bool {
+	t, ok := l.trackers.Tracker(group)
+	return !ok || t.IsBlind()
+}
+
+// ResultOf returns the result that a tracker's proof stands for.
+func ResultOf(p tracker.Proof) Result {
+	r := Result{Outcome: Confirmed, Position: p.Position, Lineage: p.Lineage}
+	if p.Superseded {
+		r.Outcome = Superseded
+	}
+	return r
+}
--- /dev/null
+++ b/internal/overseer/codec.go
@@ -0,0 +1,71 @@
+package overseer
+
+import (
+	"time"
+
+	"marigoldhub.example/hub/internal/messenger/wire"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// unknownAge is sent for a replica whose age is unknown.
+const unknownAge = -1
+
+// encodeView writes ages as durations at now, because the clocks of other
+// processes mean nothing here.
+func encodeView(v tracker.View, completed []string, now time.Time) *wire.GroupView {
+	w := &wire.GroupView{
+		Group:                v.Group,
+		Seq:                  v.Seq,
+		Monitor:              v.Monitor,
+		Term:                 v.Term,
+		Primary:              v.Primary,
+		Lineage:              v.Lineage.String(),
+		Draining:             v.Draining,
+		CompletedSwitchovers: completed,
+	}
+	for _, r := range v.Replicas {
+		age := int64(unknownAge)
+		if d, ok := r.Age(now); ok {
+			age = d.Microseconds() + 1
+		}
+		w.Replicas = append(w.Replicas, &wire.ReplicaView{
+			Server:    r.Server,
+			Log:       &wire.Position{Term: r.Log.Term, Offset: r.Log.Offset},
+			AgeUs:     age,
+			Reachable: r.Reachable,
+			Leaving:   r.Leaving,
+		})
+	}
+	return w
+}
+
+// decodeView counts ages from sentAt, the time at which the request for the
+// view was sent, so that they are never too low.
+func decodeView(w *wire.GroupView, sentAt time.Time) (tracker.View, error) {
+	lineage, err := tracker.ParseLineage(w.GetLineage())
+	if err != nil {
+		return tracker.View{}, err
+	}
+	v := tracker.View{
+		Group:    w.GetGroup(),
+		Seq:      w.GetSeq(),
+		Monitor:  w.GetMonitor(),
+		Term:     w.GetTerm(),
+		Primary:  w.GetPrimary(),
+		Lineage:  lineage,
+		Draining: w.GetDraining(),
+	}
+	for _, r := range w.GetReplicas() {
+		view := tracker.ReplicaView{
+			Server:    r.GetServer(),
+			Log:       tracker.Position{Term: r.GetLog().GetTerm(), Offset: r.GetLog().GetOffset()},
+			Reachable: r.GetReachable(),
+			Leaving:   r.GetLeaving(),
+		}
+		if r.GetAgeUs() >= 0 {
+			view.FreshAt = sentAt.Add(-time.Duration(r.GetAgeUs()) * time.Microsecond)
+		}
+		v.Replicas = append(v.Replicas, view)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/overseer/overseer.go
@@ -0,0 +1,212 @@
+package overseer
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/checker"
+	"marigoldhub.example/hub/internal/confirmer"
+	"marigoldhub.example/hub/internal/enroller"
+	"marigoldhub.example/hub/internal/messenger"
+	"marigoldhub.example/hub/internal/prober"
+	"marigoldhub.example/hub/internal/recorder"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// InFlightCounter counts work on primaries.
+type InFlightCounter interface {
+	// InFlight returns the number of transactions that this instance has open
+	// on the primary of the group. A transaction counts from before the
+	// draining mark of the view is looked at for it, so that 0 during draining
+	// means that none can follow.
+	InFlight(group string) int
+}
+
+// Config configures an [Overseer].
+type Config struct {
+	Directory enroller.Directory
+	Catalog   checker.CatalogSource
+	Dialer    messenger.Dialer
+	// Connect returns the function that opens control sessions to a server.
+	Connect func(group, server string) prober.ConnectFunc
+	// InFlight is nil when nothing is ever in flight.
+	InFlight InFlightCounter
+	// IsLeaving reports whether the platform's list marks the server as
+	// leaving. It may be nil.
+	IsLeaving func(server string) bool
+	Clock     clockwork.Clock
+	Recorder  *recorder.Recorder
+	Log       logrus.FieldLogger
+}
+
+// Overseer keeps the views of all groups in the catalog. It implements
+// tracker.ViewSource and confirmer.TrackerSource.
+type Overseer struct {
+	cfg  Config
+	stop context.CancelFunc
+	done chan struct{}
+
+	confirms *confirmer.Server
+
+	mu     sync.RWMutex
+	boards map[string]*board
+	tasks  map[string]*task
+}
+
+var (
+	_ tracker.ViewSource      = (*Overseer)(nil)
+	_ confirmer.TrackerSource = (*Overseer)(nil)
+)
+
+// New starts an overseer. The groups of the catalog in force are known when it
+// returns.
+func New(cfg Config) *Overseer {
+	if cfg.Log == nil {
+		cfg.Log = logrus.StandardLogger()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	o := &Overseer{
+		cfg:    cfg,
+		stop:   cancel,
+		done:   make(chan struct{}),
+		boards: make(map[string]*board),
+		tasks:  make(map[string]*task),
+	}
+	o.confirms = confirmer.NewServer(o, cfg.Clock)
+	changed := cfg.Catalog.Changed()
+	o.reconcile(cfg.Catalog.Catalog())
+	go func() {
+		defer close(o.done)
+		o.run(ctx, changed)
+		o.closeTasks()
+	}()
+	return o
+}
+
+// Done returns a channel that is closed when the overseer has ended.
+func (o *Overseer) Done() <-chan struct{} { return o.done }
+
+// Close ends all tasks.
+func (o *Overseer) Close() {
+	o.stop()
+	<-o.done
+}
+
+func (o *Overseer) run(ctx context.Context, changed <-chan struct{}) {
+	for {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+		changed = o.cfg.Catalog.Changed()
+		o.reconcile(o.cfg.Catalog.Catalog())
+	}
+}
+
+// reconcile starts and ends tasks so that they match the catalog. A task whose
+// servers changed is restarted; its board stays.
+func (o *Overseer) reconcile(c *checker.Catalog) {
+	declared := make(map[string]bool)
+	for _, g := range c.Groups() {
+		declared[g.Name] = true
+		o.ensure(g)
+		o.board(g.Name).keepCompleted(declaredSwitchovers(c, g.Name))
+	}
+	for name, t := range o.currentTasks() {
+		if !declared[name] {
+			t.close()
+			o.forget(name)
+		}
+	}
+}
+
+func declaredSwitchovers(c *checker.Catalog, group string) map[string]bool {
+	ids := make(map[string]bool)
+	for _, s := range c.Switchovers(group) {
+		ids[s.ID] = true
+	}
+	return ids
+}
+
+func (o *Overseer) ensure(g tracker.Group) {
+	old := o.currentTasks()[g.Name]
+	if old != nil && slices.Equal(old.group.Servers, g.Servers) {
+		return
+	}
+	if old != nil {
+		old.close()
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	b, ok := o.boards[g.Name]
+	if !ok {
+		b = newBoard(o.cfg.Directory.Self().Instance, g.Name)
+		o.boards[g.Name] = b
+	}
+	o.tasks[g.Name] = newTask(o.cfg, g, b)
+}
+
+func (o *Overseer) currentTasks() map[string]*task {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	tasks := make(map[string]*task, len(o.tasks))
+	for name, t := range o.tasks {
+		tasks[name] = t
+	}
+	return tasks
+}
+
+func (o *Overseer) forget(name string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.tasks, name)
+	delete(o.boards, name)
+}
+
+func (o *Overseer) closeTasks() {
+	for _, t := range o.currentTasks() {
+		t.close()
+	}
+}
+
+func (o *Overseer) board(group string) *board {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	return o.boards[group]
+}
+
+// View implements tracker.ViewSource.
+func (o *Overseer) View(group string) (tracker.View, bool) {
+	b := o.board(group)
+	if b == nil {
+		return tracker.View{}, false
+	}
+	return b.get(o.cfg.Clock.Now()), true
+}
+
+// never is returned for unknown groups.
+var never = make(chan struct{})
+
+// Changed implements tracker.ViewSource. The channel of an unknown group is
+// never closed.
+func (o *Overseer) Changed(group string) <-chan struct{} {
+	b := o.board(group)
+	if b == nil {
+		return never
+	}
+	return b.changedChan()
+}
+
+// Tracker implements confirmer.TrackerSource.
+func (o *Overseer) Tracker(group string) (*tracker.Tracker, bool) {
+	b := o.board(group)
+	if b == nil {
+		return nil, false
+	}
+	return b.getTracker()
+}
--- /dev/null
+++ b/internal/overseer/planner.go
@@ -0,0 +1,75 @@
+package overseer
+
+import (
+	"marigoldhub.example/hub/internal/promoter"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+const reasonLeaving = "primary_leaving"
+
+// planner implements promoter.Planner for one group.
+type planner struct {
+	task *task
+}
+
+// Next returns the first declared switchover that has not taken effect and
+// whose target is reachable, or else a change away from a leaving primary.
+func (p planner) Next(s tracker.State) (promoter.Plan, bool) {
+	t := p.task
+	for _, w := range t.cfg.Catalog.Catalog().Switchovers(t.group.Name) {
+		if !t.board.isCompleted(w.ID) && s.Server(w.To).Reachable() {
+			return promoter.Plan{ID: w.ID, To: w.To, Reason: "requested"}, true
+		}
+	}
+	if !p.IsAvoided(s.Primary) {
+		return promoter.Plan{}, false
+	}
+	to := p.successor(s)
+	return promoter.Plan{To: to, Reason: reasonLeaving}, to != ""
+}
+
+// successor returns the replica with the highest log end that is not leaving.
+func (p planner) successor(s tracker.State) string {
+	var best tracker.Observation
+	for _, o := range s.Servers {
+		if o.Server == s.Primary || !o.Reachable() || p.IsAvoided(o.Server) || o.Status.Role != tracker.RoleReplica {
+			continue
+		}
+		if best.Server == "" || o.Status.Log.Compare(best.Status.Log) > 0 {
+			best = o
+		}
+	}
+	return best.Server
+}
+
+func (p planner) Hold(term uint64) { p.task.board.startHold(term, p.task.cfg.Clock.Now()) }
+
+func (p planner) Resume() { p.task.board.endHold(p.task.cfg.Clock.Now()) }
+
+// IsIdle asks for reports of all members alive, because any of them may have
+// work in flight.
+func (p planner) IsIdle() bool {
+	t := p.task
+	if t.cfg.InFlight != nil && t.cfg.InFlight.InFlight(t.group.Name) > 0 {
+		return false
+	}
+	var others []string
+	for _, m := range t.cfg.Directory.Members() {
+		if m.Instance != t.self {
+			others = append(others, m.Instance)
+		}
+	}
+	return t.board.isIdle(others)
+}
+
+func (p planner) Complete(plan promoter.Plan) { p.task.board.complete(plan.ID) }
+
+// IsAvoided reports whether the server is leaving by any sign.
+func (p planner) IsAvoided(server string) bool {
+	t := p.task
+	if t.isMarked(server) {
+		return true
+	}
+	tr, ok := t.board.getTracker()
+	return ok && tr.State().Server(server).Status.Leaving
+}
--- /dev/null
+++ b/internal/prober/conn.go
@@ -0,0 +1,164 @@
+package prober
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// Conn is an authenticated connection to the control interface of a backend
+// server. It implements [Session].
+type Conn struct {
+	netConn  net.Conn
+	frontend *pgproto3.Frontend
+}
+
+func newConn(netConn net.Conn) *Conn {
+	c := &Conn{}
+	c.use(netConn)
+	return c
+}
+
+func (c *Conn) use(netConn net.Conn) {
+	c.netConn = netConn
+	c.frontend = pgproto3.NewFrontend(netConn, netConn)
+}
+
+// ReadStatus implements [tracker.StatusReader].
+func (c *Conn) ReadStatus(ctx context.Context) (tracker.Status, error) {
+	return c.query(ctx, StatusQuery)
+}
+
+// Fence implements promoter.Commander.
+func (c *Conn) Fence(ctx context.Context, term uint64, promoter string) (tracker.Status, error) {
+	return c.query(ctx, fenceQuery(term, promoter))
+}
+
+// Promote implements promoter.Commander.
+func (c *Conn) Promote(ctx context.Context, term uint64, promoter string) (tracker.Status, error) {
+	return c.query(ctx, promoteQuery(term, promoter))
+}
+
+// Follow implements promoter.Commander.
+func (c *Conn) Follow(ctx context.Context, term uint64, primary, address string) (tracker.Status, error) {
+	return c.query(ctx, followQuery(term, primary, address))
+}
+
+// Close closes the connection. It sends no Terminate message, because a write
+// to a cut connection could block.
+func (c *Conn) Close() error { return c.netConn.Close() }
+
+// interruptOn makes reads and writes fail when ctx ends. The returned function
+// ends that and leaves the connection usable.
+func (c *Conn) interruptOn(ctx context.Context) func() {
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		c.netConn.SetDeadline(pastDeadline)
+		close(interrupted)
+	})
+	return func() {
+		if !stop() {
+			<-interrupted
+			c.netConn.SetDeadline(time.Time{})
+		}
+	}
+}
+
+// query sends a query that returns one status row.
+func (c *Conn) query(ctx context.Context, text string) (tracker.Status, error) {
+	if err := ctx.Err(); err != nil {
+		return tracker.Status{}, err
+	}
+	stop := c.interruptOn(ctx)
+	defer stop()
+	s, err := c.exchange(text)
+	if ctxErr := ctx.Err(); err != nil && ctxErr != nil {
+		return tracker.Status{}, ctxErr
+	}
+	return s, err
+}
+
+func (c *Conn) exchange(text string) (tracker.Status, error) {
+	c.frontend.Send(&pgproto3.Query{String: text})
+	if err := c.frontend.Flush(); err != nil {
+		return tracker.Status{}, err
+	}
+	var r statusReceiver
+	for {
+		msg, err := c.frontend.Receive()
+		if err != nil {
+			return tracker.Status{}, err
+		}
+		if _, ok := msg.(*pgproto3.ReadyForQuery); ok {
+			return r.result()
+		}
+		r.take(msg)
+	}
+}
+
+func (c *Conn) waitReady() error {
+	for {
+		msg, err := c.frontend.Receive()
+		if err != nil {
+			return err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.ReadyForQuery:
+			return nil
+		case *pgproto3.ErrorResponse:
+			return newServerError(m)
+		case *pgproto3.BackendKeyData, *pgproto3.ParameterStatus, *pgproto3.NoticeResponse:
+		default:
+			return fmt.Errorf("unexpected message %T at the start of a connection", msg)
+		}
+	}
+}
+
+// statusReceiver collects the messages of one response. Messages of pgproto3
+// are only valid until the next one is received.
+type statusReceiver struct {
+	desc   pgproto3.RowDescription
+	status tracker.Status
+	rows   int
+	err    error
+}
+
+func (r *statusReceiver) take(msg pgproto3.BackendMessage) {
+	switch m := msg.(type) {
+	case *pgproto3.RowDescription:
+		r.desc.Fields = slices.Clone(m.Fields)
+		for i := range r.desc.Fields {
+			r.desc.Fields[i].Name = bytes.Clone(m.Fields[i].Name)
+		}
+	case *pgproto3.DataRow:
+		s, err := ParseStatus(&r.desc, m)
+		r.status, r.rows = s, r.rows+1
+		r.fail(err)
+	case *pgproto3.ErrorResponse:
+		r.fail(newServerError(m))
+	}
+}
+
+func (r *statusReceiver) fail(err error) {
+	if r.err == nil {
+		r.err = err
+	}
+}
+
+func (r *statusReceiver) result() (tracker.Status, error) {
+	if r.err != nil {
+		return tracker.Status{}, r.err
+	}
+	if r.rows != 1 {
+		return tracker.Status{}, errors.New("response has no single status row")
+	}
+	return r.status, nil
+}
--- /dev/null
+++ b/internal/prober/dialect.go
@@ -0,0 +1,109 @@
+package prober
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// StatusQuery returns the status row of a backend server. A row is computed
+// after the statements that precede the query on its connection.
+const StatusQuery = "SELECT * FROM marigold_group_status()"
+
+// SQLSTATEs of backend servers that prove that a statement was not run.
+const (
+	// CodeReadOnly is the refusal of a write by a replica or fenced server.
+	CodeReadOnly = "25006"
+	// CodeTooManyConnections is the refusal of a connection.
+	CodeTooManyConnections = "53300"
+)
+
+func fenceQuery(term uint64, promoter string) string {
+	return fmt.Sprintf("SELECT * FROM marigold_group_fence(%d, %s)", term, quote(promoter))
+}
+
+func promoteQuery(term uint64, promoter string) string {
+	return fmt.Sprintf("SELECT * FROM marigold_group_promote(%d, %s)", term, quote(promoter))
+}
+
+func followQuery(term uint64, primary, address string) string {
+	return fmt.Sprintf("SELECT * FROM marigold_group_follow(%d, %s, %s)", term, quote(primary), quote(address))
+}
+
+func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
+
+// ParseStatus reads a status row in text format. Columns are found by name;
+// unknown columns are ignored.
+func ParseStatus(desc *pgproto3.RowDescription, row *pgproto3.DataRow) (tracker.Status, error) {
+	if len(desc.Fields) != len(row.Values) {
+		return tracker.Status{}, fmt.Errorf("status row has %d values for %d columns", len(row.Values), len(desc.Fields))
+	}
+	p := statusParser{columns: make(map[string]string, len(row.Values))}
+	for i, f := range desc.Fields {
+		if f.Format != pgproto3.TextFormat {
+			return tracker.Status{}, fmt.Errorf("status column %q is not in text format", f.Name)
+		}
+		p.columns[string(f.Name)] = string(row.Values[i])
+	}
+	s := tracker.Status{
+		Server:   p.text("server"),
+		Role:     p.role(),
+		Term:     p.number("term"),
+		Promoter: p.text("promoter"),
+		Log:      tracker.Position{Term: p.number("log_term"), Offset: p.number("log_offset")},
+		Lineage:  p.lineage(),
+		Leaving:  p.text("leaving") == "t",
+	}
+	s.Connections = int(p.number("connections"))
+	return s, p.err
+}
+
+// statusParser keeps the first error.
+type statusParser struct {
+	columns map[string]string
+	err     error
+}
+
+func (p *statusParser) fail(column string, err error) {
+	if p.err == nil {
+		p.err = fmt.Errorf("status column %q: %w", column, err)
+	}
+}
+
+func (p *statusParser) text(column string) string {
+	v, ok := p.columns[column]
+	if !ok {
+		p.fail(column, fmt.Errorf("column is missing"))
+	}
+	return v
+}
+
+func (p *statusParser) number(column string) uint64 {
+	n, err := strconv.ParseUint(p.text(column), 10, 63)
+	if err != nil {
+		p.fail(column, err)
+	}
+	return n
+}
+
+func (p *statusParser) role() tracker.Role {
+	r := tracker.Role(p.text("role"))
+	switch r {
+	case tracker.RolePrimary, tracker.RoleReplica, tracker.RoleFenced:
+	default:
+		p.fail("role", fmt.Errorf("unknown role %q", r))
+	}
+	return r
+}
+
+func (p *statusParser) lineage() tracker.Lineage {
+	l, err := tracker.ParseLineage(p.text("lineage"))
+	if err != nil {
+		p.fail("lineage", err)
+	}
+	return l
+}
--- /dev/null
+++ b/internal/prober/errors.go
@@ -0,0 +1,44 @@
+package prober
+
+import (
+	"errors"
+	"fmt"
+	"syscall"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// ServerError is an error that a backend server reported.
+type ServerError struct {
+	// Code is the SQLSTATE.
+	Code    string
+	Message string
+}
+
+func (e *ServerError) Error() string { return fmt.Sprintf("%s (SQLSTATE %s)", e.Message, e.Code) }
+
+func newServerError(m *pgproto3.ErrorResponse) *ServerError {
+	return &ServerError{Code: m.Code, Message: m.Message}
+}
+
+// ConnectionClosedError states that the peer accepted a connection and closed
+// it before it sent any byte. Relays in front of a dead server do that.
+type ConnectionClosedError struct{ Err error }
+
+func (e *ConnectionClosedError) Error() string {
+	return "connection closed before the first response: " + e.Err.Error()
+}
+
+func (e *ConnectionClosedError) Unwrap() error { return e.Err }
+
+// isRefused reports whether the error shows that no server listens.
+func isRefused(err error) bool {
+	var closed *ConnectionClosedError
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &closed)
+}
+
+// isFull reports whether the server lives but has no connection left.
+func isFull(err error) bool {
+	var s *ServerError
+	return errors.As(err, &s) && s.Code == CodeTooManyConnections
+}
--- /dev/null
+++ b/internal/promoter/change.go
@@ -0,0 +1,103 @@
+package promoter
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+const (
+	// drainTimeout bounds the time for which a planned change holds new work
+	// before the fence.
+	drainTimeout = 150 * time.Millisecond
+	// planRetry is the time between attempts of a planned change.
+	planRetry = time.Second
+	// idlePoll is the interval at which reports of the instances are looked at.
+	idlePoll = 2 * time.Millisecond
+	// maxTargetAge keeps a planned change from holding work for a target that
+	// cannot catch up within drainTimeout.
+	maxTargetAge = 500 * time.Millisecond
+)
+
+// runPlan starts the next planned change if one is wanted and possible.
+func (p *Promoter) runPlan(ctx context.Context, s tracker.State, now time.Time) {
+	if p.cfg.Planner == nil || now.Before(p.nextPlanAt) || !isServing(s) {
+		return
+	}
+	plan, ok := p.nextPlan(s, now)
+	if !ok {
+		return
+	}
+	if plan.To == s.Primary && plan.Reason != reasonStrayFence {
+		p.cfg.Planner.Complete(plan)
+		return
+	}
+	p.nextPlanAt = now.Add(planRetry)
+	if !p.canTake(s, plan.To, now) {
+		return
+	}
+	if err := p.change(ctx, s, plan); err != nil {
+		p.record("cancelled", s.Term, "to", plan.To, "error", err)
+		p.cfg.Log.WithField("group", p.group.Name).WithError(err).Info("promoter: Planned change of primary was cancelled.")
+		p.nextPlanAt = p.cfg.Clock.Now().Add(planRetry)
+	}
+}
+
+func (p *Promoter) nextPlan(s tracker.State, now time.Time) (Plan, bool) {
+	if p.detector.hasStrayFence(s, now) {
+		return Plan{To: s.Primary, Reason: reasonStrayFence}, true
+	}
+	return p.cfg.Planner.Next(s)
+}
+
+// canTake reports whether the server can catch up while new work is held.
+func (p *Promoter) canTake(s tracker.State, server string, now time.Time) bool {
+	if server == s.Primary {
+		return true
+	}
+	o := s.Server(server)
+	if !o.Reachable() || o.Status.Role != tracker.RoleReplica || o.Status.Term != s.Term {
+		return false
+	}
+	r, _ := p.cfg.Tracker.View().Replica(server)
+	age, ok := r.Age(now)
+	return ok && age <= maxTargetAge
+}
+
+// change holds new work for the primary, waits until nothing is in flight and
+// the target has caught up, and promotes the target.
+func (p *Promoter) change(ctx context.Context, s tracker.State, plan Plan) error {
+	p.record("draining", s.Term, "to", plan.To, "plan", plan.ID, "reason", plan.Reason)
+	p.cfg.Planner.Hold(s.Term)
+	defer p.cfg.Planner.Resume()
+	if err := p.prepare(ctx, plan); err != nil {
+		return err
+	}
+	if err := p.promote(ctx, p.cfg.Tracker.State(), plan.To); err != nil {
+		return err
+	}
+	if p.cfg.Tracker.State().Primary == plan.To {
+		p.cfg.Planner.Complete(plan)
+	}
+	return nil
+}
+
+func (p *Promoter) prepare(ctx context.Context, plan Plan) error {
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	for !p.cfg.Planner.IsIdle() {
+		if !p.sleep(ctx, idlePoll) {
+			return fmt.Errorf("work is in flight after %v", drainTimeout)
+		}
+	}
+	proof, err := p.cfg.Tracker.Await(ctx, tracker.Position{}, true, p.cfg.Clock.Now())
+	if err != nil {
+		return fmt.Errorf("position of the primary: %w", err)
+	}
+	if _, err := p.cfg.Tracker.AwaitServer(ctx, plan.To, proof.Position); err != nil {
+		return fmt.Errorf("%s did not catch up with %v: %w", plan.To, proof.Position, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/promoter/promoter.go
@@ -0,0 +1,330 @@
+package promoter
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/recorder"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+const (
+	// checkInterval is small against the failure detection limits.
+	checkInterval = 20 * time.Millisecond
+	// commandTimeout bounds one command to one server.
+	commandTimeout = 300 * time.Millisecond
+	// fenceGrace is the time that servers outside the fenced majority have to
+	// answer, so that they can be chosen and told to follow at once.
+	fenceGrace = 20 * time.Millisecond
+	// establishTimeout bounds the wait for the first record of a term.
+	establishTimeout = time.Second
+	// repairInterval is longer than commandTimeout, so that repairs of one
+	// server never overlap.
+	repairInterval = 350 * time.Millisecond
+
+	backoffMin    = 50 * time.Millisecond
+	backoffJitter = 150 * time.Millisecond
+)
+
+// Config configures a [Promoter].
+type Config struct {
+	// Instance is the name of this entry instance.
+	Instance string
+	Tracker  *tracker.Tracker
+	// Commanders has one entry for each server of the tracker's group. Their
+	// statuses reach the tracker.
+	Commanders map[string]Commander
+	// Planner is nil when there are no planned changes.
+	Planner  Planner
+	Clock    clockwork.Clock
+	Recorder *recorder.Recorder
+	Log      logrus.FieldLogger
+}
+
+// Promoter watches one group and gives it a new primary when it needs one.
+type Promoter struct {
+	cfg   Config
+	group tracker.Group
+	done  chan struct{}
+	stop  context.CancelFunc
+
+	detector   detector
+	lastRepair map[string]time.Time
+	nextPlanAt time.Time
+	tasks      sync.WaitGroup
+}
+
+// New starts a promoter.
+func New(cfg Config) *Promoter {
+	if cfg.Log == nil {
+		cfg.Log = logrus.StandardLogger()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Promoter{
+		cfg:        cfg,
+		group:      cfg.Tracker.Group(),
+		done:       make(chan struct{}),
+		stop:       cancel,
+		lastRepair: make(map[string]time.Time),
+	}
+	go func() {
+		defer close(p.done)
+		p.run(ctx)
+		p.tasks.Wait()
+	}()
+	return p
+}
+
+// Done returns a channel that is closed when the promoter has ended.
+func (p *Promoter) Done() <-chan struct{} { return p.done }
+
+// Close ends the promoter. A promotion in progress stops after its current
+// step.
+func (p *Promoter) Close() {
+	p.stop()
+	<-p.done
+}
+
+func (p *Promoter) run(ctx context.Context) {
+	for p.sleep(ctx, checkInterval) {
+		s := p.cfg.Tracker.State()
+		now := p.cfg.Clock.Now()
+		if reason := p.detector.check(s, now); reason != "" {
+			p.replace(ctx, s, reason)
+			continue
+		}
+		p.repair(ctx, s, now)
+		p.runPlan(ctx, s, now)
+	}
+}
+
+// sleep returns false when ctx ended.
+func (p *Promoter) sleep(ctx context.Context, d time.Duration) bool {
+	timer := p.cfg.Clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// replace promotes a server after a failure, and backs off when it could not.
+func (p *Promoter) replace(ctx context.Context, s tracker.State, reason string) {
+	p.record("detected", s.HighestTerm(), "reason", reason, "primary", s.Primary)
+	if err := p.promote(ctx, s, ""); err != nil {
+		p.cfg.Log.WithField("group", p.group.Name).WithError(err).Warn("promoter: Promotion failed.")
+		p.sleep(ctx, backoffMin+rand.N(backoffJitter))
+	}
+}
+
+// promote carries out one attempt. Among servers with equally complete logs it
+// chooses preferred.
+func (p *Promoter) promote(ctx context.Context, s tracker.State, preferred string) error {
+	startedAt := p.cfg.Clock.Now()
+	term := s.HighestTerm() + 1
+	id := attemptID(p.cfg.Instance)
+	p.detector.own = term
+
+	fenced := p.fence(ctx, term, id)
+	if len(fenced) < p.group.Majority() {
+		p.record("refused", term, "step", "fence", "accepted", len(fenced))
+		return fmt.Errorf("term %d: fence accepted by %d of %d servers", term, len(fenced), len(p.group.Servers))
+	}
+	p.record("fenced", term, "servers", serverNames(fenced))
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+
+	chosen := p.choose(fenced, preferred)
+	p.record("chosen", term, "server", chosen.Server, "log", chosen.Log)
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+
+	primary, err := p.lead(ctx, chosen.Server, term, id)
+	if err != nil {
+		p.record("refused", term, "step", "promote", "server", chosen.Server)
+		return err
+	}
+	p.record("promoted", term, "server", chosen.Server, "log", primary.Log)
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+
+	p.followAll(ctx, term, chosen.Server)
+	if err := p.awaitEstablished(ctx, primary); err != nil {
+		return fmt.Errorf("term %d: not established: %w", term, err)
+	}
+	p.record("established", term, "server", chosen.Server, "duration", p.cfg.Clock.Since(startedAt))
+	return nil
+}
+
+// attemptID names one attempt. A name that two attempts shared would let both
+// promote a server in the same term.
+func attemptID(instance string) string {
+	return fmt.Sprintf("%s/%016x", instance, rand.Uint64())
+}
+
+// fence sends the fence to all servers and returns the statuses of those that
+// accepted it. It returns early once a majority accepted and the others had
+// their grace, and when no majority can accept any more.
+func (p *Promoter) fence(ctx context.Context, term uint64, id string) []tracker.Status {
+	answers := make(chan tracker.Status, len(p.group.Servers))
+	for _, server := range p.group.Servers {
+		p.command(ctx, server.Name, func(ctx context.Context, c Commander) {
+			s, err := c.Fence(ctx, term, id)
+			if err != nil {
+				s = tracker.Status{}
+			}
+			answers <- s
+		})
+	}
+	var accepted []tracker.Status
+	var grace <-chan time.Time
+	for range p.group.Servers {
+		select {
+		case s := <-answers:
+			if s.Term == term && s.Promoter == id {
+				accepted = append(accepted, s)
+			}
+		case <-grace:
+			return accepted
+		}
+		if len(accepted) >= p.group.Majority() && grace == nil {
+			grace = p.cfg.Clock.After(fenceGrace)
+		}
+	}
+	return accepted
+}
+
+// command runs f for the named server in the background.
+func (p *Promoter) command(ctx context.Context, server string, f func(context.Context, Commander)) {
+	p.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+		defer cancel()
+		f(ctx, p.cfg.Commanders[server])
+	})
+}
+
+// choose returns the fenced server with the highest log end. Only among equal
+// ends do preferences count.
+func (p *Promoter) choose(fenced []tracker.Status, preferred string) tracker.Status {
+	best := fenced[0]
+	for _, s := range fenced[1:] {
+		c := s.Log.Compare(best.Log)
+		if c > 0 || c == 0 && p.rank(s.Server, preferred) < p.rank(best.Server, preferred) {
+			best = s
+		}
+	}
+	return best
+}
+
+func (p *Promoter) rank(server, preferred string) int {
+	switch {
+	case server == preferred:
+		return 0
+	case p.cfg.Planner != nil && p.cfg.Planner.IsAvoided(server):
+		return 2
+	default:
+		return 1
+	}
+}
+
+// lead promotes the server.
+func (p *Promoter) lead(ctx context.Context, server string, term uint64, id string) (tracker.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	s, err := p.cfg.Commanders[server].Promote(ctx, term, id)
+	if err != nil {
+		return s, fmt.Errorf("term %d: promote %s: %w", term, server, err)
+	}
+	if s.Role != tracker.RolePrimary || s.Term != term {
+		return s, fmt.Errorf("term %d: %s refused to lead; it is %s in term %d", term, server, s.Role, s.Term)
+	}
+	return s, nil
+}
+
+// followAll tells all other servers to follow the primary.
+func (p *Promoter) followAll(ctx context.Context, term uint64, primary string) {
+	now := p.cfg.Clock.Now()
+	for _, server := range p.group.Servers {
+		if server.Name != primary {
+			p.follow(ctx, server.Name, term, primary, now)
+		}
+	}
+}
+
+func (p *Promoter) follow(ctx context.Context, server string, term uint64, primary string, now time.Time) {
+	p.lastRepair[server] = now
+	leader, _ := p.group.Server(primary)
+	p.command(ctx, server, func(ctx context.Context, c Commander) {
+		s, err := c.Follow(ctx, term, primary, leader.Address)
+		if err == nil && s.Term == term && s.Role == tracker.RoleReplica {
+			p.record("following", term, "server", server, "primary", primary)
+		}
+	})
+}
+
+// awaitEstablished waits until the first record of the primary's term is
+// confirmed.
+func (p *Promoter) awaitEstablished(ctx context.Context, primary tracker.Status) error {
+	ctx, cancel := context.WithTimeout(ctx, establishTimeout)
+	defer cancel()
+	first := primary.Log
+	if n := len(primary.Lineage); n > 0 {
+		first.Offset = primary.Lineage[n-1].Start + 1
+	}
+	proof, err := p.cfg.Tracker.Await(ctx, first, false, time.Time{})
+	if err != nil {
+		return err
+	}
+	if proof.Superseded {
+		return fmt.Errorf("superseded by term %d", proof.Position.Term)
+	}
+	return nil
+}
+
+// repair tells servers that are fenced, or lead or follow in an old term, to
+// follow the server that leads the highest term. That server was promoted
+// after a majority was fenced, so it may be followed before its term is
+// established.
+func (p *Promoter) repair(ctx context.Context, s tracker.State, now time.Time) {
+	term := s.HighestTerm()
+	leader, ok := s.Leader(term)
+	if !ok || !leader.Reachable() {
+		return
+	}
+	for _, o := range s.Servers {
+		isFollowing := o.Status.Term == term && o.Status.Role == tracker.RoleReplica
+		if o.Server == leader.Server || !o.Reachable() || isFollowing {
+			continue
+		}
+		if now.Sub(p.lastRepair[o.Server]) >= repairInterval {
+			p.follow(ctx, o.Server, term, leader.Server, now)
+		}
+	}
+}
+
+// record adds a step to the timeline.
+func (p *Promoter) record(step string, term uint64, fields ...any) {
+	p.cfg.Recorder.Record("promoter", step, p.group.Name, append([]any{"term", term}, fields...)...)
+}
+
+func serverNames(statuses []tracker.Status) string {
+	names := ""
+	for i, s := range statuses {
+		if i > 0 {
+			names += ","
+		}
+		names += s.Server
+	}
+	return names
+}
--- /dev/null
+++ b/internal/tracker/observation.go
@@ -0,0 +1,56 @@
+package tracker
+
+import "time"
+
+// Observation is what the probes of one server showed. SentAt and ReceivedAt
+// belong to Status; they are zero when no probe succeeded yet.
+type Observation struct {
+	Server     string
+	Status     Status
+	SentAt     time.Time
+	ReceivedAt time.Time
+	// Failures counts the failed probes since the last successful one.
+	Failures int
+	// FailedAt is the time at which the first of them was sent.
+	FailedAt time.Time
+	// Refused is set when the server refused a connection since the last
+	// successful probe.
+	Refused bool
+}
+
+// Seen reports whether a probe ever succeeded.
+func (o Observation) Seen() bool { return !o.SentAt.IsZero() }
+
+// Probed reports whether a probe ever ended.
+func (o Observation) Probed() bool { return o.Seen() || o.Failures > 0 }
+
+// Reachable reports whether the newest probe succeeded.
+func (o Observation) Reachable() bool { return o.Seen() && o.Failures == 0 }
+
+// isMember reports whether the server took part in the term when the status
+// was computed: it leads or follows in it and accepted no later term. A fenced
+// server takes no part.
+func (o Observation) isMember(term uint64) bool {
+	if !o.Seen() || o.Status.Term != term {
+		return false
+	}
+	return o.Status.Role == RolePrimary || o.Status.Role == RoleReplica
+}
+
+// stores reports whether the server stored p in p's own term.
+func (o Observation) stores(p Position) bool {
+	return o.isMember(p.Term) && o.Status.Log.Term == p.Term && o.Status.Log.Offset >= p.Offset
+}
+
+func (o Observation) withStatus(s Status, sentAt, receivedAt time.Time) Observation {
+	return Observation{Server: o.Server, Status: s, SentAt: sentAt, ReceivedAt: receivedAt}
+}
+
+func (o Observation) withFailure(sentAt time.Time, refused bool) Observation {
+	if o.Failures == 0 {
+		o.FailedAt = sentAt
+	}
+	o.Failures++
+	o.Refused = o.Refused || refused
+	return o
+}
--- /dev/null
+++ b/internal/tracker/tracker.go
@@ -0,0 +1,490 @@
+package tracker
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Tracker derives the state of one group from observations of its servers.
+// It is safe for concurrent use.
+//
+// Why a confirmation is final: a position (t, p) is confirmed when a majority
+// of the group reported, while t was the highest term they had accepted, a log
+// of term t that ends at or past p. Only one promoter can fence a majority for
+// t and it promotes one server, so all records of term t come from one log. A
+// server that accepted a later term refuses replication of t. Every later term
+// u starts by fencing a majority, which shares a server with the confirming
+// majority; that server reported (t, p) before it accepted u, so its log end
+// in the fence's answer is at or past (t, p). The promoted server has the
+// highest log end of the fenced ones. If that end is of term t, the log
+// contains (t, p) because all records of t come from one log; if it is of a
+// term between t and u, the log contains (t, p) by induction over the terms.
+// Truncation only removes records that are not in the lineage of the term
+// that the server follows, so (t, p) is in every later log.
+//
+// Why a fresh confirmation excludes later terms: every counted status was
+// computed after the request began, and showed t as the highest accepted term.
+// A majority fenced for a later term u shares a server with them, so the
+// fence of u was not complete when the request began, and nothing was
+// confirmed in u before it.
+//
+// Why an established term decides about earlier ones: the first record of a
+// term is confirmed like any other, so the lineage before it is part of every
+// later log. A record of an earlier term that is not in that lineage can never
+// be in a later established log.
+type Tracker struct {
+	group Group
+
+	mu      sync.Mutex
+	servers []Observation
+
+	term      uint64
+	primary   string
+	lineage   Lineage
+	confirmed Position
+	// provenAt is the latest time at which a majority is known to have taken
+	// part in the established term.
+	provenAt time.Time
+	history  history
+
+	waiters map[*Waiter]struct{}
+	wanted  chan struct{}
+	changed chan struct{}
+	retired chan struct{}
+}
+
+// ErrRetired states that the tracker takes no more observations.
+var ErrRetired = errors.New("tracker is retired")
+
+// New returns a tracker that has seen nothing.
+func New(group Group) *Tracker {
+	t := &Tracker{
+		group:   group,
+		waiters: make(map[*Waiter]struct{}),
+		wanted:  make(chan struct{}),
+		changed: make(chan struct{}),
+		retired: make(chan struct{}),
+	}
+	for _, s := range group.Servers {
+		t.servers = append(t.servers, Observation{Server: s.Name})
+	}
+	return t
+}
+
+// Group returns the group.
+func (t *Tracker) Group() Group { return t.group }
+
+// Observe takes a status of the named server that was requested at sentAt and
+// answered at receivedAt. Both times are of one clock. Observations that were
+// sent before the newest one of the server are ignored.
+func (t *Tracker) Observe(server string, s Status, sentAt, receivedAt time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i := t.index(server)
+	if i < 0 || sentAt.Before(t.servers[i].SentAt) {
+		return
+	}
+	before := t.summary(i)
+	t.servers[i] = t.servers[i].withStatus(s, sentAt, receivedAt)
+	t.establish(s.Term)
+	t.confirm()
+	t.proveTerm()
+	t.addSample(t.servers[i])
+	t.answerWaiters()
+	t.notify(before, i)
+}
+
+// summary is the part of the state whose changes are announced.
+type summary struct {
+	term      uint64
+	primary   string
+	reachable bool
+	leaving   bool
+}
+
+func (t *Tracker) summary(i int) summary {
+	o := t.servers[i]
+	return summary{t.term, t.primary, o.Reachable(), o.Status.Leaving}
+}
+
+func (t *Tracker) notify(before summary, i int) {
+	if t.summary(i) != before {
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+}
+
+// Changed returns a channel that is closed at the next change of the
+// established term, the primary, or the reachability or leaving mark of a
+// server.
+func (t *Tracker) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+// ObserveFailure takes a probe that was sent at sentAt and failed. Refused is
+// set when the server refused the connection.
+func (t *Tracker) ObserveFailure(server string, sentAt time.Time, refused bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i := t.index(server)
+	if i < 0 || sentAt.Before(t.servers[i].SentAt) {
+		return
+	}
+	before := t.summary(i)
+	t.servers[i] = t.servers[i].withFailure(sentAt, refused)
+	t.notify(before, i)
+}
+
+func (t *Tracker) index(server string) int {
+	return slices.IndexFunc(t.servers, func(o Observation) bool { return o.Server == server })
+}
+
+// establish makes term the established one if its first record is confirmed.
+func (t *Tracker) establish(term uint64) {
+	if term < t.term || term == 0 {
+		return
+	}
+	if term == t.term {
+		t.findPrimary()
+		return
+	}
+	for _, o := range t.servers {
+		start, ok := lastBranchStart(o, term)
+		if !ok || t.countStored(Position{term, start + 1}) < t.group.Majority() {
+			continue
+		}
+		t.term, t.primary, t.lineage = term, "", o.Status.Lineage
+		t.confirmed = Position{term, start + 1}
+		t.history.clip(start)
+		t.findPrimary()
+		return
+	}
+}
+
+// lastBranchStart returns where the term starts in the server's log.
+func lastBranchStart(o Observation, term uint64) (uint64, bool) {
+	n := len(o.Status.Lineage)
+	if n == 0 || !o.isMember(term) || o.Status.Log.Term != term {
+		return 0, false
+	}
+	last := o.Status.Lineage[n-1]
+	return last.Start, last.Term == term
+}
+
+func (t *Tracker) findPrimary() {
+	if t.primary != "" {
+		return
+	}
+	for _, o := range t.servers {
+		if o.isMember(t.term) && o.Status.Role == RolePrimary {
+			t.primary = o.Server
+		}
+	}
+}
+
+func (t *Tracker) countStored(p Position) int {
+	n := 0
+	for _, o := range t.servers {
+		if o.stores(p) {
+			n++
+		}
+	}
+	return n
+}
+
+// confirm raises the confirmed position of the established term to the highest
+// log end that a majority stores.
+func (t *Tracker) confirm() {
+	if t.term == 0 {
+		return
+	}
+	var ends []uint64
+	for _, o := range t.servers {
+		if o.stores(Position{Term: t.term}) {
+			ends = append(ends, o.Status.Log.Offset)
+		}
+	}
+	need := t.group.Majority()
+	if len(ends) < need {
+		return
+	}
+	slices.Sort(ends)
+	t.confirmed.Offset = max(t.confirmed.Offset, ends[len(ends)-need])
+}
+
+// proveTerm raises provenAt to the time at which the newest majority of
+// statuses of the established term was requested.
+func (t *Tracker) proveTerm() {
+	var sent []time.Time
+	for _, o := range t.servers {
+		if t.term > 0 && o.isMember(t.term) {
+			sent = append(sent, o.SentAt)
+		}
+	}
+	need := t.group.Majority()
+	if len(sent) < need {
+		return
+	}
+	slices.SortFunc(sent, time.Time.Compare)
+	if at := sent[len(sent)-need]; at.After(t.provenAt) {
+		t.provenAt = at
+	}
+}
+
+func (t *Tracker) addSample(o Observation) {
+	if t.term > 0 && o.Server == t.primary && o.Status.Role == RolePrimary && o.stores(Position{Term: t.term}) {
+		t.history.add(o.SentAt, o.Status.Log.Offset)
+	}
+}
+
+// freshAt returns the time at which everything in the log of o was current. It
+// is never later than provenAt, because a replaced primary's position says
+// nothing about later times. The primary's position only grows within a term,
+// so a sample also holds for every earlier time.
+func (t *Tracker) freshAt(o Observation) time.Time {
+	if !o.Seen() || !t.lineage.Contains(o.Status.Log) {
+		return time.Time{}
+	}
+	at := t.history.freshAt(o.Status.Log.Offset)
+	if at.After(t.provenAt) {
+		return t.provenAt
+	}
+	return at
+}
+
+// View returns the view of the group. Seq, Monitor and Draining are zero.
+func (t *Tracker) View() View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := View{Group: t.group.Name, Term: t.term, Primary: t.primary, Lineage: t.lineage}
+	for _, o := range t.servers {
+		if o.Server == t.primary {
+			continue
+		}
+		v.Replicas = append(v.Replicas, ReplicaView{
+			Server:    o.Server,
+			Log:       o.Status.Log,
+			FreshAt:   t.freshAt(o),
+			Reachable: o.Reachable(),
+			Leaving:   o.Status.Leaving,
+		})
+	}
+	return v
+}
+
+// State is what a promoter decides on.
+type State struct {
+	// Term, Primary and Lineage are those of the established term.
+	Term    uint64
+	Primary string
+	Lineage Lineage
+	// Confirmed is the highest confirmed position known.
+	Confirmed Position
+	Servers   []Observation
+}
+
+// Server returns the observation of the named server.
+func (s State) Server(name string) Observation {
+	for _, o := range s.Servers {
+		if o.Server == name {
+			return o
+		}
+	}
+	return Observation{Server: name}
+}
+
+// HighestTerm returns the highest term that any server is known to have
+// accepted.
+func (s State) HighestTerm() uint64 {
+	highest := s.Term
+	for _, o := range s.Servers {
+		highest = max(highest, o.Status.Term)
+	}
+	return highest
+}
+
+// Leader returns the server that reported to lead the term.
+func (s State) Leader(term uint64) (Observation, bool) {
+	for _, o := range s.Servers {
+		if o.isMember(term) && o.Status.Role == RolePrimary {
+			return o, true
+		}
+	}
+	return Observation{}, false
+}
+
+// State returns the current state.
+func (t *Tracker) State() State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return State{
+		Term:      t.term,
+		Primary:   t.primary,
+		Lineage:   t.lineage,
+		Confirmed: t.confirmed,
+		Servers:   slices.Clone(t.servers),
+	}
+}
+
+// Watch starts a wait for the confirmation of p. With fresh set, only statuses
+// that were requested at or after since count. The zero position asks for the
+// primary's own position and is always fresh. The caller must call Stop.
+func (t *Tracker) Watch(p Position, fresh bool, since time.Time) *Waiter {
+	w := &Waiter{
+		tracker:  t,
+		position: p,
+		floor:    p.IsZero(),
+		fresh:    fresh || p.IsZero(),
+		since:    since,
+		done:     make(chan struct{}),
+	}
+	t.add(w)
+	return w
+}
+
+func (t *Tracker) add(w *Waiter) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.answer(w) {
+		return
+	}
+	t.waiters[w] = struct{}{}
+	close(t.wanted)
+	t.wanted = make(chan struct{})
+}
+
+// Await is Watch for one caller. An error means that nothing was learnt before
+// ctx ended.
+func (t *Tracker) Await(ctx context.Context, p Position, fresh bool, since time.Time) (Proof, error) {
+	return t.Watch(p, fresh, since).wait(ctx)
+}
+
+// AwaitServer waits until the named server stores p in p's own term. The proof
+// is no confirmation.
+func (t *Tracker) AwaitServer(ctx context.Context, server string, p Position) (Proof, error) {
+	w := &Waiter{tracker: t, position: p, server: server, done: make(chan struct{})}
+	t.add(w)
+	return w.wait(ctx)
+}
+
+func (w *Waiter) wait(ctx context.Context) (Proof, error) {
+	defer w.Stop()
+	select {
+	case <-w.Done():
+		return w.Proof(), nil
+	case <-w.tracker.retired:
+		return Proof{}, ErrRetired
+	case <-ctx.Done():
+		return Proof{}, ctx.Err()
+	}
+}
+
+// Retire ends all waits with [ErrRetired]. It is called once, when nobody
+// observes for this tracker any more.
+func (t *Tracker) Retire() { close(t.retired) }
+
+// Retired returns a channel that is closed by Retire.
+func (t *Tracker) Retired() <-chan struct{} { return t.retired }
+
+// IsBlind reports whether no majority of the servers is reachable.
+func (t *Tracker) IsBlind() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, o := range t.servers {
+		if o.Reachable() {
+			n++
+		}
+	}
+	return n < t.group.Majority()
+}
+
+// Wanted returns a channel that is closed when the next wait starts.
+func (t *Tracker) Wanted() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.wanted
+}
+
+// Needs reports whether a newer status of the server could help a waiter.
+func (t *Tracker) Needs(server string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i := t.index(server)
+	if i < 0 {
+		return false
+	}
+	for w := range t.waiters {
+		if w.needs(t.servers[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+// IsAwaited reports whether any wait is open.
+func (t *Tracker) IsAwaited() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.waiters) > 0
+}
+
+func (t *Tracker) answerWaiters() {
+	for w := range t.waiters {
+		if t.answer(w) {
+			delete(t.waiters, w)
+		}
+	}
+}
+
+// answer gives the waiter its proof if there is one.
+func (t *Tracker) answer(w *Waiter) bool {
+	if w.floor {
+		t.pin(w)
+	}
+	if w.position.IsZero() {
+		return false
+	}
+	switch {
+	case w.position.Term < t.term && !w.floor:
+		w.proof = Proof{Superseded: true, Position: t.confirmed, Lineage: t.lineage}
+	case t.isConfirmed(w):
+		w.proof = Proof{Position: w.position, Lineage: t.lineage}
+	default:
+		return false
+	}
+	close(w.done)
+	return true
+}
+
+// pin sets the position of a waiter for the primary's own position to that of
+// the newest primary whose status is fresh. The position stays the same while
+// that primary leads, so that a busy primary does not outrun the wait.
+func (t *Tracker) pin(w *Waiter) {
+	for _, o := range t.servers {
+		if o.SentAt.Before(w.since) || o.Status.Role != RolePrimary || !o.stores(Position{Term: o.Status.Term}) {
+			continue
+		}
+		if o.Status.Term > w.position.Term {
+			w.position = o.Status.Log
+		}
+	}
+}
+
+func (t *Tracker) isConfirmed(w *Waiter) bool {
+	if !w.fresh && w.server == "" && w.position.Term == t.term && w.position.Offset <= t.confirmed.Offset {
+		return true
+	}
+	n := 0
+	for _, o := range t.servers {
+		if w.counts(o) {
+			n++
+		}
+	}
+	return n >= w.quorum()
+}
