--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -214,7 +214,9 @@
 	c.force("a", broken.Encode())
 	c.force("b", clash.Encode())
 	c.enforceDirect(approver.Envelope{Part: "c", OwnersRevision: 1}, 20)
-	c.wait("part c", func(n *node) bool { return n.revision("c") == 1 && n.revision("a") == a.Revision && n.revision("b") == 0 })
+	c.wait("part c", func(n *node) bool {
+		return n.revision("c") == 1 && n.revision("a") == a.Revision && n.revision("b") == 0
+	})
 	if n := c.nodes[0].events("manifest_out_of_force"); n != 2 {
 		t.Errorf("%d alarms, want 2", n)
 	}
--- /dev/null
+++ b/internal/steward/exit.go
@@ -0,0 +1,46 @@
+package steward
+
+import (
+	"errors"
+
+	"marigoldhub.example/hub/internal/storer"
+)
+
+// Exit codes of the command.
+const (
+	ExitOK = 0
+	// ExitRefused means findings or a refusal.
+	ExitRefused = 1
+	// ExitUsage means wrong arguments.
+	ExitUsage = 2
+	// ExitUnreachable means that the store or an instance was not reached.
+	ExitUnreachable = 3
+	// ExitUnknown means that a write may or may not have taken effect.
+	ExitUnknown = 4
+)
+
+// errInstanceUnreachable means that at least one instance gave no answer.
+var errInstanceUnreachable = errors.New("not all instances answered")
+
+// commandError marks an error of a command that was started, as opposed to an
+// error in its arguments.
+type commandError struct{ error }
+
+func (e commandError) Unwrap() error { return e.error }
+
+// exitCode returns the exit code for the result of the command line.
+func exitCode(err error) int {
+	var started commandError
+	switch {
+	case err == nil:
+		return ExitOK
+	case !errors.As(err, &started):
+		return ExitUsage
+	case storer.IsUnknownOutcome(err):
+		return ExitUnknown
+	case errors.Is(err, storer.ErrUnavailable), errors.Is(err, errInstanceUnreachable):
+		return ExitUnreachable
+	default:
+		return ExitRefused
+	}
+}
--- a/internal/storer/call.go
+++ b/internal/storer/call.go
@@ -16,17 +16,17 @@
 // MaxValueSize in base64.
 const maxResponseSize = 96 << 20
 
-// read runs a call that changes nothing. All its failures are ErrUnavailable
-// or ResponseError.
+// read runs a call that changes nothing. It fails with a ResponseError when the
+// service refused the call, and with ErrUnavailable otherwise.
 func (g *Gateway) read(ctx context.Context, call string, req, resp any) error {
 	ctx, cancel := context.WithTimeout(ctx, g.cfg.Timeout)
 	defer cancel()
 	_, err := g.exchange(ctx, call, req, resp)
 	var refused *ResponseError
-	if err != nil && !errors.As(err, &refused) {
-		return fmt.Errorf("%w: %s: %w", ErrUnavailable, call, err)
+	if err == nil || errors.As(err, &refused) && refused.isDefinite() {
+		return err
 	}
-	return err
+	return fmt.Errorf("%w: %s: %w", ErrUnavailable, call, err)
 }
 
 // write runs a call that may change the store. A failure after the request was
