--- a/internal/checker/places.go
+++ b/internal/checker/places.go
@@ -36,10 +36,12 @@
 	// valid is the length of the prefix that consists of complete expressions.
 	valid  int
 	broken bool
+	// line and lineStart follow the offsets, which only grow.
+	offset, line, lineStart int
 }
 
 func indexPlaces(data []byte) *places {
-	p := &places{byPath: map[string]Place{}, arrays: map[string]int{}}
+	p := &places{byPath: map[string]Place{}, arrays: map[string]int{}, line: 1}
 	p.parser.Reset(data)
 	var table scope
 	for p.parser.NextExpression() {
@@ -135,8 +137,7 @@
 }
 
 func (p *places) add(s scope, node *unstable.Node, start, end int) {
-	at := p.parser.Shape(node.Raw).Start
-	o := occurrence{path: s.path, names: s.names, place: Place{at.Line, at.Column}, start: start, end: end}
+	o := occurrence{path: s.path, names: s.names, place: p.placeOf(node), start: start, end: end}
 	if first, ok := p.byPath[s.path]; ok {
 		o.first = &first
 	} else {
@@ -176,3 +177,17 @@
 	}
 	return found, ok
 }
+
+// placeOf returns the place of a node. Nodes come in the order of the file.
+// The parser's Shape would count from the start of the file each time.
+func (p *places) placeOf(node *unstable.Node) Place {
+	offset := int(node.Raw.Offset)
+	data := p.parser.Data()
+	for ; p.offset < offset; p.offset++ {
+		if data[p.offset] == '\n' {
+			p.line++
+			p.lineStart = p.offset + 1
+		}
+	}
+	return Place{Line: p.line, Column: offset - p.lineStart + 1}
+}
--- a/internal/distributor/set.go
+++ b/internal/distributor/set.go
@@ -20,6 +20,7 @@
 	born    map[uint64]time.Time // By owners revision.
 	since   map[uint64]time.Time // By owners revision.
 	parts   map[string]*part
+	names   *checker.Names // Of the parts in force.
 	catalog *checker.Catalog
 	// sequence orders the parts by when they first came into force.
 	sequence uint64
@@ -34,7 +35,7 @@
 	proven *held
 	// inForce is the newest proven envelope whose content is usable, or nil.
 	inForce  *held
-	document checker.Document
+	manifest checker.Manifest
 	order    uint64
 	since    time.Time
 	// findings say why proven is not in force.
@@ -51,6 +52,7 @@
 		born:    map[uint64]time.Time{},
 		since:   map[uint64]time.Time{},
 		parts:   map[string]*part{},
+		names:   checker.NewNames(),
 		catalog: checker.NewCatalog(),
 		refused: map[[sha256.Size]byte]bool{},
 	}
@@ -199,6 +201,9 @@
 			}
 		}
 	}
+	if len(out.enforced) > 0 {
+		s.catalog = s.newCatalog()
+	}
 	for _, h := range out.proven {
 		if p := s.parts[h.envelope.Part]; p != nil && p.inForce != p.proven {
 			out.outOfForce = append(out.outOfForce, unusable{p.name, p.proven.revision(), p.findings})
@@ -208,11 +213,9 @@
 
 func (s *set) enforcePart(p *part, now time.Time) bool {
 	d, findings := approver.CheckContent(p.name, p.name, p.proven.envelope.Content)
-	if len(findings) > 0 {
-		p.findings = findings
-		return false
+	if len(findings) == 0 {
+		findings = s.names.Check(d)
 	}
-	catalog, findings := checker.CheckCatalog(append(s.documents(p), d)...)
 	if len(findings) > 0 {
 		p.findings = findings
 		return false
@@ -221,25 +224,25 @@
 		s.sequence++
 		p.order = s.sequence
 	}
-	p.inForce, p.document, p.findings, p.since = p.proven, d, nil, now
-	s.catalog = catalog
+	s.names.Set(d.Manifest)
+	p.inForce, p.manifest, p.findings, p.since = p.proven, d.Manifest, nil, now
 	return true
 }
 
-// documents returns the content in force of the other parts, oldest first.
-func (s *set) documents(except *part) []checker.Document {
+// newCatalog returns the content in force, oldest part first.
+func (s *set) newCatalog() *checker.Catalog {
 	var parts []*part
 	for _, p := range s.parts {
-		if p != except && p.inForce != nil {
+		if p.inForce != nil {
 			parts = append(parts, p)
 		}
 	}
 	slices.SortFunc(parts, func(a, b *part) int { return cmp.Compare(a.order, b.order) })
-	var documents []checker.Document
+	var manifests []checker.Manifest
 	for _, p := range parts {
-		documents = append(documents, p.document)
+		manifests = append(manifests, p.manifest)
 	}
-	return documents
+	return checker.NewCatalog(manifests...)
 }
 
 // revisions returns the newest proven revision of each part, sorted by name.
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
 	"os"
 	"path/filepath"
 	"strings"
@@ -108,7 +110,7 @@
 		t.Fatal(err)
 	}
 	c.expect(ExitOK, "ok", "check", cooperative, councilUnit)
-	c.expect(ExitRefused, "belongs to part", "check", cooperative, changed)
+	c.expect(ExitRefused, "appears twice", "check", cooperative, changed)
 	c.expect(ExitRefused, "ranges.toml:13:1: group[0].server[0].connection_limit", "check", "../checker/testdata/ranges.toml")
 	c.expect(ExitRefused, "run genesis first", "propose", cooperative)
 	c.expect(ExitOK, "missing", "genesis", "--key", coop)
@@ -173,6 +175,33 @@
 	c.expect(ExitUnreachable, "unavailable", "status")
 }
 
+// TestUnknownOutcome guards against a guess about a write that the store never
+// answers.
+func TestUnknownOutcome(t *testing.T) {
+	c := newConsole(t)
+	target, err := url.Parse("http://" + c.platform.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	forward := httputil.NewSingleHostReverseProxy(target)
+	proxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v3/kv/txn" {
+			panic(http.ErrAbortHandler)
+		}
+		forward.ServeHTTP(w, r)
+	}))
+	defer proxy.Close()
+	data, err := os.ReadFile(c.file("ctl.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(string(data), target.String(), proxy.URL, 1)
+	if err := os.WriteFile(c.file("ctl.toml"), []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c.expect(ExitUnknown, "outcome of txn is unknown", "genesis", "--key", c.file("cooperative.pem"))
+}
+
 // TestHelpHasExamples guards against commands that are not documented.
 func TestHelpHasExamples(t *testing.T) {
 	for _, cmd := range newRootCmd(&app{}).Commands() {
