storer, distributor: close idle watches, do not push what a fresh instance reads

Close of a watch waited for the next change, because only the derived context was cancelled. A fresh instance pushed everything it read from the store to all others; now only an instance that was synchronised before pushes, and large pushes are split below drpc's message limit.

--- a/internal/approver/proposals_test.go
+++ b/internal/approver/proposals_test.go
@@ -171,7 +171,13 @@
 	b := newBench(t)
 	b.enforceGenesis(t)
 	const operators = 8
-	var wg sync.WaitGroup
+	var wg, loaded sync.WaitGroup
+	loaded.Add(operators)
+	// No operator writes before all have read the same state.
+	b.store.beforeCommit = func() {
+		loaded.Done()
+		loaded.Wait()
+	}
 	errs := make([]error, operators)
 	for i := range operators {
 		p := b.operator(t, fmt.Sprintf("operator-%d", i))
--- a/internal/approver/store_test.go
+++ b/internal/approver/store_test.go
@@ -22,6 +22,8 @@
 	commits int
 	// onCommit decides about the fate of the nth commit; nil means normal.
 	onCommit func(n int) fate
+	// beforeCommit runs before a transaction is received.
+	beforeCommit func()
 }
 
 type fate int
@@ -65,6 +67,9 @@
 }
 
 func (m *memoryStore) Commit(_ context.Context, tx storer.Transaction) (storer.Result, error) {
+	if m.beforeCommit != nil {
+		m.beforeCommit()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.commits++
--- a/internal/distributor/cluster_test.go
+++ b/internal/distributor/cluster_test.go
@@ -84,6 +84,8 @@
 	pool     *messenger.Pool
 	mode     Mode
 	interval time.Duration
+	// isolated is a zone whose instances have no store.
+	isolated string
 }
 
 func quiet() *logrus.Logger {
@@ -140,13 +142,17 @@
 		if err != nil {
 			c.t.Fatal(err)
 		}
+		var store storer.Store
+		if zone != c.isolated {
+			store = c.gateway(nil)
+		}
 		m := enroller.Member{Instance: fmt.Sprintf("i%d", len(c.members)), Address: l.Addr().String(), Zone: zone}
 		c.members = append(c.members, m)
 		added = append(added, &node{
 			directory: &directory{self: m, changed: make(chan struct{})},
 			recorder:  recorder.New(m.Instance, 1000, clockwork.NewRealClock()),
 			listener:  l,
-			store:     c.gateway(nil),
+			store:     store,
 		})
 	}
 	c.nodes = append(c.nodes, added...)
--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -17,6 +17,7 @@
 		t.Run(string(mode), func(t *testing.T) {
 			c := newCluster(t)
 			c.mode = mode
+			c.interval = time.Hour // Pushes alone must reach everyone.
 			c.enforceGenesis()
 			c.enforce("a", content("a", "a", 20))
 			c.start("z1", "z1", "z2", "z2", "z3", "z3", "z3")
@@ -37,6 +38,20 @@
 	}
 }
 
+// TestForwardedPush guards against a zone without access to the store that
+// only one of its members hears of a new revision.
+func TestForwardedPush(t *testing.T) {
+	c := newCluster(t)
+	c.isolated = "z2"
+	c.interval = time.Hour
+	c.enforceGenesis()
+	c.enforce("a", content("a", "a", 20))
+	c.start("z1", "z2", "z2", "z2", "z2")
+	c.wait("ready", func(n *node) bool { ready, _ := n.Ready(); return ready })
+	e := c.enforce("a", content("a", "a", 30))
+	c.wait("new revision", func(n *node) bool { return n.revision("a") == e.Revision })
+}
+
 // TestWatchDutyMoves guards against changes that are lost when the watching
 // instance is gone.
 func TestWatchDutyMoves(t *testing.T) {
@@ -88,6 +103,36 @@
 	}
 }
 
+// TestFreshInstanceDoesNotPush guards against a restart that sends the whole
+// configuration to every other instance.
+func TestFreshInstanceDoesNotPush(t *testing.T) {
+	c := newCluster(t)
+	c.enforceGenesis()
+	c.enforce("a", content("a", "a", 20))
+	c.start("z1", "z1", "z2")
+	c.wait("ready", func(n *node) bool { ready, _ := n.Ready(); return ready })
+	c.start("z1")
+	c.wait("ready", func(n *node) bool { ready, _ := n.Ready(); return ready })
+	for _, n := range c.nodes {
+		if count := n.counters.pushes.Count(); count != 0 {
+			t.Errorf("%s pushed %d times", n.directory.self.Instance, count)
+		}
+	}
+}
+
+// TestSplitBySize guards against messages above drpc's limit and against
+// envelopes that are left out.
+func TestSplitBySize(t *testing.T) {
+	var news []*held
+	for range 5 {
+		news = append(news, &held{encoded: make([]byte, maxFetchSize*2/5)})
+	}
+	parts := splitBySize(news)
+	if len(parts) != 3 || len(parts[0]) != 2 || len(parts[2]) != 1 {
+		t.Errorf("got %d parts", len(parts))
+	}
+}
+
 // TestForgedStoreValue guards against what somebody with access to the store
 // writes there: an unsigned change, an old revision under a new number, and
 // the deletion of a part.
--- a/internal/distributor/push.go
+++ b/internal/distributor/push.go
@@ -46,15 +46,33 @@
 			return
 		}
 		defer func() { <-d.pushes }()
-		d.counters.pushes.Inc(1)
-		if err := d.callPush(m, news, forward); err != nil && d.ctx.Err() == nil {
-			// The digest exchange makes up for a lost push.
-			d.counters.pushErrors.Inc(1)
-			d.cfg.Log.WithError(err).WithField("instance", m.Instance).Debug("distributor: push failed")
+		for _, part := range splitBySize(news) {
+			d.counters.pushes.Inc(1)
+			if err := d.callPush(m, part, forward); err != nil && d.ctx.Err() == nil {
+				// The digest exchange makes up for a lost push.
+				d.counters.pushErrors.Inc(1)
+				d.cfg.Log.WithError(err).WithField("instance", m.Instance).Debug("distributor: push failed")
+			}
 		}
 	})
 }
 
+// splitBySize splits the list into messages of limited size, keeping the order.
+func splitBySize(news []*held) [][]*held {
+	var parts [][]*held
+	size := maxFetchSize
+	for _, h := range news {
+		if size+len(h.encoded) > maxFetchSize {
+			parts = append(parts, nil)
+			size = 0
+		}
+		last := len(parts) - 1
+		parts[last] = append(parts[last], h)
+		size += len(h.encoded)
+	}
+	return parts
+}
+
 func (d *Distributor) callPush(m enroller.Member, news []*held, forward bool) error {
 	return d.call(m, func(ctx context.Context, c wire.DRPCManifestsClient) error {
 		req := &wire.PushRequest{Header: d.header(), Forward: forward}
--- a/internal/distributor/watch.go
+++ b/internal/distributor/watch.go
@@ -147,8 +147,12 @@
 		}
 		offers = append(chain, offers...)
 	}
+	synced := d.isSynced()
 	out := d.accept(offers, fromStore)
-	d.push(out.proven)
+	if synced {
+		// What a fresh instance reads is not new to the others.
+		d.push(out.proven)
+	}
 	if out.needsOwners && !withOwners {
 		return d.takeFromStore(ctx, offers, true)
 	}
--- a/internal/storer/gateway_test.go
+++ b/internal/storer/gateway_test.go
@@ -185,6 +185,25 @@
 	}
 }
 
+// TestCloseOfIdleWatch guards against a Close that waits for the next change.
+func TestCloseOfIdleWatch(t *testing.T) {
+	_, g := newFake(t)
+	w, err := g.Watch(context.Background(), "/w/", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := make(chan struct{})
+	go func() {
+		w.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the watch did not close")
+	}
+}
+
 // TestWatchOfCompactedRevision guards against silently skipped changes.
 func TestWatchOfCompactedRevision(t *testing.T) {
 	f, g := newFake(t)
--- a/internal/storer/gateway_watch.go
+++ b/internal/storer/gateway_watch.go
@@ -29,6 +29,8 @@
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, errors.Join(err, ctx.Err()))
 	}
 	return NewWatch(ctx, func(ctx context.Context, send func(Batch) error) error {
+		// Ends the read that run waits in when the watch is closed.
+		defer context.AfterFunc(ctx, cancel)()
 		defer cancel()
 		defer s.body.Close()
 		return s.run(send)
