--- a/internal/approver/approve.go
+++ b/internal/approver/approve.go
@@ -64,7 +64,7 @@
 // Approve signs the reviewed proposal and stores the approval. The second
 // co-owner's approval writes the revision in force and its history and deletes
 // the proposal in one transaction.
-func (p *Proposals) Approve(ctx context.Context, r Review, signer Signer) (Progress, error) {
+func (p *Proposals) Approve(ctx context.Context, r Review, signer KeyHolder) (Progress, error) {
 	part := r.Proposal.Envelope.Part
 	for range maxWriteAttempts {
 		// The catalog's revision is read before the other parts are checked.
@@ -97,7 +97,7 @@
 
 // approveOnce makes one attempt. again is true when the state changed in a way
 // that a fresh look may resolve.
-func (p *Proposals) approveOnce(ctx context.Context, s *state, catalogMod int64, signer Signer) (progress Progress, again bool, err error) {
+func (p *Proposals) approveOnce(ctx context.Context, s *state, catalogMod int64, signer KeyHolder) (progress Progress, again bool, err error) {
 	owners := s.chain.headOwners()
 	e := s.proposal.Envelope
 	owner, ok := owners.find(signer.Key().ID)
--- /dev/null
+++ b/internal/approver/key_holder.go
@@ -0,0 +1,48 @@
+package approver
+
+import (
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+)
+
+// KeyHolder approves envelopes with one key.
+type KeyHolder interface {
+	// Key returns the public entry of the key.
+	Key() OwnerKey
+	// Approve returns the approval of the envelope in the owner's name.
+	Approve(e Envelope, owner string) Approval
+}
+
+var (
+	_ KeyHolder = Signer{}
+	_ KeyHolder = SignedApproval{}
+)
+
+// SignedApproval is an approval that was made elsewhere, for example by an
+// operator who uses the administration API. Like every approval it is verified
+// before it is stored.
+type SignedApproval struct {
+	KeyID     string `json:"key_id"`
+	Signature []byte `json:"signature"`
+}
+
+// ParseSignedApproval reads the JSON form; the signature is in base64.
+func ParseSignedApproval(data []byte) (SignedApproval, error) {
+	var a SignedApproval
+	if err := json.Unmarshal(data, &a); err != nil {
+		return a, errors.Wrap(err, "approval")
+	}
+	if a.KeyID == "" || len(a.Signature) == 0 {
+		return a, errors.New("approval needs key_id and signature")
+	}
+	return a, nil
+}
+
+// Key implements [KeyHolder]. Only the id is set.
+func (a SignedApproval) Key() OwnerKey { return OwnerKey{ID: a.KeyID} }
+
+// Approve implements [KeyHolder].
+func (a SignedApproval) Approve(_ Envelope, owner string) Approval {
+	return Approval{Owner: owner, KeyID: a.KeyID, Signature: a.Signature}
+}
--- /dev/null
+++ b/internal/deployer/address.go
@@ -0,0 +1,50 @@
+package deployer
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Third octets of the loopback addresses. Public addresses belong to
+// standin-link, which relays to the private ones.
+const (
+	octetEntry          = 1
+	octetServer         = 2
+	octetPlatform       = 3
+	octetClient         = 4
+	octetLink           = 5
+	octetEntryPublic    = 11
+	octetServerPublic   = 12
+	octetPlatformPublic = 13
+)
+
+const (
+	callerPort      = 6432
+	peerPort        = 7432
+	adminPort       = 8432
+	healthPort      = 8433
+	serverPort      = 5432
+	replicationPort = 6432
+	controlPort     = 9432
+	storePort       = 2379
+)
+
+// addressBook assigns IP numbers. Block separates installations that run at
+// the same time; zones are numbered from 1, zone 0 is outside all zones.
+type addressBook struct{ block int }
+
+func (b addressBook) ip(zone, octet, n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", b.block*10+zone, octet, n)
+}
+
+func (b addressBook) address(zone, octet, n, port int) string {
+	return fmt.Sprintf("%s:%d", b.ip(zone, octet, n), port)
+}
+
+// prefix matches every process of a zone.
+func (b addressBook) prefix(zone int) string { return fmt.Sprintf("127.%d.0.0/16", b.block*10+zone) }
+
+// isInZone reports whether an address belongs to the zone.
+func (b addressBook) isInZone(address string, zone int) bool {
+	return strings.HasPrefix(address, fmt.Sprintf("127.%d.", b.block*10+zone))
+}
--- /dev/null
+++ b/internal/deployer/control.go
@@ -0,0 +1,62 @@
+package deployer
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+var controlClient = &http.Client{Timeout: 5 * time.Second}
+
+// call sends a request to a control port and decodes a JSON answer into out,
+// unless out is nil.
+func call(method, url string, body, out any) error {
+	return callWith(controlClient, method, url, body, out)
+}
+
+func callWith(client *http.Client, method, url string, body, out any) error {
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		reader = bytes.NewReader(data)
+	}
+	req, err := http.NewRequest(method, url, reader)
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= 300 {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
+		return errors.Errorf("%s %s: %s: %s", method, url, resp.Status, text)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
+// waitFor calls check until it succeeds or the time is over.
+func waitFor(what string, limit time.Duration, check func() error) error {
+	deadline := time.Now().Add(limit)
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errors.Wrapf(err, "%s not reached within %v", what, limit)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/deployer/entry.go
@@ -0,0 +1,78 @@
+package deployer
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"marigoldhub.example/hub/internal/recorder"
+	"marigoldhub.example/hub/internal/reporter"
+)
+
+// Entry is a started entry instance.
+type Entry struct {
+	*Process
+	Zone string
+	// IP is the source of the instance's own connections.
+	IP string
+	// Address is the public "host:port" for callers.
+	Address string
+	// Direct is the "host:port" for callers that bypasses standin-link.
+	Direct string
+	// PeerAddress is the public "host:port" for other instances.
+	PeerAddress string
+	// Admin is the base URL of the administration API.
+	Admin string
+
+	admin  *http.Client
+	health string
+	start  func() (*Process, error)
+}
+
+// Restart starts an ended instance again. It has kept nothing.
+func (e *Entry) Restart() error {
+	p, err := e.start()
+	if err != nil {
+		return err
+	}
+	e.Process = p
+	return nil
+}
+
+// Ready returns nil when the balancer would send callers to the instance.
+func (e *Entry) Ready() error {
+	resp, err := controlClient.Get(e.health + "/readyz")
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("%s is not ready: %s", e.Name, resp.Status)
+	}
+	return nil
+}
+
+// WaitReady waits until Ready returns nil.
+func (e *Entry) WaitReady(limit time.Duration) error { return waitFor(e.Name, limit, e.Ready) }
+
+// Status returns the instance's own state.
+func (e *Entry) Status() (reporter.Status, error) {
+	var s reporter.Status
+	err := callWith(e.admin, "GET", e.Admin+"/v1/status", nil, &s)
+	return s, err
+}
+
+// Timeline returns the instance's events.
+func (e *Entry) Timeline() ([]recorder.Event, error) {
+	var events []recorder.Event
+	err := callWith(e.admin, "GET", e.Admin+"/v1/timeline", nil, &events)
+	return events, err
+}
+
+// Metrics returns the instance's metrics by name.
+func (e *Entry) Metrics() (map[string]map[string]float64, error) {
+	m := map[string]map[string]float64{}
+	err := callWith(e.admin, "GET", e.Admin+"/v1/metrics", nil, &m)
+	return m, err
+}
--- /dev/null
+++ b/internal/deployer/manifest.go
@@ -0,0 +1,106 @@
+package deployer
+
+import (
+	"context"
+	"crypto/ed25519"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/pelletier/go-toml/v2"
+
+	"marigoldhub.example/hub/internal/approver"
+	"marigoldhub.example/hub/internal/checker"
+	"marigoldhub.example/hub/internal/storer"
+)
+
+// Credentials of the only caller of an installation.
+const (
+	CallerName     = "portal"
+	CallerPassword = "portal-password"
+)
+
+// owners are the two co-owners of an installation with their private keys.
+type owners struct {
+	list    []approver.Owner
+	signers []approver.Signer
+}
+
+func newOwners() (owners, error) {
+	var o owners
+	for _, name := range []string{"registrar", "steward"} {
+		public, private, err := ed25519.GenerateKey(nil)
+		if err != nil {
+			return o, err
+		}
+		o.list = append(o.list, approver.Owner{Name: name, Keys: []approver.OwnerKey{approver.NewOwnerKey(public)}})
+		o.signers = append(o.signers, approver.NewSigner(private))
+	}
+	return o, nil
+}
+
+// Manifest returns the manifest of the installation as it stands.
+func (d *Deployment) Manifest() checker.Manifest {
+	m := checker.Manifest{Part: d.Plan.Customer}
+	for _, group := range d.Plan.Groups {
+		g := checker.Group{Name: group, Database: group, ServerUser: "marigold"}
+		for _, s := range d.ServersOf(group) {
+			g.Servers = append(g.Servers, checker.Server{
+				Name: s.Name, Address: s.Address, Zone: s.Zone, ConnectionLimit: d.Plan.ConnectionLimit,
+			})
+		}
+		m.Groups = append(m.Groups, g)
+		m.Reads = append(m.Reads, checker.ReadRule{
+			Name: "browse_" + group, Group: group, Tables: []string{"catalogue"}, MaxAge: checker.Duration(d.Plan.MaxAge),
+		})
+	}
+	m.Callers = []checker.Caller{{
+		Name: CallerName, Groups: d.Plan.Groups, ScramVerifier: d.verifier, ConnectionLimit: 5000, PinnedLimit: 2,
+	}}
+	return m
+}
+
+// Publish proposes the manifest and approves it as both co-owners. It returns
+// the time at which the second approval was stored.
+func (d *Deployment) Publish(ctx context.Context, m checker.Manifest) (time.Time, error) {
+	content, err := toml.Marshal(m)
+	if err != nil {
+		return time.Time{}, err
+	}
+	if err := os.WriteFile(d.ManifestFile(), content, 0o600); err != nil {
+		return time.Time{}, err
+	}
+	err = d.accept(ctx, m.Part, content)
+	return time.Now(), err
+}
+
+// PublishOwners puts the first owners revision in force.
+func (d *Deployment) PublishOwners(ctx context.Context) error {
+	return d.accept(ctx, checker.OwnersPart, []byte(approver.FormatOwners(d.owners.list)))
+}
+
+// accept proposes content and approves it as both co-owners.
+func (d *Deployment) accept(ctx context.Context, part string, content []byte) error {
+	store := storer.NewGateway(storer.Config{Endpoints: []string{d.Platform.Direct}})
+	proposals, err := approver.NewProposals(approver.Config{Store: store, Genesis: d.owners.list, Operator: "deployer"})
+	if err != nil {
+		return err
+	}
+	if _, _, err := proposals.Propose(ctx, part, content); err != nil {
+		return errors.Wrap(err, "propose")
+	}
+	for _, signer := range d.owners.signers {
+		review, err := proposals.Review(ctx, part)
+		if err != nil {
+			return errors.Wrap(err, "review")
+		}
+		if _, err := proposals.Approve(ctx, review, signer); err != nil {
+			return errors.Wrap(err, "approve")
+		}
+	}
+	return nil
+}
+
+// ManifestFile is the file of the newest published manifest.
+func (d *Deployment) ManifestFile() string { return filepath.Join(d.Dir, d.Plan.Customer+".toml") }
--- /dev/null
+++ b/internal/deployer/server.go
@@ -0,0 +1,73 @@
+package deployer
+
+import (
+	"fmt"
+	"time"
+
+	"marigoldhub.example/hub/standin/server"
+)
+
+// Server is a started backend server.
+type Server struct {
+	*Process
+	Group string
+	Zone  string
+	// IP is the source of the server's own connections.
+	IP string
+	// Address is the public "host:port" for SQL.
+	Address string
+	// Direct is the "host:port" that bypasses standin-link.
+	Direct string
+
+	zone    int
+	number  int
+	control string
+	start   func() (*Process, error)
+}
+
+// Restart starts an ended server again with its log.
+func (s *Server) Restart() error {
+	p, err := s.start()
+	if err != nil {
+		return err
+	}
+	s.Process = p
+	return waitFor(s.Name, 10*time.Second, func() error {
+		_, err := s.State()
+		return err
+	})
+}
+
+// State returns the server's own state.
+func (s *Server) State() (server.State, error) {
+	var state server.State
+	err := call("GET", s.control+"/v1/state", nil, &state)
+	return state, err
+}
+
+// Log returns all records of the server's log.
+func (s *Server) Log() (server.LogPage, error) {
+	var page server.LogPage
+	err := call("GET", s.control+"/v1/log", nil, &page)
+	return page, err
+}
+
+// SetLag sets the age at which the server applies records as a replica.
+func (s *Server) SetLag(d time.Duration) error {
+	return call("POST", fmt.Sprintf("%s/v1/lag?delay=%v", s.control, d), nil, nil)
+}
+
+// SetLeaving sets the leaving mark.
+func (s *Server) SetLeaving(on bool) error {
+	return call("POST", fmt.Sprintf("%s/v1/leaving?on=%v", s.control, on), nil, nil)
+}
+
+// SetFrozen makes the server answer nothing.
+func (s *Server) SetFrozen(on bool) error {
+	return call("POST", fmt.Sprintf("%s/v1/freeze?on=%v", s.control, on), nil, nil)
+}
+
+// LoseAnswers makes the next n commits take effect without an answer.
+func (s *Server) LoseAnswers(n int) error {
+	return call("POST", fmt.Sprintf("%s/v1/lose_answer?count=%d", s.control, n), nil, nil)
+}
--- /dev/null
+++ b/internal/deployer/topology.go
@@ -0,0 +1,203 @@
+package deployer
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"marigoldhub.example/hub/internal/checker"
+	"marigoldhub.example/hub/internal/launcher"
+	"marigoldhub.example/hub/standin/link"
+)
+
+// Names of links are "KIND:NAME", so that a rule for "sql:*" matches all.
+const (
+	linkCaller      = "caller:"
+	linkPeer        = "peer:"
+	linkSQL         = "sql:"
+	linkReplication = "replication:"
+	linkStore       = "store:"
+)
+
+// Link patterns of faults.
+const (
+	AllCallerLinks = linkCaller + "*"
+	AllPeerLinks   = linkPeer + "*"
+	AllStoreLinks  = linkStore + "*"
+)
+
+// SQLLink is the link to a server's SQL address.
+func SQLLink(server string) string { return linkSQL + server }
+
+// ReplicationLink is the link to a server's replication address.
+func ReplicationLink(server string) string { return linkReplication + server }
+
+// PeerLink is the link to an instance's drpc address.
+func PeerLink(instance string) string { return linkPeer + instance }
+
+// CallerLink is the link to an instance's address for callers.
+func CallerLink(instance string) string { return linkCaller + instance }
+
+// entryZone returns the zone number, from 1, of entry instance i.
+func (d *Deployment) entryZone(i int) int { return 1 + i%len(d.Plan.Zones) }
+
+func (d *Deployment) entryName(i int) string { return fmt.Sprintf("%s-entry-%d", d.Plan.Customer, i+1) }
+
+func serverName(group string, zone int) string { return fmt.Sprintf("%s-%c", group, 'a'+rune(zone-1)) }
+
+func (d *Deployment) allLinks() []link.Link {
+	links := []link.Link{{
+		Name:   linkStore + "platform",
+		Listen: d.book.address(0, octetPlatformPublic, 1, storePort),
+		Target: d.book.address(0, octetPlatform, 1, storePort),
+	}}
+	add := func(name string, zone, public, private, n, port int) {
+		links = append(links, link.Link{
+			Name: name, Listen: d.book.address(zone, public, n, port), Target: d.book.address(zone, private, n, port),
+		})
+	}
+	for i := range d.Plan.Entries {
+		add(linkCaller+d.entryName(i), d.entryZone(i), octetEntryPublic, octetEntry, i+1, callerPort)
+		add(linkPeer+d.entryName(i), d.entryZone(i), octetEntryPublic, octetEntry, i+1, peerPort)
+	}
+	for g, group := range d.Plan.Groups {
+		for zone := 1; zone <= len(d.Plan.Zones); zone++ {
+			name := serverName(group, zone)
+			add(linkSQL+name, zone, octetServerPublic, octetServer, g+1, serverPort)
+			add(linkReplication+name, zone, octetServerPublic, octetServer, g+1, replicationPort)
+		}
+	}
+	return links
+}
+
+// delayRules delays traffic between different zones, and between clients and
+// entry instances. The store is as far away as another zone.
+func (d *Deployment) delayRules() []link.Rule {
+	rules := []link.Rule{
+		delayRule(d.book.prefix(0), linkCaller+"*", d.Plan.ClientDelay),
+		delayRule("", linkStore+"*", d.Plan.ZoneDelay),
+	}
+	for _, l := range d.allLinks() {
+		if strings.HasPrefix(l.Name, linkCaller) || strings.HasPrefix(l.Name, linkStore) {
+			continue
+		}
+		for zone := 1; zone <= len(d.Plan.Zones); zone++ {
+			if !d.book.isInZone(l.Listen, zone) {
+				rules = append(rules, delayRule(d.book.prefix(zone), l.Name, d.Plan.ZoneDelay))
+			}
+		}
+	}
+	return rules
+}
+
+func (d *Deployment) startGroup(g int) error {
+	group := d.Plan.Groups[g]
+	var peers []string
+	for zone := 1; zone <= len(d.Plan.Zones); zone++ {
+		peers = append(peers, serverName(group, zone)+"="+d.book.address(zone, octetServerPublic, g+1, replicationPort))
+	}
+	for zone := 1; zone <= len(d.Plan.Zones); zone++ {
+		s := d.newServer(g, zone, peers)
+		if err := s.Restart(); err != nil {
+			return err
+		}
+		d.Servers = append(d.Servers, s)
+	}
+	return nil
+}
+
+func (d *Deployment) newServer(g, zone int, peers []string) *Server {
+	group := d.Plan.Groups[g]
+	name := serverName(group, zone)
+	n := g + 1
+	args := []string{
+		"--name", name,
+		"--listen", d.book.address(zone, octetServer, n, serverPort),
+		"--replication-listen", d.book.address(zone, octetServer, n, replicationPort),
+		"--control", d.book.address(zone, octetServer, n, controlPort),
+		"--local-ip", d.book.ip(zone, octetServer, n),
+		"--dir", filepath.Join(d.Dir, name),
+		"--connection-limit", fmt.Sprint(d.Plan.ConnectionLimit),
+		"--open-delay", d.Plan.OpenDelay.String(),
+		"--apply-delay", d.Plan.ApplyDelay.String(),
+		"--peer", strings.Join(peers, ","),
+	}
+	if zone == 1 {
+		args = append(args, "--initial-primary")
+	} else {
+		args = append(args, "--follow", d.book.address(1, octetServerPublic, n, replicationPort))
+	}
+	return &Server{
+		Group: group, Zone: d.Plan.Zones[zone-1], IP: d.book.ip(zone, octetServer, n), zone: zone, number: n,
+		Address: d.book.address(zone, octetServerPublic, n, serverPort),
+		Direct:  d.book.address(zone, octetServer, n, serverPort),
+		control: "http://" + d.book.address(zone, octetServer, n, controlPort),
+		start:   func() (*Process, error) { return d.startProgram(name, "standin-server", args...) },
+	}
+}
+
+func (d *Deployment) newEntry(i int) (*Entry, error) {
+	zone, n, name := d.entryZone(i), i+1, d.entryName(i)
+	settings, err := d.entrySettings(i)
+	if err != nil {
+		return nil, err
+	}
+	file := filepath.Join(d.Dir, name+".toml")
+	if err := writeTOML(file, settings); err != nil {
+		return nil, err
+	}
+	return &Entry{
+		Zone: d.Plan.Zones[zone-1], IP: settings.IP,
+		Address:     d.book.address(zone, octetEntryPublic, n, callerPort),
+		Direct:      d.book.address(zone, octetEntry, n, callerPort),
+		PeerAddress: settings.Peers.Advertise,
+		Admin:       "http://" + settings.Admin.Listen,
+		admin:       controlClient,
+		health:      "http://" + settings.Admin.HealthListen,
+		start:       func() (*Process, error) { return d.startProgram(name, "marigold-entry", "run", "--settings", file) },
+	}, nil
+}
+
+func (d *Deployment) entrySettings(i int) (launcher.Settings, error) {
+	zone, n := d.entryZone(i), i+1
+	s := launcher.Settings{
+		Instance: d.entryName(i),
+		Zone:     d.Plan.Zones[zone-1],
+		IP:       d.book.ip(zone, octetEntry, n),
+		Callers: launcher.CallerSettings{
+			Listen:        d.book.address(zone, octetEntry, n, callerPort),
+			TokenKeyFile:  d.tokenKeyFile(),
+			DrainLimit:    checker.Duration(10 * time.Second),
+			BalancerDelay: checker.Duration(time.Second),
+
+			MaxMessageBytes:    16 << 20,
+			MaxUnauthenticated: 1024,
+		},
+		Peers: launcher.PeerSettings{
+			Listen:    d.book.address(zone, octetEntry, n, peerPort),
+			Advertise: d.book.address(zone, octetEntryPublic, n, peerPort),
+		},
+		Admin: launcher.AdminSettings{
+			Listen:       d.book.address(zone, octetEntry, n, adminPort),
+			HealthListen: d.book.address(zone, octetEntry, n, healthPort),
+		},
+		Store:    launcher.StoreSettings{Endpoint: d.Platform.Endpoint},
+		Platform: launcher.PlatformSettings{Endpoint: d.Platform.Endpoint},
+		Owners:   launcher.OwnerSettings{GenesisFile: d.OwnersFile()},
+		Log:      launcher.LogSettings{Level: "info", Format: "text"},
+		Timeline: launcher.TimelineSettings{Events: 4096},
+		Experiment: launcher.ExperimentSettings{
+			Routing: d.Plan.Routing, Distribution: d.Plan.Distribution, Promotion: d.Plan.Promotion,
+		},
+	}
+	for j := range min(3, d.Plan.Entries) {
+		s.Peers.Seeds = append(s.Peers.Seeds, d.book.address(d.entryZone(j), octetEntryPublic, j+1, peerPort))
+	}
+	if !d.Plan.TLS {
+		return s, nil
+	}
+	files, err := d.pki.issue(s.Instance, s.IP, d.book.ip(zone, octetEntryPublic, n))
+	s.Callers.TLS, s.Peers.TLS = files, files
+	return s, err
+}
--- a/internal/keyer/hmac.go
+++ b/internal/keyer/hmac.go
@@ -64,6 +64,9 @@
 	return keys, nil
 }
 
+// TokenKeys returns the keys in force; the first signs.
+func (h *HMAC) TokenKeys() [][]byte { return h.get() }
+
 // Sign returns the authentication code of data.
 func (h *HMAC) Sign(data []byte) []byte { return sum(h.get()[0], data) }
 
--- /dev/null
+++ b/internal/launcher/command.go
@@ -0,0 +1,66 @@
+package launcher
+
+import (
+	"errors"
+
+	"github.com/spf13/cobra"
+
+	"marigoldhub.example/hub/internal/checker"
+)
+
+// failure marks an error that is not a mistake on the command line.
+type failure struct{ error }
+
+func (f failure) Unwrap() error { return f.error }
+
+func exitCode(err error) int {
+	var findings checker.Findings
+	var failed failure
+	switch {
+	case errors.As(err, &findings):
+		return exitSettings
+	case errors.As(err, &failed):
+		return exitFailed
+	default:
+		return exitUsage
+	}
+}
+
+func newRootCmd() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "marigold-entry",
+		Short: "Run one entry instance of marigoldhub",
+		Long: "marigold-entry accepts PostgreSQL connections of callers and serves them from the\n" +
+			"database groups that the manifests in force name. It keeps nothing on disk.",
+		Version:       Version,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	cmd.AddCommand(newRunCmd(), newCheckCmd())
+	return cmd
+}
+
+func newCheckCmd() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:     "check",
+		Short:   "Check a settings file and print all findings",
+		Example: "  marigold-entry check --settings entry.toml",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if _, err := LoadSettings(file); err != nil {
+				return err
+			}
+			cmd.Println(file + ": ok")
+			return nil
+		},
+	}
+	addSettingsFlag(cmd, &file)
+	return cmd
+}
+
+func addSettingsFlag(cmd *cobra.Command, file *string) {
+	cmd.Flags().StringVar(file, "settings", "", "settings file in TOML")
+	_ = cmd.MarkFlagRequired("settings")
+	_ = cmd.MarkFlagFilename("settings", "toml")
+}
--- /dev/null
+++ b/internal/launcher/instance.go
@@ -0,0 +1,206 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/confirmer"
+	"marigoldhub.example/hub/internal/distributor"
+	"marigoldhub.example/hub/internal/divider"
+	"marigoldhub.example/hub/internal/enroller"
+	"marigoldhub.example/hub/internal/gatekeeper"
+	"marigoldhub.example/hub/internal/messenger"
+	"marigoldhub.example/hub/internal/overseer"
+	"marigoldhub.example/hub/internal/pooler"
+	"marigoldhub.example/hub/internal/recorder"
+	"marigoldhub.example/hub/internal/relayer"
+	"marigoldhub.example/hub/internal/reporter"
+)
+
+// Instance is a running entry instance.
+type Instance struct {
+	settings Settings
+	log      logrus.FieldLogger
+	clock    clockwork.Clock
+	registry metrics.Registry
+	localIP  net.IP
+	security security
+
+	recorder    *recorder.Recorder
+	heartbeats  *messenger.Pool
+	peers       *messenger.Pool
+	server      *messenger.Server
+	roster      *enroller.Roster
+	distributor *distributor.Distributor
+	divider     *divider.Divider
+	overseer    *overseer.Overseer
+	pool        *pooler.Pool
+	confirmer   *confirmer.Chooser
+	relayer     *relayer.Relayer
+	reporter    *reporter.Reporter
+
+	stopping chan struct{}
+	failed   chan struct{}
+
+	mu   sync.Mutex
+	gate *gatekeeper.Gatekeeper
+}
+
+// NewInstance opens the listeners and starts every part. Callers are accepted
+// once a proven configuration is in force.
+func NewInstance(settings Settings, log logrus.FieldLogger) (*Instance, error) {
+	clock := clockwork.NewRealClock()
+	i := &Instance{
+		settings: settings, log: log, clock: clock, registry: metrics.NewRegistry(), localIP: net.ParseIP(settings.IP),
+		recorder: recorder.New(settings.Instance, settings.Timeline.Events, clock),
+		stopping: make(chan struct{}), failed: make(chan struct{}),
+	}
+	listeners, err := openListeners(settings)
+	if err != nil {
+		return nil, err
+	}
+	if err := i.startParts(listeners); err != nil {
+		listeners.close()
+		return nil, err
+	}
+	go func() {
+		i.admitWhenReady(listeners.callers)
+	}()
+	i.recorder.Record("launcher", "instance_started", "", "zone", settings.Zone, "version", Version)
+	return i, nil
+}
+
+// startParts starts the parts in the order of their dependencies.
+func (i *Instance) startParts(l listeners) error {
+	var err error
+	if i.security, err = loadSecurity(i.settings, i.clock, i.log); err != nil {
+		return errors.Wrap(err, "load TLS files")
+	}
+	i.startMessengers(l.peers)
+	i.startRoster()
+	if err := i.startDistributor(); err != nil {
+		return errors.Wrap(err, "start distributor")
+	}
+	i.startGroups()
+	if err := i.startRelayer(); err != nil {
+		return errors.Wrap(err, "start relayer")
+	}
+	if err := i.registerServices(); err != nil {
+		return errors.Wrap(err, "register services")
+	}
+	i.server.Start()
+	i.reporter = reporter.New(reporter.Config{
+		Admin: l.admin, AdminTLS: i.security.adminTLS(), Health: l.health,
+		Status: i.Status, Events: i.recorder.Events, Metrics: i.registry, Proposals: i.proposals(), Log: i.log,
+	})
+	return nil
+}
+
+// Failed is closed when the listener for callers ended by itself.
+func (i *Instance) Failed() <-chan struct{} { return i.failed }
+
+// readyCheckInterval paces the wait for the first configuration.
+const readyCheckInterval = 20 * time.Millisecond
+
+// admitWhenReady starts the gatekeeper once a configuration is in force.
+func (i *Instance) admitWhenReady(listener net.Listener) {
+	ticker := i.clock.NewTicker(readyCheckInterval)
+	defer ticker.Stop()
+	for {
+		if ready, _ := i.distributor.Ready(); ready {
+			break
+		}
+		select {
+		case <-ticker.Chan():
+		case <-i.stopping:
+			_ = listener.Close()
+			return
+		}
+	}
+	gate := i.newGatekeeper(listener)
+	i.mu.Lock()
+	i.gate = gate
+	i.mu.Unlock()
+	i.log.Info("launcher: callers are accepted")
+	<-gate.Done()
+	select {
+	case <-i.stopping:
+	default:
+		close(i.failed)
+	}
+}
+
+// gatekeeper returns nil until callers are accepted.
+func (i *Instance) gatekeeper() *gatekeeper.Gatekeeper {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.gate
+}
+
+func (i *Instance) isStopping() bool {
+	select {
+	case <-i.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
+// connectionCount returns the connections that the server reported last to
+// this instance as monitor.
+func (i *Instance) connectionCount(group, server string) (int, bool) {
+	t, ok := i.overseer.Tracker(group)
+	if !ok {
+		return 0, false
+	}
+	o := t.State().Server(server)
+	return o.Status.Connections, o.Seen()
+}
+
+// partLog returns the logger of one part.
+func (i *Instance) partLog(part string) logrus.FieldLogger { return i.log.WithField("part", part) }
+
+// listeners are opened before any part starts, so that a wrong address ends
+// the start at once.
+type listeners struct {
+	callers, peers, admin, health net.Listener
+}
+
+func openListeners(s Settings) (listeners, error) {
+	var l listeners
+	targets := []struct {
+		key      string
+		address  string
+		listener *net.Listener
+	}{
+		{"callers.listen", s.Callers.Listen, &l.callers},
+		{"peers.listen", s.Peers.Listen, &l.peers},
+		{"admin.listen", s.Admin.Listen, &l.admin},
+		{"admin.health_listen", s.Admin.HealthListen, &l.health},
+	}
+	for _, t := range targets {
+		listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", t.address)
+		if err != nil {
+			l.close()
+			return l, fmt.Errorf("%s: %w", t.key, err)
+		}
+		*t.listener = listener
+	}
+	return l, nil
+}
+
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.peers, l.admin, l.health} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
--- a/internal/launcher/main.go
+++ b/internal/launcher/main.go
@@ -3,24 +3,30 @@
 import (
 	"fmt"
 	"os"
+)
+
+// Version is the version of the programs, set by the build.
+var Version = "0.1.0-dev"
 
-	"github.com/spf13/cobra"
+// Exit codes of an entry instance.
+const (
+	exitOK = iota
+	// exitFailed means that a part could not start or ended by itself.
+	exitFailed
+	// exitUsage means wrong flags or arguments.
+	exitUsage
+	// exitSettings means that the settings file has findings.
+	exitSettings
 )
 
 // Main runs the command line of an entry instance and returns the exit code.
 func Main(args []string) int {
 	cmd := newRootCmd()
 	cmd.SetArgs(args)
-	if err := cmd.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return 0
-}
-
-func newRootCmd() *cobra.Command {
-	return &cobra.Command{
-		Use:   "marigold-entry",
-		Short: "Run one entry instance of marigoldhub",
+	err := cmd.Execute()
+	if err == nil {
+		return exitOK
 	}
+	fmt.Fprintln(os.Stderr, err)
+	return exitCode(err)
 }
--- a/internal/launcher/settings.go
+++ b/internal/launcher/settings.go
@@ -60,9 +60,11 @@
 
 // PeerSettings concerns connections between entry instances.
 type PeerSettings struct {
-	Listen string   `toml:"listen"`
-	Seeds  []string `toml:"seeds"`
-	TLS    TLSFiles `toml:"tls"`
+	Listen string `toml:"listen"`
+	// Advertise is the address that other instances use; empty means Listen.
+	Advertise string   `toml:"advertise"`
+	Seeds     []string `toml:"seeds"`
+	TLS       TLSFiles `toml:"tls"`
 }
 
 // AdminSettings concerns the administration API and the health checks.
--- a/internal/loader/caller.go
+++ b/internal/loader/caller.go
@@ -89,3 +89,19 @@
 	c.history.Add(op)
 	return op, err
 }
+
+// Address returns the address of the newest connection.
+func (c *Caller) Address() string { return c.address }
+
+// Migrate creates the tables that the operations use.
+func (c *Caller) Migrate(ctx context.Context) error {
+	if err := c.Connected(ctx); err != nil {
+		return err
+	}
+	for _, sql := range Schema {
+		if _, err := c.conn.Exec(ctx, sql); err != nil {
+			return err
+		}
+	}
+	return nil
+}
