--- a/standin/server/node/command.go
+++ b/standin/server/node/command.go
@@ -65,8 +65,9 @@
 }
 
 // Follow makes the node a replica of the server at addr if the term is at
-// least its own.
-func (n *Node) Follow(term uint64, server, addr string) (tracker.Status, error) {
+// least its own. Replication begins when answered is closed or followGrace is
+// over: a truncation closes the connection that carries the answer.
+func (n *Node) Follow(term uint64, server, addr string, answered <-chan struct{}) (tracker.Status, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if term < n.meta.Term || server == n.cfg.Name {
@@ -80,6 +81,6 @@
 	}
 	n.meta.Role, n.meta.Follow = tracker.RoleReplica, addr
 	err := n.newEpoch()
-	n.startFollowing()
+	n.startFollowing(answered)
 	return n.statusLocked(), err
 }
--- a/standin/server/node/follow.go
+++ b/standin/server/node/follow.go
@@ -16,6 +16,8 @@
 
 const (
 	dialTimeout = time.Second
+	// followGrace is the longest wait for the answer to a follow command.
+	followGrace = 100 * time.Millisecond
 	// redialPause is the pause before a follower connects again.
 	redialPause = 20 * time.Millisecond
 	// silenceLimit is longer than several beats of the primary.
@@ -24,9 +26,9 @@
 	receiveBuffer = 64
 )
 
-// startFollowing follows meta.Follow until the epoch ends. The caller holds
-// mu.
-func (n *Node) startFollowing() {
+// startFollowing follows meta.Follow, once answered is closed, until the epoch
+// ends. The caller holds mu.
+func (n *Node) startFollowing(answered <-chan struct{}) {
 	ctx, cancel := context.WithCancel(n.ctx)
 	n.stopFollowing = cancel
 	addr, epoch := n.meta.Follow, n.epoch
@@ -34,6 +36,11 @@
 	go func() {
 		defer n.tasks.Done()
 		defer cancel()
+		select {
+		case <-answered:
+		case <-time.After(followGrace):
+		case <-ctx.Done():
+		}
 		for ctx.Err() == nil {
 			if err := n.followOnce(ctx, addr, epoch); err != nil && ctx.Err() == nil {
 				n.cfg.Log.WithError(err).Debug("server: replication from the primary ended")
--- a/standin/server/node/node.go
+++ b/standin/server/node/node.go
@@ -66,8 +66,10 @@
 	n.tasks.Add(1)
 	go n.serveFeeds()
 	if n.meta.Role == tracker.RoleReplica {
+		now := make(chan struct{})
+		close(now)
 		n.mu.Lock()
-		n.startFollowing()
+		n.startFollowing(now)
 		n.mu.Unlock()
 	}
 	n.logState()
@@ -129,7 +131,9 @@
 
 // rebuild makes the rows from the log.
 func (n *Node) rebuild() error {
-	n.store.NextGeneration()
+	if err := n.store.NextGeneration(); err != nil {
+		return err
+	}
 	c, err := n.store.Open()
 	if err != nil {
 		return err
@@ -165,10 +169,13 @@
 // back, which is what the caller wants.
 func rollback(c *rows.Conn) { _ = c.Exec(context.Background(), "ROLLBACK") }
 
-// OpenRows opens a connection to the rows.
+// OpenRows opens a connection to the rows after a rebuild that is under way. A
+// client session must be known to DropClients before, so that a truncation
+// that begins later ends it.
 func (n *Node) OpenRows() (*rows.Conn, error) {
 	n.mu.RLock()
-	defer n.mu.RUnlock()
+	//lint:ignore SA2001 Waiting for the lock is the purpose; opening can be slow and must not hold it.
+	n.mu.RUnlock()
 	return n.store.Open()
 }
 
@@ -234,6 +241,9 @@
 	n.signal()
 	n.mu.Unlock()
 	n.tasks.Wait()
+	if n.store != nil {
+		n.store.Close()
+	}
 	if n.log != nil {
 		n.log.Close()
 	}
--- a/standin/server/server_test.go
+++ b/standin/server/server_test.go
@@ -17,6 +17,13 @@
 	"marigoldhub.example/hub/internal/tracker"
 )
 
+// closed stands for an answer that was sent.
+var closed = func() <-chan struct{} {
+	ch := make(chan struct{})
+	close(ch)
+	return ch
+}()
+
 func testConfig(t *testing.T, name string) Config {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -437,7 +444,7 @@
 	if _, err := b.node.Fence(4, "x"); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := b.node.Follow(4, "a", a.ReplicationAddr()); err != nil {
+	if _, err := b.node.Follow(4, "a", a.ReplicationAddr(), closed); err != nil {
 		t.Fatal(err)
 	}
 	eventually(t, "old primary fenced", func() bool {
--- a/standin/server/session/group.go
+++ b/standin/server/session/group.go
@@ -50,7 +50,9 @@
 	case "marigold_group_promote":
 		return s.cfg.Node.Promote(term, args[1])
 	}
-	return s.cfg.Node.Follow(term, args[1], args[2])
+	answered := make(chan struct{})
+	s.sent = append(s.sent, func() { close(answered) })
+	return s.cfg.Node.Follow(term, args[1], args[2], answered)
 }
 
 func (s *Session) statusRow(st tracker.Status) []driver.Value {
--- a/standin/server/session/session.go
+++ b/standin/server/session/session.go
@@ -40,6 +40,8 @@
 	vars       map[string]string
 	temps      map[string]bool
 	transaction
+	// sent are called when the answers so far have been sent.
+	sent []func()
 
 	runMu sync.Mutex
 	stop  context.CancelFunc
@@ -136,6 +138,10 @@
 		if err := s.be.Flush(); err != nil {
 			return err
 		}
+		for _, f := range s.sent {
+			f()
+		}
+		s.sent = nil
 	}
 }
 
