standin/platform: store in a package of its own

Change: messages, state, transactions and leases move to standin/platform/store; no change of behaviour. Conclusion: its tests pass unchanged but for the import.

--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"marigoldhub.example/hub/standin/platform/store"
 )
 
 // maxBody is larger than any request whose values are within their limit, so
@@ -15,25 +17,25 @@
 
 func (p *Platform) handler() http.Handler {
 	mux := http.NewServeMux()
-	handle(p, mux, "/v3/kv/range", "range", false, func(req rangeRequest) (any, error) { return p.kv.read(req), nil })
-	handle(p, mux, "/v3/kv/txn", "txn", true, func(req txnRequest) (any, error) { return p.kv.txn(req) })
-	handle(p, mux, "/v3/kv/put", "put", true, func(req putRequest) (any, error) {
-		resp, err := p.kv.one(requestOp{Put: &req})
+	handle(p, mux, "/v3/kv/range", "range", false, func(req store.RangeRequest) (any, error) { return p.kv.Read(req), nil })
+	handle(p, mux, "/v3/kv/txn", "txn", true, func(req store.TxnRequest) (any, error) { return p.kv.Txn(req) })
+	handle(p, mux, "/v3/kv/put", "put", true, func(req store.PutRequest) (any, error) {
+		resp, err := p.kv.One(store.RequestOp{Put: &req})
 		return resp.Put, err
 	})
-	handle(p, mux, "/v3/kv/deleterange", "deleterange", true, func(req deleteRequest) (any, error) {
-		resp, err := p.kv.one(requestOp{Delete: &req})
+	handle(p, mux, "/v3/kv/deleterange", "deleterange", true, func(req store.DeleteRequest) (any, error) {
+		resp, err := p.kv.One(store.RequestOp{Delete: &req})
 		return resp.Delete, err
 	})
-	handle(p, mux, "/v3/kv/compaction", "compaction", true, func(req compactRequest) (any, error) {
-		h, err := p.kv.compact(int64(req.Revision))
-		return compactResponse{Header: h}, err
+	handle(p, mux, "/v3/kv/compaction", "compaction", true, func(req store.CompactRequest) (any, error) {
+		h, err := p.kv.Compact(int64(req.Revision))
+		return store.CompactResponse{Header: h}, err
 	})
-	handle(p, mux, "/v3/lease/grant", "lease_grant", true, func(req leaseRequest) (any, error) { return p.kv.grant(req) })
-	handle(p, mux, "/v3/lease/keepalive", "lease_keepalive", true, func(req leaseRequest) (any, error) {
-		return streamed[leaseResponse]{p.kv.keepAlive(int64(req.ID))}, nil
+	handle(p, mux, "/v3/lease/grant", "lease_grant", true, func(req store.LeaseRequest) (any, error) { return p.kv.Grant(req) })
+	handle(p, mux, "/v3/lease/keepalive", "lease_keepalive", true, func(req store.LeaseRequest) (any, error) {
+		return store.Streamed[store.LeaseResponse]{Result: p.kv.KeepAlive(int64(req.ID))}, nil
 	})
-	revoke := func(req leaseRequest) (any, error) { return p.kv.revoke(int64(req.ID)) }
+	revoke := func(req store.LeaseRequest) (any, error) { return p.kv.Revoke(int64(req.ID)) }
 	handle(p, mux, "/v3/lease/revoke", "lease_revoke", true, revoke)
 	handle(p, mux, "/v3/kv/lease/revoke", "lease_revoke", true, revoke)
 	mux.HandleFunc("POST /v3/watch", p.watch)
@@ -45,15 +47,6 @@
 	return mux
 }
 
-// one runs a single operation as a transaction.
-func (s *kv) one(op requestOp) (responseOp, error) {
-	resp, err := s.txn(txnRequest{Success: []requestOp{op}})
-	if err != nil {
-		return responseOp{}, err
-	}
-	return resp.Responses[0], nil
-}
-
 // handle serves one kind of call with the faults that are switched on.
 func handle[T any](p *Platform, mux *http.ServeMux, path, kind string, writes bool, call func(T) (any, error)) {
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
@@ -79,15 +72,15 @@
 	up := p.upContext()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
-		writeError(w, newError(codeInvalidArgument, "etcdserver: request is too large"))
+		writeError(w, store.NewError(store.CodeInvalidArgument, "etcdserver: request is too large"))
 		return false
 	}
 	p.pause(r.Context(), up)
 	if up.Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if err := decode(body, req); err != nil {
-		writeError(w, newError(codeInvalidArgument, err.Error()))
+	if err := store.Decode(body, req); err != nil {
+		writeError(w, store.NewError(store.CodeInvalidArgument, err.Error()))
 		return false
 	}
 	return true
@@ -131,11 +124,11 @@
 }
 
 func writeError(w http.ResponseWriter, err error) {
-	var e *Error
+	var e *store.Error
 	if !errors.As(err, &e) {
-		e = newError(codeInvalidArgument, err.Error())
+		e = store.NewError(store.CodeInvalidArgument, err.Error())
 	}
-	writeJSON(w, e.status(), e)
+	writeJSON(w, e.HTTPStatus(), e)
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -10,12 +10,17 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/standin/platform/store"
 )
 
+// expiryInterval is the time between checks for expired leases.
+const expiryInterval = 50 * time.Millisecond
+
 // Platform is a running platform stand-in.
 type Platform struct {
 	cfg       Config
-	kv        *kv
+	kv        *store.Store
 	instances directory
 	counts    counter
 	slow      atomic.Int64
@@ -37,7 +42,7 @@
 
 // Start starts a platform stand-in.
 func Start(cfg Config) (*Platform, error) {
-	p := &Platform{cfg: cfg, kv: newKV(), done: make(chan struct{}), log: cfg.Log}
+	p := &Platform{cfg: cfg, kv: store.New(), done: make(chan struct{}), log: cfg.Log}
 	if p.log == nil {
 		p.log = logrus.StandardLogger()
 	}
@@ -84,9 +89,7 @@
 		case <-p.done:
 			return
 		case <-ticker.C:
-			p.kv.mu.Lock()
-			p.kv.expire()
-			p.kv.mu.Unlock()
+			p.kv.Expire()
 		}
 	}
 }
@@ -128,7 +131,7 @@
 
 // SetStale makes range requests answer with the state of this moment, until it
 // is unset.
-func (p *Platform) SetStale(on bool) { p.kv.setStale(on) }
+func (p *Platform) SetStale(on bool) { p.kv.SetStale(on) }
 
 // SetPublicationLag sets the age at which a new instance list is published.
 func (p *Platform) SetPublicationLag(d time.Duration) { p.instances.setLag(d) }
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"marigoldhub.example/hub/standin/platform/store"
 )
 
 func startPlatform(t *testing.T) *Platform {
@@ -29,7 +31,7 @@
 	}
 	defer r.Body.Close()
 	if r.StatusCode != http.StatusOK {
-		var e Error
+		var e store.Error
 		if err := json.NewDecoder(r.Body).Decode(&e); err != nil {
 			return err
 		}
@@ -50,7 +52,7 @@
 // of field names.
 func TestTxn(t *testing.T) {
 	p := startPlatform(t)
-	var first, second txnResponse
+	var first, second store.TxnResponse
 	if err := call(t, p, "/v3/kv/txn", create, &first); err != nil || !first.Succeeded {
 		t.Fatalf("%+v, %v", first, err)
 	}
@@ -73,7 +75,7 @@
 		{`{"target":"CREATE","key":"aw==","create_revision":"0","result":"NOT_EQUAL"}`, true},
 	}
 	for _, tc := range cases {
-		var resp txnResponse
+		var resp store.TxnResponse
 		if err := call(t, p, "/v3/kv/txn", `{"compare":[`+tc.compare+`]}`, &resp); err != nil || resp.Succeeded != tc.want {
 			t.Errorf("%s: %v, %v", tc.compare, resp.Succeeded, err)
 		}
@@ -83,12 +85,12 @@
 // Guards against a refused transaction that leaves some of its writes.
 func TestTooLargeValue(t *testing.T) {
 	p := startPlatform(t)
-	big, _ := json.Marshal(bytes.Repeat([]byte{'x'}, maxValue+1))
+	big, _ := json.Marshal(bytes.Repeat([]byte{'x'}, store.MaxValue+1))
 	body := `{"success":[{"request_put":{"key":"aw==","value":"dg=="}},{"request_put":{"key":"eA==","value":` + string(big) + `}}]}`
-	if err := call(t, p, "/v3/kv/txn", body, &txnResponse{}); err == nil || !strings.Contains(err.Error(), "too large") {
+	if err := call(t, p, "/v3/kv/txn", body, &store.TxnResponse{}); err == nil || !strings.Contains(err.Error(), "too large") {
 		t.Fatalf("got %v", err)
 	}
-	var resp rangeResponse
+	var resp store.RangeResponse
 	if err := call(t, p, "/v3/kv/range", getKey, &resp); err != nil || resp.Count != 0 {
 		t.Errorf("%+v, %v", resp, err)
 	}
@@ -98,10 +100,10 @@
 func TestLoseAnswer(t *testing.T) {
 	p := startPlatform(t)
 	p.LoseAnswers(1)
-	if err := call(t, p, "/v3/kv/txn", create, &txnResponse{}); err == nil {
+	if err := call(t, p, "/v3/kv/txn", create, &store.TxnResponse{}); err == nil {
 		t.Fatal("answer arrived")
 	}
-	var resp rangeResponse
+	var resp store.RangeResponse
 	if err := call(t, p, "/v3/kv/range", getKey, &resp); err != nil || resp.Count != 1 {
 		t.Errorf("%+v, %v", resp, err)
 	}
@@ -111,10 +113,10 @@
 func TestStaleAndDown(t *testing.T) {
 	p := startPlatform(t)
 	p.SetStale(true)
-	if err := call(t, p, "/v3/kv/put", `{"key":"aw==","value":"dg=="}`, &putResponse{}); err != nil {
+	if err := call(t, p, "/v3/kv/put", `{"key":"aw==","value":"dg=="}`, &store.PutResponse{}); err != nil {
 		t.Fatal(err)
 	}
-	var resp rangeResponse
+	var resp store.RangeResponse
 	if err := call(t, p, "/v3/kv/range", getKey, &resp); err != nil || resp.Count != 0 {
 		t.Errorf("stale: %+v, %v", resp, err)
 	}
@@ -130,7 +132,7 @@
 }
 
 // watchKeys opens a watch of all keys and returns its messages.
-func watchKeys(t *testing.T, p *Platform, fields string) <-chan watchResponse {
+func watchKeys(t *testing.T, p *Platform, fields string) <-chan store.WatchResponse {
 	t.Helper()
 	body := `{"create_request":{"key":"AA==","range_end":"AA=="` + fields + `}}`
 	r, err := http.Post("http://"+p.Addr()+"/v3/watch", "application/json", strings.NewReader(body))
@@ -138,12 +140,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { r.Body.Close() })
-	ch := make(chan watchResponse, 16)
+	ch := make(chan store.WatchResponse, 16)
 	go func() {
 		defer close(ch)
 		sc := bufio.NewScanner(r.Body)
 		for sc.Scan() {
-			var m streamed[watchResponse]
+			var m store.Streamed[store.WatchResponse]
 			if json.Unmarshal(sc.Bytes(), &m) != nil {
 				return
 			}
@@ -156,7 +158,7 @@
 	return ch
 }
 
-func next(t *testing.T, ch <-chan watchResponse) watchResponse {
+func next(t *testing.T, ch <-chan store.WatchResponse) store.WatchResponse {
 	t.Helper()
 	select {
 	case m, ok := <-ch:
@@ -166,7 +168,7 @@
 		return m
 	case <-time.After(5 * time.Second):
 		t.Fatal("no message")
-		return watchResponse{}
+		return store.WatchResponse{}
 	}
 }
 
@@ -175,11 +177,11 @@
 func TestWatch(t *testing.T) {
 	p := startPlatform(t)
 	live := watchKeys(t, p, "")
-	var l leaseResponse
+	var l store.LeaseResponse
 	if err := call(t, p, "/v3/lease/grant", `{"TTL":"1"}`, &l); err != nil || l.ID == 0 {
 		t.Fatalf("%+v, %v", l, err)
 	}
-	var put putResponse
+	var put store.PutResponse
 	if err := call(t, p, "/v3/kv/put", `{"key":"aw==","value":"dg==","lease":"1"}`, &put); err != nil {
 		t.Fatal(err)
 	}
@@ -213,11 +215,11 @@
 func TestCompactedWatch(t *testing.T) {
 	p := startPlatform(t)
 	for range 3 {
-		if err := call(t, p, "/v3/kv/put", `{"key":"aw==","value":"dg=="}`, &putResponse{}); err != nil {
+		if err := call(t, p, "/v3/kv/put", `{"key":"aw==","value":"dg=="}`, &store.PutResponse{}); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if err := call(t, p, "/v3/kv/compaction", `{"revision":"3"}`, &compactResponse{}); err != nil {
+	if err := call(t, p, "/v3/kv/compaction", `{"revision":"3"}`, &store.CompactResponse{}); err != nil {
 		t.Fatal(err)
 	}
 	if m := next(t, watchKeys(t, p, `,"start_revision":"2"`)); !m.Canceled || m.CompactRevision != 3 {
--- a/standin/platform/fault.go
+++ b/standin/platform/store/error.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import "net/http"
 
@@ -13,19 +13,21 @@
 
 func (e *Error) Error() string { return e.Message }
 
-func newError(code int, message string) *Error {
+// NewError returns an error with a gRPC status code.
+func NewError(code int, message string) *Error {
 	return &Error{Code: code, Message: message, Text: message}
 }
 
 // The gRPC status codes that the store uses.
 const (
-	codeInvalidArgument = 3
-	codeNotFound        = 5
-	codeOutOfRange      = 11
+	CodeInvalidArgument = 3
+	CodeNotFound        = 5
+	CodeOutOfRange      = 11
 )
 
-func (e *Error) status() int {
-	if e.Code == codeNotFound {
+// HTTPStatus returns the status code of the answer.
+func (e *Error) HTTPStatus() int {
+	if e.Code == CodeNotFound {
 		return http.StatusNotFound
 	}
 	return http.StatusBadRequest
--- a/standin/platform/kv.go
+++ b/standin/platform/store/kv.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"bytes"
@@ -7,40 +7,42 @@
 	"sync"
 )
 
-// maxValue is the largest value in bytes.
-const maxValue = 1 << 20
+// MaxValue is the largest value in bytes.
+const MaxValue = 1 << 20
 
-// kv is the state of the store.
-type kv struct {
+// Store is the state of the store.
+type Store struct {
 	mu        sync.Mutex
 	revision  int64
 	compacted int64
-	keys      map[string]keyValue
+	keys      map[string]KeyValue
 	// stale is what reads see while stale reads are switched on.
-	stale         map[string]keyValue
+	stale         map[string]KeyValue
 	staleRevision int64
-	history       []event
+	history       []Event
 	leases        map[int64]*lease
 	lastLease     int64
 	// changed is closed and replaced at each new revision.
 	changed chan struct{}
 }
 
-func newKV() *kv {
-	return &kv{
+// New returns an empty store at revision 1.
+func New() *Store {
+	return &Store{
 		revision: 1,
-		keys:     map[string]keyValue{},
+		keys:     map[string]KeyValue{},
 		leases:   map[int64]*lease{},
 		changed:  make(chan struct{}),
 	}
 }
 
-func headerAt(revision int64) *header {
-	return &header{ClusterID: 1, MemberID: 1, Revision: int64s(revision), RaftTerm: 1}
+// NewHeader returns the header of an answer at a revision.
+func NewHeader(revision int64) *Header {
+	return &Header{ClusterID: 1, MemberID: 1, Revision: Int64(revision), RaftTerm: 1}
 }
 
-// setStale freezes what reads see, or ends that.
-func (s *kv) setStale(on bool) {
+// SetStale freezes what reads see, or ends that.
+func (s *Store) SetStale(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stale = nil
@@ -49,8 +51,8 @@
 	}
 }
 
-// read answers a range request.
-func (s *kv) read(req rangeRequest) rangeResponse {
+// Read answers a range request.
+func (s *Store) Read(req RangeRequest) RangeResponse {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
@@ -59,19 +61,19 @@
 		keys, revision = s.stale, s.staleRevision
 	}
 	resp := find(keys, req)
-	resp.Header = headerAt(revision)
+	resp.Header = NewHeader(revision)
 	return resp
 }
 
-func find(keys map[string]keyValue, req rangeRequest) rangeResponse {
-	var list []keyValue
+func find(keys map[string]KeyValue, req RangeRequest) RangeResponse {
+	var list []KeyValue
 	for _, kv := range keys {
 		if inRange(kv.Key, req.Key, req.RangeEnd) {
 			list = append(list, kv)
 		}
 	}
-	slices.SortFunc(list, func(a, b keyValue) int { return bytes.Compare(a.Key, b.Key) })
-	resp := rangeResponse{Count: int64s(len(list))}
+	slices.SortFunc(list, func(a, b KeyValue) int { return bytes.Compare(a.Key, b.Key) })
+	resp := RangeResponse{Count: Int64(len(list))}
 	if req.CountOnly {
 		return resp
 	}
@@ -101,14 +103,14 @@
 }
 
 // put writes a key in the given revision.
-func (s *kv) put(req putRequest, revision int64) putResponse {
-	var resp putResponse
+func (s *Store) put(req PutRequest, revision int64) PutResponse {
+	var resp PutResponse
 	old, ok := s.keys[string(req.Key)]
-	kv := keyValue{
+	kv := KeyValue{
 		Key: req.Key, Value: req.Value, Lease: req.Lease,
-		CreateRevision: int64s(revision), ModRevision: int64s(revision), Version: 1,
+		CreateRevision: Int64(revision), ModRevision: Int64(revision), Version: 1,
 	}
-	e := event{}
+	e := Event{}
 	if ok {
 		kv.CreateRevision, kv.Version = old.CreateRevision, old.Version+1
 		e.PrevKV = &old
@@ -123,13 +125,13 @@
 }
 
 // remove deletes keys in the given revision.
-func (s *kv) remove(req deleteRequest, revision int64) deleteResponse {
-	found := find(s.keys, rangeRequest{Key: req.Key, RangeEnd: req.RangeEnd})
-	resp := deleteResponse{Deleted: found.Count}
+func (s *Store) remove(req DeleteRequest, revision int64) DeleteResponse {
+	found := find(s.keys, RangeRequest{Key: req.Key, RangeEnd: req.RangeEnd})
+	resp := DeleteResponse{Deleted: found.Count}
 	for _, kv := range found.Kvs {
 		delete(s.keys, string(kv.Key))
-		s.history = append(s.history, event{
-			Type: "DELETE", KV: keyValue{Key: kv.Key, ModRevision: int64s(revision)}, PrevKV: &kv,
+		s.history = append(s.history, Event{
+			Type: "DELETE", KV: KeyValue{Key: kv.Key, ModRevision: Int64(revision)}, PrevKV: &kv,
 		})
 	}
 	if req.PrevKV {
@@ -138,35 +140,35 @@
 	return resp
 }
 
-// compact forgets the history before a revision.
-func (s *kv) compact(revision int64) (*header, error) {
+// Compact forgets the history before a revision.
+func (s *Store) Compact(revision int64) (*Header, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if revision > s.revision {
-		return nil, newError(codeOutOfRange, "etcdserver: mvcc: required revision is a future revision")
+		return nil, NewError(CodeOutOfRange, "etcdserver: mvcc: required revision is a future revision")
 	}
 	if revision <= s.compacted {
-		return nil, newError(codeOutOfRange, "etcdserver: mvcc: required revision has been compacted")
+		return nil, NewError(CodeOutOfRange, "etcdserver: mvcc: required revision has been compacted")
 	}
 	s.compacted = revision
-	s.history = slices.DeleteFunc(s.history, func(e event) bool { return int64(e.KV.ModRevision) < revision })
-	return headerAt(s.revision), nil
+	s.history = slices.DeleteFunc(s.history, func(e Event) bool { return int64(e.KV.ModRevision) < revision })
+	return NewHeader(s.revision), nil
 }
 
-// events returns what happened in a key range at or after a revision, the next
+// Events returns what happened in a key range at or after a revision, the next
 // revision to ask for, and a channel that is closed at the next change. It
 // reports false when the history was compacted.
-func (s *kv) events(key, end []byte, from int64) ([]event, int64, <-chan struct{}, bool) {
+func (s *Store) Events(key, end []byte, from int64) ([]Event, int64, <-chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	if from < s.compacted {
 		return nil, 0, nil, false
 	}
-	i, _ := slices.BinarySearchFunc(s.history, from, func(e event, from int64) int {
+	i, _ := slices.BinarySearchFunc(s.history, from, func(e Event, from int64) int {
 		return int(int64(e.KV.ModRevision) - from)
 	})
-	var list []event
+	var list []Event
 	for _, e := range s.history[i:] {
 		if inRange(e.KV.Key, key, end) {
 			list = append(list, e)
@@ -176,8 +178,23 @@
 }
 
 // commit ends a revision that changed something. The caller holds mu.
-func (s *kv) commit(revision int64) {
+func (s *Store) commit(revision int64) {
 	s.revision = revision
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
+
+// Revision returns the current revision.
+func (s *Store) Revision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// CompactRevision returns the oldest revision whose events are kept, 0 before
+// the first compaction.
+func (s *Store) CompactRevision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.compacted
+}
--- a/standin/platform/txn.go
+++ b/standin/platform/store/txn.go
@@ -1,13 +1,13 @@
-package platform
+package store
 
 import (
 	"bytes"
 	"cmp"
 )
 
-// txn runs a transaction: if all comparisons hold it runs the success branch,
+// Txn runs a transaction: if all comparisons hold it runs the success branch,
 // otherwise the failure branch. All its writes share one revision.
-func (s *kv) txn(req txnRequest) (txnResponse, error) {
+func (s *Store) Txn(req TxnRequest) (TxnResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
@@ -15,7 +15,7 @@
 	for _, c := range req.Compare {
 		holds, err := s.holds(c)
 		if err != nil {
-			return txnResponse{}, newError(codeInvalidArgument, err.Error())
+			return TxnResponse{}, NewError(CodeInvalidArgument, err.Error())
 		}
 		ok = ok && holds
 	}
@@ -24,9 +24,9 @@
 		ops = req.Success
 	}
 	if err := s.check(ops); err != nil {
-		return txnResponse{}, err
+		return TxnResponse{}, err
 	}
-	resp := txnResponse{Succeeded: ok}
+	resp := TxnResponse{Succeeded: ok}
 	next, wrote := s.revision+1, len(s.history)
 	for _, op := range ops {
 		resp.Responses = append(resp.Responses, s.apply(op, next))
@@ -34,12 +34,12 @@
 	if len(s.history) > wrote {
 		s.commit(next)
 	}
-	resp.Header = headerAt(s.revision)
+	resp.Header = NewHeader(s.revision)
 	return resp, nil
 }
 
 // check refuses operations that the store cannot run, before any runs.
-func (s *kv) check(ops []requestOp) error {
+func (s *Store) check(ops []RequestOp) error {
 	seen := map[string]bool{}
 	for _, op := range ops {
 		switch {
@@ -48,49 +48,49 @@
 				return err
 			}
 			if seen[string(op.Put.Key)] {
-				return newError(codeInvalidArgument, "etcdserver: duplicate key given in txn request")
+				return NewError(CodeInvalidArgument, "etcdserver: duplicate key given in txn request")
 			}
 			seen[string(op.Put.Key)] = true
 		case op.Range != nil, op.Delete != nil:
 		default:
-			return newError(codeInvalidArgument, "etcdserver: request is empty")
+			return NewError(CodeInvalidArgument, "etcdserver: request is empty")
 		}
 	}
 	return nil
 }
 
-func (s *kv) checkPut(req putRequest) error {
+func (s *Store) checkPut(req PutRequest) error {
 	if len(req.Key) == 0 {
-		return newError(codeInvalidArgument, "etcdserver: key is not provided")
+		return NewError(CodeInvalidArgument, "etcdserver: key is not provided")
 	}
-	if len(req.Value) > maxValue {
-		return newError(codeInvalidArgument, "etcdserver: request is too large")
+	if len(req.Value) > MaxValue {
+		return NewError(CodeInvalidArgument, "etcdserver: request is too large")
 	}
 	if req.Lease != 0 && s.leases[int64(req.Lease)] == nil {
-		return newError(codeNotFound, "etcdserver: requested lease not found")
+		return NewError(CodeNotFound, "etcdserver: requested lease not found")
 	}
 	return nil
 }
 
-func (s *kv) apply(op requestOp, revision int64) responseOp {
+func (s *Store) apply(op RequestOp, revision int64) ResponseOp {
 	switch {
 	case op.Put != nil:
 		resp := s.put(*op.Put, revision)
-		resp.Header = headerAt(revision)
-		return responseOp{Put: &resp}
+		resp.Header = NewHeader(revision)
+		return ResponseOp{Put: &resp}
 	case op.Delete != nil:
 		resp := s.remove(*op.Delete, revision)
-		resp.Header = headerAt(revision)
-		return responseOp{Delete: &resp}
+		resp.Header = NewHeader(revision)
+		return ResponseOp{Delete: &resp}
 	}
 	resp := find(s.keys, *op.Range)
-	resp.Header = headerAt(s.revision)
-	return responseOp{Range: &resp}
+	resp.Header = NewHeader(s.revision)
+	return ResponseOp{Range: &resp}
 }
 
 // holds evaluates a comparison. A missing key has version and revisions 0, and
 // no value.
-func (s *kv) holds(c compare) (bool, error) {
+func (s *Store) holds(c Compare) (bool, error) {
 	target, err := c.Target.index("VERSION", "CREATE", "MOD", "VALUE", "LEASE")
 	if err != nil {
 		return false, err
@@ -126,3 +126,12 @@
 	}
 	return order != 0, nil
 }
+
+// One runs a single operation as a transaction.
+func (s *Store) One(op RequestOp) (ResponseOp, error) {
+	resp, err := s.Txn(TxnRequest{Success: []RequestOp{op}})
+	if err != nil {
+		return ResponseOp{}, err
+	}
+	return resp.Responses[0], nil
+}
--- a/standin/platform/watch.go
+++ b/standin/platform/watch.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
+
+	"marigoldhub.example/hub/standin/platform/store"
 )
 
 // watch streams the changes of a key range until the client leaves or the
@@ -10,40 +12,40 @@
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
 	p.counts.call("watch")
 	up := p.upContext()
-	var req watchRequest
+	var req store.WatchRequest
 	if !p.receive(w, r, &req) {
 		return
 	}
 	if req.Create == nil {
-		writeError(w, newError(codeInvalidArgument, "create_request is missing"))
+		writeError(w, store.NewError(store.CodeInvalidArgument, "create_request is missing"))
 		return
 	}
 	p.counts.watch(1, 0)
 	defer p.counts.watch(-1, 0)
 	w.Header().Set("Content-Type", "application/json")
-	send := func(resp watchResponse) bool {
+	send := func(resp store.WatchResponse) bool {
 		p.pause(r.Context(), up)
 		if up.Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
-		err := json.NewEncoder(w).Encode(streamed[watchResponse]{resp})
+		err := json.NewEncoder(w).Encode(store.Streamed[store.WatchResponse]{Result: resp})
 		w.(http.Flusher).Flush()
 		p.counts.watch(0, len(resp.Events))
 		return err == nil
 	}
 	from := int64(req.Create.StartRevision)
-	current := p.kv.currentRevision()
+	current := p.kv.Revision()
 	if from == 0 {
 		from = current + 1
 	}
-	if !send(watchResponse{Header: headerAt(current), Created: true}) {
+	if !send(store.WatchResponse{Header: store.NewHeader(current), Created: true}) {
 		return
 	}
 	for {
-		events, next, changed, ok := p.kv.events(req.Create.Key, req.Create.RangeEnd, from)
+		events, next, changed, ok := p.kv.Events(req.Create.Key, req.Create.RangeEnd, from)
 		if !ok {
-			send(watchResponse{
-				Header: headerAt(p.kv.currentRevision()), Canceled: true, CompactRevision: int64s(p.kv.compactRevision()),
+			send(store.WatchResponse{
+				Header: store.NewHeader(p.kv.Revision()), Canceled: true, CompactRevision: store.Int64(p.kv.CompactRevision()),
 			})
 			return
 		}
@@ -52,7 +54,7 @@
 				events[i].PrevKV = nil
 			}
 		}
-		if len(events) > 0 && !send(watchResponse{Header: headerAt(next - 1), Events: events}) {
+		if len(events) > 0 && !send(store.WatchResponse{Header: store.NewHeader(next - 1), Events: events}) {
 			return
 		}
 		from = max(from, next)
@@ -65,15 +67,3 @@
 		}
 	}
 }
-
-func (s *kv) currentRevision() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.revision
-}
-
-func (s *kv) compactRevision() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.compacted
-}
