--- a/internal/promoter/detector.go
+++ b/internal/promoter/detector.go
@@ -14,9 +14,12 @@
 	unreachableLimit  = 400 * time.Millisecond
 	unreachableProbes = 2
 
-	// establishLimit is the time that a promoted server has to get the first
-	// record of its term confirmed.
-	establishLimit = 400 * time.Millisecond
+	// firstRecordLimit is the time that a leading server has to show the first
+	// record of its term.
+	firstRecordLimit = 400 * time.Millisecond
+	// establishLimit is the time that the other servers have to store it. It is
+	// long, because another promotion would not help replicas that are behind.
+	establishLimit = 10 * time.Second
 
 	// foreignGrace is the time that another promoter has to finish a fence
 	// that is seen before its primary is.
@@ -59,12 +62,19 @@
 		return reasonRefused
 	case isGone(leader, now):
 		return reasonUnreachable
-	case leader.Reachable() && d.highest > s.Term && now.Sub(d.since) >= establishLimit:
+	case leader.Reachable() && d.highest > s.Term && now.Sub(d.since) >= establishTime(leader):
 		return reasonNotEstablished
 	}
 	return ""
 }
 
+func establishTime(leader tracker.Observation) time.Duration {
+	if leader.Status.Log.Term < leader.Status.Term {
+		return firstRecordLimit
+	}
+	return establishLimit
+}
+
 // follow notes the highest term seen.
 func (d *detector) follow(s tracker.State, now time.Time) {
 	highest := s.HighestTerm()
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -58,6 +58,13 @@
 	lastRepair map[string]time.Time
 	nextPlanAt time.Time
 	tasks      sync.WaitGroup
+	pending    pending
+}
+
+// pending is a promotion whose term is not established yet.
+type pending struct {
+	term      uint64
+	startedAt time.Time
 }
 
 // New starts a promoter.
@@ -95,6 +102,7 @@
 	for p.sleep(ctx, checkInterval) {
 		s := p.cfg.Tracker.State()
 		now := p.cfg.Clock.Now()
+		p.noteEstablished(s)
 		if reason := p.detector.check(s, now); reason != "" {
 			p.replace(ctx, s, reason)
 			continue
@@ -160,13 +168,25 @@
 	}
 
 	p.followAll(ctx, term, chosen.Server)
+	p.pending = pending{term: term, startedAt: startedAt}
 	if err := p.awaitEstablished(ctx, primary); err != nil {
 		return fmt.Errorf("term %d: not established: %w", term, err)
 	}
-	p.record("established", term, "server", chosen.Server, "duration", p.cfg.Clock.Since(startedAt))
+	p.noteEstablished(p.cfg.Tracker.State())
 	return nil
 }
 
+// noteEstablished ends the pending promotion when its term is established.
+func (p *Promoter) noteEstablished(s tracker.State) {
+	if p.pending.term == 0 || s.Term < p.pending.term {
+		return
+	}
+	if s.Term == p.pending.term {
+		p.record("established", s.Term, "server", s.Primary, "duration", p.cfg.Clock.Since(p.pending.startedAt))
+	}
+	p.pending = pending{}
+}
+
 // attemptID names one attempt. A name that two attempts shared would let both
 // promote a server in the same term.
 func attemptID(instance string) string {
