--- a/internal/gatekeeper/login.go
+++ b/internal/gatekeeper/login.go
@@ -149,6 +149,7 @@
 	}
 	session, err := l.g.parts.Relayer.Attach(relayer.Attachment{
 		Conn: l.conn, Backend: l.backend, Caller: l.caller, Group: group.Name, Token: l.startup.token,
+		Settings: l.startup.settings,
 	})
 	if err != nil {
 		return 0, nil, &loginError{resolver.CodeInvalidLogin, err.Error()}
--- a/internal/gatekeeper/startup.go
+++ b/internal/gatekeeper/startup.go
@@ -16,12 +16,13 @@
 // startup is what a caller asked for in its startup message.
 type startup struct {
 	user, database, application, token string
+	// settings are session settings that pin a server connection.
+	settings map[string]string
 	// declined are protocol options that are not supported.
 	declined []string
 }
 
-// parseStartup checks the parameters of a startup message. Settings that would
-// need a server connection of their own are refused.
+// parseStartup checks the parameters of a startup message.
 func parseStartup(m *pgproto3.StartupMessage) (startup, error) {
 	s := startup{database: m.Parameters["database"]}
 	for name, value := range m.Parameters {
@@ -39,8 +40,14 @@
 		case strings.HasPrefix(name, "_pq_."):
 			s.declined = append(s.declined, name)
 		case name == "options" && strings.TrimSpace(value) == "":
-		case !relayer.HarmlessSetting(name, value):
-			return startup{}, &loginError{resolver.CodeNotSupported, "startup parameter \"" + printable(name) + "\" with this value is not supported by the proxy"}
+		case relayer.HarmlessSetting(name, value):
+		case relayer.ValidStartupSetting(name, value):
+			if s.settings == nil {
+				s.settings = make(map[string]string)
+			}
+			s.settings[name] = value
+		default:
+			return startup{}, &loginError{resolver.CodeNotSupported, "startup parameter \"" + printable(name) + "\" is not supported by the proxy"}
 		}
 	}
 	if s.user == "" {
--- a/internal/relayer/keys.go
+++ b/internal/relayer/keys.go
@@ -120,8 +120,8 @@
 	switch {
 	case s.key == "":
 		return "", resolver.Error(resolver.CodeInvalidValue, "marigold.request_key is not set", "")
-	case s.held.conn != nil:
-		return "", resolver.Error("25001", "SHOW marigold.request_outcome needs a session outside a transaction and without pinned connection", "")
+	case s.held.tx.active:
+		return "", resolver.Error("25001", "SHOW marigold.request_outcome cannot run inside a transaction block", "")
 	}
 	conn, failure := s.acquirePrimary(s.newWait(), pooler.Submission)
 	if failure != nil {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -352,6 +352,15 @@
 	if n := fx.pool.discarded; n != 1 {
 		t.Errorf("%d connections closed, want the pinned one", n)
 	}
+	exec(t, d, "discard all")
+	e := fx.connect(func(cfg *pgx.ConnConfig) { cfg.RuntimeParams["search_path"] = "it's" })
+	exec(t, e, "insert into kv values ('x', '1')")
+	if fx.a.count("set_config('search_path', 'it''s', false)") != 1 {
+		t.Error("startup setting did not reach the server")
+	}
+	if _, err := c.Exec(bg, "listen x"); code(err) != "53300" {
+		t.Errorf("got %v, want 53300", err)
+	}
 }
 
 // Guards against COPY and two-phase commit reaching a server.
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -32,6 +32,11 @@
 	case local:
 		return s.serveLocal(b)
 	}
+	if len(s.settings) > 0 && s.held.conn == nil {
+		if err := s.applySettings(); err != nil {
+			return err
+		}
+	}
 	if err := s.checkKeys(p); err != nil {
 		return s.refuse(b, err)
 	}
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -25,6 +25,9 @@
 	Backend *pgproto3.Backend
 	Caller  checker.Caller
 	Group   string
+	// Settings are session settings of the startup message that a server
+	// connection must have. They pin one.
+	Settings map[string]string
 	// Token is the session token that the caller presented, if any.
 	Token string
 }
@@ -59,6 +62,8 @@
 	stmts   preparer.Set
 	portals map[string]*classifier.Result
 	key     string // marigold.request_key
+	// settings are statements that a server connection must run first.
+	settings []string
 
 	held held
 	// pinReserved is set while a batch that pins its connection runs.
@@ -95,12 +100,17 @@
 	readOnly bool
 }
 
-// Attach returns a session. It fails when the token is not valid.
+// Attach returns a session. It fails when the token or the settings are not
+// valid.
 func (r *Relayer) Attach(a Attachment) (*Session, error) {
 	s := &Session{
 		r: r, conn: a.Conn, back: a.Backend, caller: a.Caller, name: a.Group, group: r.group(a.Group),
 		incoming: make(chan input), gone: make(chan struct{}), draining: make(chan struct{}), expired: make(chan struct{}),
 	}
+	var err error
+	if s.settings, err = startupStatements(a.Settings); err != nil {
+		return nil, err
+	}
 	if a.Token != "" {
 		p, err := r.parts.Tokener.Verify(a.Caller.Name, a.Group, a.Token)
 		if err != nil {
