--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -79,6 +79,7 @@
 
 func (s *Session) newExchange(conn pooler.Conn, b *batch, p *plan) *exchange {
 	x := &exchange{s: s, conn: conn, b: b, p: p, lower: s.group.reached()}
+	_ = conn.SetReadDeadline(time.Now().Add(checkInterval))
 	if s.held.tx.active {
 		x.evidence, x.stale = s.held.tx.evidence, s.held.stale
 	}
@@ -143,7 +144,6 @@
 func (x *exchange) run() error {
 	x.s.setRunning(x.conn)
 	defer x.s.setRunning(nil)
-	_ = x.conn.SetReadDeadline(time.Now().Add(checkInterval))
 	if err := x.sendBatch(); err != nil {
 		return err
 	}
--- a/internal/relayer/keys.go
+++ b/internal/relayer/keys.go
@@ -9,6 +9,7 @@
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
+	"marigoldhub.example/hub/internal/tracker"
 )
 
 const (
@@ -144,6 +145,9 @@
 	case r.err == nil:
 		x.evidence = provedWrite
 		return outcomeNotRun, x.confirmInternal()
+	case resolver.ProvesNotRun(r.err):
+		x.dispose(true)
+		return "", resolver.NotRunError(r.err.Message)
 	case r.err.Code != resolver.CodeUniqueViolation:
 		x.dispose(true)
 		return "", r.err
@@ -177,8 +181,11 @@
 func (x *exchange) confirmInternal() *pgproto3.ErrorResponse {
 	err := x.askStatus()
 	x.dispose(err == nil)
-	if err != nil {
+	switch {
+	case err != nil:
 		return resolver.UnknownError(err.Error())
+	case x.row.Role != tracker.RolePrimary && x.evidence != provedWrite:
+		return resolver.UnknownError("backend server " + x.conn.Server() + " is not the primary")
 	}
 	res, err := x.s.confirm(x.row.Log, x.evidence != provedWrite)
 	if err != nil {
--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -322,7 +322,7 @@
 		return x.settleConfirmed(p)
 	}
 	if x.err != nil && !inTx && resolver.ProvesNotRun(x.err) && !s.pinned() {
-		return x.give(x.err, true)
+		return x.give(resolver.NotRunError(x.err.Message+" ("+x.err.Code+")"), true)
 	}
 	return attempt{}
 }
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -31,6 +31,10 @@
 		return s.serveLost(b, p)
 	case local:
 		return s.serveLocal(b)
+	case s.held.conn == nil && b.query != nil && len(p.executed) == 0:
+		// Drivers check connections with empty queries.
+		s.send(&pgproto3.EmptyQueryResponse{})
+		return s.ready()
 	}
 	if len(s.settings) > 0 && s.held.conn == nil {
 		if err := s.applySettings(); err != nil {
