--- a/internal/gatekeeper/startup.go
+++ b/internal/gatekeeper/startup.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/relayer"
 	"marigoldhub.example/hub/internal/resolver"
 )
@@ -40,7 +41,7 @@
 		case strings.HasPrefix(name, "_pq_."):
 			s.declined = append(s.declined, name)
 		case name == "options" && strings.TrimSpace(value) == "":
-		case relayer.HarmlessSetting(name, value):
+		case planner.HarmlessSetting(name, value):
 		case relayer.ValidStartupSetting(name, value):
 			if s.settings == nil {
 				s.settings = make(map[string]string)
--- a/internal/relayer/harmless.go
+++ b/internal/planner/harmless.go
@@ -1,4 +1,4 @@
-package relayer
+package planner
 
 import (
 	"strconv"
@@ -7,10 +7,10 @@
 	"marigoldhub.example/hub/internal/classifier"
 )
 
-// isHarmless reports whether a session setting may be answered by the proxy:
+// IsHarmless reports whether a session setting may be answered by the proxy:
 // its value is the one that server connections have anyway, or it does not
 // change what statements do.
-func isHarmless(st classifier.Statement) bool {
+func IsHarmless(st classifier.Statement) bool {
 	return st.HasValue && !st.Local && HarmlessSetting(st.Setting, st.Value)
 }
 
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -9,8 +9,10 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"marigoldhub.example/hub/internal/classifier"
+	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/preparer"
+	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/tracker"
 )
 
@@ -19,7 +21,7 @@
 	s    *Session
 	conn pooler.Conn
 	b    *batch
-	p    *plan
+	p    *planner.Plan
 	// replica is the choice behind a replica read, nil on the primary.
 	replica *replicaRead
 	// streams is set when the answer may be passed on before it is confirmed.
@@ -39,7 +41,7 @@
 	skipping bool
 
 	lower     tracker.Position
-	evidence  evidence
+	evidence  resolver.Evidence
 	committed bool // a COMMIT took effect
 	err       *pgproto3.ErrorResponse
 	keyClash  string // request key that already exists
@@ -77,13 +79,13 @@
 // request for a vanished caller.
 const goneWait = 5 * time.Second
 
-func (s *Session) newExchange(conn pooler.Conn, b *batch, p *plan) *exchange {
+func (s *Session) newExchange(conn pooler.Conn, b *batch, p *planner.Plan) *exchange {
 	x := &exchange{s: s, conn: conn, b: b, p: p, lower: s.group.reached()}
 	_ = conn.SetReadDeadline(time.Now().Add(checkInterval))
 	if s.held.tx.active {
 		x.evidence, x.stale = s.held.tx.evidence, s.held.stale
 	}
-	x.streams = p.begins || (s.held.tx.active && !p.commits)
+	x.streams = p.Begins || (s.held.tx.active && !p.Commits)
 	return x
 }
 
@@ -91,7 +93,7 @@
 // without waiting for its answer. Inside a transaction it is not sent, since
 // it would be the transaction's first query.
 func (x *exchange) pipelinesStatus() bool {
-	return x.replica == nil && !x.p.begins && (x.p.commits || x.p.reads)
+	return x.replica == nil && !x.p.Begins && (x.p.Commits || x.p.Reads)
 }
 
 // receive returns the next message of the server. It gives up when the server
@@ -224,7 +226,7 @@
 	if x.committed {
 		return true
 	}
-	return x.p.commits && x.err == nil
+	return x.p.Commits && x.err == nil
 }
 
 // needsConfirmation reports whether the complete answer must be confirmed.
@@ -232,7 +234,7 @@
 	if x.committed {
 		return true
 	}
-	return x.err == nil && (x.p.implicit || x.p.reads)
+	return x.err == nil && (x.p.Implicit || x.p.Reads)
 }
 
 // current returns the statement that the server works on.
@@ -243,8 +245,8 @@
 		}
 		return x.queue[0].statement, true
 	}
-	if x.index < len(x.p.executed) {
-		return x.p.executed[x.index], true
+	if x.index < len(x.p.Executed) {
+		return x.p.Executed[x.index], true
 	}
 	return classifier.Statement{}, false
 }
--- a/internal/relayer/keys.go
+++ b/internal/relayer/keys.go
@@ -7,6 +7,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"marigoldhub.example/hub/internal/classifier"
+	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/tracker"
@@ -128,7 +129,7 @@
 	if failure != nil {
 		return "", failure
 	}
-	p := &plan{commits: true, implicit: true}
+	p := &planner.Plan{Commits: true, Implicit: true}
 	x := s.newExchange(conn, &batch{query: &pgproto3.Query{}}, p)
 	return x.closeKey(s.key)
 }
@@ -143,7 +144,7 @@
 		x.dispose(false)
 		return "", resolver.UnknownError(err.Error())
 	case r.err == nil:
-		x.evidence = provedWrite
+		x.evidence = resolver.ProvedWrite
 		return outcomeNotRun, x.confirmInternal()
 	case resolver.ProvesNotRun(r.err):
 		x.dispose(true)
@@ -163,7 +164,7 @@
 		x.dispose(false)
 		return "", resolver.UnknownError(err.Error())
 	}
-	x.evidence = unproved
+	x.evidence = resolver.Unproved
 	if failure := x.confirmInternal(); failure != nil {
 		return "", failure
 	}
@@ -184,14 +185,14 @@
 	switch {
 	case err != nil:
 		return resolver.UnknownError(err.Error())
-	case x.row.Role != tracker.RolePrimary && x.evidence != provedWrite:
+	case x.row.Role != tracker.RolePrimary && x.evidence != resolver.ProvedWrite:
 		return resolver.UnknownError("backend server " + x.conn.Server() + " is not the primary")
 	}
-	res, err := x.s.confirm(x.row.Log, x.evidence != provedWrite)
+	res, err := x.s.confirm(x.row.Log, x.evidence != resolver.ProvedWrite)
 	if err != nil {
 		return resolver.UnknownError(err.Error())
 	}
-	commit := x.evidence.commit(resolver.Commit{Lower: x.lower, Upper: x.row.Log})
+	commit := x.evidence.Commit(resolver.Commit{Lower: x.lower, Upper: x.row.Log})
 	if commit.Resolve(res) != resolver.Done {
 		return resolver.UnknownError("the primary was replaced")
 	}
--- a/internal/relayer/open.go
+++ b/internal/relayer/open.go
@@ -1,6 +1,9 @@
 package relayer
 
-import "marigoldhub.example/hub/internal/resolver"
+import (
+	"marigoldhub.example/hub/internal/planner"
+	"marigoldhub.example/hub/internal/resolver"
+)
 
 // keepOpen passes on the answer to a flushed batch and keeps its connection
 // until Sync. Results that are passed on before Sync are provisional: the
@@ -18,10 +21,10 @@
 func (s *Session) serveOpen(b *batch) error {
 	x := s.held.open
 	p := s.plan(b)
-	if p.refusal != nil {
+	if p.Refusal != nil {
 		return s.refuseOpen(b, p)
 	}
-	x.p.merge(p)
+	x.p.Merge(p)
 	x.b = b
 	x.streams = true
 	if err := x.run(); err != nil {
@@ -44,11 +47,11 @@
 
 // refuseOpen ends an open batch with an error; nothing of it is committed,
 // because Sync was not sent.
-func (s *Session) refuseOpen(b *batch, p *plan) error {
+func (s *Session) refuseOpen(b *batch, p *planner.Plan) error {
 	s.lost = s.held.tx.active
 	s.dropHeld()
-	if p.refusal.Code == resolver.CodeNotSupported {
-		p.refusal.Hint = "The batch was rolled back."
+	if p.Refusal.Code == resolver.CodeNotSupported {
+		p.Refusal.Hint = "The batch was rolled back."
 	}
-	return s.fail(b, p.refusal)
+	return s.fail(b, p.Refusal)
 }
--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/router"
@@ -27,7 +28,7 @@
 }
 
 // servePrimary runs a batch that starts outside a transaction on the primary.
-func (s *Session) servePrimary(b *batch, p *plan) error {
+func (s *Session) servePrimary(b *batch, p *planner.Plan) error {
 	class := s.classOf(p)
 	w := s.newWait()
 	for n := 1; ; n++ {
@@ -54,7 +55,7 @@
 }
 
 // serveHeld runs a batch on the connection that the session keeps.
-func (s *Session) serveHeld(b *batch, p *plan) error {
+func (s *Session) serveHeld(b *batch, p *planner.Plan) error {
 	if !s.held.tx.active {
 		if err := s.checkPinned(); err != nil {
 			return err
@@ -84,11 +85,11 @@
 	return nil
 }
 
-func (s *Session) classOf(p *plan) pooler.Class {
-	if !p.readOnly() {
+func (s *Session) classOf(p *planner.Plan) pooler.Class {
+	if !p.ReadOnly() {
 		return pooler.Submission
 	}
-	if _, bounded := s.r.router.Bounded(s.name, p.tables()); bounded && s.r.router.Policy() != router.AllPrimary {
+	if _, bounded := s.r.router.Bounded(s.name, p.Tables()); bounded && s.r.router.Policy() != router.AllPrimary {
 		return pooler.BoundedRead
 	}
 	return pooler.StrictRead
@@ -261,7 +262,7 @@
 // the answer.
 func (s *Session) attempt(x *exchange) attempt {
 	var p *proof
-	if x.p.reads && !x.p.commits && !x.b.flushed {
+	if x.p.Reads && !x.p.Commits && !x.b.flushed {
 		p = s.beginProof()
 	}
 	if err := x.run(); err != nil {
@@ -282,8 +283,8 @@
 	if x.mayHaveCommitted() {
 		return x.give(resolver.UnknownError(err.Error()), false)
 	}
-	if wasActive || (x.p.begins && len(x.p.executed) > 1) || x.sent {
-		s.lost = wasActive || x.p.begins
+	if wasActive || (x.p.Begins && len(x.p.Executed) > 1) || x.sent {
+		s.lost = wasActive || x.p.Begins
 		return x.give(resolver.NotRunError(err.Error()), false)
 	}
 	return x.give(resolver.NotRunError(err.Error()), true)
@@ -335,7 +336,7 @@
 	s.held.stale = x.stale
 	s.held.tx.failed = x.status == 'E'
 	s.held.tx.evidence = x.evidence
-	s.held.tx.readOnly = s.held.tx.readOnly || x.p.readOnlyTx
+	s.held.tx.readOnly = s.held.tx.readOnly || x.p.ReadOnlyTx
 }
 
 // settleInTransaction looks for an error that shows that the server no longer
@@ -377,19 +378,19 @@
 // settleConfirmed waits for the confirmation of a commit or a strict read.
 func (x *exchange) settleConfirmed(p *proof) attempt {
 	s := x.s
-	commit := x.evidence.commit(resolver.Commit{Lower: x.lower, Upper: x.row.Log})
+	commit := x.evidence.Commit(resolver.Commit{Lower: x.lower, Upper: x.row.Log})
 	// A server that is not the primary may have shown old data. Only a proved
 	// write shows that it was the primary when it ran the batch.
-	if x.row.Role != tracker.RolePrimary && x.evidence != provedWrite {
+	if x.row.Role != tracker.RolePrimary && x.evidence != resolver.ProvedWrite {
 		return x.settleForeign()
 	}
-	if !x.p.commits && !x.committed {
+	if !x.p.Commits && !x.committed {
 		return x.settleRead(p, commit)
 	}
-	fresh := x.committed || x.evidence != provedWrite
+	fresh := x.committed || x.evidence != resolver.ProvedWrite
 	res, err := s.confirm(x.row.Log, fresh)
 	if err != nil {
-		if x.evidence == provedReadOnly {
+		if x.evidence == resolver.ProvedReadOnly {
 			return x.give(resolver.NotRunError("position was not confirmed: "+err.Error()), false)
 		}
 		return x.give(resolver.UnknownError("position "+x.row.Log.String()+" was not confirmed: "+err.Error()), false)
@@ -401,7 +402,7 @@
 		s.sendToken(x.row.Log)
 		return attempt{}
 	case resolver.NotRun:
-		return x.give(resolver.NotRunError(fmt.Sprintf("term %d was replaced", x.row.Log.Term)), !x.p.explicit)
+		return x.give(resolver.NotRunError(fmt.Sprintf("term %d was replaced", x.row.Log.Term)), !x.p.Explicit)
 	}
 	return x.give(resolver.UnknownError(fmt.Sprintf("term %d was replaced", x.row.Log.Term)), false)
 }
@@ -409,8 +410,8 @@
 // settleForeign answers a batch whose server was not the primary after it.
 func (x *exchange) settleForeign() attempt {
 	why := "backend server " + x.conn.Server() + " is not the primary"
-	if !x.p.commits || x.evidence == provedReadOnly {
-		return x.give(resolver.NotRunError(why), !x.p.explicit)
+	if !x.p.Commits || x.evidence == resolver.ProvedReadOnly {
+		return x.give(resolver.NotRunError(why), !x.p.Explicit)
 	}
 	return x.give(resolver.UnknownError(why), false)
 }
--- a/internal/relayer/receive.go
+++ b/internal/relayer/receive.go
@@ -107,40 +107,15 @@
 	if tag == "COMMIT" {
 		x.committed = true
 	}
-	x.evidence = x.evidence.with(st, tag)
+	x.evidence = x.evidence.With(st.Kind, tag)
 	if keepsKey(st) {
 		tag = "SET"
 	}
-	x.sealed = x.sealed || (x.p.commits && !x.streams)
+	x.sealed = x.sealed || (x.p.Commits && !x.streams)
 	x.s.send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
 	return x.completeExecution()
 }
 
-// with adds what the tag of a completed statement proves.
-func (e evidence) with(st classifier.Statement, tag string) evidence {
-	if e == provedWrite {
-		if strings.HasPrefix(tag, "ROLLBACK") {
-			return unproved // a savepoint may have undone the write
-		}
-		return e
-	}
-	word, rest, _ := strings.Cut(tag, " ")
-	switch word {
-	case "INSERT", "UPDATE", "DELETE", "MERGE":
-		if rows := rest[strings.LastIndexByte(rest, ' ')+1:]; rows != "0" && rows != "" {
-			return provedWrite
-		}
-		return unproved
-	case "SELECT":
-		if st.Kind == classifier.Read {
-			return e
-		}
-	case "BEGIN", "START", "COMMIT", "ROLLBACK", "SAVEPOINT", "RELEASE", "SET", "RESET", "SHOW":
-		return e
-	}
-	return unproved
-}
-
 func (x *exchange) handleError(m *pgproto3.ErrorResponse) error {
 	e := *m
 	st, known := x.current()
--- a/internal/relayer/replica.go
+++ b/internal/relayer/replica.go
@@ -5,6 +5,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/router"
@@ -16,7 +17,7 @@
 	maxReplicas = 2
 	// proofWait is the time within which a replica sends its status row.
 	proofWait = 300 * time.Millisecond
-	// maxDiscard is the largest unproved answer that is read to its end, so
+	// maxDiscard is the largest resolver.Unproved answer that is read to its end, so
 	// that the connection can be kept, in bytes.
 	maxDiscard = 64 << 10
 	// discardWait bounds the time for it.
@@ -36,8 +37,8 @@
 var errUnproved = lost("status row does not cover the read")
 
 // serveRead runs a batch of proved reads outside a transaction.
-func (s *Session) serveRead(b *batch, p *plan) error {
-	tables := p.tables()
+func (s *Session) serveRead(b *batch, p *planner.Plan) error {
+	tables := p.Tables()
 	if _, bounded := s.r.router.Bounded(s.name, tables); bounded {
 		s.r.counts.bounded.Inc(1)
 		if s.r.router.Policy().UsesFloor() {
@@ -51,7 +52,7 @@
 }
 
 // tryReplicas reports whether a replica served the batch.
-func (s *Session) tryReplicas(b *batch, p *plan, tables []string) (bool, error) {
+func (s *Session) tryReplicas(b *batch, p *planner.Plan, tables []string) (bool, error) {
 	req := router.Request{Group: s.name, Tables: tables, Floor: s.floor, FloorSet: s.floorSet, Previous: s.previous}
 	for range maxReplicas {
 		choice := s.r.router.Choose(req, s.r.clock.Now())
@@ -71,7 +72,7 @@
 
 // tryReplica reports whether the replica served the batch. If not, nothing of
 // its answer was passed on.
-func (s *Session) tryReplica(b *batch, p *plan, choice router.Choice) (bool, error) {
+func (s *Session) tryReplica(b *batch, p *planner.Plan, choice router.Choice) (bool, error) {
 	s.group.addRead(choice.Replica, 1)
 	defer s.group.addRead(choice.Replica, -1)
 	conn, err := s.acquire(pooler.Request{
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -33,7 +33,7 @@
 // it was flushed.
 func (x *exchange) sendBatch() error {
 	if x.b.query != nil {
-		x.conn.Send(&pgproto3.Query{String: x.s.replaceKeys(x.b.query.String, x.p.executed)})
+		x.conn.Send(&pgproto3.Query{String: x.s.replaceKeys(x.b.query.String, x.p.Executed)})
 		return x.sendEnd(false)
 	}
 	pending := 0
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -4,6 +4,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"marigoldhub.example/hub/internal/classifier"
+	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/resolver"
 )
 
@@ -18,20 +19,20 @@
 	s.r.counts.batches.Inc(1)
 	defer s.settlePin()
 	p := s.plan(b)
-	local, mixed := p.local()
+	local, mixed := p.Local()
 	switch {
-	case p.refusal != nil:
-		return s.refuse(b, p.refusal)
+	case p.Refusal != nil:
+		return s.refuse(b, p.Refusal)
 	case mixed:
 		return s.refuse(b, resolver.Error(resolver.CodeNotSupported,
 			"marigold settings, DISCARD and DEALLOCATE cannot be combined with other statements in one batch", ""))
-	case !p.needsServer:
+	case !p.NeedsServer:
 		return s.serveClose(b)
 	case s.lost:
 		return s.serveLost(b, p)
 	case local:
 		return s.serveLocal(b)
-	case s.held.conn == nil && b.query != nil && len(p.executed) == 0:
+	case s.held.conn == nil && b.query != nil && len(p.Executed) == 0:
 		// Drivers check connections with empty queries.
 		s.send(&pgproto3.EmptyQueryResponse{})
 		return s.ready()
@@ -51,7 +52,7 @@
 	switch {
 	case s.held.conn != nil:
 		return s.serveHeld(b, p)
-	case p.readOnly() && !b.flushed:
+	case p.ReadOnly() && !b.flushed:
 		return s.serveRead(b, p)
 	}
 	return s.servePrimary(b, p)
@@ -140,12 +141,12 @@
 
 // serveLost answers a batch of a caller whose transaction has failed and is no
 // longer backed by a server connection. Only its end is accepted.
-func (s *Session) serveLost(b *batch, p *plan) error {
-	if !endsTransaction(p.executed) || !endsTransaction(p.parsed) {
+func (s *Session) serveLost(b *batch, p *planner.Plan) error {
+	if !endsTransaction(p.Executed) || !endsTransaction(p.Parsed) {
 		return s.fail(b, resolver.Error(resolver.CodeFailedTransaction,
 			"current transaction is aborted, commands ignored until end of transaction block", ""))
 	}
-	s.lost = len(p.executed) == 0
+	s.lost = len(p.Executed) == 0
 	return s.answerLocal(b, func(classifier.Statement) (localAnswer, *pgproto3.ErrorResponse) {
 		return localAnswer{tag: "ROLLBACK"}, nil
 	})
@@ -162,8 +163,8 @@
 
 // checkPin refuses a batch that would pin more server connections than the
 // caller may.
-func (s *Session) checkPin(p *plan) *pgproto3.ErrorResponse {
-	if !p.pins() || s.held.pinned {
+func (s *Session) checkPin(p *planner.Plan) *pgproto3.ErrorResponse {
+	if !p.Pins() || s.held.pinned {
 		return nil
 	}
 	if !s.r.pin(s.caller.Name, s.caller.PinnedLimit) {
@@ -197,9 +198,9 @@
 }
 
 // checkKeys refuses SET LOCAL of marigold settings that cannot take effect.
-func (s *Session) checkKeys(p *plan) *pgproto3.ErrorResponse {
+func (s *Session) checkKeys(p *planner.Plan) *pgproto3.ErrorResponse {
 	inTx := s.held.tx.active
-	for _, st := range p.executed {
+	for _, st := range p.Executed {
 		switch st.Kind {
 		case classifier.Begin:
 			inTx = true
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -95,7 +95,7 @@
 	active bool
 	failed bool
 	// evidence is what the answers of its statements prove.
-	evidence evidence
+	evidence resolver.Evidence
 	// readOnly is set when the caller asked for a read-only transaction.
 	readOnly bool
 }
--- a/internal/relayer/settings.go
+++ b/internal/relayer/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
 )
@@ -55,7 +56,7 @@
 	}
 	s.held = held{conn: conn, pinned: true}
 	defer s.leavePrimary()
-	x := s.newExchange(conn, &batch{query: &pgproto3.Query{}}, &plan{})
+	x := s.newExchange(conn, &batch{query: &pgproto3.Query{}}, &planner.Plan{})
 	for _, statement := range s.settings {
 		r, err := x.query(statement)
 		if err != nil {
