pooler: a restarted instance catches up with the monitor's Lamport time

Its first requests were ignored as overtaken until its Lamport time passed that of its predecessor. It now observes the header of every answer.

--- a/internal/pooler/config.go
+++ b/internal/pooler/config.go
@@ -86,7 +86,8 @@
 	Directory enroller.Directory
 	// Dialer reaches the monitors of other instances.
 	Dialer messenger.Dialer
-	// Granter answers for the groups that this instance monitors.
+	// Granter answers for the groups that this instance monitors. Without one
+	// the instance keeps its ungranted share of these groups.
 	Granter Granter
 	// ServerLeaving reports the platform's leaving mark. It may be nil.
 	ServerLeaving func(server string) bool
--- a/internal/pooler/grants.go
+++ b/internal/pooler/grants.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"marigoldhub.example/hub/internal/messenger/wire"
 )
 
@@ -64,10 +66,15 @@
 	defer cancel()
 	sent := g.pool.cfg.Clock.Now()
 	resp, err := g.callMonitor(ctx, g.grantRequest(sent))
-	if err != nil || !resp.GetIsMonitor() {
+	if err != nil {
 		return false
 	}
+	// A restarted instance begins with a low Lamport time, and the monitor
+	// ignores its requests until it has caught up.
 	g.pool.stamper.Observe(resp.GetHeader())
+	if !resp.GetIsMonitor() {
+		return false
+	}
 	g.acceptGrant(resp, sent)
 	return true
 }
@@ -76,6 +83,9 @@
 	directory := g.pool.cfg.Directory
 	monitor := directory.Holder(MonitorDuty(g.name))
 	if monitor.Instance == directory.Self().Instance {
+		if g.pool.cfg.Granter == nil {
+			return nil, errors.New("this instance divides no connections")
+		}
 		return g.pool.cfg.Granter.Grant(ctx, req)
 	}
 	conn, err := g.pool.cfg.Dialer.Dial(ctx, monitor.Address)
--- a/internal/pooler/maintain.go
+++ b/internal/pooler/maintain.go
@@ -110,7 +110,9 @@
 		b.shrink(now)
 		b.serve(now)
 		b.warm(now)
-		b.report()
+		if peek {
+			b.report()
+		}
 	}
 }
 
--- a/internal/pooler/pool_test.go
+++ b/internal/pooler/pool_test.go
@@ -10,7 +10,7 @@
 	"runtime"
 	"slices"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,6 +25,7 @@
 	"marigoldhub.example/hub/internal/keyer"
 	"marigoldhub.example/hub/internal/keyer/keyertest"
 	"marigoldhub.example/hub/internal/messenger/wire"
+	"marigoldhub.example/hub/internal/recorder"
 	"marigoldhub.example/hub/internal/tracker"
 )
 
@@ -39,7 +40,8 @@
 	leaving map[string]bool
 	// grants per server; nil means that nobody monitors.
 	grants map[string]int
-	asked  atomic.Int64
+	// lamport is the Lamport time below which requests are ignored.
+	lamport uint64
 }
 
 func (f *fixture) Catalog() *checker.Catalog {
@@ -68,10 +70,12 @@
 	f.grants = grants
 }
 
-func (f *fixture) Grant(context.Context, *wire.GrantRequest) (*wire.GrantResponse, error) {
+func (f *fixture) Grant(_ context.Context, req *wire.GrantRequest) (*wire.GrantResponse, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.asked.Add(1)
+	if lamport := req.GetHeader().GetLamport(); lamport < f.lamport {
+		return &wire.GrantResponse{Header: &wire.Header{Lamport: f.lamport}}, nil
+	}
 	resp := &wire.GrantResponse{IsMonitor: f.grants != nil, DurationMs: 3000}
 	for server, n := range f.grants {
 		resp.Grants = append(resp.Grants, &wire.ServerGrant{Server: server, Connections: uint32(n)})
@@ -463,6 +467,17 @@
 	}
 }
 
+// Guards against a restarted instance that never gets a grant, because its
+// Lamport time is below that of its predecessor.
+func TestRestartedInstanceCatchesUp(t *testing.T) {
+	s := startServer(t, "secret")
+	f := &fixture{grants: map[string]int{"a": 5}, lamport: 1000}
+	p := startPool(t, f, manifest(entryOf("a", s, 20)), func(c *Config) {
+		c.Recorder = recorder.New("entry-0", 16, clockwork.NewRealClock())
+	})
+	waitFor(t, "the grant", func() bool { return statsOf(p, "a").Allowance == 5 })
+}
+
 // Guards against the server's refusal (53300) that ends a request although
 // another connection of the instance becomes free.
 func TestServerLimitReached(t *testing.T) {
@@ -677,6 +692,38 @@
 		statsOf(p, "a").Open, (heap()-before)/n, runtime.NumGoroutine())
 }
 
+// TestMeasureIdlePool prints the CPU of a pool without requests when
+// MARIGOLD_MEASURE is set.
+func TestMeasureIdlePool(t *testing.T) {
+	if os.Getenv("MARIGOLD_MEASURE") == "" {
+		t.Skip("MARIGOLD_MEASURE is not set")
+	}
+	const servers, window = 9, 5 * time.Second
+	s := startServer(t, "secret")
+	var entries []checker.Server
+	grants := map[string]int{}
+	for i := range servers {
+		name := string(rune('a' + i))
+		entries = append(entries, entryOf(name, s, 20))
+		grants[name] = 4
+	}
+	p := startPool(t, &fixture{grants: grants}, manifest(entries...), nil)
+	acquire(t, p, Submission).Release()
+	time.Sleep(time.Second)
+	before := cpuTime(t)
+	time.Sleep(window)
+	fmt.Printf("servers=%d idle_pool_cpu_percent=%.3f\n", servers, 100*(cpuTime(t)-before).Seconds()/window.Seconds())
+}
+
+func cpuTime(t *testing.T) time.Duration {
+	t.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 func heap() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
