--- a/internal/pooler/server_test.go
+++ b/internal/pooler/server_test.go
@@ -16,7 +16,7 @@
 
 // scriptedServer speaks enough of the protocol for the tests of this package.
 // Queries: "sleep" runs until it is cancelled, "begin" opens a transaction,
-// "die" ends the connection.
+// "die" ends the connection, and any other text is answered with itself.
 type scriptedServer struct {
 	t        testing.TB
 	lis      net.Listener
@@ -235,7 +235,8 @@
 		}
 		switch msg := msg.(type) {
 		case *pgproto3.Query:
-			switch msg.String {
+			tag := msg.String
+			switch tag {
 			case "sleep":
 				<-interrupted
 				be.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: "57014", Message: "canceled"})
@@ -251,7 +252,7 @@
 				default:
 				}
 			}
-			be.Send(&pgproto3.CommandComplete{CommandTag: []byte("OK")})
+			be.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
 			be.Send(&pgproto3.ReadyForQuery{TxStatus: status})
 		case *pgproto3.Close:
 			s.mu.Lock()
