relayer: the test of late answers replaces the primary after the write arrived

Ruled out: a fault of the relayer (the write was acknowledged by the current primary). Change: the test waits for the write to reach the old primary. Conclusion: same demand, no timer.

--- a/internal/relayer/protocol_test.go
+++ b/internal/relayer/protocol_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -245,17 +246,24 @@
 	c := fx.connect()
 	exec(t, c, "insert into kv values ('first', '1')")
 	block := make(chan struct{})
+	arrived := make(chan struct{})
+	arrive := sync.OnceFunc(func() { close(arrived) })
 	fx.a.setHook(func(when, sql string) bool {
 		if when == "before" && !strings.Contains(sql, "status") {
+			if strings.Contains(sql, "'x'") {
+				arrive()
+			}
 			<-block
 		}
 		return true
 	})
-	time.AfterFunc(50*time.Millisecond, func() {
+	d := fx.connect()
+	// The primary is replaced once the write has reached it.
+	go func() {
+		<-arrived
 		fx.b.setRole(tracker.RolePrimary)
 		fx.views.set(func(v *tracker.View) { v.Term, v.Primary, v.Replicas = 2, "b", nil })
-	})
-	d := fx.connect()
+	}()
 	read := make(chan error, 1)
 	go func() {
 		_, err := d.Exec(bg, "select w from other")
