--- a/standin/link/link_test.go
+++ b/standin/link/link_test.go
@@ -10,8 +10,13 @@
 	"strings"
 	"testing"
 	"time"
+
+	"go.uber.org/goleak"
 )
 
+// Guards against goroutines that outlive Close.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // echo starts a target that sends everything back.
 func echo(t *testing.T) string {
 	t.Helper()
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -9,9 +9,14 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"marigoldhub.example/hub/standin/platform/store"
 )
 
+// Guards against goroutines that outlive Close.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func startPlatform(t *testing.T) *Platform {
 	t.Helper()
 	p, err := Start(Config{})
--- a/standin/server/session/execute.go
+++ b/standin/server/executor/execute.go
@@ -1,4 +1,4 @@
-package session
+package executor
 
 import (
 	"context"
@@ -12,84 +12,85 @@
 	"marigoldhub.example/hub/standin/server/sqltext"
 )
 
-// result is the complete result of one statement.
-type result struct {
-	rows [][]driver.Value
-	tag  string
+// Result is the complete result of one statement.
+type Result struct {
+	Rows [][]driver.Value
+	// Tag is the command tag.
+	Tag string
 }
 
-// execute runs a statement under a context that a cancel request ends.
-func (s *Session) execute(p *prepared, args []driver.Value) (result, error) {
-	s.cfg.Registry.Statements.Add(1)
-	ctx, end := s.begin()
+// Execute runs a statement under a context that a cancel request ends.
+func (e *Executor) Execute(p *Prepared, args []driver.Value) (Result, error) {
+	e.cfg.Statements.Add(1)
+	ctx, end := e.begin()
 	defer end()
-	if d := time.Duration(s.cfg.Faults.Slow.Load()); d > 0 {
+	if d := time.Duration(e.cfg.Faults.Slow.Load()); d > 0 {
 		if err := sleep(ctx, d); err != nil {
-			return result{}, err
+			return Result{}, err
 		}
 	}
-	return s.dispatch(ctx, p, args)
+	return e.dispatch(ctx, p, args)
 }
 
-func (s *Session) dispatch(ctx context.Context, p *prepared, args []driver.Value) (result, error) {
+func (e *Executor) dispatch(ctx context.Context, p *Prepared, args []driver.Value) (Result, error) {
 	switch p.Kind {
 	case sqltext.Read:
-		return s.read(ctx, p, args)
+		return e.read(ctx, p, args)
 	case sqltext.LockRead, sqltext.Write, sqltext.DDL:
-		return s.modify(ctx, p, args)
+		return e.modify(ctx, p, args)
 	case sqltext.Begin, sqltext.Commit, sqltext.Rollback, sqltext.Savepoint, sqltext.RollbackTo, sqltext.Release:
-		return s.control(ctx, p)
+		return e.control(ctx, p)
 	case sqltext.Set, sqltext.SetTransaction, sqltext.Show, sqltext.Reset, sqltext.Discard, sqltext.Deallocate:
-		return s.configure(p)
+		return e.configure(p)
 	case sqltext.Sleep:
-		return s.pgSleep(ctx, p, args)
+		return e.pgSleep(ctx, p, args)
 	case sqltext.Group:
-		return s.group(p, args)
+		return e.group(p, args)
 	case sqltext.Builtin:
-		return s.builtin(p), nil
+		return e.builtin(p), nil
 	case sqltext.Accepted:
-		return result{tag: p.Tag}, nil
+		return Result{Tag: p.Tag}, nil
 	}
-	return result{}, &rows.Error{Code: "0A000", Message: fmt.Sprintf("%s is not supported", p.Tag)}
+	return Result{}, &rows.Error{Code: "0A000", Message: fmt.Sprintf("%s is not supported", p.Tag)}
 }
 
-func (s *Session) read(ctx context.Context, p *prepared, args []driver.Value) (result, error) {
-	if s.block == 'T' && s.snapshot && !s.reading && s.write == nil {
-		if err := s.db.Exec(ctx, "BEGIN"); err != nil {
-			return result{}, err
+func (e *Executor) read(ctx context.Context, p *Prepared, args []driver.Value) (Result, error) {
+	if e.block == 'T' && e.snapshot && !e.reading && e.write == nil {
+		if err := e.db.Exec(ctx, "BEGIN"); err != nil {
+			return Result{}, err
 		}
-		s.reading = true
-		if err := s.markSavepoints(ctx); err != nil {
-			return result{}, err
+		e.reading = true
+		if err := e.markSavepoints(ctx); err != nil {
+			return Result{}, err
 		}
 	}
-	res, err := s.db.Run(ctx, p.Bound(time.Now()), args, true)
+	res, err := e.db.Run(ctx, p.Bound(time.Now()), args, true)
 	if err != nil {
-		return result{}, s.explain(err)
+		return Result{}, e.explain(err)
 	}
-	return result{rows: res.Rows, tag: fmt.Sprintf("SELECT %d", len(res.Rows))}, nil
+	return Result{Rows: res.Rows, Tag: fmt.Sprintf("SELECT %d", len(res.Rows))}, nil
 }
 
 // modify runs a statement that needs the writer.
-func (s *Session) modify(ctx context.Context, p *prepared, args []driver.Value) (result, error) {
+func (e *Executor) modify(ctx context.Context, p *Prepared, args []driver.Value) (Result, error) {
 	sql := p.Bound(time.Now())
-	temporary := p.Temporary || s.temps[p.Table]
+	temporary := p.Temporary || e.temps[p.Table]
 	if !temporary {
-		if err := s.ensureWrite(ctx); err != nil {
-			return result{}, s.explain(err)
+		if err := e.ensureWrite(ctx); err != nil {
+			return Result{}, e.explain(err)
 		}
 	}
-	res, err := s.db.Run(ctx, sql, args, len(p.columns) > 0)
+	res, err := e.db.Run(ctx, sql, args, len(p.Columns) > 0)
 	if err != nil {
-		return result{}, s.explain(err)
+		return Result{}, e.explain(err)
 	}
 	switch {
 	case p.Temporary:
-		s.temps[p.Table] = true
+		e.temps[p.Table] = true
 	case !temporary && p.Kind != sqltext.LockRead:
-		s.write.Log(record(sql, args, p.Kind == sqltext.DDL))
+		e.write.Log(record(sql, args, p.Kind == sqltext.DDL))
 	}
-	return result{rows: res.Rows, tag: tag(p, res.Affected)}, nil
+	return Result{Rows: res.Rows, Tag: tag(p, res.Affected)}, nil
 }
 
 func record(sql string, args []driver.Value, schema bool) logstore.Statement {
@@ -100,7 +101,7 @@
 	return logstore.Statement{SQL: sql, Args: values, Schema: schema}
 }
 
-func tag(p *prepared, affected int64) string {
+func tag(p *Prepared, affected int64) string {
 	switch p.Tag {
 	case "INSERT":
 		return fmt.Sprintf("INSERT 0 %d", affected)
@@ -111,29 +112,29 @@
 }
 
 // explain turns an error that a fence caused into 25006.
-func (s *Session) explain(err error) error {
-	if s.write != nil && s.write.Ended() {
+func (e *Executor) explain(err error) error {
+	if e.write != nil && e.write.Ended() {
 		return errFenced
 	}
 	return err
 }
 
-func (s *Session) pgSleep(ctx context.Context, p *prepared, args []driver.Value) (result, error) {
+func (e *Executor) pgSleep(ctx context.Context, p *Prepared, args []driver.Value) (Result, error) {
 	if len(p.Args) != 1 {
-		return result{}, &rows.Error{Code: "42883", Message: "function pg_sleep needs one argument"}
+		return Result{}, &rows.Error{Code: "42883", Message: "function pg_sleep needs one argument"}
 	}
 	v, err := argument(p.Args[0], args)
 	if err != nil {
-		return result{}, err
+		return Result{}, err
 	}
 	var seconds float64
 	if _, err := fmt.Sscan(v, &seconds); err != nil {
-		return result{}, &rows.Error{Code: "22P02", Message: "pg_sleep: " + err.Error()}
+		return Result{}, &rows.Error{Code: "22P02", Message: "pg_sleep: " + err.Error()}
 	}
 	if err := sleep(ctx, time.Duration(seconds*float64(time.Second))); err != nil {
-		return result{}, s.explain(err)
+		return Result{}, e.explain(err)
 	}
-	return result{rows: [][]driver.Value{{""}}, tag: "SELECT 1"}, nil
+	return Result{Rows: [][]driver.Value{{""}}, Tag: "SELECT 1"}, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
--- a/standin/server/session/group.go
+++ b/standin/server/executor/group.go
@@ -1,4 +1,4 @@
-package session
+package executor
 
 import (
 	"database/sql/driver"
@@ -11,23 +11,23 @@
 )
 
 // group calls a function of section 3 of the design page.
-func (s *Session) group(p *prepared, args []driver.Value) (result, error) {
+func (e *Executor) group(p *Prepared, args []driver.Value) (Result, error) {
 	words := make([]string, len(p.Args))
 	for i, t := range p.Args {
 		w, err := argument(t, args)
 		if err != nil {
-			return result{}, err
+			return Result{}, err
 		}
 		words[i] = w
 	}
-	st, err := s.callGroup(p.Function, words)
+	st, err := e.callGroup(p.Function, words)
 	if err != nil {
-		return result{}, err
+		return Result{}, err
 	}
-	return result{rows: [][]driver.Value{s.statusRow(st)}, tag: "SELECT 1"}, nil
+	return Result{Rows: [][]driver.Value{e.statusRow(st)}, Tag: "SELECT 1"}, nil
 }
 
-func (s *Session) callGroup(function string, args []string) (tracker.Status, error) {
+func (e *Executor) callGroup(function string, args []string) (tracker.Status, error) {
 	want := map[string]int{
 		"marigold_group_status": 0, "marigold_group_fence": 2, "marigold_group_promote": 2, "marigold_group_follow": 3,
 	}
@@ -38,7 +38,7 @@
 		}
 	}
 	if n == 0 {
-		return s.cfg.Node.Status(), nil
+		return e.cfg.Node.Status(), nil
 	}
 	term, err := strconv.ParseUint(args[0], 10, 63)
 	if err != nil {
@@ -46,17 +46,15 @@
 	}
 	switch function {
 	case "marigold_group_fence":
-		return s.cfg.Node.Fence(term, args[1])
+		return e.cfg.Node.Fence(term, args[1])
 	case "marigold_group_promote":
-		return s.cfg.Node.Promote(term, args[1])
+		return e.cfg.Node.Promote(term, args[1])
 	}
-	answered := make(chan struct{})
-	s.sent = append(s.sent, func() { close(answered) })
-	return s.cfg.Node.Follow(term, args[1], args[2], answered)
+	return e.cfg.Node.Follow(term, args[1], args[2], e.untilAnswered())
 }
 
-func (s *Session) statusRow(st tracker.Status) []driver.Value {
-	connections, _ := s.cfg.Registry.Count()
+func (e *Executor) statusRow(st tracker.Status) []driver.Value {
+	connections := e.cfg.Connections()
 	return []driver.Value{
 		st.Server, string(st.Role), int64(st.Term), st.Promoter, int64(st.Log.Term), int64(st.Log.Offset),
 		st.Lineage.String(), st.Leaving, int64(connections),
@@ -76,21 +74,21 @@
 
 // builtin answers a session function. Advisory locks are granted without being
 // taken.
-func (s *Session) builtin(p *prepared) result {
+func (e *Executor) builtin(p *Prepared) Result {
 	var v driver.Value = ""
 	switch p.Function {
 	case "version":
 		v = "PostgreSQL 15.0 (marigoldhub standin-server)"
 	case "current_database":
-		v = s.database
+		v = e.cfg.Database
 	case "current_schema":
 		v = "public"
 	case "pg_backend_pid":
-		v = int64(s.pid)
+		v = int64(e.cfg.PID)
 	case "pg_is_in_recovery":
-		v = s.cfg.Node.Status().Role != tracker.RolePrimary
+		v = e.cfg.Node.Status().Role != tracker.RolePrimary
 	case "pg_try_advisory_lock", "pg_advisory_unlock":
 		v = true
 	}
-	return result{rows: [][]driver.Value{{v}}, tag: "SELECT 1"}
+	return Result{Rows: [][]driver.Value{{v}}, Tag: "SELECT 1"}
 }
--- a/standin/server/session/settings.go
+++ b/standin/server/executor/settings.go
@@ -1,4 +1,4 @@
-package session
+package executor
 
 import (
 	"database/sql/driver"
@@ -6,8 +6,6 @@
 	"maps"
 	"strings"
 
-	"github.com/jackc/pgx/v5/pgproto3"
-
 	"marigoldhub.example/hub/standin/server/rows"
 	"marigoldhub.example/hub/standin/server/sqltext"
 )
@@ -29,27 +27,41 @@
 // reportedNames gives the spelling of settings that contain upper case.
 var reportedNames = map[string]string{"datestyle": "DateStyle", "timezone": "TimeZone"}
 
+// Setting is a setting that clients are told.
+type Setting struct {
+	Name, Value string
+}
+
+// Reported returns the settings that clients are told at startup.
+func (e *Executor) Reported() []Setting {
+	list := make([]Setting, len(reported))
+	for i, name := range reported {
+		list[i] = Setting{Name: reportedName(name), Value: e.vars[name]}
+	}
+	return list
+}
+
 // configure runs a statement about the session itself.
-func (s *Session) configure(p *prepared) (result, error) {
-	res := result{tag: p.Tag}
+func (e *Executor) configure(p *Prepared) (Result, error) {
+	res := Result{Tag: p.Tag}
 	switch p.Kind {
 	case sqltext.Set:
-		return res, s.set(p.Statement)
+		return res, e.set(p.Statement)
 	case sqltext.SetTransaction:
-		if s.block == 'T' {
-			s.options(p.Tokens)
+		if e.block == 'T' {
+			e.options(p.Tokens)
 		}
 		return res, nil
 	case sqltext.Show:
-		v, err := s.show(settingName(p.Statement))
-		return result{rows: v, tag: "SHOW"}, err
+		v, err := e.show(settingName(p.Statement))
+		return Result{Rows: v, Tag: "SHOW"}, err
 	case sqltext.Reset:
-		s.reset(settingName(p.Statement))
+		e.reset(settingName(p.Statement))
 		return res, nil
 	case sqltext.Discard:
-		return res, s.discard(p.Statement)
+		return res, e.discard(p.Statement)
 	}
-	s.deallocate(p.Tokens[len(p.Tokens)-1])
+	e.deallocate(p.Tokens[len(p.Tokens)-1])
 	return res, nil
 }
 
@@ -82,7 +94,7 @@
 	return strings.ToLower(name), i
 }
 
-func (s *Session) set(stmt *sqltext.Statement) error {
+func (e *Executor) set(stmt *sqltext.Statement) error {
 	name, i := setting(stmt)
 	t := stmt.Tokens
 	if i < len(t) && (t[i].Is("=") || t[i].Is("to")) {
@@ -102,23 +114,23 @@
 		value = defaults[name]
 	}
 	if t[1].Is("local") {
-		if s.block == 'T' {
-			if s.locals == nil {
-				s.locals = map[string]string{}
+		if e.block == 'T' {
+			if e.locals == nil {
+				e.locals = map[string]string{}
 			}
-			s.locals[name] = value
+			e.locals[name] = value
 		}
 		return nil
 	}
-	s.vars[name] = value
-	s.report(name)
+	e.vars[name] = value
+	e.report(name)
 	return nil
 }
 
-func (s *Session) report(name string) {
+func (e *Executor) report(name string) {
 	for _, r := range reported {
 		if r == name {
-			s.be.Send(&pgproto3.ParameterStatus{Name: reportedName(name), Value: s.vars[name]})
+			e.cfg.Report(Setting{Name: reportedName(name), Value: e.vars[name]})
 		}
 	}
 }
@@ -130,66 +142,64 @@
 	return name
 }
 
-func (s *Session) show(name string) ([][]driver.Value, error) {
-	if s.block == 'T' && name == "transaction_read_only" && s.readOnly {
+func (e *Executor) show(name string) ([][]driver.Value, error) {
+	if e.block == 'T' && name == "transaction_read_only" && e.readOnly {
 		return [][]driver.Value{{"on"}}, nil
 	}
-	if s.block == 'T' && name == "transaction_isolation" && s.snapshot {
+	if e.block == 'T' && name == "transaction_isolation" && e.snapshot {
 		return [][]driver.Value{{"serializable"}}, nil
 	}
-	if v, ok := s.locals[name]; ok {
+	if v, ok := e.locals[name]; ok {
 		return [][]driver.Value{{v}}, nil
 	}
-	v, ok := s.vars[name]
+	v, ok := e.vars[name]
 	if !ok {
 		return nil, &rows.Error{Code: "42704", Message: fmt.Sprintf("unrecognized configuration parameter %q", name)}
 	}
 	return [][]driver.Value{{v}}, nil
 }
 
-func (s *Session) reset(name string) {
+func (e *Executor) reset(name string) {
 	if name == "all" {
-		s.vars = maps.Clone(defaults)
+		e.vars = maps.Clone(defaults)
 		return
 	}
 	if v, ok := defaults[name]; ok {
-		s.vars[name] = v
-		s.report(name)
+		e.vars[name] = v
+		e.report(name)
 		return
 	}
-	delete(s.vars, name)
+	delete(e.vars, name)
 }
 
 // discard runs DISCARD. A new row store connection drops temporary tables.
-func (s *Session) discard(stmt *sqltext.Statement) error {
-	if s.block != 'I' {
+func (e *Executor) discard(stmt *sqltext.Statement) error {
+	if e.block != 'I' {
 		return &rows.Error{Code: "25001", Message: "DISCARD ALL cannot run inside a transaction block"}
 	}
 	if stmt.Tag != "DISCARD ALL" {
 		return nil
 	}
-	s.vars = maps.Clone(defaults)
-	clear(s.statements)
-	clear(s.portals)
-	if len(s.temps) == 0 {
+	e.vars = maps.Clone(defaults)
+	e.cfg.Forget("")
+	if len(e.temps) == 0 {
 		return nil
 	}
-	clear(s.temps)
-	clear(s.plans)
-	s.rollback()
-	db, err := s.cfg.Node.OpenRows()
+	clear(e.temps)
+	e.rollback()
+	db, err := e.cfg.Node.OpenRows()
 	if err != nil {
 		return err
 	}
-	s.db.Close()
-	s.db = db
+	e.db.Close()
+	e.db = db
 	return nil
 }
 
-func (s *Session) deallocate(t sqltext.Token) {
+func (e *Executor) deallocate(t sqltext.Token) {
 	if t.Is("all") {
-		clear(s.statements)
+		e.cfg.Forget("")
 		return
 	}
-	delete(s.statements, t.Value())
+	e.cfg.Forget(t.Value())
 }
--- a/standin/server/rows/conn.go
+++ b/standin/server/rows/conn.go
@@ -164,6 +164,8 @@
 		types, ok := c.tables[table]
 		if !ok {
 			types = c.tableTypes(table)
+		}
+		if types != nil {
 			c.tables[table] = types
 		}
 		for name, oid := range types {
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldhub.example/hub/internal/tracker"
+	"marigoldhub.example/hub/standin/server/executor"
 	"marigoldhub.example/hub/standin/server/logstore"
 	"marigoldhub.example/hub/standin/server/node"
 	"marigoldhub.example/hub/standin/server/session"
@@ -54,7 +55,7 @@
 		node: n,
 		sessions: &session.Config{
 			Node: n, Registry: registry, Freeze: n.Freeze, TLS: cfg.TLS, Password: cfg.Password,
-			ConnectionLimit: cfg.ConnectionLimit, OpenDelay: cfg.OpenDelay, Faults: &session.Faults{}, Log: entry,
+			ConnectionLimit: cfg.ConnectionLimit, OpenDelay: cfg.OpenDelay, Faults: &executor.Faults{}, Log: entry,
 		},
 		done: make(chan struct{}),
 	}
--- a/standin/server/session/config.go
+++ b/standin/server/session/config.go
@@ -2,11 +2,11 @@
 
 import (
 	"crypto/tls"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"marigoldhub.example/hub/standin/server/executor"
 	"marigoldhub.example/hub/standin/server/node"
 )
 
@@ -24,27 +24,6 @@
 	ConnectionLimit int
 	// OpenDelay is added to the time to open a connection.
 	OpenDelay time.Duration
-	Faults    *Faults
+	Faults    *executor.Faults
 	Log       *logrus.Entry
 }
-
-// Faults are faults that tests switch on.
-type Faults struct {
-	// Slow delays each statement, in nanoseconds.
-	Slow atomic.Int64
-	// LoseAnswer counts the next commits that take effect without an answer.
-	LoseAnswer atomic.Int64
-}
-
-// takeLoss reports whether the answer of this commit is lost.
-func (f *Faults) takeLoss() bool {
-	for {
-		n := f.LoseAnswer.Load()
-		if n <= 0 {
-			return false
-		}
-		if f.LoseAnswer.CompareAndSwap(n, n-1) {
-			return true
-		}
-	}
-}
--- a/standin/server/session/extended.go
+++ b/standin/server/session/extended.go
@@ -43,13 +43,13 @@
 	if len(list) == 1 {
 		stmt = list[0]
 	}
-	if err := s.checkFailed(stmt.Kind); err != nil {
+	if err := s.exec.CheckFailed(stmt.Kind); err != nil {
 		return err
 	}
 	if _, ok := s.statements[msg.Name]; ok && msg.Name != "" {
 		return &rows.Error{Code: "42P05", Message: fmt.Sprintf("prepared statement %q already exists", msg.Name)}
 	}
-	p, err := s.prepare(stmt, msg.ParameterOIDs)
+	p, err := s.exec.Prepare(stmt, msg.ParameterOIDs)
 	if err != nil {
 		return err
 	}
@@ -63,24 +63,24 @@
 	if !ok {
 		return errNoStatement(msg.PreparedStatement)
 	}
-	if err := s.checkFailed(p.Kind); err != nil {
+	if err := s.exec.CheckFailed(p.Kind); err != nil {
 		return err
 	}
-	if len(msg.Parameters) != len(p.params) {
+	if len(msg.Parameters) != len(p.ParamTypes) {
 		return &rows.Error{Code: "08P01", Message: fmt.Sprintf(
 			"bind message supplies %d parameters, but prepared statement %q requires %d",
-			len(msg.Parameters), msg.PreparedStatement, len(p.params))}
+			len(msg.Parameters), msg.PreparedStatement, len(p.ParamTypes))}
 	}
 	args := make([]driver.Value, len(msg.Parameters))
 	for i, b := range msg.Parameters {
-		v, err := pgvalue.Decode(b, p.params[i], formatOf(msg.ParameterFormatCodes, i) == 1)
+		v, err := pgvalue.Decode(b, p.ParamTypes[i], formatOf(msg.ParameterFormatCodes, i) == 1)
 		if err != nil {
 			return &rows.Error{Code: "22P02", Message: fmt.Sprintf("parameter $%d: %v", i+1, err)}
 		}
 		args[i] = v
 	}
 	s.portals[msg.DestinationPortal] = &portal{
-		prepared: p,
+		Prepared: p,
 		args:     args,
 		formats:  append([]int16(nil), msg.ResultFormatCodes...),
 	}
@@ -107,15 +107,15 @@
 		if !ok {
 			return errNoStatement(msg.Name)
 		}
-		s.be.Send(&pgproto3.ParameterDescription{ParameterOIDs: p.params})
-		s.sendColumns(p.columns, nil)
+		s.be.Send(&pgproto3.ParameterDescription{ParameterOIDs: p.ParamTypes})
+		s.sendColumns(p.Columns, nil)
 		return nil
 	}
 	p, ok := s.portals[msg.Name]
 	if !ok {
 		return errNoPortal(msg.Name)
 	}
-	s.sendColumns(p.columns, p)
+	s.sendColumns(p.Columns, p)
 	return nil
 }
 
@@ -129,14 +129,14 @@
 		return nil
 	}
 	if !p.started {
-		if err := s.checkFailed(p.Kind); err != nil {
+		if err := s.exec.CheckFailed(p.Kind); err != nil {
 			return err
 		}
-		res, err := s.execute(p.prepared, p.args)
+		res, err := s.exec.Execute(p.Prepared, p.args)
 		if err != nil {
 			return err
 		}
-		p.started, p.rest, p.tag = true, res.rows, res.tag
+		p.started, p.rest, p.tag = true, res.Rows, res.Tag
 	}
 	n := len(p.rest)
 	if msg.MaxRows > 0 {
@@ -144,7 +144,7 @@
 	}
 	batch := p.rest[:n]
 	p.rest = p.rest[n:]
-	if len(p.columns) > 0 {
+	if len(p.Columns) > 0 {
 		if err := s.sendRows(p, batch); err != nil {
 			return err
 		}
@@ -177,9 +177,9 @@
 }
 
 func (s *Session) sendRows(p *portal, list [][]driver.Value) error {
-	values := make([][]byte, len(p.columns))
+	values := make([][]byte, len(p.Columns))
 	for _, row := range list {
-		for i, c := range p.columns {
+		for i, c := range p.Columns {
 			b, err := pgvalue.Encode(row[i], c.OID, p.format(i) == 1)
 			if err != nil {
 				return &rows.Error{Code: "22P03", Message: fmt.Sprintf("column %q: %v", c.Name, err)}
--- a/standin/server/session/registry.go
+++ b/standin/server/session/registry.go
@@ -1,12 +1,14 @@
 package session
 
 import (
+	"bytes"
 	"crypto/rand"
-	"encoding/binary"
 	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
+
+	"marigoldhub.example/hub/standin/server/executor"
 )
 
 // Registry knows the open sessions.
@@ -39,6 +41,13 @@
 	return true
 }
 
+// attach makes a session's executor known to cancel requests.
+func (r *Registry) attach(s *Session, exec *executor.Executor) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.exec = exec
+}
+
 func (r *Registry) remove(s *Session) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -49,10 +58,10 @@
 
 func (r *Registry) cancel(pid uint32, secret []byte) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	s := r.sessions[pid]
-	r.mu.Unlock()
-	if s != nil && len(secret) == 4 && binary.BigEndian.Uint32(secret) == binary.BigEndian.Uint32(s.secret) {
-		s.interrupt()
+	if s != nil && s.exec != nil && bytes.Equal(secret, s.secret) {
+		s.exec.Interrupt()
 	}
 }
 
@@ -63,6 +72,11 @@
 	return len(r.sessions), r.peak
 }
 
+func (r *Registry) now() int {
+	n, _ := r.Count()
+	return n
+}
+
 // DropAll closes all connections without waiting for the sessions to end.
 func (r *Registry) DropAll() {
 	r.mu.Lock()
--- a/standin/server/session/session.go
+++ b/standin/server/session/session.go
@@ -3,19 +3,14 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"net"
-	"sync"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"marigoldhub.example/hub/standin/server/node"
+	"marigoldhub.example/hub/standin/server/executor"
 	"marigoldhub.example/hub/standin/server/rows"
 )
 
-// errLost ends a connection whose answer is lost on purpose.
-var errLost = errors.New("answer lost")
-
 // Session is one client connection.
 type Session struct {
 	cfg    *Config
@@ -27,47 +22,13 @@
 	pid    uint32
 	secret []byte
 
-	user, database string
-
-	// mu is held while a message is processed, and by the rollback after a
-	// fence.
-	mu         sync.Mutex
-	db         *rows.Conn
-	statements map[string]*prepared
+	user       string
+	exec       *executor.Executor
+	statements map[string]*executor.Prepared
 	portals    map[string]*portal
 	plans      map[string]plan
-	skipping   bool
-	vars       map[string]string
-	temps      map[string]bool
-	transaction
-	// sent are called when the answers so far have been sent.
-	sent []func()
-
-	runMu sync.Mutex
-	stop  context.CancelFunc
-}
-
-// transaction is the transaction state of a session.
-type transaction struct {
-	// block is the status of ReadyForQuery: 'I', 'T' or 'E'.
-	block byte
-	// killed is set when a fence ended the transaction.
-	killed   bool
-	readOnly bool
-	snapshot bool
-	// reading is set while a snapshot is open on the row store.
-	reading    bool
-	write      *node.WriteTx
-	savepoints []savepoint
-	// locals are the settings of SET LOCAL, saved the settings before the
-	// block.
-	locals map[string]string
-	saved  map[string]string
-}
-
-type savepoint struct {
-	name string
-	mark int
+	// skipping is set between an error and the next Sync.
+	skipping bool
 }
 
 // Serve serves one client connection to its end.
@@ -77,13 +38,10 @@
 		conn:       conn,
 		raw:        conn,
 		be:         pgproto3.NewBackend(conn, conn),
-		statements: map[string]*prepared{},
+		statements: map[string]*executor.Prepared{},
 		portals:    map[string]*portal{},
 		plans:      map[string]plan{},
-		vars:       maps.Clone(defaults),
-		temps:      map[string]bool{},
 	}
-	s.block = 'I'
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	defer context.AfterFunc(s.ctx, func() { s.raw.Close() })()
 	defer s.close()
@@ -99,12 +57,9 @@
 // close releases everything that the session holds.
 func (s *Session) close() {
 	s.cancel()
-	s.mu.Lock()
-	s.rollback()
-	if s.db != nil {
-		s.db.Close()
+	if s.exec != nil {
+		s.exec.Close()
 	}
-	s.mu.Unlock()
 	s.raw.Close()
 	s.cfg.Registry.remove(s)
 }
@@ -125,9 +80,9 @@
 		if _, ok := msg.(*pgproto3.Terminate); ok {
 			return nil
 		}
-		s.mu.Lock()
+		s.exec.Lock()
 		flush, err := s.handle(msg)
-		s.mu.Unlock()
+		s.exec.Unlock()
 		if err != nil {
 			return err
 		}
@@ -138,10 +93,7 @@
 		if err := s.be.Flush(); err != nil {
 			return err
 		}
-		for _, f := range s.sent {
-			f()
-		}
-		s.sent = nil
+		s.exec.Answered()
 	}
 }
 
@@ -154,8 +106,8 @@
 		return true, err
 	case *pgproto3.Sync:
 		s.skipping = false
-		err := s.endImplicit()
-		if err != nil && !errors.Is(err, errLost) {
+		err := s.exec.EndImplicit()
+		if err != nil && !errors.Is(err, executor.ErrLost) {
 			s.fail(err)
 			err = nil
 		}
@@ -170,7 +122,7 @@
 		return false, nil
 	}
 	err = s.extended(msg)
-	if err != nil && !errors.Is(err, errLost) {
+	if err != nil && !errors.Is(err, executor.ErrLost) {
 		s.fail(err)
 		s.skipping = true
 		err = nil
@@ -179,10 +131,10 @@
 }
 
 func (s *Session) ready() {
-	if s.block == 'I' {
+	if s.exec.Block() == 'I' {
 		clear(s.portals)
 	}
-	s.be.Send(&pgproto3.ReadyForQuery{TxStatus: s.block})
+	s.be.Send(&pgproto3.ReadyForQuery{TxStatus: s.exec.Block()})
 }
 
 // fail sends an error and moves the transaction to its failed state.
@@ -193,28 +145,5 @@
 		resp.Code, resp.Message = e.Code, e.Message
 	}
 	s.be.Send(resp)
-	s.failTransaction()
-}
-
-// begin starts the context of one statement, which interrupt cancels.
-func (s *Session) begin() (context.Context, func()) {
-	ctx, cancel := context.WithCancel(s.ctx)
-	s.runMu.Lock()
-	s.stop = cancel
-	s.runMu.Unlock()
-	return ctx, func() {
-		s.runMu.Lock()
-		s.stop = nil
-		s.runMu.Unlock()
-		cancel()
-	}
-}
-
-// interrupt cancels the running statement, if any.
-func (s *Session) interrupt() {
-	s.runMu.Lock()
-	defer s.runMu.Unlock()
-	if s.stop != nil {
-		s.stop()
-	}
+	s.exec.Fail()
 }
--- a/standin/server/session/simple.go
+++ b/standin/server/session/simple.go
@@ -5,6 +5,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/standin/server/executor"
 	"marigoldhub.example/hub/standin/server/rows"
 	"marigoldhub.example/hub/standin/server/sqltext"
 )
@@ -16,7 +17,7 @@
 	if !known || list.schema != s.cfg.Node.Schema() {
 		list = plan{schema: s.cfg.Node.Schema()}
 		for _, stmt := range sqltext.Parse(src) {
-			list.statements = append(list.statements, &prepared{Statement: stmt})
+			list.statements = append(list.statements, &executor.Prepared{Statement: stmt})
 		}
 		if len(s.plans) >= maxPlans {
 			clear(s.plans)
@@ -29,7 +30,7 @@
 	}
 	for i, p := range list.statements {
 		err := s.simpleStatement(p, i == len(list.statements)-1)
-		if errors.Is(err, errLost) {
+		if errors.Is(err, executor.ErrLost) {
 			return err
 		}
 		if err != nil {
@@ -40,36 +41,36 @@
 	return nil
 }
 
-func (s *Session) simpleStatement(p *prepared, last bool) error {
-	if err := s.checkFailed(p.Kind); err != nil {
+func (s *Session) simpleStatement(p *executor.Prepared, last bool) error {
+	if err := s.exec.CheckFailed(p.Kind); err != nil {
 		return err
 	}
 	if p.Params > 0 {
 		return &rows.Error{Code: "42P02", Message: "there is no parameter $1"}
 	}
-	if p.params == nil {
-		full, err := s.prepare(p.Statement, nil)
+	if p.ParamTypes == nil {
+		full, err := s.exec.Prepare(p.Statement, nil)
 		if err != nil {
 			return err
 		}
 		*p = *full
-		p.params = []uint32{}
+		p.ParamTypes = []uint32{}
 	}
-	res, err := s.execute(p, nil)
+	res, err := s.exec.Execute(p, nil)
 	if err != nil {
 		return err
 	}
 	if last {
-		if err := s.endImplicit(); err != nil {
+		if err := s.exec.EndImplicit(); err != nil {
 			return err
 		}
 	}
-	if len(p.columns) > 0 {
-		s.sendColumns(p.columns, nil)
-		if err := s.sendRows(&portal{prepared: p}, res.rows); err != nil {
+	if len(p.Columns) > 0 {
+		s.sendColumns(p.Columns, nil)
+		if err := s.sendRows(&portal{Prepared: p}, res.Rows); err != nil {
 			return err
 		}
 	}
-	s.be.Send(&pgproto3.CommandComplete{CommandTag: []byte(res.tag)})
+	s.be.Send(&pgproto3.CommandComplete{CommandTag: []byte(res.Tag)})
 	return nil
 }
--- a/standin/server/session/startup.go
+++ b/standin/server/session/startup.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
 
+	"marigoldhub.example/hub/standin/server/executor"
 	"marigoldhub.example/hub/standin/server/rows"
 )
 
@@ -69,7 +70,7 @@
 	if err != nil {
 		return err
 	}
-	s.user, s.database = msg.Parameters["user"], msg.Parameters["database"]
+	s.user = msg.Parameters["user"]
 	if !s.cfg.Registry.add(s, s.cfg.ConnectionLimit) {
 		return s.refuse("53300", "sorry, too many clients already")
 	}
@@ -77,9 +78,14 @@
 	if err := s.authenticate(); err != nil {
 		return err
 	}
-	if s.db, err = s.cfg.Node.OpenRows(); err != nil {
+	exec, err := executor.New(s.ctx, executor.Config{
+		Node: s.cfg.Node, Faults: s.cfg.Faults, Statements: &s.cfg.Registry.Statements, PID: s.pid,
+		Database: msg.Parameters["database"], Connections: s.cfg.Registry.now, Report: s.report, Forget: s.forget,
+	})
+	if err != nil {
 		return err
 	}
+	s.cfg.Registry.attach(s, exec)
 	s.greet()
 	if err := s.be.Flush(); err != nil {
 		return err
@@ -89,13 +95,29 @@
 
 func (s *Session) greet() {
 	s.be.Send(&pgproto3.AuthenticationOk{})
-	for _, name := range reported {
-		s.be.Send(&pgproto3.ParameterStatus{Name: reportedName(name), Value: s.vars[name]})
+	for _, setting := range s.exec.Reported() {
+		s.report(setting)
 	}
 	s.be.Send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: s.secret})
 	s.be.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
 }
 
+func (s *Session) report(setting executor.Setting) {
+	s.be.Send(&pgproto3.ParameterStatus{Name: setting.Name, Value: setting.Value})
+}
+
+// forget drops a prepared statement, or all statements and portals if the name
+// is empty.
+func (s *Session) forget(name string) {
+	if name != "" {
+		delete(s.statements, name)
+		return
+	}
+	clear(s.statements)
+	clear(s.portals)
+	clear(s.plans)
+}
+
 // refuse ends the startup with an error for the client.
 func (s *Session) refuse(code, message string) error {
 	s.be.Send(&pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: code, Message: message})
