--- a/internal/overseer/cell_test.go
+++ b/internal/overseer/cell_test.go
@@ -49,18 +49,6 @@
 	m.changed = make(chan struct{})
 }
 
-func (m *members) remove(name string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var rest []enroller.Member
-	for _, e := range m.list {
-		if e.Instance != name {
-			rest = append(rest, e)
-		}
-	}
-	m.list = rest
-}
-
 type directory struct {
 	*members
 	self enroller.Member
