confirmer: read directly at once while the monitor is known to be silent

Every request waited 300 ms for a dead monitor. Requests of one group now share the measurement of its silence.

--- a/internal/confirmer/chooser.go
+++ b/internal/confirmer/chooser.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -45,6 +45,9 @@
 	local  *Local
 	remote *Remote
 	direct *Direct
+
+	mu       sync.Mutex
+	hearings map[string]*hearing
 }
 
 var _ Confirmer = (*Chooser)(nil)
@@ -56,20 +59,32 @@
 		local:  NewLocal(cfg.Trackers, cfg.Clock),
 		remote: NewRemote(cfg.Directory.Self().Instance, cfg.Dialer, cfg.Clock, cfg.Recorder),
 		direct: NewDirect(cfg.Read, cfg.Clock),
+
+		hearings: make(map[string]*hearing),
 	}
 }
 
+func (c *Chooser) hearing(group string) *hearing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h, ok := c.hearings[group]
+	if !ok {
+		h = &hearing{clock: c.cfg.Clock}
+		c.hearings[group] = h
+	}
+	return h
+}
+
 // Confirm implements [Confirmer]. Once the monitor has been silent for a
 // while, direct reads run beside the questions to it, and the first answer
 // counts.
 func (c *Chooser) Confirm(ctx context.Context, req Request) (Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	heard := &hearing{clock: c.cfg.Clock}
-	heard.note()
+	heard := c.hearing(req.Group)
 	answers := make(chan answer, 2)
 	go func() { answers <- c.ask(ctx, req, heard) }()
-	timer := c.cfg.Clock.NewTimer(monitorSilence)
+	timer := c.cfg.Clock.NewTimer(max(monitorSilence-heard.silence(), 0))
 	defer timer.Stop()
 	isDirect := false
 	for {
@@ -95,11 +110,13 @@
 func (c *Chooser) ask(ctx context.Context, req Request, heard *hearing) answer {
 	for {
 		result, err := c.askOnce(ctx, req)
+		if err == nil || errors.Is(err, ErrUndecided) {
+			heard.note()
+		}
 		if err == nil {
 			return answer{result: result}
 		}
 		if errors.Is(err, ErrUndecided) {
-			heard.note()
 			continue
 		}
 		select {
@@ -145,16 +162,3 @@
 	result, err := c.direct.Confirm(ctx, group.Tracked(), req)
 	return answer{result: result, err: err}
 }
-
-// hearing notes when the monitor last answered.
-type hearing struct {
-	clock clockwork.Clock
-	at    atomic.Pointer[time.Time]
-}
-
-func (h *hearing) note() {
-	now := h.clock.Now()
-	h.at.Store(&now)
-}
-
-func (h *hearing) silence() time.Duration { return h.clock.Since(*h.at.Load()) }
--- a/internal/overseer/cell_test.go
+++ b/internal/overseer/cell_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"marigoldhub.example/hub/internal/checker"
@@ -170,6 +171,8 @@
 	source    *source
 	members   *members
 	instances []*instance
+	// registries count the bytes of each instance's outgoing calls.
+	registries []metrics.Registry
 }
 
 func newCell(t *testing.T) *cell {
@@ -248,11 +251,13 @@
 	c.members.mu.Lock()
 	c.members.list = append(c.members.list, self)
 	c.members.mu.Unlock()
+	registry := metrics.NewRegistry()
+	c.registries = append(c.registries, registry)
 	i := &instance{
 		name:     name,
 		recorder: recorder.New(name, 256, clock),
 		server:   messenger.NewServer(messenger.ServerConfig{Listener: lis, Log: c.log}),
-		pool:     messenger.NewPool(messenger.PoolConfig{}),
+		pool:     messenger.NewPool(messenger.PoolConfig{Registry: registry}),
 	}
 	dir := directory{c.members, self}
 	i.overseer = overseer.New(overseer.Config{
