--- a/internal/relayer/batch.go
+++ b/internal/relayer/batch.go
@@ -36,8 +36,9 @@
 func (s *Session) readLoop() {
 	for {
 		in := s.readMessage()
-		if isVanished(in.err) {
+		if _, ends := in.msg.(*pgproto3.Terminate); ends || isVanished(in.err) {
 			s.vanish()
+			return
 		}
 		select {
 		case s.incoming <- in:
@@ -147,8 +148,6 @@
 	case *pgproto3.Flush:
 		b.flushed = true
 		return true, nil
-	case *pgproto3.Terminate:
-		return false, errClosed
 	case *pgproto3.FunctionCall:
 		if len(b.msgs) > 0 || s.held.open != nil {
 			return false, fatal(resolver.CodeProtocolViolation, "function call inside an extended-protocol batch")
--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -194,7 +194,7 @@
 		}
 		changed := s.r.parts.Views.Changed(s.name)
 		v, _ := s.r.parts.Views.View(s.name)
-		conn, err := s.acquire(pooler.Request{Group: s.name, Server: v.Primary, Class: class, Caller: s.caller.Name}, s.r.cfg.PrimaryWait)
+		conn, err := s.acquireWatched(pooler.Request{Group: s.name, Server: v.Primary, Class: class, Caller: s.caller.Name})
 		if err == nil {
 			return conn, nil
 		}
@@ -213,6 +213,9 @@
 	if s.isGone() {
 		return resolver.NotRunError("caller is gone")
 	}
+	if errors.Is(err, errReplaced) && !w.over() {
+		return nil
+	}
 	if errors.Is(err, errCanceled) {
 		return resolver.Error(resolver.CodeCanceled, "canceling statement due to user request", "")
 	}
@@ -229,27 +232,56 @@
 	return resolver.NotRunError("no connection to backend server " + refused.Server + ": " + string(refused.Reason))
 }
 
-// errCanceled is returned when a cancel request ends the wait for a
-// connection.
-var errCanceled = errors.New("canceled while waiting for a connection")
+// Causes that end the wait for a connection.
+var (
+	errCanceled = errors.New("canceled while waiting for a connection")
+	errReplaced = errors.New("primary replaced while waiting for a connection")
+)
 
-// acquire waits for a server connection. The wait ends with the caller and
-// with a cancel request.
-func (s *Session) acquire(req pooler.Request, limit time.Duration) (pooler.Conn, error) {
-	ctx, cancel := context.WithTimeout(s.ctx, limit)
+// acquireWatched waits for a connection to the primary. The wait ends when
+// another server becomes the primary.
+func (s *Session) acquireWatched(req pooler.Request) (pooler.Conn, error) {
+	ctx, interrupt := context.WithCancelCause(s.ctx)
+	defer interrupt(nil)
+	watch := time.AfterFunc(checkInterval, func() { s.watchPrimary(ctx, req.Server, interrupt) })
+	defer watch.Stop()
+	return s.acquire(ctx, req, s.r.cfg.PrimaryWait)
+}
+
+// watchPrimary interrupts when another server becomes the primary.
+func (s *Session) watchPrimary(ctx context.Context, server string, interrupt context.CancelCauseFunc) {
+	for {
+		changed := s.r.parts.Views.Changed(s.name)
+		v, ok := s.r.parts.Views.View(s.name)
+		if ok && v.Term > 0 && v.Primary != "" && v.Primary != server {
+			interrupt(errReplaced)
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// acquire waits for a server connection. The wait also ends with a cancel
+// request.
+func (s *Session) acquire(ctx context.Context, req pooler.Request, limit time.Duration) (pooler.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	ctx, interrupt := context.WithCancelCause(ctx)
 	defer interrupt(nil)
 	s.setCanceler(func() { interrupt(errCanceled) })
 	conn, err := s.r.parts.Acquirer.Acquire(ctx, req)
 	s.setCanceler(nil)
-	if err != nil {
-		if errors.Is(context.Cause(ctx), errCanceled) {
-			return nil, errCanceled
-		}
-		return nil, err
+	if err == nil {
+		return conn, nil
+	}
+	if cause := context.Cause(ctx); errors.Is(cause, errCanceled) || errors.Is(cause, errReplaced) {
+		return nil, cause
 	}
-	return conn, nil
+	return nil, err
 }
 
 func (s *Session) setCanceler(f context.CancelFunc) {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -247,6 +248,27 @@
 	}
 }
 
+// Guards against a wait for a connection to a primary that was replaced in the
+// meantime.
+func TestWaitFollowsPrimary(t *testing.T) {
+	fx := newFixture(t)
+	for range cap(fx.pool.slots["a"]) {
+		exec(t, fx.connect(), "begin")
+	}
+	time.AfterFunc(200*time.Millisecond, func() {
+		fx.b.setRole(tracker.RolePrimary)
+		fx.views.set(func(v *tracker.View) { v.Term, v.Primary, v.Replicas = 2, "b", nil })
+	})
+	start := time.Now()
+	exec(t, fx.connect(), "insert into kv values ('x', '1')")
+	if d := time.Since(start); d > time.Second {
+		t.Errorf("waited for %v", d)
+	}
+	if fx.b.count("insert") != 1 {
+		t.Error("the write did not go to the new primary")
+	}
+}
+
 // Guards against a cancel request that does not reach the statement, or that
 // breaks the session.
 func TestCancel(t *testing.T) {
@@ -263,8 +285,15 @@
 	exec(t, c, "insert into kv values ('x', '1')")
 }
 
-// Guards against the statement of a vanished caller holding its connection.
+// Guards against the statement of a vanished caller holding its connection,
+// also when the caller says goodbye.
 func TestVanishedCaller(t *testing.T) {
+	for _, last := range []string{"", "X\x00\x00\x00\x04"} {
+		testVanished(t, last)
+	}
+}
+
+func testVanished(t *testing.T, last string) {
 	fx := newFixture(t)
 	c := fx.connect()
 	ended := make(chan struct{})
@@ -275,6 +304,7 @@
 	for fx.a.count("pg_sleep") == 0 {
 		time.Sleep(time.Millisecond)
 	}
+	_, _ = io.WriteString(c.PgConn().Conn(), last)
 	_ = c.PgConn().Conn().Close()
 	<-ended
 	deadline := time.Now().Add(3 * time.Second)
--- a/internal/relayer/replica.go
+++ b/internal/relayer/replica.go
@@ -75,7 +75,7 @@
 func (s *Session) tryReplica(b *batch, p *planner.Plan, choice router.Choice) (bool, error) {
 	s.group.addRead(choice.Replica, 1)
 	defer s.group.addRead(choice.Replica, -1)
-	conn, err := s.acquire(pooler.Request{
+	conn, err := s.acquire(s.ctx, pooler.Request{
 		Group: s.name, Server: choice.Replica, Class: pooler.BoundedRead, Caller: s.caller.Name,
 	}, s.r.cfg.ReplicaWait)
 	if err != nil {
