pooler: a place at a server counts until the server has closed the connection

TestCellStaysWithinLimit failed once in a full race run: the server (limit 18) refused one open. A shrinking instance uncounted a connection before it was closed; a report in between let the monitor give the place to another instance. Connections being closed now count in reports and against the allowance, and closing waits up to 100 ms for the server's end of the connection. Ruled out: a sum above the limit in the divider's ledger (TestTotalStaysWithinLimit).

--- a/internal/pooler/backend.go
+++ b/internal/pooler/backend.go
@@ -21,6 +21,9 @@
 	// being opened.
 	open    int
 	opening int
+	// closing counts connections that the server has not closed yet. They are
+	// not part of open but still occupy places at the server.
+	closing int
 	// bounded counts the connections in use by bounded-staleness reads.
 	bounded int
 
@@ -114,12 +117,24 @@
 	return nil
 }
 
-// forget closes a connection that is neither idle nor in use any more.
+// forget closes a connection that is neither idle nor in use any more. Its
+// place counts until the server has closed it too: otherwise another instance
+// could receive the place too early and meet the server's limit.
 func (b *backend) forget(c *conn) {
 	b.open--
-	go c.close()
+	b.closing++
+	go func() {
+		c.close()
+		b.group.mu.Lock()
+		defer b.group.mu.Unlock()
+		b.closing--
+		b.serve(b.group.pool.cfg.Clock.Now())
+	}()
 }
 
+// occupied is the number of places that this instance holds at the server.
+func (b *backend) occupied() int { return b.open + b.closing }
+
 // shrink closes idle connections above the allowance, least recently used
 // first, and all of them when the server takes no work.
 func (b *backend) shrink(now time.Time) {
@@ -184,7 +199,7 @@
 		return
 	}
 	waiting := b.group.queue.countFor(b)
-	for b.opening < min(MaxOpening, waiting) && b.open < b.allowance(now) {
+	for b.opening < min(MaxOpening, waiting) && b.occupied() < b.allowance(now) {
 		b.startOpen()
 	}
 }
--- a/internal/pooler/cell_test.go
+++ b/internal/pooler/cell_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
 	"marigoldhub.example/hub/internal/checker"
@@ -18,6 +19,7 @@
 	"marigoldhub.example/hub/internal/messenger"
 	"marigoldhub.example/hub/internal/messenger/wire"
 	"marigoldhub.example/hub/internal/pooler"
+	"marigoldhub.example/hub/internal/recorder"
 	"marigoldhub.example/hub/internal/tracker"
 )
 
@@ -57,13 +59,14 @@
 		Name: "g", Database: "core", ServerUser: "proxy",
 		Servers: []checker.Server{{Name: "a", Address: server.Address(), ConnectionLimit: 20}},
 	}}})}
+	timeline := recorder.New(name, 64, clockwork.NewRealClock())
 	dialer := messenger.NewPool(messenger.PoolConfig{})
 	roster := enroller.New(enroller.Config{
 		Self:  enroller.Member{Instance: name, Address: lis.Addr().String(), Zone: "z1"},
-		Seeds: []string{seed}, Dialer: dialer, Log: log,
+		Seeds: []string{seed}, Dialer: dialer, Log: log, Recorder: timeline,
 	})
 	count := func(string, string) (int, bool) { return server.Open() + 1, true }
-	giver := divider.New(divider.Config{Catalog: catalog, Directory: roster, Count: count})
+	giver := divider.New(divider.Config{Catalog: catalog, Directory: roster, Count: count, Recorder: timeline})
 	srv := messenger.NewServer(messenger.ServerConfig{Listener: lis, Log: log})
 	if err := errors.Join(
 		wire.DRPCRegisterMembership(srv.Mux(), roster),
@@ -73,7 +76,7 @@
 	}
 	srv.Start()
 	pool := pooler.New(pooler.Config{
-		Catalog: catalog, Views: noViews{}, Directory: roster, Dialer: dialer, Granter: giver, Log: log,
+		Catalog: catalog, Views: noViews{}, Directory: roster, Dialer: dialer, Granter: giver, Log: log, Recorder: timeline,
 	})
 	stop := sync.OnceFunc(func() {
 		_ = srv.Close()
--- a/internal/pooler/config.go
+++ b/internal/pooler/config.go
@@ -47,6 +47,7 @@
 	connectTimeout = time.Second
 	writeTimeout   = 5 * time.Second
 	cancelTimeout  = 2 * time.Second
+	closeTimeout   = 100 * time.Millisecond
 	openJitter     = 10 * time.Millisecond
 	minOpenBackoff = 50 * time.Millisecond
 	maxOpenBackoff = time.Second
--- a/internal/pooler/conn.go
+++ b/internal/pooler/conn.go
@@ -113,14 +113,23 @@
 // usable reports whether an idle connection can be handed out.
 func (c *conn) usable() bool { return c.atRest() && quiet(c.raw) }
 
-// close ends the connection. A server that does not read must not block it.
+// close ends the connection and returns when the server has closed it, or after
+// closeTimeout.
 func (c *conn) close() {
-	_ = c.net.SetDeadline(time.Now().Add(100 * time.Millisecond))
-	if c.atRest() {
-		c.fe.Send(&pgproto3.Terminate{})
-		_ = c.fe.Flush()
+	defer func() { _ = c.net.Close() }()
+	if !c.atRest() {
+		return
+	}
+	_ = c.net.SetDeadline(time.Now().Add(closeTimeout))
+	c.fe.Send(&pgproto3.Terminate{})
+	if c.fe.Flush() != nil {
+		return
+	}
+	for {
+		if _, err := c.fe.Receive(); err != nil {
+			return
+		}
 	}
-	_ = c.net.Close()
 }
 
 // trim closes the least recently used prepared statements beyond the bound.
--- a/internal/pooler/grants.go
+++ b/internal/pooler/grants.go
@@ -102,7 +102,7 @@
 	for _, b := range g.backends {
 		req.Demands = append(req.Demands, &wire.ServerDemand{
 			Server:  b.name,
-			Open:    uint32(b.open),
+			Open:    uint32(b.occupied()),
 			InUse:   uint32(b.inUse()),
 			Waiting: uint32(g.queue.countFor(b)),
 			Granted: uint32(b.allowance(now)),
--- a/internal/pooler/maintain.go
+++ b/internal/pooler/maintain.go
@@ -136,7 +136,7 @@
 // warm keeps one connection open, so that a first request does not wait for
 // one.
 func (b *backend) warm(now time.Time) {
-	if !b.group.closed && b.open == 0 && b.allowance(now) > 0 && b.leavingSince.IsZero() && !now.Before(b.retryAt) {
+	if !b.group.closed && b.open == 0 && b.occupied() < b.allowance(now) && b.leavingSince.IsZero() && !now.Before(b.retryAt) {
 		b.startOpen()
 	}
 }
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -230,14 +230,16 @@
 }
 
 func (p *Pool) closeIdle() {
+	var closing sync.WaitGroup
+	defer closing.Wait()
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	for _, g := range p.groups {
 		g.mu.Lock()
 		for _, b := range g.backends {
+			b.open -= len(b.idle)
 			for _, c := range b.idle {
-				b.open--
-				c.close()
+				closing.Go(c.close)
 			}
 			b.idle = nil
 			b.refuseAll(&RefusedError{Server: b.name, Reason: ReasonDeadline, Err: errors.New("the pool is closed")})
--- a/internal/pooler/stats.go
+++ b/internal/pooler/stats.go
@@ -9,7 +9,8 @@
 type Stats struct {
 	Group  string
 	Server string
-	// Open counts connections that are idle, in use or being opened.
+	// Open counts connections that are idle, in use or being opened, not those
+	// that the server has still to close.
 	Open    int
 	InUse   int
 	Waiting int
