--- a/internal/deployer/address.go
+++ b/internal/deployer/address.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
+
+	"github.com/go-faster/errors"
 )
 
 // Third octets of the loopback addresses. Public addresses belong to
@@ -41,6 +44,23 @@
 	return fmt.Sprintf("%s:%d", b.ip(zone, octet, n), port)
 }
 
+// maxBlocks is the number of installations that can run at the same time on
+// one machine.
+const maxBlocks = 24
+
+// reserveBlock finds a block that no other installation uses, in this process
+// or another one. It is held until the listener is closed.
+func reserveBlock() (addressBook, net.Listener, error) {
+	for block := 1; block <= maxBlocks; block++ {
+		b := addressBook{block: block}
+		lock, err := net.Listen("tcp", b.address(0, octetLink, 250, controlPort))
+		if err == nil {
+			return b, lock, nil
+		}
+	}
+	return addressBook{}, nil, errors.Errorf("%d installations are running already", maxBlocks)
+}
+
 // prefix matches every process of a zone.
 func (b addressBook) prefix(zone int) string { return fmt.Sprintf("127.%d.0.0/16", b.block*10+zone) }
 
--- a/internal/deployer/deployment.go
+++ b/internal/deployer/deployment.go
@@ -4,7 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/base64"
-	mathrand "math/rand/v2"
+	"io"
 	"os"
 	"path/filepath"
 	"time"
@@ -32,6 +32,7 @@
 
 	bin      string
 	book     addressBook
+	block    io.Closer
 	owners   owners
 	verifier string
 	pki      *authority
@@ -57,8 +58,11 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
 	}
-	d := &Deployment{Plan: plan, Dir: dir, bin: bin, book: addressBook{block: 1 + mathrand.IntN(24)}}
+	d := &Deployment{Plan: plan, Dir: dir, bin: bin}
 	var err error
+	if d.book, d.block, err = reserveBlock(); err != nil {
+		return nil, err
+	}
 	if d.owners, err = newOwners(); err != nil {
 		return nil, err
 	}
@@ -205,6 +209,7 @@
 			p.Kill()
 		}
 	}
+	_ = d.block.Close()
 }
 
 func (d *Deployment) logFile(name string) string { return filepath.Join(d.Dir, name+".log") }
--- a/internal/deployer/manifest.go
+++ b/internal/deployer/manifest.go
@@ -71,17 +71,35 @@
 	if err := os.WriteFile(d.ManifestFile(), content, 0o600); err != nil {
 		return time.Time{}, err
 	}
-	err = d.accept(ctx, m.Part, content)
+	err = d.accept(ctx, m.Part, content, func(Stage) {})
 	return time.Now(), err
 }
 
+// Stage is a stage of a manifest change.
+type Stage int
+
+const (
+	Proposed Stage = iota + 1
+	ApprovedOnce
+	Accepted
+)
+
+// PublishStaged is Publish that calls reached after each stage.
+func (d *Deployment) PublishStaged(ctx context.Context, m checker.Manifest, reached func(Stage)) error {
+	content, err := toml.Marshal(m)
+	if err != nil {
+		return err
+	}
+	return d.accept(ctx, m.Part, content, reached)
+}
+
 // PublishOwners puts the first owners revision in force.
 func (d *Deployment) PublishOwners(ctx context.Context) error {
-	return d.accept(ctx, checker.OwnersPart, []byte(approver.FormatOwners(d.owners.list)))
+	return d.accept(ctx, checker.OwnersPart, []byte(approver.FormatOwners(d.owners.list)), func(Stage) {})
 }
 
 // accept proposes content and approves it as both co-owners.
-func (d *Deployment) accept(ctx context.Context, part string, content []byte) error {
+func (d *Deployment) accept(ctx context.Context, part string, content []byte, reached func(Stage)) error {
 	store := storer.NewGateway(storer.Config{Endpoints: []string{d.Platform.Direct}})
 	proposals, err := approver.NewProposals(approver.Config{Store: store, Genesis: d.owners.list, Operator: "deployer"})
 	if err != nil {
@@ -90,7 +108,8 @@
 	if _, _, err := proposals.Propose(ctx, part, content); err != nil {
 		return errors.Wrap(err, "propose")
 	}
-	for _, signer := range d.owners.signers {
+	reached(Proposed)
+	for n, signer := range d.owners.signers {
 		review, err := proposals.Review(ctx, part)
 		if err != nil {
 			return errors.Wrap(err, "review")
@@ -98,6 +117,7 @@
 		if _, err := proposals.Approve(ctx, review, signer); err != nil {
 			return errors.Wrap(err, "approve")
 		}
+		reached(ApprovedOnce + Stage(n))
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/injector/fault.go
@@ -0,0 +1,43 @@
+package injector
+
+import (
+	"context"
+	"time"
+)
+
+// Fault is something that goes wrong.
+type Fault struct {
+	Name string
+	// Hold is how long the fault stays before it is healed.
+	Hold time.Duration
+	// Inject brings the fault about and registers what undoes it.
+	Inject func(ctx context.Context, s *Scene) error
+}
+
+// both returns a fault that is two faults at once.
+func both(a, b Fault) Fault {
+	return Fault{Name: a.Name + "+" + b.Name, Hold: max(a.Hold, b.Hold), Inject: func(ctx context.Context, s *Scene) error {
+		if err := a.Inject(ctx, s); err != nil {
+			return err
+		}
+		return b.Inject(ctx, s)
+	}}
+}
+
+const (
+	shortHold = 1500 * time.Millisecond
+	// longHold is longer than a grant and than the alive limit of members.
+	longHold = 4 * time.Second
+)
+
+// Faults returns every fault of the matrix.
+func Faults() []Fault {
+	single := []Fault{
+		killPrimary, killEntry, killMonitor, freezePrimary, freezeEntry, freezeMonitor,
+		cutPrimary, cutPrimaryOneWay, cutReplication, cutEntry, lagReplicas,
+		storeDown, storeSlow, storeLosesAnswers, operatorRace, stopEntry, serverLeaving, serverLosesAnswers,
+	}
+	return append(single,
+		both(killPrimary, killMonitor), both(cutPrimary, storeDown), both(killPrimary, freezeEntry),
+		both(cutPrimary, killEntry), both(killPrimary, storeDown))
+}
--- /dev/null
+++ b/internal/injector/network_faults.go
@@ -0,0 +1,100 @@
+package injector
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"marigoldhub.example/hub/internal/deployer"
+)
+
+// cutPrimary isolates the primary: nobody reaches it and it reaches nobody.
+var cutPrimary = Fault{Name: "cut_primary", Hold: shortHold, Inject: func(_ context.Context, s *Scene) error {
+	p, err := s.Primary()
+	if err != nil {
+		return err
+	}
+	return errors.Join(
+		s.D.Links.Cut("", deployer.SQLLink(p.Name)),
+		s.D.Links.Cut("", deployer.ReplicationLink(p.Name)),
+		s.D.Links.Cut(p.IP, ""),
+	)
+}}
+
+// cutPrimaryOneWay swallows what instances and replicas send to the primary;
+// what the primary sends still arrives.
+var cutPrimaryOneWay = Fault{Name: "cut_primary_one_way", Hold: shortHold, Inject: func(_ context.Context, s *Scene) error {
+	p, err := s.Primary()
+	if err != nil {
+		return err
+	}
+	return errors.Join(
+		s.D.Links.CutOneWay("", deployer.SQLLink(p.Name)),
+		s.D.Links.CutOneWay("", deployer.ReplicationLink(p.Name)),
+	)
+}}
+
+// cutReplication leaves the primary reachable by callers only.
+var cutReplication = Fault{Name: "cut_replication", Hold: shortHold, Inject: func(_ context.Context, s *Scene) error {
+	p, err := s.Primary()
+	if err != nil {
+		return err
+	}
+	return s.D.Links.Cut("", deployer.ReplicationLink(p.Name))
+}}
+
+// cutEntry cuts the probe's instance off all backend servers and peers.
+var cutEntry = Fault{Name: "cut_entry", Hold: shortHold, Inject: func(_ context.Context, s *Scene) error {
+	return errors.Join(
+		s.D.Links.Cut(s.Probe.IP, "sql:*"),
+		s.D.Links.Cut(s.Probe.IP, deployer.AllPeerLinks),
+		s.D.Links.Cut("", deployer.PeerLink(s.Probe.Name)),
+	)
+}}
+
+const farBehind = 60 * time.Second
+
+var lagReplicas = Fault{Name: "lag_replicas", Hold: shortHold, Inject: func(_ context.Context, s *Scene) error {
+	p, err := s.Primary()
+	if err != nil {
+		return err
+	}
+	for _, server := range s.D.ServersOf(s.Group) {
+		if server == p {
+			continue
+		}
+		if err := server.SetLag(farBehind); err != nil {
+			return err
+		}
+		s.onHeal(func() error { return server.SetLag(s.D.Plan.ApplyDelay) })
+	}
+	return nil
+}}
+
+var serverLeaving = Fault{Name: "server_leaving", Hold: longHold, Inject: func(_ context.Context, s *Scene) error {
+	for _, server := range s.D.ServersOf(s.Group) {
+		p, err := s.Primary()
+		if err != nil {
+			return err
+		}
+		if server == p {
+			continue
+		}
+		s.onHeal(func() error { return server.SetLeaving(false) })
+		return server.SetLeaving(true)
+	}
+	return nil
+}}
+
+// lostAnswers is the number of commits whose answer is lost.
+const lostAnswers = 3
+
+var serverLosesAnswers = Fault{Name: "server_loses_answers", Hold: shortHold, Inject: func(_ context.Context, s *Scene) error {
+	p, err := s.Primary()
+	if err != nil {
+		return err
+	}
+	s.onHeal(func() error { return p.LoseAnswers(0) })
+	return p.LoseAnswers(lostAnswers)
+}}
--- a/internal/loader/crowd.go
+++ b/internal/loader/crowd.go
@@ -10,6 +10,9 @@
 	"marigoldhub.example/hub/internal/examiner"
 )
 
+// pairPause keeps the transaction of a pair open for a while.
+const pairPause = 2 * time.Millisecond
+
 // Crowd is a number of callers that run a mix until stopped.
 type Crowd struct {
 	History *History
@@ -99,7 +102,7 @@
 	case insertRow:
 		_, _ = caller.Insert(ctx, rowKey)
 	case insertPair:
-		_, _ = caller.Pair(ctx, rowKey, 2*time.Millisecond)
+		_, _ = caller.Pair(ctx, rowKey, func() { time.Sleep(pairPause) })
 	case pay:
 		c.payUntilSettled(ctx, caller, rowKey)
 	case echo:
