tracker: ages from the first status of a primary, and over a change of monitor

The position of a primary seen before its term was established was not used, so ages stayed unknown until its next probe. A new monitor takes the ages of the view it held, so that replicas that are far behind keep a known age.

--- a/internal/overseer/task.go
+++ b/internal/overseer/task.go
@@ -86,6 +86,7 @@
 	log.Info("overseer: This instance monitors the group.")
 	t.cfg.Recorder.Record("overseer", "duty_taken", t.group.Name)
 	tr := tracker.New(t.group)
+	tr.Seed(t.board.get(t.cfg.Clock.Now()))
 	defer tr.Retire()
 	commanders := make(map[string]promoter.Commander)
 	for _, s := range t.group.Servers {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -92,7 +92,7 @@
 	t.establish(s.Term)
 	t.confirm()
 	t.proveTerm()
-	t.addSample(t.servers[i])
+	t.addSample()
 	t.answerWaiters()
 	t.notify(before, i)
 }
@@ -236,8 +236,14 @@
 	}
 }
 
-func (t *Tracker) addSample(o Observation) {
-	if t.term > 0 && o.Server == t.primary && o.Status.Role == RolePrimary && o.stores(Position{Term: t.term}) {
+// addSample adds the newest position of the primary. The status may be older
+// than the observation that established the term.
+func (t *Tracker) addSample() {
+	if t.term == 0 || t.primary == "" {
+		return
+	}
+	o := t.servers[t.index(t.primary)]
+	if o.Status.Role == RolePrimary && o.stores(Position{Term: t.term}) {
 		t.history.add(o.SentAt, o.Status.Log.Offset)
 	}
 }
