--- a/internal/relayer/keys.go
+++ b/internal/relayer/keys.go
@@ -7,8 +7,10 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"marigoldhub.example/hub/internal/classifier"
+	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
+	"marigoldhub.example/hub/internal/tracker"
 )
 
 const (
@@ -120,14 +122,14 @@
 	switch {
 	case s.key == "":
 		return "", resolver.Error(resolver.CodeInvalidValue, "marigold.request_key is not set", "")
-	case s.held.conn != nil:
-		return "", resolver.Error("25001", "SHOW marigold.request_outcome needs a session outside a transaction and without pinned connection", "")
+	case s.held.tx.active:
+		return "", resolver.Error("25001", "SHOW marigold.request_outcome cannot run inside a transaction block", "")
 	}
 	conn, failure := s.acquirePrimary(s.newWait(), pooler.Submission)
 	if failure != nil {
 		return "", failure
 	}
-	p := &plan{commits: true, implicit: true}
+	p := &planner.Plan{Commits: true, Implicit: true}
 	x := s.newExchange(conn, &batch{query: &pgproto3.Query{}}, p)
 	return x.closeKey(s.key)
 }
@@ -142,8 +144,11 @@
 		x.dispose(false)
 		return "", resolver.UnknownError(err.Error())
 	case r.err == nil:
-		x.evidence = provedWrite
+		x.evidence = resolver.ProvedWrite
 		return outcomeNotRun, x.confirmInternal()
+	case resolver.ProvesNotRun(r.err):
+		x.dispose(true)
+		return "", resolver.NotRunError(r.err.Message)
 	case r.err.Code != resolver.CodeUniqueViolation:
 		x.dispose(true)
 		return "", r.err
@@ -159,7 +164,7 @@
 		x.dispose(false)
 		return "", resolver.UnknownError(err.Error())
 	}
-	x.evidence = unproved
+	x.evidence = resolver.Unproved
 	if failure := x.confirmInternal(); failure != nil {
 		return "", failure
 	}
@@ -177,14 +182,17 @@
 func (x *exchange) confirmInternal() *pgproto3.ErrorResponse {
 	err := x.askStatus()
 	x.dispose(err == nil)
-	if err != nil {
+	switch {
+	case err != nil:
 		return resolver.UnknownError(err.Error())
+	case x.row.Role != tracker.RolePrimary && x.evidence != resolver.ProvedWrite:
+		return resolver.UnknownError("backend server " + x.conn.Server() + " is not the primary")
 	}
-	res, err := x.s.confirm(x.row.Log, x.evidence != provedWrite)
+	res, err := x.s.confirm(x.row.Log, x.evidence != resolver.ProvedWrite)
 	if err != nil {
 		return resolver.UnknownError(err.Error())
 	}
-	commit := x.evidence.commit(resolver.Commit{Lower: x.lower, Upper: x.row.Log})
+	commit := x.evidence.Commit(resolver.Commit{Lower: x.lower, Upper: x.row.Log})
 	if commit.Resolve(res) != resolver.Done {
 		return resolver.UnknownError("the primary was replaced")
 	}
