relayer: procedures that may have committed a part are never repeated

CALL and DO can commit several times. An error such as 25006 after the first commit proves nothing about it, so the batch is not sent again and the caller is told 'unknown' unless a confirmation resolves it.

--- a/internal/classifier/classify.go
+++ b/internal/classifier/classify.go
@@ -67,6 +67,10 @@
 	case *pg_query.Node_ListenStmt, *pg_query.Node_UnlistenStmt, *pg_query.Node_PrepareStmt,
 		*pg_query.Node_ExecuteStmt, *pg_query.Node_LoadStmt:
 		return Statement{Kind: Pinning}
+	case *pg_query.Node_CallStmt, *pg_query.Node_DoStmt:
+		s := classifyOther(node)
+		s.Procedure = true
+		return s
 	case *pg_query.Node_DeclareCursorStmt:
 		if n.DeclareCursorStmt.Options&cursorHold != 0 {
 			return Statement{Kind: Pinning}
--- a/internal/classifier/statement.go
+++ b/internal/classifier/statement.go
@@ -17,6 +17,8 @@
 	Local bool
 	// ReadOnly is set for BEGIN and SET TRANSACTION with READ ONLY.
 	ReadOnly bool
+	// Procedure is set for CALL and DO, which may commit several times.
+	Procedure bool
 	// Start and End are the byte range of the statement in the text.
 	Start, End int
 }
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -30,6 +30,8 @@
 	Reads bool
 	// ReadOnlyTx is set when a statement asks for a read-only transaction.
 	ReadOnlyTx bool
+	// Procedure is set when a procedure runs, which may commit before it fails.
+	Procedure bool
 	// Refusal is the reason for which the batch cannot run.
 	Refusal *pgproto3.ErrorResponse
 }
@@ -124,6 +126,7 @@
 	p.Explicit = inTx
 	for _, st := range p.Executed {
 		p.ReadOnlyTx = p.ReadOnlyTx || st.ReadOnly
+		p.Procedure = p.Procedure || (st.Procedure && !inTx)
 		switch st.Kind {
 		case classifier.Begin:
 			inTx, p.Explicit = true, true
@@ -184,6 +187,7 @@
 	p.Executed = append(p.Executed, q.Executed...)
 	p.Commits = p.Commits || q.Commits
 	p.Implicit = p.Implicit || q.Implicit
+	p.Procedure = p.Procedure || q.Procedure
 	p.Explicit = p.Explicit || q.Explicit
 	p.Reads = p.Reads || q.Reads
 	p.Begins = q.Begins
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -85,6 +85,9 @@
 	if s.held.tx.active {
 		x.evidence, x.stale = s.held.tx.evidence, s.held.stale
 	}
+	if p.Procedure {
+		x.evidence = resolver.Unproved
+	}
 	x.streams = p.Begins || (s.held.tx.active && !p.Commits)
 	return x
 }
@@ -223,7 +226,7 @@
 // mayHaveCommitted reports whether something of the batch may be committed,
 // as far as the answers read so far tell.
 func (x *exchange) mayHaveCommitted() bool {
-	if x.committed {
+	if x.committed || x.p.Procedure {
 		return true
 	}
 	return x.p.Commits && x.err == nil
@@ -231,7 +234,7 @@
 
 // needsConfirmation reports whether the complete answer must be confirmed.
 func (x *exchange) needsConfirmation() bool {
-	if x.committed {
+	if x.committed || x.p.Procedure {
 		return true
 	}
 	return x.err == nil && (x.p.Implicit || x.p.Reads)
--- a/internal/relayer/fakeserver_test.go
+++ b/internal/relayer/fakeserver_test.go
@@ -255,7 +255,7 @@
 	b.f.mu.Lock()
 	role := b.f.role
 	b.f.mu.Unlock()
-	if strings.HasPrefix(lower, "insert") && role != tracker.RolePrimary {
+	if (strings.HasPrefix(lower, "insert") || strings.HasPrefix(lower, "call")) && role != tracker.RolePrimary {
 		b.fail("25006", "cannot execute INSERT in a read-only transaction")
 		return true
 	}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -229,6 +229,24 @@
 	}
 }
 
+// Guards against a procedure being repeated, or reported as not run, that
+// failed after it may have committed a part of its work.
+func TestProcedureIsNotRepeated(t *testing.T) {
+	fx := newFixture(t)
+	c := fx.connect()
+	const call = "call insert_rows()"
+	if _, err := c.Exec(bg, call); err != nil {
+		t.Fatal(err)
+	}
+	fx.a.setRole(tracker.RoleFenced)
+	if _, err := c.Exec(bg, call); code(err) != "08007" {
+		t.Errorf("got %v, want 08007", err)
+	}
+	if n := fx.a.count(call); n != 2 {
+		t.Errorf("sent %d times, want 2", n)
+	}
+}
+
 // Guards against new work being refused at once while there is no primary, and
 // against the wait exceeding its limit during a planned change.
 func TestWorkIsHeld(t *testing.T) {
