--- a/internal/experimenter/main.go
+++ b/internal/experimenter/main.go
@@ -30,7 +30,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(newDemoCmd())
+	cmd.AddCommand(newDemoCmd(), newMatrixCmd())
 	return cmd
 }
 
