--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -92,7 +92,7 @@
 	t.establish(s.Term)
 	t.confirm()
 	t.proveTerm()
-	t.addSample(t.servers[i])
+	t.addSample()
 	t.answerWaiters()
 	t.notify(before, i)
 }
@@ -236,8 +236,14 @@
 	}
 }
 
-func (t *Tracker) addSample(o Observation) {
-	if t.term > 0 && o.Server == t.primary && o.Status.Role == RolePrimary && o.stores(Position{Term: t.term}) {
+// addSample adds the newest position of the primary. The status may be older
+// than the observation that established the term.
+func (t *Tracker) addSample() {
+	if t.term == 0 || t.primary == "" {
+		return
+	}
+	o := t.servers[t.index(t.primary)]
+	if o.Status.Role == RolePrimary && o.stores(Position{Term: t.term}) {
 		t.history.add(o.SentAt, o.Status.Log.Offset)
 	}
 }
@@ -411,27 +417,19 @@
 	return t.wanted
 }
 
-// Needs reports whether a newer status of the server could help a waiter.
-func (t *Tracker) Needs(server string) bool {
+// Needs tells what a newer status of the server could do for the waiters.
+func (t *Tracker) Needs(server string) Need {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	i := t.index(server)
 	if i < 0 {
-		return false
+		return NeedNothing
 	}
+	need := NeedNothing
 	for w := range t.waiters {
-		if w.needs(t.servers[i]) {
-			return true
-		}
+		need = max(need, w.needs(t.servers[i]))
 	}
-	return false
-}
-
-// IsAwaited reports whether any wait is open.
-func (t *Tracker) IsAwaited() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.waiters) > 0
+	return need
 }
 
 func (t *Tracker) answerWaiters() {
