checker: server_tls is disable or verify-full; catalog lookups are constant in time

Cause: the manifest admitted four TLS modes, pooler and prober knew two others, so that 'disable' meant TLS; Catalog searched every group for each statement, which grows with the databases of a cell. Ruled out: 'require' without verification (an attacker between proxy and server would not be noticed). Change: two modes with constants; maps built once per catalog. Conclusion: unknown values count as TLS.

--- a/internal/checker/catalog.go
+++ b/internal/checker/catalog.go
@@ -6,15 +6,54 @@
 	"marigoldhub.example/hub/internal/tracker"
 )
 
-// Catalog is the merged, immutable content of all parts in force.
+// Catalog is the merged, immutable content of all parts in force. Lookups by
+// name are constant in time, because they are made for every connection and
+// statement.
 type Catalog struct {
-	manifests []Manifest
+	groups      []Group
+	byName      map[string]Group
+	byDatabase  map[string]Group
+	callers     map[string]Caller
+	reads       map[string][]ReadRule
+	drains      map[Drain]bool
+	switchovers map[string][]Switchover
 }
 
 // NewCatalog returns a catalog of checked manifests. The manifests must not be
 // changed afterwards.
 func NewCatalog(manifests ...Manifest) *Catalog {
-	return &Catalog{manifests: slices.Clone(manifests)}
+	c := &Catalog{
+		byName:      map[string]Group{},
+		byDatabase:  map[string]Group{},
+		callers:     map[string]Caller{},
+		reads:       map[string][]ReadRule{},
+		drains:      map[Drain]bool{},
+		switchovers: map[string][]Switchover{},
+	}
+	for _, m := range manifests {
+		c.add(m)
+	}
+	return c
+}
+
+func (c *Catalog) add(m Manifest) {
+	c.groups = append(c.groups, m.Groups...)
+	for _, g := range m.Groups {
+		c.byName[g.Name] = g
+		c.byDatabase[g.Database] = g
+	}
+	for _, caller := range m.Callers {
+		c.callers[caller.Name] = caller
+	}
+	for _, r := range m.Reads {
+		c.reads[r.Group] = append(c.reads[r.Group], r)
+	}
+	for _, d := range m.Drains {
+		c.drains[d] = true
+	}
+	for _, s := range m.Switchovers {
+		c.switchovers[s.Group] = append(c.switchovers[s.Group], s)
+	}
 }
 
 // CatalogSource gives the catalog in force.
@@ -27,81 +66,41 @@
 
 // Groups returns all database groups.
 func (c *Catalog) Groups() []tracker.Group {
-	var groups []tracker.Group
-	for _, m := range c.manifests {
-		for _, g := range m.Groups {
-			groups = append(groups, g.Tracked())
-		}
+	groups := make([]tracker.Group, 0, len(c.groups))
+	for _, g := range c.groups {
+		groups = append(groups, g.Tracked())
 	}
 	return groups
 }
 
 // Group returns the manifest entry of a group.
 func (c *Catalog) Group(name string) (Group, bool) {
-	return c.findGroup(func(g Group) bool { return g.Name == name })
+	g, ok := c.byName[name]
+	return g, ok
 }
 
 // GroupOfDatabase returns the group that serves a database name.
 func (c *Catalog) GroupOfDatabase(database string) (Group, bool) {
-	return c.findGroup(func(g Group) bool { return g.Database == database })
-}
-
-func (c *Catalog) findGroup(match func(Group) bool) (Group, bool) {
-	for _, m := range c.manifests {
-		if i := slices.IndexFunc(m.Groups, match); i >= 0 {
-			return m.Groups[i], true
-		}
-	}
-	return Group{}, false
+	g, ok := c.byDatabase[database]
+	return g, ok
 }
 
 // Caller returns the manifest entry of a caller.
 func (c *Catalog) Caller(name string) (Caller, bool) {
-	for _, m := range c.manifests {
-		for _, caller := range m.Callers {
-			if caller.Name == name {
-				return caller, true
-			}
-		}
-	}
-	return Caller{}, false
+	caller, ok := c.callers[name]
+	return caller, ok
 }
 
 // Reads returns the read rules of a group.
-func (c *Catalog) Reads(group string) []ReadRule {
-	var rules []ReadRule
-	for _, m := range c.manifests {
-		for _, r := range m.Reads {
-			if r.Group == group {
-				rules = append(rules, r)
-			}
-		}
-	}
-	return rules
-}
+func (c *Catalog) Reads(group string) []ReadRule { return slices.Clone(c.reads[group]) }
 
 // IsDrained reports whether a drain of the server is in force.
 func (c *Catalog) IsDrained(group, server string) bool {
-	for _, m := range c.manifests {
-		if slices.Contains(m.Drains, Drain{Group: group, Server: server}) {
-			return true
-		}
-	}
-	return false
+	return c.drains[Drain{Group: group, Server: server}]
 }
 
 // Switchovers returns the planned changes of primary of a group.
-func (c *Catalog) Switchovers(group string) []Switchover {
-	var plans []Switchover
-	for _, m := range c.manifests {
-		for _, s := range m.Switchovers {
-			if s.Group == group {
-				plans = append(plans, s)
-			}
-		}
-	}
-	return plans
-}
+func (c *Catalog) Switchovers(group string) []Switchover { return slices.Clone(c.switchovers[group]) }
 
 // Tracked returns the group in the form that package tracker uses.
 func (g Group) Tracked() tracker.Group {
--- a/internal/checker/check.go
+++ b/internal/checker/check.go
@@ -24,7 +24,7 @@
 var (
 	partName   = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
 	plainName  = regexp.MustCompile(`^[A-Za-z0-9_][A-Za-z0-9_.-]{0,62}$`)
-	serverTLSs = []string{"", "disable", "require", "verify-ca", "verify-full"}
+	serverTLSs = []string{"", ServerTLSDisable, ServerTLSVerifyFull}
 )
 
 // CheckManifest parses and checks one customer's part.
@@ -78,7 +78,7 @@
 		c.checkUnique(databases, key+".database", g.Database)
 		c.checkText(key+".server_user", g.ServerUser)
 		if !slices.Contains(serverTLSs, g.ServerTLS) {
-			c.Add(key+".server_tls", "must be one of disable, require, verify-ca, verify-full")
+			c.Add(key+".server_tls", "must be %q or %q", ServerTLSDisable, ServerTLSVerifyFull)
 		}
 		c.checkServers(key, g, addresses)
 	}
--- a/internal/checker/manifest.go
+++ b/internal/checker/manifest.go
@@ -18,12 +18,25 @@
 	Database string `toml:"database"`
 	// ServerUser and ServerPasswordFile are the credentials of the proxy at
 	// the backend servers. The file is read by each instance.
-	ServerUser         string   `toml:"server_user"`
-	ServerPasswordFile string   `toml:"server_password_file"`
-	ServerTLS          string   `toml:"server_tls"`
-	Servers            []Server `toml:"server"`
+	ServerUser         string `toml:"server_user"`
+	ServerPasswordFile string `toml:"server_password_file"`
+	// ServerTLS is one of the ServerTLS constants; empty means disable.
+	ServerTLS string   `toml:"server_tls"`
+	Servers   []Server `toml:"server"`
 }
 
+// Values of Group.ServerTLS. A mode that encrypts without verifying the server
+// is not offered.
+const (
+	ServerTLSDisable    = "disable"
+	ServerTLSVerifyFull = "verify-full"
+)
+
+// UsesServerTLS reports whether connections to the group's servers use TLS. A
+// value that the check does not admit counts as TLS, so that no mistake opens
+// a connection in plain text.
+func (g Group) UsesServerTLS() bool { return g.ServerTLS != "" && g.ServerTLS != ServerTLSDisable }
+
 // Server states one backend server. Roles are never set here.
 type Server struct {
 	Name            string `toml:"name"`
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -53,7 +53,7 @@
 		}
 		d.Password = password
 	}
-	if g.ServerTLS != "" && g.ServerTLS != "off" {
+	if g.UsesServerTLS() {
 		d.TLS = c.tls()
 	}
 	return d, nil
--- a/internal/pooler/backend.go
+++ b/internal/pooler/backend.go
@@ -50,7 +50,7 @@
 		database:     g.Database,
 		user:         g.ServerUser,
 		passwordFile: g.ServerPasswordFile,
-		tls:          g.ServerTLS != "" && g.ServerTLS != "off",
+		tls:          g.UsesServerTLS(),
 	}
 }
 
--- a/internal/pooler/config.go
+++ b/internal/pooler/config.go
@@ -94,8 +94,8 @@
 	ServerLeaving func(server string) bool
 	// Password reads a password file. It may be nil when no group has one.
 	Password func(path string) (string, error)
-	// TLS returns the configuration for groups whose server_tls is neither
-	// empty nor "off". An empty ServerName is replaced by the server's IP
+	// TLS returns the configuration for groups whose server_tls is
+	// "verify-full". An empty ServerName is replaced by the server's IP
 	// number.
 	TLS func() *tls.Config
 	// LocalIP is the source address of connections to servers. Nil lets the
