--- a/internal/examiner/answers.go
+++ b/internal/examiner/answers.go
@@ -20,3 +20,20 @@
 	}
 	return found
 }
+
+const ruleCutOff = "nothing_cut_off"
+
+// NothingCutOff checks that no operation ended without a clear answer. It
+// holds for histories in which every stop was planned.
+func NothingCutOff(history []Operation) []Violation {
+	if len(history) == 0 {
+		return nothingJudged(ruleCutOff)
+	}
+	var found []Violation
+	for _, op := range history {
+		if op.Outcome == Unknown {
+			found = append(found, violationf(ruleCutOff, "caller %d got no clear answer to %s %s, %v to %v", op.Caller, op.Kind, op.Key, op.Start, op.End))
+		}
+	}
+	return found
+}
--- a/internal/examiner/examiner_test.go
+++ b/internal/examiner/examiner_test.go
@@ -56,6 +56,8 @@
 		{"pair doubled", onRows(Separation, Rows{"k": 3}), []Operation{pair(Done)}, false},
 		{"own answer", Answers, []Operation{echo(4, 4)}, true},
 		{"answer of another", Answers, []Operation{echo(4, 5)}, false},
+		{"nothing cut off", NothingCutOff, []Operation{insert(Done), insert(NotRun)}, true},
+		{"request cut off", NothingCutOff, []Operation{insert(Done), insert(Unknown)}, false},
 		{"age kept", Ages, []Operation{write(1, "a", 1, 0, 2*ms, Done), read(BoundedRead, 2, "a", 0, 11*ms, 14*ms)}, true},
 		{"age exceeded", Ages, []Operation{write(1, "a", 1, 0, 2*ms, Done), read(BoundedRead, 2, "a", 0, 13*ms, 14*ms)}, false},
 		{"age none judged", Ages, []Operation{write(1, "a", 1, 0, 2*ms, Done)}, false},
--- a/internal/examiner/operation.go
+++ b/internal/examiner/operation.go
@@ -49,6 +49,6 @@
 	Outcome Outcome       `json:"outcome"`
 	// MaxAge is the age that a bounded read accepts.
 	MaxAge time.Duration `json:"max_age,omitempty"`
-	// Replica is set when the answer came from a replica.
-	Replica bool `json:"replica,omitempty"`
+	// Error is what the caller was told when the operation did not succeed.
+	Error string `json:"error,omitempty"`
 }
--- a/internal/experimenter/cell.go
+++ b/internal/experimenter/cell.go
@@ -59,7 +59,7 @@
 )
 
 // runCell runs one cell in an installation of its own.
-func runCell(ctx context.Context, cell Cell, bin, keep string) CellResult {
+func runCell(ctx context.Context, cell Cell, bin, keep string, keepHeld bool) CellResult {
 	begin := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, cellLimit)
 	defer cancel()
@@ -71,9 +71,9 @@
 	}
 	result.run(ctx, bin, dir)
 	result.Elapsed = time.Since(begin)
-	if result.Verdict == Held {
+	if result.Verdict == Held && !keepHeld {
 		_ = os.RemoveAll(dir)
-	} else {
+	} else if result.Verdict != Held {
 		result.Err = errors.Wrapf(result.Err, "logs are in %s", dir)
 	}
 	return result
@@ -101,9 +101,7 @@
 		return
 	}
 	r.judge(ctx, scene, history)
-	if r.Verdict == Failed {
-		writeFailure(dir, scene, history, r.Violations)
-	}
+	writeEvidence(dir, scene, history, r.Violations)
 }
 
 // drive runs the load, the fault and the recovery. reached tells whether the
@@ -129,7 +127,7 @@
 	}
 	err = errors.Join(err, s.Heal())
 	if err == nil {
-		err = s.WaitServing(ctx)
+		err = s.Recover(ctx)
 	}
 	time.Sleep(cellCoolDown)
 	s.Wait()
@@ -149,6 +147,10 @@
 	}
 	r.Violations = append(r.Violations, checkHistory(history, final)...)
 	r.Violations = append(r.Violations, checkInstallation(s)...)
+	r.Violations = append(r.Violations, s.Violations()...)
+	if r.Cell.Fault.Planned && r.Cell.Step.Harmless {
+		r.Violations = append(r.Violations, examiner.NothingCutOff(history)...)
+	}
 	r.Verdict = Held
 	if len(r.Violations) > 0 {
 		r.Verdict = Failed
@@ -236,8 +238,8 @@
 	return nil
 }
 
-// writeFailure keeps what explains a failed cell.
-func writeFailure(dir string, s *injector.Scene, history []examiner.Operation, found []examiner.Violation) {
+// writeEvidence keeps what explains the verdict.
+func writeEvidence(dir string, s *injector.Scene, history []examiner.Operation, found []examiner.Violation) {
 	_ = writeJSONFile(filepath.Join(dir, "history.json"), history)
 	_ = writeJSONFile(filepath.Join(dir, "violations.json"), found)
 	if events, err := timeline(s.D); err == nil {
--- a/internal/experimenter/matrix.go
+++ b/internal/experimenter/matrix.go
@@ -25,6 +25,7 @@
 	only     string
 	repeat   int
 	keep     string
+	keepHeld bool
 }
 
 func newMatrixCmd() *cobra.Command {
@@ -50,6 +51,7 @@
 	f.StringVar(&o.only, "only", "", "cells to run, as FAULT@STEP; either side may be empty")
 	f.IntVar(&o.repeat, "repeat", 1, "runs of each cell, with different seeds")
 	f.StringVar(&o.keep, "keep", "", "folder for the logs of failed cells; empty means the system's folder for temporary files")
+	f.BoolVar(&o.keepHeld, "keep-held", false, "keep logs and histories of held cells too")
 	return cmd
 }
 
@@ -111,7 +113,7 @@
 			defer func() { <-slots }()
 			r := CellResult{Cell: cell, Verdict: NotRun, Err: ctx.Err()}
 			if ctx.Err() == nil {
-				r = runCell(ctx, cell, o.bin, o.keep)
+				r = runCell(ctx, cell, o.bin, o.keep, o.keepHeld)
 			}
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/injector/fault.go
+++ b/internal/injector/fault.go
@@ -10,13 +10,15 @@
 	Name string
 	// Hold is how long the fault stays before it is healed.
 	Hold time.Duration
+	// Planned marks a stop that must cut off no request in flight.
+	Planned bool
 	// Inject brings the fault about and registers what undoes it.
 	Inject func(ctx context.Context, s *Scene) error
 }
 
 // both returns a fault that is two faults at once.
 func both(a, b Fault) Fault {
-	return Fault{Name: a.Name + "+" + b.Name, Hold: max(a.Hold, b.Hold), Inject: func(ctx context.Context, s *Scene) error {
+	return Fault{Name: a.Name + "+" + b.Name, Hold: max(a.Hold, b.Hold), Planned: a.Planned && b.Planned, Inject: func(ctx context.Context, s *Scene) error {
 		if err := a.Inject(ctx, s); err != nil {
 			return err
 		}
@@ -35,7 +37,7 @@
 	single := []Fault{
 		killPrimary, killEntry, killMonitor, freezePrimary, freezeEntry, freezeMonitor,
 		cutPrimary, cutPrimaryOneWay, cutReplication, cutEntry, lagReplicas,
-		storeDown, storeSlow, storeLosesAnswers, operatorRace, stopEntry, serverLeaving, serverLosesAnswers,
+		storeDown, storeSlow, storeLosesAnswers, operatorRace, stopEntry, serverLeaving, plannedChange, serverLosesAnswers,
 	}
 	return append(single,
 		both(killPrimary, killMonitor), both(cutPrimary, storeDown), both(killPrimary, freezeEntry),
--- a/internal/injector/manifest_step.go
+++ b/internal/injector/manifest_step.go
@@ -8,7 +8,7 @@
 
 // manifestStep changes the manifest and injects after the given stage.
 func manifestStep(name string, stage deployer.Stage) Step {
-	return Step{Name: name, Run: func(ctx context.Context, s *Scene, inject func() error) error {
+	return Step{Name: name, Harmless: true, Run: func(ctx context.Context, s *Scene, inject func() error) error {
 		m := s.D.Manifest()
 		m.Callers[0].PinnedLimit = 7
 		var injected error
--- a/internal/injector/network_faults.go
+++ b/internal/injector/network_faults.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"marigoldhub.example/hub/internal/deployer"
+	"marigoldhub.example/hub/internal/pooler"
 )
 
 // cutPrimary isolates the primary: nobody reaches it and it reaches nobody.
@@ -72,21 +74,35 @@
 	return nil
 }}
 
-var serverLeaving = Fault{Name: "server_leaving", Hold: longHold, Inject: func(_ context.Context, s *Scene) error {
+// serverLeaving marks a replica as leaving. At the end of the hold, which is
+// longer than the 3 s that the promise allows, only monitors may be connected.
+var serverLeaving = Fault{Name: "server_leaving", Hold: longHold, Planned: true, Inject: func(_ context.Context, s *Scene) error {
+	p, err := s.Primary()
+	if err != nil {
+		return err
+	}
 	for _, server := range s.D.ServersOf(s.Group) {
-		p, err := s.Primary()
-		if err != nil {
-			return err
-		}
 		if server == p || server.IsDone() {
 			continue
 		}
-		s.onHeal(func() error { return server.SetLeaving(false) })
+		s.onHeal(func() error { return errors.Join(checkLeft(s, server), server.SetLeaving(false)) })
 		return server.SetLeaving(true)
 	}
-	return nil
+	return ErrNoTarget
 }}
 
+// checkLeft reports a violation when connections of pools are still open.
+func checkLeft(s *Scene, server *deployer.Server) error {
+	state, err := server.State()
+	if err != nil {
+		return err
+	}
+	if state.Connections > pooler.ReservedConnections {
+		s.Report("leaving_server_gets_no_work", fmt.Sprintf("%s still has %d connections", server.Name, state.Connections))
+	}
+	return nil
+}
+
 // lostAnswers is the number of commits whose answer is lost.
 const lostAnswers = 3
 
--- a/internal/injector/process_faults.go
+++ b/internal/injector/process_faults.go
@@ -71,7 +71,7 @@
 // stopLimit is above the drain limit of the installation.
 const stopLimit = 30 * time.Second
 
-var stopEntry = Fault{Name: "stop_entry", Hold: shortHold, Inject: func(_ context.Context, s *Scene) error {
+var stopEntry = Fault{Name: "stop_entry", Hold: shortHold, Planned: true, Inject: func(_ context.Context, s *Scene) error {
 	e := s.Probe
 	stopped := make(chan error, 1)
 	go func() { stopped <- e.Stop(stopLimit) }()
--- a/internal/injector/scene.go
+++ b/internal/injector/scene.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"marigoldhub.example/hub/internal/deployer"
+	"marigoldhub.example/hub/internal/examiner"
 	"marigoldhub.example/hub/internal/loader"
 	"marigoldhub.example/hub/internal/tracker"
 	"marigoldhub.example/hub/standin/server"
@@ -26,9 +28,48 @@
 	// Changes are the manifest changes that the run made.
 	Changes Changes
 
-	mu      sync.Mutex
-	undo    []func() error
-	pending []func()
+	mu         sync.Mutex
+	undo       []func() error
+	pending    []func()
+	recovered  []func(ctx context.Context)
+	violations []examiner.Violation
+}
+
+// afterRecovery adds a check that Recover runs.
+func (s *Scene) afterRecovery(check func(ctx context.Context)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recovered = append(s.recovered, check)
+}
+
+// Recover waits until the installation serves again after Heal and runs the
+// checks of the injected faults.
+func (s *Scene) Recover(ctx context.Context) error {
+	if err := s.WaitServing(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	checks := s.recovered
+	s.recovered = nil
+	s.mu.Unlock()
+	for _, check := range checks {
+		check(ctx)
+	}
+	return nil
+}
+
+// Report adds a violation that a fault itself found.
+func (s *Scene) Report(rule, detail string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.violations = append(s.violations, examiner.Violation{Rule: rule, Detail: detail})
+}
+
+// Violations returns what faults reported.
+func (s *Scene) Violations() []examiner.Violation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.violations)
 }
 
 // Changes counts manifest changes.
--- a/internal/injector/step.go
+++ b/internal/injector/step.go
@@ -15,6 +15,8 @@
 // Step is a point at which a fault is injected.
 type Step struct {
 	Name string
+	// Harmless marks a step that brings no fault about by itself.
+	Harmless bool
 	// Run reaches the point and calls inject there.
 	Run func(ctx context.Context, s *Scene, inject func() error) error
 }
@@ -31,7 +33,7 @@
 
 // attach injects while a connection has sent its startup message and is not
 // authenticated.
-var attach = Step{Name: "attach", Run: func(_ context.Context, s *Scene, inject func() error) error {
+var attach = Step{Name: "attach", Harmless: true, Run: func(_ context.Context, s *Scene, inject func() error) error {
 	conn, err := net.DialTimeout("tcp", s.Probe.Address, time.Second)
 	if err != nil {
 		return err
@@ -54,7 +56,7 @@
 	return inject()
 }}
 
-var openTransaction = Step{Name: "open_transaction", Run: func(ctx context.Context, s *Scene, inject func() error) error {
+var openTransaction = Step{Name: "open_transaction", Harmless: true, Run: func(ctx context.Context, s *Scene, inject func() error) error {
 	caller := s.Caller(probeID)
 	if err := caller.Connected(ctx); err != nil {
 		return err
@@ -92,7 +94,7 @@
 
 // insertAfter injects the given time after an insert was sent.
 func insertAfter(name string, wait time.Duration) Step {
-	return Step{Name: name, Run: func(ctx context.Context, s *Scene, inject func() error) error {
+	return Step{Name: name, Harmless: true, Run: func(ctx context.Context, s *Scene, inject func() error) error {
 		caller := s.Caller(probeID)
 		if err := caller.Connected(ctx); err != nil {
 			return err
@@ -117,7 +119,7 @@
 )
 
 // commitSent injects while COMMIT is on its way to the server.
-var commitSent = Step{Name: "commit_sent", Run: func(ctx context.Context, s *Scene, inject func() error) error {
+var commitSent = Step{Name: "commit_sent", Harmless: true, Run: func(ctx context.Context, s *Scene, inject func() error) error {
 	caller := s.Caller(probeID)
 	if err := caller.Connected(ctx); err != nil {
 		return err
--- a/internal/loader/caller.go
+++ b/internal/loader/caller.go
@@ -86,6 +86,9 @@
 	op.End = c.history.Now()
 	op.Got = got
 	op.Outcome = OutcomeOf(err)
+	if err != nil {
+		op.Error = err.Error()
+	}
 	c.history.Add(op)
 	return op, err
 }
