sampler: measure slopes over instances, groups and callers

marigold-bench slopes starts installations of different sizes and reads processor time and memory from /proc, bytes from standin-link and store calls from the instances' metrics. Each quantity is printed with its points and a least squares line.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := bin
 WIRE := internal/messenger/wire
 
-.PHONY: build test lint fmt demo bench matrix matrix-short generate
+.PHONY: build test lint fmt demo bench matrix matrix-short slopes generate
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -31,6 +31,9 @@
 matrix-short: build
 	$(BIN)/marigold-bench matrix --bin $(BIN) --short
 
+slopes: build
+	$(BIN)/marigold-bench slopes --bin $(BIN) --out report
+
 # Needs protoc. The checksum lets CI see that the generated code matches its source.
 generate:
 	mkdir -p $(BIN)/tools
