deployer: TLS on the callers', peers' and administration ports

Plan.TLS left the administration API in clear text, and a caller had no way to verify the certificate of an entry instance. All three ports now use the instance's certificate, the deployer's own client shows an operator certificate, and the manifest sets tls_required.

--- a/internal/deployer/manifest.go
+++ b/internal/deployer/manifest.go
@@ -57,6 +57,7 @@
 	}
 	m.Callers = []checker.Caller{{
 		Name: CallerName, Groups: d.Plan.Groups, ScramVerifier: d.verifier, ConnectionLimit: 5000, PinnedLimit: 2,
+		TLSRequired: d.Plan.TLS,
 	}}
 	return m
 }
--- a/internal/deployer/pki.go
+++ b/internal/deployer/pki.go
@@ -48,11 +48,7 @@
 
 // issue writes a certificate for the IP numbers and returns its files.
 func (a *authority) issue(name string, ips ...string) (launcher.TLSFiles, error) {
-	files := launcher.TLSFiles{
-		CertFile: filepath.Join(a.dir, name+".pem"),
-		KeyFile:  filepath.Join(a.dir, name+".key"),
-		CAFile:   a.caFile,
-	}
+	files := a.files(name)
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return files, err
--- /dev/null
+++ b/internal/deployer/security.go
@@ -0,0 +1,98 @@
+package deployer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+
+	"marigoldhub.example/hub/internal/launcher"
+)
+
+// operatorName names the operator's certificate and its files.
+const operatorName = "operator"
+
+// CAFile is the certificate that signed all others of the installation.
+func (d *Deployment) CAFile() string { return d.pki.caFile }
+
+// OperatorFiles are the TLS files of an operator's tool.
+func (d *Deployment) OperatorFiles() launcher.TLSFiles { return d.pki.files(operatorName) }
+
+// CallerTLS returns the configuration of a caller that verifies the
+// certificate of an entry instance.
+func (d *Deployment) CallerTLS() *tls.Config {
+	return &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: d.pki.pool()}
+}
+
+// ReissueEntry replaces the certificate and key of an entry instance on disk.
+func (d *Deployment) ReissueEntry(i int) error {
+	s, err := d.entrySettings(i)
+	if err != nil {
+		return err
+	}
+	_, err = d.issueEntry(i, s)
+	return err
+}
+
+func (d *Deployment) issueEntry(i int, s launcher.Settings) (launcher.TLSFiles, error) {
+	return d.pki.issue(s.Instance, s.IP, d.book.ip(d.entryZone(i), octetEntryPublic, i+1))
+}
+
+// secureEntry adds the TLS files to an entry instance's settings and issues
+// them at the first use.
+func (d *Deployment) secureEntry(i int, s *launcher.Settings) error {
+	files := d.pki.files(s.Instance)
+	if _, err := os.Stat(files.CertFile); err != nil {
+		if files, err = d.issueEntry(i, *s); err != nil {
+			return err
+		}
+	}
+	s.Callers.TLS, s.Peers.TLS, s.Admin.TLS = files, files, files
+	return nil
+}
+
+// adminClient returns the client for the administration API.
+func (d *Deployment) adminClient() (*http.Client, error) {
+	if !d.Plan.TLS {
+		return controlClient, nil
+	}
+	files := d.OperatorFiles()
+	if _, err := os.Stat(files.CertFile); err != nil {
+		if files, err = d.pki.issue(operatorName); err != nil {
+			return nil, err
+		}
+	}
+	certificate, err := tls.LoadX509KeyPair(files.CertFile, files.KeyFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "load operator certificate")
+	}
+	cfg := &tls.Config{
+		MinVersion: tls.VersionTLS13, RootCAs: d.pki.pool(), Certificates: []tls.Certificate{certificate},
+	}
+	return &http.Client{Timeout: controlClient.Timeout, Transport: &http.Transport{TLSClientConfig: cfg}}, nil
+}
+
+func (d *Deployment) adminScheme() string {
+	if d.Plan.TLS {
+		return "https://"
+	}
+	return "http://"
+}
+
+// files returns the names of a certificate's files.
+func (a *authority) files(name string) launcher.TLSFiles {
+	return launcher.TLSFiles{
+		CertFile: filepath.Join(a.dir, name+".pem"),
+		KeyFile:  filepath.Join(a.dir, name+".key"),
+		CAFile:   a.caFile,
+	}
+}
+
+func (a *authority) pool() *x509.CertPool {
+	pool := x509.NewCertPool()
+	pool.AddCert(a.cert)
+	return pool
+}
--- a/internal/deployer/topology.go
+++ b/internal/deployer/topology.go
@@ -147,13 +147,17 @@
 	if err := writeTOML(file, settings); err != nil {
 		return nil, err
 	}
+	admin, err := d.adminClient()
+	if err != nil {
+		return nil, err
+	}
 	return &Entry{
 		Zone: d.Plan.Zones[zone-1], IP: settings.IP,
 		Address:     d.book.address(zone, octetEntryPublic, n, callerPort),
 		Direct:      d.book.address(zone, octetEntry, n, callerPort),
 		PeerAddress: settings.Peers.Advertise,
-		Admin:       "http://" + settings.Admin.Listen,
-		admin:       controlClient,
+		Admin:       d.adminScheme() + settings.Admin.Listen,
+		admin:       admin,
 		health:      "http://" + settings.Admin.HealthListen,
 		start:       func() (*Process, error) { return d.startProgram(name, "marigold-entry", "run", "--settings", file) },
 	}, nil
@@ -197,7 +201,5 @@
 	if !d.Plan.TLS {
 		return s, nil
 	}
-	files, err := d.pki.issue(s.Instance, s.IP, d.book.ip(zone, octetEntryPublic, n))
-	s.Callers.TLS, s.Peers.TLS = files, files
-	return s, err
+	return s, d.secureEntry(i, &s)
 }
--- a/internal/experimenter/demo.go
+++ b/internal/experimenter/demo.go
@@ -217,10 +217,14 @@
 
 // callerTarget lets a caller connect to every entry instance.
 func callerTarget(d *deployer.Deployment, group string) loader.Target {
-	return loader.Target{
+	target := loader.Target{
 		Addresses: d.CallerAddresses(), LocalIP: d.ClientIP(), User: deployer.CallerName,
 		Password: deployer.CallerPassword, Database: group, ConnectTimeout: 2 * time.Second,
 	}
+	if d.Plan.TLS {
+		target.TLS = d.CallerTLS()
+	}
+	return target
 }
 
 // replicaReads sums the replica reads of all running instances.
--- a/internal/loader/target.go
+++ b/internal/loader/target.go
@@ -20,7 +20,8 @@
 	User     string
 	Password string
 	Database string
-	TLS      *tls.Config
+	// TLS verifies the certificate of the address; nil means no TLS.
+	TLS *tls.Config
 	// ConnectTimeout bounds one connection attempt.
 	ConnectTimeout time.Duration
 	// Simple selects the simple protocol instead of prepared statements.
@@ -35,7 +36,10 @@
 	}
 	cfg.User = t.User
 	cfg.Password = t.Password
-	cfg.TLSConfig = t.TLS
+	if t.TLS != nil {
+		cfg.TLSConfig = t.TLS.Clone()
+		cfg.TLSConfig.ServerName = cfg.Host
+	}
 	cfg.Fallbacks = nil
 	cfg.ConnectTimeout = t.ConnectTimeout
 	if t.Simple {
