--- a/internal/checker/report.go
+++ b/internal/checker/report.go
@@ -36,6 +36,9 @@
 // Has reports whether the key is set.
 func (r *Report) Has(key string) bool { return r.places.has(key) }
 
+// HasValue reports whether the key is set and has no finding so far.
+func (r *Report) HasValue(key string) bool { return r.places.has(key) && !r.faulty(key) }
+
 // IsBroken reports whether the file has a syntax error, so that keys may be
 // missing only because they were not parsed.
 func (r *Report) IsBroken() bool { return r.places.broken }
--- a/internal/keyer/hmac.go
+++ b/internal/keyer/hmac.go
@@ -70,6 +70,12 @@
 // Sign returns the authentication code of data.
 func (h *HMAC) Sign(data []byte) []byte { return sum(h.get()[0], data) }
 
+// Derive returns a secret for another use, made from the first key. Processes
+// with the same file derive the same secret.
+func (h *HMAC) Derive(label string) []byte {
+	return sum(h.get()[0], []byte("marigoldhub derive\x00"+label))
+}
+
 // Verify reports whether one of the keys made the code.
 func (h *HMAC) Verify(data, code []byte) bool {
 	for _, key := range h.get() {
--- a/internal/launcher/command.go
+++ b/internal/launcher/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"github.com/spf13/cobra"
 
@@ -51,8 +52,8 @@
 			if _, err := LoadSettings(file); err != nil {
 				return err
 			}
-			cmd.Println(file + ": ok")
-			return nil
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), file+": ok")
+			return err
 		},
 	}
 	addSettingsFlag(cmd, &file)
--- a/internal/launcher/instance.go
+++ b/internal/launcher/instance.go
@@ -33,6 +33,9 @@
 	registry metrics.Registry
 	localIP  net.IP
 	security security
+	// mockKey is empty without a token key file; the gatekeeper then makes its
+	// own.
+	mockKey []byte
 
 	recorder    *recorder.Recorder
 	heartbeats  *messenger.Pool
--- a/internal/launcher/load.go
+++ b/internal/launcher/load.go
@@ -9,6 +9,7 @@
 
 	"marigoldhub.example/hub/internal/checker"
 	"marigoldhub.example/hub/internal/distributor"
+	"marigoldhub.example/hub/internal/gatekeeper"
 	"marigoldhub.example/hub/internal/router"
 )
 
@@ -38,6 +39,7 @@
 	setDefault(&s.Callers.DrainLimit, checker.Duration(defaultDrainLimit))
 	setDefault(&s.Callers.BalancerDelay, checker.Duration(defaultBalancerDelay))
 	setDefault(&s.Callers.MaxMessageBytes, defaultMaxMessageBytes)
+	setDefault(&s.Callers.MaxUnauthenticated, gatekeeper.DefaultMaxUnauthenticated)
 	setDefault(&s.Peers.Advertise, s.Peers.Listen)
 	setDefault(&s.Log.Level, "info")
 	setDefault(&s.Log.Format, "text")
@@ -72,6 +74,7 @@
 	checkTLSFiles(r, "callers.tls", s.Callers.TLS)
 	checkTLSFiles(r, "peers.tls", s.Peers.TLS)
 	checkTLSFiles(r, "admin.tls", s.Admin.TLS)
+	checkServerTLS(r, s.Servers.TLS)
 	if s.Admin.TLS.IsZero() && !isLoopback(s.Admin.Listen) {
 		r.Add("admin.tls", "must be set, because admin.listen is not a loopback address")
 	}
@@ -87,8 +90,8 @@
 	checkRange(r, "timeline.events", s.Timeline.Events, 1, 1<<20)
 	checkRange(r, "callers.max_message_bytes", s.Callers.MaxMessageBytes, 1<<10, 1<<30)
 	checkRange(r, "callers.max_unauthenticated", s.Callers.MaxUnauthenticated, 1, 1<<16)
-	checkRange(r, "callers.drain_limit", int(s.Callers.DrainLimit), 1, int(time.Hour))
-	checkRange(r, "callers.balancer_delay", int(s.Callers.BalancerDelay), 1, int(time.Minute))
+	checkRange(r, "callers.drain_limit", time.Duration(s.Callers.DrainLimit), time.Millisecond, time.Hour)
+	checkRange(r, "callers.balancer_delay", time.Duration(s.Callers.BalancerDelay), time.Millisecond, time.Minute)
 }
 
 func checkAddress(r *checker.Report, key, address string) {
@@ -116,6 +119,14 @@
 	}
 }
 
+// checkServerTLS allows authorities without a certificate, because a server
+// need not ask for one.
+func checkServerTLS(r *checker.Report, f TLSFiles) {
+	if (f.CertFile == "") != (f.KeyFile == "") {
+		r.Add("servers.tls", "cert_file and key_file must be set together")
+	}
+}
+
 func checkEndpoint(r *checker.Report, key, endpoint string) {
 	if endpoint == "" {
 		return
@@ -139,8 +150,8 @@
 }
 
 // checkRange checks a value that is present.
-func checkRange(r *checker.Report, key string, value, low, high int) {
-	if r.Has(key) && (value < low || value > high) {
-		r.Add(key, "must be from %d to %d", low, high)
+func checkRange[T int | time.Duration](r *checker.Report, key string, value, low, high T) {
+	if r.HasValue(key) && (value < low || value > high) {
+		r.Add(key, "must be from %v to %v", low, high)
 	}
 }
--- a/internal/launcher/parts.go
+++ b/internal/launcher/parts.go
@@ -131,11 +131,20 @@
 
 func (i *Instance) tokenKeys() (tokener.Keys, error) {
 	if i.settings.Callers.TokenKeyFile == "" {
+		i.log.Warn("launcher: no callers.token_key_file, sessions get no token and mock salts differ between instances")
 		return noTokenKeys{}, nil
 	}
-	return keyer.NewHMAC(keyer.Config{Clock: i.clock, Log: i.log}, i.settings.Callers.TokenKeyFile)
+	keys, err := keyer.NewHMAC(keyer.Config{Clock: i.clock, Log: i.log}, i.settings.Callers.TokenKeyFile)
+	if err != nil {
+		return nil, err
+	}
+	i.mockKey = keys.Derive(mockKeyLabel)
+	return keys, nil
 }
 
+// mockKeyLabel separates the key of mock salts from other derived keys.
+const mockKeyLabel = "scram mock salt"
+
 func (i *Instance) startRelayer() error {
 	policy, err := router.ParsePolicy(i.settings.Experiment.Routing)
 	if err != nil {
@@ -162,6 +171,7 @@
 func (i *Instance) newGatekeeper(listener net.Listener) *gatekeeper.Gatekeeper {
 	return gatekeeper.New(gatekeeper.Config{
 		Instance: i.settings.Instance, TLS: i.security.callerTLS(), MaxUnauthenticated: i.settings.Callers.MaxUnauthenticated,
+		MockKey: i.mockKey,
 	}, gatekeeper.Parts{
 		Catalogs: i.distributor, Relayer: i.relayer, Forward: i.canceller().forward, Log: i.partLog("gatekeeper"),
 	}, listener)
--- a/internal/launcher/settings.go
+++ b/internal/launcher/settings.go
@@ -38,7 +38,7 @@
 type CallerSettings struct {
 	Listen string   `toml:"listen"`
 	TLS    TLSFiles `toml:"tls"`
-	// TokenKeyFile holds the keys of session tokens, one in hexadecimal per
+	// TokenKeyFile holds the keys of session tokens, one in base64 per
 	// line; the first signs.
 	TokenKeyFile string `toml:"token_key_file"`
 	// DrainLimit is how long a planned stop waits for transactions.
@@ -111,7 +111,7 @@
 type ExperimentSettings struct {
 	// Routing is session, all_primary or ignore_session.
 	Routing string `toml:"routing"`
-	// Distribution is zone_watch or every_instance_watches.
+	// Distribution is zone_watcher or every_instance_watches.
 	Distribution string `toml:"distribution"`
 	// Promotion is confirmed or fixed_timer.
 	Promotion string `toml:"promotion"`
