--- a/internal/deployer/process.go
+++ b/internal/deployer/process.go
@@ -101,11 +101,16 @@
 // Stop asks for a graceful shutdown and returns the exit error.
 func (p *Process) Stop(wait time.Duration) error {
 	p.Signal(syscall.SIGTERM)
+	return p.Wait(wait)
+}
+
+// Wait returns the exit error. A process that does not end in time is killed.
+func (p *Process) Wait(limit time.Duration) error {
 	select {
 	case <-p.done:
-	case <-time.After(wait):
+	case <-time.After(limit):
 		p.Kill()
-		return errors.Errorf("%s did not end within %v", p.Name, wait)
+		return errors.Errorf("%s did not end within %v", p.Name, limit)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
