tracker, standin/server: tell stored from applied records

A status row showed only applied records. With replicas that apply 60 s late, each commit waited for the whole delay and ended as unknown.

Fences, promotions and truncations concern stored records; a promoted server applies all of them first. The status row has applied_offset; tracker.Status has Applied. Confirmations and the choice of a new primary use the stored log. Ages, routing, replica views and the proof of a replica read use what is applied. prober keeps the one decoder of status rows.

The stand-in ends running statements with 57P01 when it is closed. Pooled connections set client_encoding, TimeZone and DateStyle at startup, because the relayer answers SETs of these values itself.

--- a/internal/confirmer/confirmer_test.go
+++ b/internal/confirmer/confirmer_test.go
@@ -70,6 +70,7 @@
 		Server: server, Role: tracker.RoleReplica, Term: 1,
 		Log: tracker.Position{Term: 1, Offset: end}, Lineage: tracker.Lineage{{Term: 1}},
 	}
+	s.Applied = s.Log
 	if server == "s1" {
 		s.Role = tracker.RolePrimary
 	}
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -85,7 +85,7 @@
 	if err := conn.Flush(); err != nil {
 		return tracker.Status{}, err
 	}
-	var columns pgproto3.RowDescription
+	var columns prober.StatusColumns
 	var status tracker.Status
 	var failed error
 	for {
@@ -95,9 +95,11 @@
 		}
 		switch m := msg.(type) {
 		case *pgproto3.RowDescription:
-			columns = copyColumns(m)
+			columns, failed = prober.NewStatusColumns(m)
 		case *pgproto3.DataRow:
-			status, failed = prober.ParseStatus(&columns, m)
+			if failed == nil {
+				status, failed = columns.Parse(m)
+			}
 		case *pgproto3.ErrorResponse:
 			failed = fmt.Errorf("read status: %s: %s", m.Code, m.Message)
 		case *pgproto3.ReadyForQuery:
@@ -105,13 +107,3 @@
 		}
 	}
 }
-
-// copyColumns copies a message that is valid only until the next one.
-func copyColumns(m *pgproto3.RowDescription) pgproto3.RowDescription {
-	fields := make([]pgproto3.FieldDescription, len(m.Fields))
-	for i, f := range m.Fields {
-		f.Name = append([]byte(nil), f.Name...)
-		fields[i] = f
-	}
-	return pgproto3.RowDescription{Fields: fields}
-}
--- a/internal/overseer/planner.go
+++ b/internal/overseer/planner.go
@@ -28,14 +28,14 @@
 	return promoter.Plan{To: to, Reason: reasonLeaving}, to != ""
 }
 
-// successor returns the replica with the highest log end that is not leaving.
+// successor returns the replica that has applied the most and is not leaving.
 func (p planner) successor(s tracker.State) string {
 	var best tracker.Observation
 	for _, o := range s.Servers {
 		if o.Server == s.Primary || !o.Reachable() || p.IsAvoided(o.Server) || o.Status.Role != tracker.RoleReplica {
 			continue
 		}
-		if best.Server == "" || o.Status.Log.Compare(best.Status.Log) > 0 {
+		if best.Server == "" || o.Status.Applied.Compare(best.Status.Applied) > 0 {
 			best = o
 		}
 	}
--- a/internal/pooler/connect.go
+++ b/internal/pooler/connect.go
@@ -134,6 +134,11 @@
 			"user":             t.user,
 			"database":         t.database,
 			"application_name": applicationName,
+			// The proxy itself answers SETs of these settings to these values, so
+			// no default of a server or database may differ.
+			"client_encoding": "UTF8",
+			"TimeZone":        "UTC",
+			"DateStyle":       "ISO, MDY",
 		},
 	})
 	if err := conn.fe.Flush(); err != nil {
--- a/internal/pooler/pool_test.go
+++ b/internal/pooler/pool_test.go
@@ -170,6 +170,27 @@
 	return Stats{}
 }
 
+// Guards against a server whose defaults differ from the settings that the
+// proxy answers itself.
+func TestStartupSettings(t *testing.T) {
+	s := startServer(t, "secret")
+	f := &fixture{}
+	p := startPool(t, f, manifest(entryOf("a", s, 10)), nil)
+	acquire(t, p, Submission).Release()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, params := range s.startups {
+		for name, want := range map[string]string{"client_encoding": "UTF8", "TimeZone": "UTC", "DateStyle": "ISO, MDY"} {
+			if params[name] != want {
+				t.Errorf("%s is %q at startup", name, params[name])
+			}
+		}
+	}
+	if len(s.startups) == 0 {
+		t.Error("no connection was opened")
+	}
+}
+
 // Guards against connections that are handed to the next user with an open
 // transaction, unread responses or buffered messages.
 func TestOnlyConnectionsAtRestReturn(t *testing.T) {
--- a/internal/pooler/server_test.go
+++ b/internal/pooler/server_test.go
@@ -38,6 +38,7 @@
 	mostOpen int
 	canceled []uint32
 	closed   []string
+	startups []map[string]string
 	wg       sync.WaitGroup
 }
 
@@ -104,6 +105,11 @@
 		s.cancel(c)
 		return
 	}
+	if m, ok := msg.(*pgproto3.StartupMessage); ok {
+		s.mu.Lock()
+		s.startups = append(s.startups, m.Parameters)
+		s.mu.Unlock()
+	}
 	id, interrupted, ok := s.register(conn)
 	if !ok {
 		be.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: stateTooManyClients, Message: "too many connections"})
--- a/internal/prober/conn.go
+++ b/internal/prober/conn.go
@@ -1,12 +1,10 @@
 package prober
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net"
-	"slices"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -122,24 +120,22 @@
 	}
 }
 
-// statusReceiver collects the messages of one response. Messages of pgproto3
-// are only valid until the next one is received.
+// statusReceiver collects the messages of one response.
 type statusReceiver struct {
-	desc   pgproto3.RowDescription
-	status tracker.Status
-	rows   int
-	err    error
+	columns StatusColumns
+	status  tracker.Status
+	rows    int
+	err     error
 }
 
 func (r *statusReceiver) take(msg pgproto3.BackendMessage) {
 	switch m := msg.(type) {
 	case *pgproto3.RowDescription:
-		r.desc.Fields = slices.Clone(m.Fields)
-		for i := range r.desc.Fields {
-			r.desc.Fields[i].Name = bytes.Clone(m.Fields[i].Name)
-		}
+		columns, err := NewStatusColumns(m)
+		r.columns = columns
+		r.fail(err)
 	case *pgproto3.DataRow:
-		s, err := ParseStatus(&r.desc, m)
+		s, err := r.columns.Parse(m)
 		r.status, r.rows = s, r.rows+1
 		r.fail(err)
 	case *pgproto3.ErrorResponse:
--- a/internal/promoter/change.go
+++ b/internal/promoter/change.go
@@ -52,7 +52,9 @@
 	return p.cfg.Planner.Next(s)
 }
 
-// canTake reports whether the server can catch up while new work is held.
+// canTake reports whether the server can catch up while new work is held. The
+// age is that of the records it has applied, because a promoted server applies
+// what it stores before it accepts writes.
 func (p *Promoter) canTake(s tracker.State, server string, now time.Time) bool {
 	if server == s.Primary {
 		return true
--- a/internal/promoter/model_test.go
+++ b/internal/promoter/model_test.go
@@ -44,6 +44,7 @@
 		}
 		st.Log = tracker.Position{Term: term, Offset: uint64(i + 1)}
 	}
+	st.Applied = st.Log
 	return st
 }
 
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -1,6 +1,7 @@
 package promoter
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -234,13 +235,17 @@
 	})
 }
 
-// choose returns the fenced server with the highest log end. Only among equal
-// ends do preferences count.
+// choose returns the fenced server that stores the highest log end. Only among
+// equal ends do preferences count, and after them what is left to apply.
 func (p *Promoter) choose(fenced []tracker.Status, preferred string) tracker.Status {
 	best := fenced[0]
 	for _, s := range fenced[1:] {
-		c := s.Log.Compare(best.Log)
-		if c > 0 || c == 0 && p.rank(s.Server, preferred) < p.rank(best.Server, preferred) {
+		c := cmp.Or(
+			s.Log.Compare(best.Log),
+			cmp.Compare(p.rank(best.Server, preferred), p.rank(s.Server, preferred)),
+			s.Applied.Compare(best.Applied),
+		)
+		if c > 0 {
 			best = s
 		}
 	}
--- a/internal/relayer/replica.go
+++ b/internal/relayer/replica.go
@@ -7,6 +7,7 @@
 
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
+	"marigoldhub.example/hub/internal/prober"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/router"
 	"marigoldhub.example/hub/internal/tracker"
@@ -87,7 +88,7 @@
 	if s.r.router.Policy().UsesFloor() {
 		x.replica.floor = s.floor
 	}
-	conn.Send(&pgproto3.Query{String: resolver.StatusQuery})
+	conn.Send(&pgproto3.Query{String: prober.StatusQuery})
 	return s.settleReplica(x, x.run())
 }
 
@@ -141,10 +142,10 @@
 }
 
 // covers reports whether the row proves the session's floor and the age bound.
-// The row is at or past the viewed position, so what the view says about the
+// What the replica has applied is at or past the viewed position, so what the view says about the
 // age of that position holds for the row.
 func (r *replicaRead) covers(row tracker.Status, now time.Time) bool {
-	if row.Role == tracker.RolePrimary || !row.Log.Covers(r.floor) || !row.Log.Covers(r.choice.Viewed.Log) {
+	if row.Role == tracker.RolePrimary || !row.Applied.Covers(r.floor) || !row.Applied.Covers(r.choice.Viewed.Log) {
 		return false
 	}
 	age, known := r.choice.Viewed.Age(now)
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -5,7 +5,7 @@
 
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/preparer"
-	"marigoldhub.example/hub/internal/resolver"
+	"marigoldhub.example/hub/internal/prober"
 )
 
 // expectation is one response that the server owes, or that the proxy makes
@@ -62,7 +62,7 @@
 		x.conn.Send(&pgproto3.Sync{})
 	}
 	if x.pipelinesStatus() {
-		x.conn.Send(&pgproto3.Query{String: resolver.StatusQuery})
+		x.conn.Send(&pgproto3.Query{String: prober.StatusQuery})
 	}
 	return x.flushConn()
 }
--- a/internal/relayer/status.go
+++ b/internal/relayer/status.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/prober"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/tracker"
 )
@@ -23,7 +24,7 @@
 			x.s.group.observe(*row)
 			return nil
 		}
-		x.conn.Send(&pgproto3.Query{String: resolver.StatusQuery})
+		x.conn.Send(&pgproto3.Query{String: prober.StatusQuery})
 		if err := x.flushConn(); err != nil {
 			return err
 		}
@@ -34,7 +35,7 @@
 // readStatus reads one answer to the status query. The row is nil when the
 // server answered with an error.
 func (x *exchange) readStatus() (*tracker.Status, error) {
-	var columns resolver.StatusColumns
+	var columns prober.StatusColumns
 	var row *tracker.Status
 	for {
 		msg, err := x.receive()
@@ -43,9 +44,11 @@
 		}
 		switch m := msg.(type) {
 		case *pgproto3.RowDescription:
-			columns = resolver.NewStatusColumns(m)
+			if columns, err = prober.NewStatusColumns(m); err != nil {
+				return nil, &lostError{err}
+			}
 		case *pgproto3.DataRow:
-			s, err := columns.Decode(m)
+			s, err := columns.Parse(m)
 			if err != nil {
 				return nil, &lostError{err}
 			}
@@ -106,7 +109,7 @@
 
 // askStatus sends a status query and reads its answer.
 func (x *exchange) askStatus() error {
-	x.conn.Send(&pgproto3.Query{String: resolver.StatusQuery})
+	x.conn.Send(&pgproto3.Query{String: prober.StatusQuery})
 	if err := x.flushConn(); err != nil {
 		return err
 	}
--- a/internal/tracker/lineage.go
+++ b/internal/tracker/lineage.go
@@ -64,6 +64,17 @@
 	return b.String()
 }
 
+// At returns the position of the record at offset, and the zero position when
+// offset is 0.
+func (l Lineage) At(offset uint64) Position {
+	for i := len(l) - 1; i >= 0; i-- {
+		if offset > l[i].Start {
+			return Position{Term: l[i].Term, Offset: offset}
+		}
+	}
+	return Position{}
+}
+
 // Contains reports whether the record at p is part of a log with this lineage
 // that ends at or past the start of its last branch. For a p in the last
 // branch the caller also compares p with the end of the log.
--- a/internal/tracker/model_test.go
+++ b/internal/tracker/model_test.go
@@ -41,6 +41,7 @@
 		Term:     s.term,
 		Promoter: fmt.Sprint(s.promoter),
 		Log:      s.end(),
+		Applied:  s.end(),
 		Lineage:  lineageOf(s.log),
 	}
 }
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -248,15 +248,15 @@
 	}
 }
 
-// freshAt returns the time at which everything in the log of o was current. It
+// freshAt returns the time at which everything that o has applied was current. It
 // is never later than provenAt, because a replaced primary's position says
 // nothing about later times. The primary's position only grows within a term,
 // so a sample also holds for every earlier time.
 func (t *Tracker) freshAt(o Observation) time.Time {
-	if !o.Seen() || !t.lineage.Contains(o.Status.Log) {
+	if !o.Seen() || !t.lineage.Contains(o.Status.Applied) {
 		return time.Time{}
 	}
-	at := t.history.freshAt(o.Status.Log.Offset)
+	at := t.history.freshAt(o.Status.Applied.Offset)
 	if at.After(t.provenAt) {
 		return t.provenAt
 	}
@@ -274,7 +274,7 @@
 		}
 		v.Replicas = append(v.Replicas, ReplicaView{
 			Server:    o.Server,
-			Log:       o.Status.Log,
+			Log:       o.Status.Applied,
 			FreshAt:   t.freshAt(o),
 			Reachable: o.Reachable(),
 			Leaving:   o.Status.Leaving,
--- a/internal/tracker/view.go
+++ b/internal/tracker/view.go
@@ -28,7 +28,8 @@
 // ReplicaView is what is known about one replica.
 type ReplicaView struct {
 	Server string
-	Log    Position
+	// Log is the end of the log that the replica has applied.
+	Log Position
 	// FreshAt is the local monotonic time at which everything the replica
 	// shows was current: the primary's confirmed position at FreshAt was at or
 	// before Log. It is zero when unknown.
--- a/standin/server/control.go
+++ b/standin/server/control.go
@@ -18,6 +18,7 @@
 	Promoter    string     `json:"promoter"`
 	LogTerm     uint64     `json:"log_term"`
 	LogOffset   uint64     `json:"log_offset"`
+	Applied     uint64     `json:"applied_offset"`
 	Lineage     string     `json:"lineage"`
 	Leaving     bool       `json:"leaving"`
 	Connections int        `json:"connections"`
@@ -91,7 +92,7 @@
 	}
 	return State{
 		Server: st.Server, Role: string(st.Role), Term: st.Term, Promoter: st.Promoter,
-		LogTerm: st.Log.Term, LogOffset: st.Log.Offset, Lineage: st.Lineage.String(), Leaving: st.Leaving,
+		LogTerm: st.Log.Term, LogOffset: st.Log.Offset, Applied: st.Applied.Offset, Lineage: st.Lineage.String(), Leaving: st.Leaving,
 		Connections: st.Connections, Peak: peak, Statements: s.Statements(), Log: places,
 	}
 }
--- a/standin/server/executor/prepared.go
+++ b/standin/server/executor/prepared.go
@@ -27,6 +27,7 @@
 	{Name: "lineage", OID: pgvalue.OIDText},
 	{Name: "leaving", OID: pgvalue.OIDBool},
 	{Name: "connections", OID: pgvalue.OIDInt4},
+	{Name: "applied_offset", OID: pgvalue.OIDInt8},
 }
 
 // Prepare finds the types of a statement.
--- a/standin/server/node/writetx.go
+++ b/standin/server/node/writetx.go
@@ -114,7 +114,7 @@
 	}
 	var err error
 	if len(tx.statements) > 0 {
-		err = n.log.Append(newRecord(n.meta.Term, n.log.End().Offset+1, tx.statements))
+		err = n.append(newRecord(n.meta.Term, n.log.End().Offset+1, tx.statements))
 		n.signal()
 	}
 	n.open = nil
--- a/standin/server/session/session.go
+++ b/standin/server/session/session.go
@@ -144,6 +144,12 @@
 	if errors.As(err, &e) {
 		resp.Code, resp.Message = e.Code, e.Message
 	}
+	// A statement that the end of the session cancelled is answered as
+	// PostgreSQL does when an administrator stops the server.
+	if resp.Code == "57014" && s.ctx.Err() != nil {
+		resp.Severity, resp.SeverityUnlocalized = "FATAL", "FATAL"
+		resp.Code, resp.Message = "57P01", "terminating connection due to administrator command"
+	}
 	s.be.Send(resp)
 	s.exec.Fail()
 }
