promoter: replaces a primary whose records no majority stores

Cause: a primary that the monitor reached stayed in place although its replicas received nothing, so every commit ended as unknown.

Ruled out: choosing the highest log end of all fenced servers, because the stalled primary has it and would be chosen again. The promotion rests on a majority of the other servers, which has every confirmed record. Without such a majority nothing is promoted.

Change: after 2 s in which the log of the primary is not confirmed and no replica's stored log advances, the reason replication_stalled is recorded and another server is promoted; at most once in 10 s, doubling up to 5 min while stalls recur. A term that is not established within 10 s shares the backoff. The fault cut_replication holds for 5 s, which covers the promotion.

--- a/internal/injector/fault.go
+++ b/internal/injector/fault.go
@@ -28,6 +28,9 @@
 	shortHold = 1500 * time.Millisecond
 	// longHold is longer than a grant and than the alive limit of members.
 	longHold = 4 * time.Second
+	// stallHold covers the detection of stalled replication (2 s) and the
+	// promotion.
+	stallHold = 5 * time.Second
 )
 
 // Faults returns every fault of the matrix.
--- a/internal/injector/network_faults.go
+++ b/internal/injector/network_faults.go
@@ -36,7 +36,7 @@
 }}
 
 // cutReplication leaves the primary reachable by callers only.
-var cutReplication = Fault{Name: "cut_replication", Hold: shortHold, Inject: func(_ context.Context, s *Scene) error {
+var cutReplication = Fault{Name: "cut_replication", Hold: stallHold, Inject: func(_ context.Context, s *Scene) error {
 	p, err := s.Primary()
 	if err != nil {
 		return err
--- a/internal/promoter/detector.go
+++ b/internal/promoter/detector.go
@@ -33,6 +33,7 @@
 	reasonUnreachable    = "primary_unreachable"
 	reasonNoPrimary      = "no_primary"
 	reasonNotEstablished = "not_established"
+	reasonStalled        = "replication_stalled"
 	reasonStrayFence     = "stray_fence"
 )
 
@@ -43,7 +44,9 @@
 	since time.Time
 	grace time.Duration
 	// own is the newest term of this promoter's own attempts.
-	own uint64
+	own     uint64
+	stall   stallWatch
+	backoff stallBackoff
 }
 
 // check returns the reason for a promotion, or the empty string. Without a
@@ -62,17 +65,47 @@
 		return reasonRefused
 	case isGone(leader, now):
 		return reasonUnreachable
-	case leader.Reachable() && d.highest > s.Term && now.Sub(d.since) >= establishTime(leader):
+	case leader.Reachable():
+		return d.checkReplication(s, leader, now)
+	}
+	return ""
+}
+
+// checkReplication is check for a group whose leader is reachable. Promotions
+// because records of the leader reach no majority share one backoff, because
+// they recur when no server's records do.
+func (d *detector) checkReplication(s tracker.State, leader tracker.Observation, now time.Time) string {
+	d.stall.note(s, leader, now)
+	if d.highest > s.Term {
+		return d.checkUnestablished(leader, now)
+	}
+	if d.stall.isStalled(now) && canExclude(s, leader.Server) && d.backoff.take(now) {
+		return reasonStalled
+	}
+	return ""
+}
+
+func (d *detector) checkUnestablished(leader tracker.Observation, now time.Time) string {
+	age := now.Sub(d.since)
+	hasFirstRecord := leader.Status.Log.Term == leader.Status.Term
+	if !hasFirstRecord && age >= firstRecordLimit {
+		return reasonNotEstablished
+	}
+	if age >= establishLimit && d.backoff.take(now) {
 		return reasonNotEstablished
 	}
 	return ""
 }
 
-func establishTime(leader tracker.Observation) time.Duration {
-	if leader.Status.Log.Term < leader.Status.Term {
-		return firstRecordLimit
+// excluded returns the server that a promotion for the reason leaves out of
+// the choice, or the empty string. A leader whose records reach nobody has the
+// highest log end and would be chosen again.
+func (d *detector) excluded(s tracker.State, reason string) string {
+	leader, ok := s.Leader(d.highest)
+	if !ok || reason != reasonStalled && reason != reasonNotEstablished || !canExclude(s, leader.Server) {
+		return ""
 	}
-	return establishLimit
+	return leader.Server
 }
 
 // follow notes the highest term seen.
--- a/internal/promoter/model_test.go
+++ b/internal/promoter/model_test.go
@@ -32,6 +32,8 @@
 	// dead servers refuse connections; cut ones are silent to monitors and
 	// other servers.
 	dead, cut bool
+	// mute servers send no records to replicas.
+	mute bool
 	// diesOnPromote makes the server die at its next promotion.
 	diesOnPromote bool
 }
@@ -92,7 +94,7 @@
 	if p == nil || s.role != tracker.RoleReplica || s.dead || s.cut || g.slow[s.name] {
 		return
 	}
-	if p.dead || p.cut || p.role != tracker.RolePrimary || p.term != s.term {
+	if p.dead || p.cut || p.mute || p.role != tracker.RolePrimary || p.term != s.term {
 		return
 	}
 	n := 0
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -127,21 +127,29 @@
 // replace promotes a server after a failure, and backs off when it could not.
 func (p *Promoter) replace(ctx context.Context, s tracker.State, reason string) {
 	p.record("detected", s.HighestTerm(), "reason", reason, "primary", s.Primary)
-	if err := p.promote(ctx, s, ""); err != nil {
+	if err := p.promote(ctx, s, choice{excluded: p.detector.excluded(s, reason)}); err != nil {
 		p.cfg.Log.WithField("group", p.group.Name).WithError(err).Warn("promoter: Promotion failed.")
 		p.sleep(ctx, backoffMin+rand.N(backoffJitter))
 	}
 }
 
-// promote carries out one attempt. Among servers with equally complete logs it
-// chooses preferred.
-func (p *Promoter) promote(ctx context.Context, s tracker.State, preferred string) error {
+// choice limits which server a promotion chooses.
+type choice struct {
+	// preferred is chosen among servers with equally complete logs.
+	preferred string
+	// excluded is fenced but not counted, so the majority that the promotion
+	// rests on consists of other servers.
+	excluded string
+}
+
+// promote carries out one attempt.
+func (p *Promoter) promote(ctx context.Context, s tracker.State, c choice) error {
 	startedAt := p.cfg.Clock.Now()
 	term := s.HighestTerm() + 1
 	id := attemptID(p.cfg.Instance)
 	p.detector.own = term
 
-	fenced := p.fence(ctx, term, id)
+	fenced := p.fence(ctx, term, id, c.excluded)
 	if len(fenced) < p.group.Majority() {
 		p.record("refused", term, "step", "fence", "accepted", len(fenced))
 		return fmt.Errorf("term %d: fence accepted by %d of %d servers", term, len(fenced), len(p.group.Servers))
@@ -151,7 +159,7 @@
 		return err
 	}
 
-	chosen := p.choose(fenced, preferred)
+	chosen := p.choose(fenced, c.preferred)
 	p.record("chosen", term, "server", chosen.Server, "log", chosen.Log)
 	if err := ctx.Err(); err != nil {
 		return err
@@ -194,14 +202,14 @@
 }
 
 // fence sends the fence to all servers and returns the statuses of those that
-// accepted it. It returns early once a majority accepted and the others had
-// their grace, and when no majority can accept any more.
-func (p *Promoter) fence(ctx context.Context, term uint64, id string) []tracker.Status {
+// accepted it, but for the excluded one. It returns early once a majority
+// accepted and the others had their grace.
+func (p *Promoter) fence(ctx context.Context, term uint64, id, excluded string) []tracker.Status {
 	answers := make(chan tracker.Status, len(p.group.Servers))
 	for _, server := range p.group.Servers {
 		p.command(ctx, server.Name, func(ctx context.Context, c Commander) {
 			s, err := c.Fence(ctx, term, id)
-			if err != nil {
+			if err != nil || server.Name == excluded {
 				s = tracker.Status{}
 			}
 			answers <- s
--- /dev/null
+++ b/internal/promoter/stall.go
@@ -0,0 +1,108 @@
+package promoter
+
+import (
+	"time"
+
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+const (
+	// stallLimit is the time without progress after which replication counts
+	// as stalled.
+	stallLimit = 2 * time.Second
+	// maxCheckGap is the longest pause between checks. After a longer one, as
+	// when this process was frozen, the absence of progress proves nothing.
+	maxCheckGap = 500 * time.Millisecond
+
+	// stallBackoffMin and stallBackoffMax bound the time between promotions
+	// because of stalled replication.
+	stallBackoffMin = 10 * time.Second
+	stallBackoffMax = 5 * time.Minute
+)
+
+// stallWatch notes the progress of replication under one leader.
+type stallWatch struct {
+	term      uint64
+	checkedAt time.Time
+	// progressAt is the latest time at which a majority stored the whole log
+	// of the leader or the stored log of a replica advanced.
+	progressAt time.Time
+	replicas   map[string]replicaProgress
+}
+
+// replicaProgress is the progress of one replica.
+type replicaProgress struct {
+	log tracker.Position
+	// at is the latest time at which log advanced or equalled the leader's.
+	at time.Time
+}
+
+// note takes a state in which the server leads the term.
+func (w *stallWatch) note(s tracker.State, leader tracker.Observation, now time.Time) {
+	if w.term != leader.Status.Term || now.Sub(w.checkedAt) > maxCheckGap {
+		w.term, w.progressAt, w.replicas = leader.Status.Term, now, make(map[string]replicaProgress)
+	}
+	w.checkedAt = now
+	if leader.Status.Log.Compare(s.Confirmed) <= 0 {
+		w.progressAt = now
+	}
+	for _, o := range s.Servers {
+		if o.Server != leader.Server {
+			w.noteReplica(o, leader.Status.Log, now)
+		}
+	}
+}
+
+func (w *stallWatch) noteReplica(o tracker.Observation, end tracker.Position, now time.Time) {
+	p, known := w.replicas[o.Server]
+	advanced := o.Status.Log.Compare(p.log) > 0
+	if advanced && known {
+		w.progressAt = now
+	}
+	if advanced || !known || !o.Reachable() || o.Status.Log.Compare(end) >= 0 {
+		p.at = now
+	}
+	p.log = o.Status.Log
+	w.replicas[o.Server] = p
+}
+
+// isStalled reports whether the leader's records reach no majority and no
+// replica advances.
+func (w *stallWatch) isStalled(now time.Time) bool {
+	return now.Sub(w.progressAt) >= stallLimit
+}
+
+// stallBackoff limits promotions because of stalled replication. It belongs to
+// one monitor: a new monitor starts anew.
+type stallBackoff struct {
+	wait   time.Duration
+	nextAt time.Time
+}
+
+// take reports whether a promotion is allowed now, and if so counts it. A
+// promotion recurs when it is wanted within one wait after it is allowed.
+func (b *stallBackoff) take(now time.Time) bool {
+	if now.Before(b.nextAt) {
+		return false
+	}
+	if now.Sub(b.nextAt) < b.wait {
+		b.wait = min(2*b.wait, stallBackoffMax)
+	} else {
+		b.wait = stallBackoffMin
+	}
+	b.nextAt = now.Add(b.wait)
+	return true
+}
+
+// canExclude reports whether the other servers can form a majority without
+// the named one. Only then may a promotion leave it out of the choice: any
+// majority has a server with every confirmed record.
+func canExclude(s tracker.State, server string) bool {
+	n := 0
+	for _, o := range s.Servers {
+		if o.Server != server && o.Reachable() {
+			n++
+		}
+	}
+	return n >= majority(s)
+}
