tracker: a view says when its primary is replaced and no later one is established

Ruled out: miscounted work in flight (every member had reported 0); an early end of the mark (its age was below 200 ms).

--- a/internal/overseer/board.go
+++ b/internal/overseer/board.go
@@ -121,15 +121,21 @@
 	if v.Draining && !old.Draining {
 		b.drainedAt = now
 	}
-	if old.Term != v.Term || old.Primary != v.Primary || old.Draining != v.Draining {
+	if isTurn(old, v) {
 		close(b.changed)
 		b.changed = make(chan struct{})
 	}
 }
 
+// isTurn reports whether the views differ in where new work for the primary
+// may go.
+func isTurn(old, v tracker.View) bool {
+	return old.Term != v.Term || old.Primary != v.Primary || old.Draining != v.Draining || old.Replaced != v.Replaced
+}
+
 // isNotable reports whether other instances should learn the new view at once.
 func isNotable(old, v tracker.View) bool {
-	if old.Term != v.Term || old.Primary != v.Primary || old.Draining != v.Draining {
+	if isTurn(old, v) {
 		return true
 	}
 	return !slices.EqualFunc(old.Replicas, v.Replicas, func(a, b tracker.ReplicaView) bool {
--- a/internal/overseer/codec.go
+++ b/internal/overseer/codec.go
@@ -21,6 +21,7 @@
 		Primary:              v.Primary,
 		Lineage:              v.Lineage.String(),
 		Draining:             v.Draining,
+		Replaced:             v.Replaced,
 		CompletedSwitchovers: completed,
 	}
 	for _, r := range v.Replicas {
@@ -54,6 +55,7 @@
 		Primary:  w.GetPrimary(),
 		Lineage:  lineage,
 		Draining: w.GetDraining(),
+		Replaced: w.GetReplaced(),
 	}
 	for _, r := range w.GetReplicas() {
 		view := tracker.ReplicaView{
--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -163,7 +163,7 @@
 
 // heldUntil reports whether new work is held back, and until when at most.
 func (s *Session) heldUntil(v tracker.View, known bool, w *wait) (time.Time, bool) {
-	if !known || v.Term == 0 || v.Primary == "" {
+	if !known || v.Term == 0 || v.Primary == "" || v.Replaced {
 		return w.deadline, true
 	}
 	if !v.Draining {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -101,13 +101,14 @@
 type summary struct {
 	term      uint64
 	primary   string
+	replaced  bool
 	reachable bool
 	leaving   bool
 }
 
 func (t *Tracker) summary(i int) summary {
 	o := t.servers[i]
-	return summary{t.term, t.primary, o.Reachable(), o.Status.Leaving}
+	return summary{t.term, t.primary, t.isReplaced(), o.Reachable(), o.Status.Leaving}
 }
 
 func (t *Tracker) notify(before summary, i int) {
@@ -187,6 +188,18 @@
 	}
 }
 
+// isReplaced reports whether a majority has accepted a later term than the
+// established one.
+func (t *Tracker) isReplaced() bool {
+	n := 0
+	for _, o := range t.servers {
+		if o.Status.Term > t.term {
+			n++
+		}
+	}
+	return t.term > 0 && n >= t.group.Majority()
+}
+
 func (t *Tracker) countStored(p Position) int {
 	n := 0
 	for _, o := range t.servers {
@@ -267,7 +280,7 @@
 func (t *Tracker) View() View {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v := View{Group: t.group.Name, Term: t.term, Primary: t.primary, Lineage: t.lineage}
+	v := View{Group: t.group.Name, Term: t.term, Primary: t.primary, Lineage: t.lineage, Replaced: t.isReplaced()}
 	for _, o := range t.servers {
 		if o.Server == t.primary {
 			continue
--- a/internal/tracker/view.go
+++ b/internal/tracker/view.go
@@ -20,6 +20,10 @@
 	Primary string
 	// Lineage is the primary's lineage.
 	Lineage Lineage
+	// Replaced is set when a majority has accepted a later term: nothing that
+	// Primary does can be confirmed any more, and no later primary is
+	// established yet.
+	Replaced bool
 	// Draining is set while a planned change of primary holds new work.
 	Draining bool
 	Replicas []ReplicaView
