reporter: figures per database group and per caller

The metrics had totals only. Connections, refusals by reason, waiting for server connections, confirmation time and the age of replicas are now counted per database group, connections and refusals per caller, each for at most 256 names and an entry "other". The pool reports how many connections it may open. Statements, and refusals with 40001 and 08007, remain totals: they are counted inside the relayer.

--- a/internal/experimenter/main.go
+++ b/internal/experimenter/main.go
@@ -30,7 +30,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(newDemoCmd(), newMatrixCmd())
+	cmd.AddCommand(newDemoCmd(), newRunCmd(), newMatrixCmd())
 	return cmd
 }
 
--- a/internal/gatekeeper/config.go
+++ b/internal/gatekeeper/config.go
@@ -36,6 +36,23 @@
 	DefaultMaxUnauthenticated = 256
 )
 
+// Meter counts what callers do at the door.
+type Meter interface {
+	// Opened and Closed frame an authenticated connection.
+	Opened(caller, group string)
+	Closed(caller, group string)
+	// Refused counts a refused connection by SQLSTATE. The caller is empty
+	// unless it has authenticated.
+	Refused(caller, state string)
+}
+
+// noMeter counts nothing.
+type noMeter struct{}
+
+func (noMeter) Opened(string, string)  {}
+func (noMeter) Closed(string, string)  {}
+func (noMeter) Refused(string, string) {}
+
 // Parts are what a Gatekeeper works with.
 type Parts struct {
 	Catalogs checker.CatalogSource
@@ -43,7 +60,9 @@
 	// Forward delivers a cancel request that names another instance. See
 	// [InstanceTag].
 	Forward func(ctx context.Context, processID uint32, secret []byte) error
-	Log     logrus.FieldLogger
+	// Meter counts connections and refusals. It may be nil.
+	Meter Meter
+	Log   logrus.FieldLogger
 }
 
 func (c Config) withDefaults() Config {
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -44,6 +44,9 @@
 	if parts.Log == nil {
 		parts.Log = logrus.StandardLogger()
 	}
+	if parts.Meter == nil {
+		parts.Meter = noMeter{}
+	}
 	cfg = cfg.withDefaults()
 	if len(cfg.MockKey) == 0 {
 		cfg.MockKey = randomBytes(32)
@@ -85,11 +88,16 @@
 	}
 }
 
+// refusedUnauthenticated counts connections that were closed because too many
+// were unauthenticated.
+const refusedUnauthenticated = "unauthenticated_limit"
+
 // admit serves the connection unless too many are unauthenticated.
 func (g *Gatekeeper) admit(conn net.Conn) {
 	select {
 	case g.slots <- struct{}{}:
 	default:
+		g.parts.Meter.Refused("", refusedUnauthenticated)
 		_ = conn.Close()
 		return
 	}
@@ -127,7 +135,9 @@
 		_ = l.conn.Close()
 		return
 	}
+	g.parts.Meter.Opened(l.caller.Name, l.group)
 	e.session.Run()
+	g.parts.Meter.Closed(l.caller.Name, l.group)
 	g.remove(id, l.caller.Name)
 }
 
--- a/internal/gatekeeper/login.go
+++ b/internal/gatekeeper/login.go
@@ -30,6 +30,7 @@
 	secure  bool
 	startup startup
 	caller  checker.Caller
+	group   string
 }
 
 // errEnded ends a connection without an answer.
@@ -47,6 +48,7 @@
 	id, e, err := l.open()
 	var failure *loginError
 	if errors.As(err, &failure) {
+		l.g.parts.Meter.Refused(l.caller.Name, failure.code)
 		l.write(resolver.Fatal(failure.code, failure.message))
 	}
 	if err != nil {
@@ -147,6 +149,7 @@
 	if !ok || !slices.Contains(l.caller.Groups, group.Name) {
 		return 0, nil, &loginError{resolver.CodeUnknownDatabase, "database \"" + l.startup.database + "\" does not exist"}
 	}
+	l.group = group.Name
 	session, err := l.g.parts.Relayer.Attach(relayer.Attachment{
 		Conn: l.conn, Backend: l.backend, Caller: l.caller, Group: group.Name, Token: l.startup.token,
 		Settings: l.startup.settings,
--- a/internal/launcher/instance.go
+++ b/internal/launcher/instance.go
@@ -31,6 +31,8 @@
 	log      logrus.FieldLogger
 	clock    clockwork.Clock
 	registry metrics.Registry
+	figures  *reporter.Figures
+	ages     ages
 	localIP  net.IP
 	security security
 	// mockKey is empty without a token key file; the gatekeeper then makes its
@@ -66,6 +68,7 @@
 		recorder: recorder.New(settings.Instance, settings.Timeline.Events, clock),
 		stopping: make(chan struct{}), failed: make(chan struct{}),
 	}
+	i.figures = reporter.NewFigures(i.registry)
 	listeners, err := openListeners(settings)
 	if err != nil {
 		return nil, err
@@ -102,7 +105,7 @@
 	i.server.Start()
 	i.reporter = reporter.New(reporter.Config{
 		Admin: l.admin, AdminTLS: i.security.adminTLS(), Health: l.health,
-		Status: i.Status, Events: i.recorder.Events, Metrics: i.registry, Proposals: i.proposals(), Log: i.log,
+		Status: i.Status, Events: i.recorder.Events, Metrics: i.registry, BeforeMetrics: i.updateAges, Proposals: i.proposals(), Log: i.log,
 	})
 	return nil
 }
--- a/internal/launcher/parts.go
+++ b/internal/launcher/parts.go
@@ -157,8 +157,10 @@
 	r := relayer.New(relayer.Config{
 		Policy: policy, Zone: i.settings.Zone, MessageLimit: i.settings.Callers.MaxMessageBytes,
 	}, relayer.Parts{
-		Catalogs: i.distributor, Views: i.overseer, Acquirer: i.pool, Confirmer: i.confirmer,
-		Budget: pooler.NewBudget(retryShare, retryReserve), Classifier: classifier.New(classifier.Config{}),
+		Catalogs: i.distributor, Views: i.overseer,
+		Acquirer:  measuredAcquirer{i.pool, i.figures, i.clock},
+		Confirmer: measuredConfirmer{i.confirmer, i.figures, i.clock},
+		Budget:    pooler.NewBudget(retryShare, retryReserve), Classifier: classifier.New(classifier.Config{}),
 		Tokener: tokener.New(keys, i.clock), Clock: i.clock, Recorder: i.recorder, Metrics: i.registry,
 		Log: i.partLog("relayer"),
 	})
@@ -173,7 +175,7 @@
 		Instance: i.settings.Instance, TLS: i.security.callerTLS(), MaxUnauthenticated: i.settings.Callers.MaxUnauthenticated,
 		MockKey: i.mockKey,
 	}, gatekeeper.Parts{
-		Catalogs: i.distributor, Relayer: i.relayer, Forward: i.canceller().forward, Log: i.partLog("gatekeeper"),
+		Catalogs: i.distributor, Relayer: i.relayer, Forward: i.canceller().forward, Meter: callerMeter{i.figures}, Log: i.partLog("gatekeeper"),
 	}, listener)
 }
 
--- a/internal/pooler/maintain.go
+++ b/internal/pooler/maintain.go
@@ -111,7 +111,7 @@
 		b.serve(now)
 		b.warm(now)
 		if peek {
-			b.report()
+			b.report(now)
 		}
 	}
 }
@@ -141,12 +141,13 @@
 	}
 }
 
-func (b *backend) report() {
+func (b *backend) report(now time.Time) {
 	prefix := "pooler." + b.group.name + "." + b.name + "."
 	gauge := func(name string, v int64) {
 		metrics.GetOrRegisterGauge(prefix+name, b.group.pool.cfg.Registry).Update(v)
 	}
 	gauge("open", int64(b.open))
+	gauge("allowed", int64(b.allowance(now)))
 	gauge("in_use", int64(b.inUse()))
 	gauge("waiting", int64(b.group.queue.countFor(b)))
 	gauge("opens", b.opens)
--- a/internal/reporter/config.go
+++ b/internal/reporter/config.go
@@ -25,6 +25,9 @@
 	Events func() []recorder.Event
 	// Metrics is the registry that GET /v1/metrics shows.
 	Metrics metrics.Registry
+	// BeforeMetrics updates figures that are computed when they are read; it
+	// may be nil.
+	BeforeMetrics func()
 	// Proposals handles manifest proposals; nil refuses them.
 	Proposals ProposalHandler
 	Log       logrus.FieldLogger
--- /dev/null
+++ b/internal/reporter/figures_test.go
@@ -0,0 +1,61 @@
+package reporter
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Guards against memory that grows with the number of groups and callers, and
+// against figures that disappear beyond the bound.
+func TestFiguresAreBounded(t *testing.T) {
+	registry := metrics.NewRegistry()
+	f := NewFigures(registry)
+	const extra = 44
+	for i := range maxNames + extra {
+		f.Group(fmt.Sprintf("g%d", i)).Connections.Inc(1)
+		f.Caller(fmt.Sprintf("c%d", i)).Refuse("53300")
+	}
+	groups, callers := 0, 0
+	registry.Each(func(name string, _ any) {
+		if strings.HasPrefix(name, "group.") && strings.HasSuffix(name, ".connections") {
+			groups++
+		}
+		if strings.HasPrefix(name, "caller.") && strings.HasSuffix(name, ".refusals.53300") {
+			callers++
+		}
+	})
+	if groups != maxNames+1 || callers != maxNames+1 {
+		t.Errorf("%d groups and %d callers have figures, want %d each", groups, callers, maxNames+1)
+	}
+	if n := f.Group("one more").Connections.Count(); n != extra {
+		t.Errorf("the other groups count %d, want %d", n, extra)
+	}
+	if n := f.Group("g1").Connections.Count(); n != 1 {
+		t.Errorf("group g1 counts %d, want 1", n)
+	}
+}
+
+// Guards against units that differ from the name, and against refusals of
+// callers that have not authenticated appearing under a name they chose.
+func TestFigures(t *testing.T) {
+	registry := metrics.NewRegistry()
+	f := NewFigures(registry)
+	f.Group("booking").Confirmation.Add(3 * time.Millisecond)
+	if v := registry.Get("group.booking.confirmation_us").(metrics.Histogram).Max(); v != 3000 {
+		t.Errorf("3 ms are shown as %d", v)
+	}
+	f.RefuseLogin("", "28P01")
+	f.RefuseLogin("portal", "3D000")
+	registry.Each(func(name string, _ any) {
+		if strings.HasPrefix(name, "caller.") && strings.HasSuffix(name, "28P01") {
+			t.Errorf("%s exists", name)
+		}
+	})
+	if n := registry.Get("caller.portal.refusals.3D000").(metrics.Counter).Count(); n != 1 {
+		t.Errorf("refusals of portal: %d", n)
+	}
+}
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -94,7 +94,12 @@
 
 func (r *Reporter) timeline(w http.ResponseWriter, _ *http.Request) { writeJSON(w, r.cfg.Events()) }
 
-func (r *Reporter) metrics(w http.ResponseWriter, _ *http.Request) { writeJSON(w, r.cfg.Metrics) }
+func (r *Reporter) metrics(w http.ResponseWriter, _ *http.Request) {
+	if r.cfg.BeforeMetrics != nil {
+		r.cfg.BeforeMetrics()
+	}
+	writeJSON(w, r.cfg.Metrics)
+}
 
 func (r *Reporter) ready(w http.ResponseWriter, _ *http.Request) {
 	s := r.cfg.Status()
