injector: lag_replicas during a promotion

It now concerns every running server but the primary, if there is one. WaitRecovered also checks that each server has applied what the primary stored when the wait began; without load that is the whole log.

--- a/internal/injector/network_faults.go
+++ b/internal/injector/network_faults.go
@@ -55,13 +55,15 @@
 
 const farBehind = 60 * time.Second
 
+// lagReplicas concerns every running server but the primary. During a promotion
+// there may be no primary, and the killed one takes no settings.
 var lagReplicas = Fault{Name: "lag_replicas", Hold: shortHold, Inject: func(_ context.Context, s *Scene) error {
 	p, err := s.Primary()
 	if err != nil {
-		return err
+		p = nil
 	}
 	for _, server := range s.D.ServersOf(s.Group) {
-		if server == p {
+		if server == p || server.IsDone() {
 			continue
 		}
 		if err := server.SetLag(farBehind); err != nil {
--- a/internal/injector/scene.go
+++ b/internal/injector/scene.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -150,7 +151,8 @@
 }
 
 // WaitRecovered waits until a write through every instance succeeds and all
-// servers of the group have the same log.
+// servers of the group store the same log and have applied what the primary
+// stored at first. Without load, that is the whole log.
 func (s *Scene) WaitRecovered(ctx context.Context) error {
 	for _, e := range s.D.Entries {
 		if err := e.WaitReady(recoveryLimit); err != nil {
@@ -158,8 +160,9 @@
 		}
 	}
 	deadline := time.Now().Add(recoveryLimit)
+	first := uint64(math.MaxUint64)
 	for {
-		err := s.haveSameLogs()
+		err := s.haveSameLogs(&first)
 		if err == nil {
 			return nil
 		}
@@ -173,7 +176,9 @@
 // recoveryLimit is the 14 s that the users allow for a change of primary.
 const recoveryLimit = 14 * time.Second
 
-func (s *Scene) haveSameLogs() error {
+// haveSameLogs lowers first to the end of the primary's log, and checks that
+// all servers store the same log and have applied it up to first.
+func (s *Scene) haveSameLogs(first *uint64) error {
 	primary, err := s.Primary()
 	if err != nil {
 		return err
@@ -182,14 +187,16 @@
 	if err != nil {
 		return err
 	}
+	*first = min(*first, want.LogOffset)
 	for _, server := range s.D.ServersOf(s.Group) {
 		state, err := server.State()
 		if err != nil {
 			return err
 		}
-		if state.Term != want.Term || state.LogTerm != want.LogTerm || state.LogOffset != want.LogOffset {
-			return errors.Errorf("%s is at %d/%d in term %d, %s at %d/%d in term %d", server.Name, state.LogTerm, state.LogOffset,
-				state.Term, primary.Name, want.LogTerm, want.LogOffset, want.Term)
+		if state.Term != want.Term || state.LogTerm != want.LogTerm || state.LogOffset != want.LogOffset ||
+			state.Applied < *first {
+			return errors.Errorf("%s is at %d/%d in term %d and has applied %d, %s is at %d/%d in term %d", server.Name,
+				state.LogTerm, state.LogOffset, state.Term, state.Applied, primary.Name, want.LogTerm, want.LogOffset, want.Term)
 		}
 	}
 	return nil
