promoter: repeats follow to replicas that do not advance

Cause: a replica that reported to follow the current term was never told again, so a server that lost its replication connection, or had a wrong address, stayed behind for ever. The server stand-in opens lost connections itself; other servers need not.

--- a/internal/promoter/model_test.go
+++ b/internal/promoter/model_test.go
@@ -34,6 +34,10 @@
 	dead, cut bool
 	// mute servers send no records to replicas.
 	mute bool
+	// detached replicas receive no records before the next follow command.
+	detached bool
+	// followed counts the follow commands received.
+	followed int
 	// diesOnPromote makes the server die at its next promotion.
 	diesOnPromote bool
 }
@@ -91,7 +95,7 @@
 
 func (g *fakeGroup) copyOne(s *fakeServer) {
 	p := g.servers[s.follows]
-	if p == nil || s.role != tracker.RoleReplica || s.dead || s.cut || g.slow[s.name] {
+	if p == nil || s.role != tracker.RoleReplica || s.detached || s.dead || s.cut || g.slow[s.name] {
 		return
 	}
 	if p.dead || p.cut || p.mute || p.role != tracker.RolePrimary || p.term != s.term {
@@ -210,7 +214,8 @@
 func (f *fakeSession) Follow(ctx context.Context, term uint64, primary, _ string) (tracker.Status, error) {
 	return f.run(ctx, func(s *fakeServer) {
 		if term >= s.term {
-			s.term, s.role, s.follows = term, tracker.RoleReplica, primary
+			s.term, s.role, s.follows, s.detached = term, tracker.RoleReplica, primary, false
+			s.followed++
 		}
 	})
 }
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -27,6 +27,9 @@
 	// repairInterval is longer than commandTimeout, so that repairs of one
 	// server never overlap.
 	repairInterval = 350 * time.Millisecond
+	// stuckInterval is the time between commands to a replica that follows
+	// the leader but does not advance.
+	stuckInterval = 2 * time.Second
 
 	backoffMin    = 50 * time.Millisecond
 	backoffJitter = 150 * time.Millisecond
@@ -323,7 +326,8 @@
 // repair tells servers that are fenced, or lead or follow in an old term, to
 // follow the server that leads the highest term. That server was promoted
 // after a majority was fenced, so it may be followed before its term is
-// established.
+// established. A replica of that term that does not advance is told again,
+// because it may have lost its replication connection or have a wrong address.
 func (p *Promoter) repair(ctx context.Context, s tracker.State, now time.Time) {
 	term := s.HighestTerm()
 	leader, ok := s.Leader(term)
@@ -331,11 +335,17 @@
 		return
 	}
 	for _, o := range s.Servers {
-		isFollowing := o.Status.Term == term && o.Status.Role == tracker.RoleReplica
-		if o.Server == leader.Server || !o.Reachable() || isFollowing {
+		if o.Server == leader.Server || !o.Reachable() {
 			continue
 		}
-		if now.Sub(p.lastRepair[o.Server]) >= repairInterval {
+		interval := repairInterval
+		if o.Status.Term == term && o.Status.Role == tracker.RoleReplica {
+			if !p.detector.stall.isStuck(o.Server, now) {
+				continue
+			}
+			interval = stuckInterval
+		}
+		if now.Sub(p.lastRepair[o.Server]) >= interval {
 			p.follow(ctx, o.Server, term, leader.Server, now)
 		}
 	}
--- a/internal/promoter/stall.go
+++ b/internal/promoter/stall.go
@@ -72,6 +72,12 @@
 	return now.Sub(w.progressAt) >= stallLimit
 }
 
+// isStuck reports whether the replica is behind and does not advance.
+func (w *stallWatch) isStuck(server string, now time.Time) bool {
+	p, ok := w.replicas[server]
+	return ok && now.Sub(p.at) >= stallLimit
+}
+
 // stallBackoff limits promotions because of stalled replication. It belongs to
 // one monitor: a new monitor starts anew.
 type stallBackoff struct {
