--- a/internal/measurer/bench.go
+++ b/internal/measurer/bench.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
 
 	"marigoldhub.example/hub/internal/deployer"
 )
@@ -88,6 +89,9 @@
 		{"share", func(ctx context.Context, in installation, sheet sheetOf) error {
 			return measureShare(ctx, in, sheet, "", shareLength)
 		}},
+		{"overload", measureOverload},
+		{"hold", measureHold},
+		{"change", measureChange},
 		{"failover", func(ctx context.Context, in installation, sheet sheetOf) error {
 			rounds, err := measureFailover(ctx, in, sheet, failoverRounds)
 			r.rounds[plan.Customer] = rounds
@@ -97,6 +101,36 @@
 	if err := r.steps(ctx, plan, sheet, product); err != nil {
 		return err
 	}
+	if err := r.overhead(ctx, plan, sheet); err != nil {
+		return err
+	}
+	return r.baselines(ctx, plan, sheet)
+}
+
+func (r *run) overhead(ctx context.Context, plan deployer.Plan, sheet sheetOf) error {
+	if !r.isWanted("overhead") {
+		return nil
+	}
+	in, err := startLoopback(ctx, plan, r.cfg.Bin, r.dir)
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	return measureOverhead(ctx, in, sheet)
+}
+
+// baselines measures the fixed timer beside the routing baselines, because
+// the former mostly waits.
+func (r *run) baselines(ctx context.Context, plan deployer.Plan, sheet sheetOf) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return r.routingBaselines(ctx, plan, sheet) })
+	if r.isWanted("fixed_timer") {
+		g.Go(func() error { return measureFixedTimer(ctx, plan, r.cfg.Bin, r.dir, sheet) })
+	}
+	return g.Wait()
+}
+
+func (r *run) routingBaselines(ctx context.Context, plan deployer.Plan, sheet sheetOf) error {
 	for _, routing := range []string{"all_primary", "ignore_session"} {
 		baseline := []step{{"share", func(ctx context.Context, in installation, sheet sheetOf) error {
 			return measureShare(ctx, in, sheet, routing, shareBaselineLength)
