--- a/internal/deployer/manifest.go
+++ b/internal/deployer/manifest.go
@@ -100,7 +100,15 @@
 
 // accept proposes content and approves it as both co-owners.
 func (d *Deployment) accept(ctx context.Context, part string, content []byte, reached func(Stage)) error {
-	store := storer.NewGateway(storer.Config{Endpoints: []string{d.Platform.Direct}})
+	return d.acceptAt(ctx, d.operatorStore(), part, content, reached)
+}
+
+// operatorStore reaches the store without standin-link.
+func (d *Deployment) operatorStore() storer.Store {
+	return storer.NewGateway(storer.Config{Endpoints: []string{d.Platform.Direct}})
+}
+
+func (d *Deployment) acceptAt(ctx context.Context, store storer.Store, part string, content []byte, reached func(Stage)) error {
 	proposals, err := approver.NewProposals(approver.Config{Store: store, Genesis: d.owners.list, Operator: "deployer"})
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/deployer/stored.go
@@ -0,0 +1,36 @@
+package deployer
+
+import (
+	"context"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"marigoldhub.example/hub/internal/checker"
+	"marigoldhub.example/hub/internal/storer"
+)
+
+// commitClock notes when the last transaction was sent to the store.
+type commitClock struct {
+	storer.Store
+	sent time.Time
+}
+
+// Commit implements storer.Store.
+func (c *commitClock) Commit(ctx context.Context, tx storer.Transaction) (storer.Result, error) {
+	c.sent = time.Now()
+	return c.Store.Commit(ctx, tx)
+}
+
+// PublishTimed is PublishStaged that returns the time at which the transaction
+// of the second approval was sent to the store. The store holds it a little
+// later.
+func (d *Deployment) PublishTimed(ctx context.Context, m checker.Manifest, reached func(Stage)) (time.Time, error) {
+	content, err := toml.Marshal(m)
+	if err != nil {
+		return time.Time{}, err
+	}
+	clock := &commitClock{Store: d.operatorStore()}
+	err = d.acceptAt(ctx, clock, m.Part, content, reached)
+	return clock.sent, err
+}
--- a/internal/sampler/cost.go
+++ b/internal/sampler/cost.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"marigoldhub.example/hub/internal/deployer"
 )
 
@@ -56,8 +61,8 @@
 func (c *curves) addStore(prefix string, x float64, w window) {
 	total, byKind := w.instanceStoreCalls()
 	c.add(prefix+"store_calls_per_s", "calls/s", x, total)
-	for kind, v := range byKind {
-		c.add(prefix+"store_calls_per_s_"+kind, "calls/s", x, v)
+	for _, kind := range slices.Sorted(maps.Keys(byKind)) {
+		c.add(prefix+"store_calls_per_s_"+kind, "calls/s", x, byKind[kind])
 	}
 	c.add(prefix+"store_open_watches", "watches", x, float64(w.openWatches))
 }
@@ -77,6 +82,46 @@
 	return nil
 }
 
+// measureBaselineInstances measures the same when every instance watches the
+// store. All sizes run at the same time, so only counts are comparable.
+func (s *Sampler) measureBaselineInstances(ctx context.Context) error {
+	plan := deployer.Council().WithGroups(callerGroup)
+	plan.Distribution = baselineDistribution
+	c := &curves{per: "instance"}
+	var deployments []*deployer.Deployment
+	defer func() {
+		for _, d := range deployments {
+			d.Close()
+		}
+	}()
+	for _, n := range instanceCounts {
+		d, err := s.start(ctx, plan.WithEntries(n))
+		if err != nil {
+			return err
+		}
+		deployments = append(deployments, d)
+	}
+	idles, busy := make([]window, len(deployments)), make([]window, len(deployments))
+	fails := make([]error, len(deployments))
+	var tasks sync.WaitGroup
+	for i, d := range deployments {
+		tasks.Go(func() {
+			if idles[i], fails[i] = observe(ctx, d, idleTime, idle); fails[i] != nil {
+				return
+			}
+			busy[i], fails[i] = observe(ctx, d, changeTime, func() error { return change(ctx, d, changesPerWindow) })
+		})
+	}
+	tasks.Wait()
+	for i, n := range instanceCounts {
+		c.addStore("baseline_idle_", float64(n), idles[i])
+		c.add("baseline_idle_control_bytes_per_s_peer", "B/s", float64(n), idles[i].bytesOf("peer"))
+		c.addStore("baseline_changing_", float64(n), busy[i])
+	}
+	c.printTo(s)
+	return errors.Join(fails...)
+}
+
 // sampleCell takes an idle window and one with changes.
 func (s *Sampler) sampleCell(ctx context.Context, c *curves, prefix string, d *deployer.Deployment) error {
 	x := float64(len(d.Entries))
--- a/internal/sampler/promotions.go
+++ b/internal/sampler/promotions.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	promotionRuns = 3
+	promotionRuns = 2
 	promotionTime = 3 * time.Second
 )
 
--- a/internal/sampler/sampler.go
+++ b/internal/sampler/sampler.go
@@ -6,6 +6,8 @@
 	"io"
 	"os"
 	"path/filepath"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -34,12 +36,14 @@
 	Only []string
 }
 
-// Sampler runs measurements one after the other.
+// Sampler runs measurements and collects their figures.
 type Sampler struct {
 	cfg     Config
+	started atomic.Int64
+
+	mu      sync.Mutex
 	figures []figure
 	slopes  []Slope
-	started int
 }
 
 type figure struct {
@@ -59,18 +63,31 @@
 	ctx, cancel := context.WithTimeout(ctx, Limit)
 	defer cancel()
 	var failed []error
-	for _, m := range s.measurements() {
+	for _, phase := range s.phases() {
+		failed = append(failed, s.runPhase(ctx, phase))
+	}
+	return errors.Join(append(failed, s.writeReport())...)
+}
+
+// runPhase runs measurements at the same time.
+func (s *Sampler) runPhase(ctx context.Context, phase []measurement) error {
+	failed := make([]error, len(phase))
+	var tasks sync.WaitGroup
+	for i, m := range phase {
 		if !s.isSelected(m.name) {
 			continue
 		}
-		begin := time.Now()
-		if err := m.run(ctx); err != nil {
-			failed = append(failed, errors.Wrap(err, m.name))
-			s.text("failed_"+m.name, err.Error())
-		}
-		s.number("seconds_of_"+m.name, time.Since(begin).Seconds())
+		tasks.Go(func() {
+			begin := time.Now()
+			if err := m.run(ctx); err != nil {
+				failed[i] = errors.Wrap(err, m.name)
+				s.text("failed_"+m.name, err.Error())
+			}
+			s.number("seconds_of_"+m.name, time.Since(begin).Seconds())
+		})
 	}
-	return errors.Join(append(failed, s.writeReport())...)
+	tasks.Wait()
+	return errors.Join(failed...)
 }
 
 func (s *Sampler) isSelected(name string) bool {
@@ -83,6 +100,8 @@
 }
 
 func (s *Sampler) text(name, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.figures = append(s.figures, figure{name, value})
 	fmt.Fprintf(s.cfg.W, "%s=%s\n", name, value)
 }
@@ -91,7 +110,9 @@
 
 // slope prints the line and its points.
 func (s *Sampler) slope(sl Slope) {
+	s.mu.Lock()
 	s.slopes = append(s.slopes, sl)
+	s.mu.Unlock()
 	base, rate := sl.Fit()
 	s.number(sl.Name+"_per_"+sl.Per, rate)
 	s.number(sl.Name+"_base", base)
@@ -100,8 +121,7 @@
 
 // start runs an installation and waits until it has settled.
 func (s *Sampler) start(ctx context.Context, plan deployer.Plan) (*deployer.Deployment, error) {
-	s.started++
-	dir := filepath.Join(s.cfg.Dir, fmt.Sprint(s.started))
+	dir := filepath.Join(s.cfg.Dir, fmt.Sprint(s.started.Add(1)))
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
 	}
