--- a/internal/promoter/change.go
+++ b/internal/promoter/change.go
@@ -52,7 +52,9 @@
 	return p.cfg.Planner.Next(s)
 }
 
-// canTake reports whether the server can catch up while new work is held.
+// canTake reports whether the server can catch up while new work is held. The
+// age is that of the records it has applied, because a promoted server applies
+// what it stores before it accepts writes.
 func (p *Promoter) canTake(s tracker.State, server string, now time.Time) bool {
 	if server == s.Primary {
 		return true
@@ -75,7 +77,7 @@
 	if err := p.prepare(ctx, plan); err != nil {
 		return err
 	}
-	if err := p.promote(ctx, p.cfg.Tracker.State(), plan.To); err != nil {
+	if err := p.promote(ctx, p.cfg.Tracker.State(), choice{preferred: plan.To}); err != nil {
 		return err
 	}
 	if p.cfg.Tracker.State().Primary == plan.To {
--- a/internal/tracker/view.go
+++ b/internal/tracker/view.go
@@ -20,6 +20,10 @@
 	Primary string
 	// Lineage is the primary's lineage.
 	Lineage Lineage
+	// Replaced is set when a majority has accepted a later term: nothing that
+	// Primary does can be confirmed any more, and no later primary is
+	// established yet.
+	Replaced bool
 	// Draining is set while a planned change of primary holds new work.
 	Draining bool
 	Replicas []ReplicaView
@@ -28,7 +32,8 @@
 // ReplicaView is what is known about one replica.
 type ReplicaView struct {
 	Server string
-	Log    Position
+	// Log is the end of the log that the replica has applied.
+	Log Position
 	// FreshAt is the local monotonic time at which everything the replica
 	// shows was current: the primary's confirmed position at FreshAt was at or
 	// before Log. It is zero when unknown.
