--- a/internal/injector/fault.go
+++ b/internal/injector/fault.go
@@ -39,7 +39,7 @@
 func Faults() []Fault {
 	single := []Fault{
 		killPrimary, killEntry, killMonitor, freezePrimary, freezeEntry, freezeMonitor,
-		cutPrimary, cutPrimaryOneWay, cutReplication, cutEntry, lagReplicas,
+		cutPrimary, cutPrimaryOneWay, cutReplication, partition, cutEntry, lagReplicas,
 		storeDown, storeSlow, storeLosesAnswers, operatorRace, stopEntry, serverLeaving, plannedChange, serverLosesAnswers,
 	}
 	return append(single,
