overseer, relayer, tracker: tests of late applying

Replicas that apply late no longer delay confirmations, so TestBusyCost would measure commits that do not wait.

New tests: a replica read whose status row stores but does not apply the floor goes to the primary; ages and views count applied records while confirmations count stored ones; a planned change waits for a target with a lot left to apply. The first two fail when the stored log is used instead.

--- a/internal/overseer/cost_test.go
+++ b/internal/overseer/cost_test.go
@@ -48,7 +48,7 @@
 }
 
 // Measures the CPU time of the whole process (three instances, three
-// stand-ins) while commits wait for replicas that are 50 ms behind. Guards
+// stand-ins) while commits wait for replicas that store records 50 ms late. Guards
 // against a monitor that probes without pause meanwhile.
 func TestBusyCost(t *testing.T) {
 	c := newCell(t)
@@ -57,7 +57,7 @@
 	}
 	c.exec("s1", "create table entries (id int primary key)")
 	for _, s := range c.servers {
-		s.SetApplyDelay(50 * time.Millisecond)
+		s.SetStoreDelay(50 * time.Millisecond)
 	}
 	cpu, probes, startedAt := cpuTime(t), c.probes.Load(), time.Now()
 	var took []time.Duration
--- a/internal/overseer/overseer_test.go
+++ b/internal/overseer/overseer_test.go
@@ -136,6 +136,30 @@
 	}
 }
 
+// Guards against a planned change that holds new work for a target that stores
+// everything but has a lot left to apply.
+func TestSwitchoverWaitsForApply(t *testing.T) {
+	c := newCell(t)
+	c.awaitPrimary(c.instances[1], "s1", 1)
+	c.servers["s3"].SetApplyDelay(time.Hour)
+	c.exec("s1", "create table entries (id int primary key)")
+	p := c.exec("s1", "insert into entries values (1)")
+	c.awaitView(c.instances[0], "late s3", func(v tracker.View) bool {
+		s3, _ := v.Replica("s3")
+		age, ok := s3.Age(time.Now())
+		return c.servers["s3"].Status().Log == p && ok && age > 600*time.Millisecond
+	})
+	c.manifest.Switchovers = []checker.Switchover{{ID: "a", Group: groupName, To: "s3"}}
+	c.source.set(checker.NewCatalog(c.manifest))
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if v, _ := c.instances[0].overseer.View(groupName); v.Draining || v.Term != 1 {
+			t.Fatalf("planned change began: %+v", v)
+		}
+	}
+	c.servers["s3"].SetApplyDelay(0)
+	c.awaitPrimary(c.instances[1], "s3", 2)
+}
+
 // Guards against a leaving mark that is not seen everywhere within 3 s, and
 // against a primary that is drained but goes on leading.
 func TestDrain(t *testing.T) {
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -24,7 +24,7 @@
 	DefaultMinGap = time.Millisecond
 	// DefaultMaxGap bounds the gap between probes of a server whose log does
 	// not advance although it is awaited. With a fixed gap of 1 ms, commits
-	// that wait for replicas 50 ms behind took 0.27 of a core in
+	// that wait for replicas that store 50 ms late took 0.27 of a core in
 	// TestBusyCost, and 0.17 with this one.
 	DefaultMaxGap = 4 * time.Millisecond
 
--- a/internal/relayer/fakeserver_test.go
+++ b/internal/relayer/fakeserver_test.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,6 +48,8 @@
 	name     string
 	listener net.Listener
 	st       *store
+	// appliesLate is set when the last record is stored but not applied.
+	appliesLate atomic.Bool
 
 	mu      sync.Mutex
 	role    tracker.Role
@@ -337,6 +340,14 @@
 
 func (b *fakeBackend) statusRow(role tracker.Role) ([]string, [][]string) {
 	p := b.f.st.end()
-	return []string{"server", "role", "term", "promoter", "log_term", "log_offset", "lineage", "leaving", "connections"},
-		[][]string{{b.f.name, string(role), fmt.Sprint(p.Term), "x", fmt.Sprint(p.Term), fmt.Sprint(p.Offset), "1:0", "f", "1"}}
+	applied := p.Offset
+	if b.f.appliesLate.Load() {
+		applied--
+	}
+	return []string{
+		"server", "role", "term", "promoter", "log_term", "log_offset", "lineage", "leaving", "connections", "applied_offset",
+	}, [][]string{{
+		b.f.name, string(role), fmt.Sprint(p.Term), "x", fmt.Sprint(p.Term), fmt.Sprint(p.Offset), "1:0", "f", "1",
+		fmt.Sprint(applied),
+	}}
 }
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -62,6 +62,22 @@
 	}
 }
 
+// Guards against a replica's answer being used although the server stores, but
+// does not show, what the floor demands.
+func TestReplicaAppliesLate(t *testing.T) {
+	fx := newFixture(t)
+	c := fx.connect()
+	exec(t, c, "insert into kv values ('x', 'new')")
+	fx.b.appliesLate.Store(true)
+	fx.refreshReplica()
+	if got := get(t, c, "x"); got != "new" {
+		t.Errorf("read %q", got)
+	}
+	if fx.b.count("select v") == 0 || fx.a.count("select v") == 0 {
+		t.Errorf("%d reads on the replica, %d on the primary", fx.b.count("select v"), fx.a.count("select v"))
+	}
+}
+
 // Guards against a replica's answer being used although its status row does
 // not cover the session's floor.
 func TestReplicaBehindItsView(t *testing.T) {
--- a/internal/tracker/age_test.go
+++ b/internal/tracker/age_test.go
@@ -122,3 +122,36 @@
 		}
 	}
 }
+
+// Guards against a confirmation that waits until replicas apply a record, and
+// against views and ages that count records which replicas store but do not
+// show.
+func TestStoredAndApplied(t *testing.T) {
+	f := newAgeFixture()
+	f.see(10, "s1", RolePrimary, 1, "1:0", Position{1, 5})
+	f.see(12, "s2", RoleReplica, 1, "1:0", Position{1, 5})
+	f.see(20, "s1", RolePrimary, 1, "1:0", Position{1, 9})
+	l := Lineage{{Term: 1}}
+	late := Status{Server: "s2", Role: RoleReplica, Term: 1, Log: Position{1, 9}, Applied: Position{1, 5}, Lineage: l}
+	f.Observe("s2", late, f.at(30), f.at(31))
+	if got := f.State().Confirmed; got != (Position{1, 9}) {
+		t.Errorf("confirmed up to %v", got)
+	}
+	if r, _ := f.View().Replica("s2"); r.Log != late.Applied {
+		t.Errorf("view shows %v", r.Log)
+	}
+	f.want(t, "s2", 10)
+	late.Applied = late.Log
+	f.Observe("s2", late, f.at(40), f.at(41))
+	f.want(t, "s2", 20)
+}
+
+// Guards against a record that is placed in the wrong term.
+func TestLineageAt(t *testing.T) {
+	l := Lineage{{Term: 1}, {Term: 3, Start: 57}}
+	for offset, want := range map[uint64]Position{0: {}, 1: {1, 1}, 57: {1, 57}, 58: {3, 58}} {
+		if got := l.At(offset); got != want {
+			t.Errorf("record %d is at %v, want %v", offset, got, want)
+		}
+	}
+}
--- a/standin/server/node/follow.go
+++ b/standin/server/node/follow.go
@@ -164,6 +164,7 @@
 		if err := dec.Decode(&b); err != nil {
 			return err
 		}
+		n.awaitArrival(ctx, b.Records)
 		n.Freeze.Wait(ctx)
 		if err := n.keep(b.Records, epoch); err != nil {
 			return err
@@ -171,6 +172,18 @@
 	}
 }
 
+// awaitArrival waits until all records are as old as the store delay.
+func (n *Node) awaitArrival(ctx context.Context, records []logstore.Record) {
+	d := time.Duration(n.storeDelay.Load())
+	if d == 0 || len(records) == 0 {
+		return
+	}
+	select {
+	case <-time.After(time.Until(records[len(records)-1].At().Add(d))):
+	case <-ctx.Done():
+	}
+}
+
 // keep stores records, unless the epoch ended.
 func (n *Node) keep(records []logstore.Record, epoch uint64) error {
 	n.mu.Lock()
--- a/standin/server/node/node.go
+++ b/standin/server/node/node.go
@@ -20,13 +20,15 @@
 	// Freeze stops replication while it is closed.
 	Freeze *Gate
 
-	ctx     context.Context
-	cancel  context.CancelFunc
-	tasks   sync.WaitGroup
-	ln      net.Listener
-	writer  chan struct{}
-	delay   atomic.Int64
-	leaving atomic.Bool
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+	ln     net.Listener
+	writer chan struct{}
+	delay  atomic.Int64
+	// storeDelay is the age at which a replica stores a record.
+	storeDelay atomic.Int64
+	leaving    atomic.Bool
 
 	mu    sync.RWMutex
 	meta  logstore.Meta
@@ -234,6 +236,10 @@
 	n.mu.Unlock()
 }
 
+// SetStoreDelay sets the age at which a replica stores a record, as a slow
+// network would. It concerns records that arrive later.
+func (n *Node) SetStoreDelay(d time.Duration) { n.storeDelay.Store(int64(d)) }
+
 // signal wakes those who wait for a change. The caller holds mu.
 func (n *Node) signal() {
 	close(n.changed)
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -122,6 +122,9 @@
 // SetApplyDelay sets the age at which a replica applies a record.
 func (s *Server) SetApplyDelay(d time.Duration) { s.node.SetApplyDelay(d) }
 
+// SetStoreDelay sets the age at which a replica stores a record.
+func (s *Server) SetStoreDelay(d time.Duration) { s.node.SetStoreDelay(d) }
+
 // SetLeaving sets the leaving mark of the status row.
 func (s *Server) SetLeaving(on bool) { s.node.SetLeaving(on) }
 
