injector: cut_replication strikes the candidate during a promotion

The cells cut_replication@promotion_detected, promotion_fenced and promotion_chosen failed with "database group booking has no primary", because the fault looked for a primary while the group had none. It now cuts the server with the highest log end in that case.

--- a/internal/injector/network_faults.go
+++ b/internal/injector/network_faults.go
@@ -35,9 +35,10 @@
 	)
 }}
 
-// cutReplication leaves the primary reachable by callers only.
+// cutReplication leaves the primary reachable by callers only. In the middle of
+// a promotion it strikes the server that the promotion chooses.
 var cutReplication = Fault{Name: "cut_replication", Hold: stallHold, Inject: func(_ context.Context, s *Scene) error {
-	p, err := s.Primary()
+	p, err := s.Candidate()
 	if err != nil {
 		return err
 	}
--- a/internal/injector/scene.go
+++ b/internal/injector/scene.go
@@ -86,6 +86,30 @@
 	return best, nil
 }
 
+// Candidate returns the primary. While there is none, it returns the live
+// server with the highest log end, which a promotion chooses.
+func (s *Scene) Candidate() (*deployer.Server, error) {
+	if p, err := s.Primary(); err == nil {
+		return p, nil
+	}
+	var best *deployer.Server
+	var end tracker.Position
+	for _, server := range s.D.ServersOf(s.Group) {
+		state, err := server.State()
+		if err != nil {
+			continue
+		}
+		log := tracker.Position{Term: state.LogTerm, Offset: state.LogOffset}
+		if best == nil || log.Compare(end) > 0 {
+			best, end = server, log
+		}
+	}
+	if best == nil {
+		return nil, errors.Errorf("database group %s has no live server", s.Group)
+	}
+	return best, nil
+}
+
 // Monitor returns the instance that monitors the group.
 func (s *Scene) Monitor() (*deployer.Entry, error) {
 	for _, e := range s.D.Entries {
