overseer: refuses to change several servers of a group at once

Cause: a new catalog replaced the servers of a group at once, although majorities of the old and the new list may share no server.

A change of one server waits until the primary is established under the present list. Direct confirmations count the servers in use too.

Limits: replacing one of three servers at once still gives majorities that share no server, and an instance that starts later takes the newest list. Both need a check when a manifest is approved.

--- a/internal/confirmer/chooser.go
+++ b/internal/confirmer/chooser.go
@@ -12,6 +12,7 @@
 	"marigoldhub.example/hub/internal/enroller"
 	"marigoldhub.example/hub/internal/messenger"
 	"marigoldhub.example/hub/internal/recorder"
+	"marigoldhub.example/hub/internal/tracker"
 )
 
 const (
@@ -31,13 +32,22 @@
 	Catalog   checker.CatalogSource
 	// Trackers are those of the groups that this instance monitors.
 	Trackers TrackerSource
-	Dialer   messenger.Dialer
+	// Groups gives the servers that direct reads count. When it is nil, those
+	// of the catalog count.
+	Groups GroupSource
+	Dialer messenger.Dialer
 	// Read reads a status over a pooled connection of this instance.
 	Read     ReadFunc
 	Clock    clockwork.Clock
 	Recorder *recorder.Recorder
 }
 
+// GroupSource gives the server lists in use.
+type GroupSource interface {
+	// Group returns the group, and false when it is unknown.
+	Group(name string) (tracker.Group, bool)
+}
+
 // Chooser confirms through whoever monitors the group: this instance, another
 // one, or nobody, in which case it reads the statuses itself.
 type Chooser struct {
@@ -155,10 +165,18 @@
 }
 
 func (c *Chooser) askServers(ctx context.Context, req Request) answer {
-	group, ok := c.cfg.Catalog.Catalog().Group(req.Group)
+	group, ok := c.group(req.Group)
 	if !ok {
 		return answer{err: ErrUnknownGroup}
 	}
-	result, err := c.direct.Confirm(ctx, group.Tracked(), req)
+	result, err := c.direct.Confirm(ctx, group, req)
 	return answer{result: result, err: err}
 }
+
+func (c *Chooser) group(name string) (tracker.Group, bool) {
+	if c.cfg.Groups != nil {
+		return c.cfg.Groups.Group(name)
+	}
+	group, ok := c.cfg.Catalog.Catalog().Group(name)
+	return group.Tracked(), ok
+}
--- a/internal/launcher/parts.go
+++ b/internal/launcher/parts.go
@@ -106,7 +106,7 @@
 		Clock: i.clock, Registry: i.registry, Recorder: i.recorder, Log: i.partLog("pooler"),
 	})
 	i.confirmer = confirmer.New(confirmer.Config{
-		Directory: i.roster, Catalog: i.distributor, Trackers: i.overseer, Dialer: i.peers,
+		Directory: i.roster, Catalog: i.distributor, Trackers: i.overseer, Groups: i.overseer, Dialer: i.peers,
 		Read: pooledReader{i.pool}.read, Clock: i.clock, Recorder: i.recorder,
 	})
 }
--- a/internal/overseer/board.go
+++ b/internal/overseer/board.go
@@ -31,6 +31,9 @@
 	updated chan struct{}
 
 	hold hold
+	// established is set when a view named the primary under the present
+	// servers of the group.
+	established bool
 	// completed are the switchovers that have taken effect.
 	completed map[string]bool
 }
@@ -72,9 +75,27 @@
 func (b *board) publish(v tracker.View, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.noteEstablished(v)
 	b.publishLocked(v, now)
 }
 
+func (b *board) noteEstablished(v tracker.View) {
+	b.established = b.established || v.Term > 0 && v.Primary != ""
+}
+
+func (b *board) isEstablished() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.established
+}
+
+// restart notes that the servers of the group change.
+func (b *board) restart() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.established = false
+}
+
 func (b *board) publishLocked(v tracker.View, now time.Time) {
 	if !b.isAsNew(v) {
 		v = b.view
@@ -98,6 +119,7 @@
 func (b *board) accept(v tracker.View, completed []string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.noteEstablished(v)
 	for _, id := range completed {
 		b.completed[id] = true
 	}
--- a/internal/overseer/cell_test.go
+++ b/internal/overseer/cell_test.go
@@ -288,7 +288,7 @@
 		InFlight: i,
 	})
 	i.confirms = confirmer.New(confirmer.Config{
-		Directory: dir, Catalog: c.source, Trackers: i.overseer, Dialer: i.pool, Clock: clock, Recorder: i.recorder,
+		Directory: dir, Catalog: c.source, Trackers: i.overseer, Groups: i.overseer, Dialer: i.pool, Clock: clock, Recorder: i.recorder,
 		Read: c.readDirect,
 	})
 	service := frozenService{overseer.GroupsServer{Overseer: i.overseer}, i}
--- a/internal/overseer/overseer.go
+++ b/internal/overseer/overseer.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
@@ -51,6 +52,9 @@
 	done chan struct{}
 
 	confirms *confirmer.Server
+	// isWaiting is set while a change of servers waits for a primary. Only
+	// reconcile and run use it.
+	isWaiting bool
 
 	mu     sync.RWMutex
 	boards map[string]*board
@@ -60,6 +64,7 @@
 var (
 	_ tracker.ViewSource      = (*Overseer)(nil)
 	_ confirmer.TrackerSource = (*Overseer)(nil)
+	_ confirmer.GroupSource   = (*Overseer)(nil)
 )
 
 // New starts an overseer. The groups of the catalog in force are known when it
@@ -98,8 +103,13 @@
 
 func (o *Overseer) run(ctx context.Context, changed <-chan struct{}) {
 	for {
+		var retry <-chan time.Time
+		if o.isWaiting {
+			retry = o.cfg.Clock.After(regroupRetry)
+		}
 		select {
 		case <-changed:
+		case <-retry:
 		case <-ctx.Done():
 			return
 		}
@@ -109,8 +119,10 @@
 }
 
 // reconcile starts and ends tasks so that they match the catalog. A task whose
-// servers changed is restarted; its board stays.
+// servers changed is restarted; its board stays. The old servers stay in use
+// while the change is refused or has to wait.
 func (o *Overseer) reconcile(c *checker.Catalog) {
+	o.isWaiting = false
 	declared := make(map[string]bool)
 	for _, g := range c.Groups() {
 		declared[g.Name] = true
@@ -136,10 +148,19 @@
 func (o *Overseer) ensure(g tracker.Group) {
 	old := o.currentTasks()[g.Name]
 	if old != nil && slices.Equal(old.group.Servers, g.Servers) {
+		old.refused = nil
 		return
 	}
 	if old != nil {
+		switch o.judge(old, g) {
+		case regroupNever:
+			return
+		case regroupLater:
+			o.isWaiting = true
+			return
+		}
 		old.close()
+		old.board.restart()
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -210,3 +231,15 @@
 	}
 	return b.getTracker()
 }
+
+// Group implements confirmer.GroupSource. Its servers are those in use, which
+// differ from the catalog's while a change is refused or has to wait.
+func (o *Overseer) Group(name string) (tracker.Group, bool) {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	t, ok := o.tasks[name]
+	if !ok {
+		return tracker.Group{}, false
+	}
+	return t.group, true
+}
--- a/internal/overseer/task.go
+++ b/internal/overseer/task.go
@@ -36,6 +36,9 @@
 	done  chan struct{}
 	// cursor names the newest view received.
 	cursor cursor
+	// refused is the newest server list that was refused in place of that of
+	// group. Only the overseer uses it.
+	refused []tracker.Server
 }
 
 type cursor struct {
