promoter: servers keep which planned changes took effect

Cause: a switchover that was still declared ran again after all instances were replaced, when a failure had moved the primary away from its target.

Ruled out: the lineage, which shows terms but not why they began, and the store, which is not involved in promotions.

Change: the name of an attempt, which the servers keep as promoter, carries the planned change that it is for and the declared changes that took effect before. A new monitor completes those before it looks for wanted changes.

Limit: an identifier that is declared again after it was removed counts as done until a promotion without it.

Before: TestSwitchoverAfterRestart saw s3 in term 4 after s2 in term 3.

--- a/internal/overseer/planner.go
+++ b/internal/overseer/planner.go
@@ -1,6 +1,8 @@
 package overseer
 
 import (
+	"slices"
+
 	"marigoldhub.example/hub/internal/promoter"
 	"marigoldhub.example/hub/internal/tracker"
 )
@@ -16,6 +18,7 @@
 // whose target is reachable, or else a change away from a leaving primary.
 func (p planner) Next(s tracker.State) (promoter.Plan, bool) {
 	t := p.task
+	p.learn(s)
 	for _, w := range t.cfg.Catalog.Catalog().Switchovers(t.group.Name) {
 		if !t.board.isCompleted(w.ID) && s.Server(w.To).Reachable() {
 			return promoter.Plan{ID: w.ID, To: w.To, Reason: "requested"}, true
@@ -28,6 +31,26 @@
 	return promoter.Plan{To: to, Reason: reasonLeaving}, to != ""
 }
 
+// learn completes the declared switchovers that the servers know to have taken
+// effect.
+func (p planner) learn(s tracker.State) {
+	done := promoter.DoneChanges(s)
+	if len(done) == 0 {
+		return
+	}
+	for id := range declaredSwitchovers(p.task.cfg.Catalog.Catalog(), p.task.group.Name) {
+		if slices.Contains(done, id) && !p.task.board.isCompleted(id) {
+			p.task.board.complete(id)
+		}
+	}
+}
+
+// Done implements promoter.Planner.
+func (p planner) Done(s tracker.State) []string {
+	p.learn(s)
+	return p.task.board.completedIDs()
+}
+
 // successor returns the replica with the highest log end that is not leaving.
 func (p planner) successor(s tracker.State) string {
 	var best tracker.Observation
--- a/internal/promoter/change.go
+++ b/internal/promoter/change.go
@@ -75,7 +75,7 @@
 	if err := p.prepare(ctx, plan); err != nil {
 		return err
 	}
-	if err := p.promote(ctx, p.cfg.Tracker.State(), choice{preferred: plan.To}); err != nil {
+	if err := p.promote(ctx, p.cfg.Tracker.State(), choice{plan: plan}); err != nil {
 		return err
 	}
 	if p.cfg.Tracker.State().Primary == plan.To {
--- a/internal/promoter/plan.go
+++ b/internal/promoter/plan.go
@@ -26,6 +26,9 @@
 	Resume()
 	// Complete is called when the change has taken effect.
 	Complete(p Plan)
+	// Done returns the identifiers of the declared changes that have taken
+	// effect, as this planner or the servers know.
+	Done(s tracker.State) []string
 	// IsAvoided reports whether the server is leaving and should only lead
 	// when no other server has an equally complete log.
 	IsAvoided(server string) bool
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -138,8 +138,9 @@
 
 // choice limits which server a promotion chooses.
 type choice struct {
-	// preferred is chosen among servers with equally complete logs.
-	preferred string
+	// plan is the planned change that the promotion is for. Its target is
+	// chosen among servers with equally complete logs.
+	plan Plan
 	// excluded is fenced but not counted, so the majority that the promotion
 	// rests on consists of other servers.
 	excluded string
@@ -149,7 +150,7 @@
 func (p *Promoter) promote(ctx context.Context, s tracker.State, c choice) error {
 	startedAt := p.cfg.Clock.Now()
 	term := s.HighestTerm() + 1
-	id := attemptID(p.cfg.Instance)
+	id := attemptID(p.cfg.Instance, c.plan, p.doneChanges(s))
 	p.detector.own = term
 
 	fenced := p.fence(ctx, term, id, c.excluded)
@@ -162,7 +163,7 @@
 		return err
 	}
 
-	chosen := p.choose(fenced, c.preferred)
+	chosen := p.choose(fenced, c.plan.To)
 	p.record("chosen", term, "server", chosen.Server, "log", chosen.Log)
 	if err := ctx.Err(); err != nil {
 		return err
@@ -187,6 +188,13 @@
 	return nil
 }
 
+func (p *Promoter) doneChanges(s tracker.State) []string {
+	if p.cfg.Planner == nil {
+		return nil
+	}
+	return p.cfg.Planner.Done(s)
+}
+
 // noteEstablished ends the pending promotion when its term is established.
 func (p *Promoter) noteEstablished(s tracker.State) {
 	if p.pending.term == 0 || s.Term < p.pending.term {
@@ -198,12 +206,6 @@
 	p.pending = pending{}
 }
 
-// attemptID names one attempt. A name that two attempts shared would let both
-// promote a server in the same term.
-func attemptID(instance string) string {
-	return fmt.Sprintf("%s/%016x", instance, rand.Uint64())
-}
-
 // fence sends the fence to all servers and returns the statuses of those that
 // accepted it, but for the excluded one. It returns early once a majority
 // accepted and the others had their grace.
--- a/internal/promoter/promoter_test.go
+++ b/internal/promoter/promoter_test.go
@@ -351,6 +351,8 @@
 
 func (p *fakePlanner) Complete(promoter.Plan) { p.done.Store(true) }
 
+func (p *fakePlanner) Done(tracker.State) []string { return nil }
+
 func (p *fakePlanner) IsAvoided(string) bool { return false }
 
 // Guards against a planned change that cuts open transactions, holds work for
