sampler: memory of active callers, watch events, target size

Memory of active connections is a slope over callers that run statements; the earlier figure divided the growth of the whole heap by 16 callers. Changes are ten a second, so that the 10 ms clock of /proc resolves one. The values at target size are printed beside the limits.

--- a/internal/sampler/callers.go
+++ b/internal/sampler/callers.go
@@ -22,8 +22,13 @@
 	// activeCallers run statements at the same time.
 	activeCallers = 16
 	statementTime = 3 * time.Second
+	activeTime    = 1500 * time.Millisecond
 )
 
+// activeCounts are ascending, because memory that was in use is given back
+// late.
+var activeCounts = []int{16, 128, 512}
+
 var idleCallers = []int{0, 500, 1000, 2000}
 
 // measureCallers loads one of three instances with callers.
@@ -31,7 +36,7 @@
 	plan := deployer.Council().WithGroups(callerGroup).WithEntries(3)
 	return s.withDeployment(ctx, plan, func(d *deployer.Deployment) error {
 		c := &callerCost{Sampler: s, d: d, target: directTarget(d)}
-		for _, step := range []func(context.Context) error{c.prepare, c.statements, c.promotions, c.idleConnections} {
+		for _, step := range []func(context.Context) error{c.prepare, c.statements, c.promotions, c.idleConnections, c.active} {
 			if err := step(ctx); err != nil {
 				return err
 			}
@@ -95,26 +100,17 @@
 			return err
 		}},
 	}
-	before, err := residentKB(c.d.Entries[0].PID())
-	if err != nil {
-		return err
-	}
 	for _, k := range kinds {
 		if err := c.statementKind(ctx, k.name, k.run); err != nil {
 			return err
 		}
 	}
-	after, err := residentKB(c.d.Entries[0].PID())
-	c.number("memory_kb_per_active_connection", (after-before)/activeCallers)
-	if err != nil {
-		return err
-	}
 	return c.newConnections(ctx)
 }
 
 func (c *callerCost) statementKind(ctx context.Context, name string, run func(context.Context, *loader.Caller, int) error) error {
 	var done, failed atomic.Int64
-	w, err := c.load(ctx, func(ctx context.Context, caller *loader.Caller, n int) {
+	w, err := c.load(ctx, activeCallers, statementTime, func(ctx context.Context, caller *loader.Caller, n int) {
 		if run(ctx, caller, n) != nil {
 			failed.Add(1)
 			return
@@ -139,7 +135,7 @@
 // (SCRAM-SHA-256).
 func (c *callerCost) newConnections(ctx context.Context) error {
 	var done atomic.Int64
-	w, err := c.load(ctx, func(ctx context.Context, caller *loader.Caller, _ int) {
+	w, err := c.load(ctx, activeCallers, statementTime, func(ctx context.Context, caller *loader.Caller, _ int) {
 		caller.Close()
 		if caller.Connected(ctx) == nil {
 			done.Add(1)
@@ -154,10 +150,32 @@
 	return nil
 }
 
-// load lets the active callers repeat an operation.
-func (c *callerCost) load(ctx context.Context, run func(context.Context, *loader.Caller, int)) (window, error) {
+// active measures memory over the number of callers that run bounded reads all
+// the time.
+func (c *callerCost) active(ctx context.Context) error {
+	memory := Slope{Name: "memory_kb_of_active_connections", Unit: "KB", Per: "connection"}
+	for _, n := range activeCounts {
+		var kb float64
+		_, err := c.load(ctx, n, activeTime, func(ctx context.Context, caller *loader.Caller, _ int) {
+			_, _ = caller.Read(ctx, loader.Catalogue, "k", c.d.Plan.MaxAge)
+		}, func() (err error) {
+			kb, err = residentKB(c.d.Entries[0].PID())
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		memory.Points = append(memory.Points, Point{float64(n), kb})
+	}
+	c.slope(memory)
+	return nil
+}
+
+// load lets n callers repeat an operation for the given time. The checks run
+// while the callers are still connected.
+func (c *callerCost) load(ctx context.Context, n int, length time.Duration, run func(context.Context, *loader.Caller, int), checks ...func() error) (window, error) {
 	var callers []*loader.Caller
-	for id := range activeCallers {
+	for id := range n {
 		caller := c.caller(id)
 		defer caller.Close()
 		if err := caller.Connected(ctx); err != nil {
@@ -165,8 +183,8 @@
 		}
 		callers = append(callers, caller)
 	}
-	return observe(ctx, c.d, statementTime, func() error {
-		end := time.Now().Add(statementTime)
+	return observe(ctx, c.d, length, func() error {
+		end := time.Now().Add(length)
 		var tasks sync.WaitGroup
 		for _, caller := range callers {
 			tasks.Go(func() {
@@ -176,6 +194,11 @@
 			})
 		}
 		tasks.Wait()
+		for _, check := range checks {
+			if err := check(); err != nil {
+				return err
+			}
+		}
 		return nil
 	})
 }
--- a/internal/sampler/cost.go
+++ b/internal/sampler/cost.go
@@ -22,7 +22,7 @@
 	// changeTime is the length of a window with manifest changes.
 	changeTime = 3 * time.Second
 	// changesPerWindow is the number of changes in it.
-	changesPerWindow = 6
+	changesPerWindow = 30
 )
 
 // curves collects points of several quantities in the order of first use.
@@ -65,6 +65,7 @@
 		c.add(prefix+"store_calls_per_s_"+kind, "calls/s", x, byKind[kind])
 	}
 	c.add(prefix+"store_open_watches", "watches", x, float64(w.openWatches))
+	c.add(prefix+"store_watch_events_per_s", "events/s", x, w.watchEvents)
 }
 
 // measureInstances measures idle installations and installations with manifest
--- a/internal/sampler/parts.go
+++ b/internal/sampler/parts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"marigoldhub.example/hub/internal/checker"
 	"marigoldhub.example/hub/internal/deployer"
@@ -12,9 +11,9 @@
 var (
 	// partCounts are numbers of parts without a group of their own, from one
 	// on which is the part of the installation.
-	partCounts = []int{1, 4, 16, 128}
+	partCounts = []int{1, 4, 16, 64}
 	// groupPartCounts are numbers of further parts with a group each.
-	groupPartCounts = []int{0, 16, 48}
+	groupPartCounts = []int{0, 24}
 )
 
 // rulesPerPart is the number of read rules of a further part with a group.
@@ -72,9 +71,6 @@
 }
 
 func (s *Sampler) partWindow(ctx context.Context, c *curves, prefix string, n int, d *deployer.Deployment) (window, error) {
-	if err := sleep(ctx, time.Second); err != nil {
-		return window{}, err
-	}
 	w, err := observe(ctx, d, idleTime, idle)
 	if err != nil {
 		return w, err
--- a/internal/sampler/sampler.go
+++ b/internal/sampler/sampler.go
@@ -66,6 +66,7 @@
 	for _, phase := range s.phases() {
 		failed = append(failed, s.runPhase(ctx, phase))
 	}
+	s.printTarget()
 	return errors.Join(append(failed, s.writeReport())...)
 }
 
--- a/internal/sampler/window.go
+++ b/internal/sampler/window.go
@@ -20,6 +20,7 @@
 	metrics        map[string]float64
 	storeCalls     map[string]int64
 	watches        int
+	watchEvents    int64
 }
 
 // window holds rates between two snapshots. Values are means per instance and
@@ -34,6 +35,8 @@
 	// storeCalls are calls per second at the store, by kind.
 	storeCalls  map[string]float64
 	openWatches int
+	// watchEvents are the events that the store sends to watches a second.
+	watchEvents float64
 }
 
 func take(d *deployer.Deployment) (snapshot, error) {
@@ -54,7 +57,7 @@
 		return s, err
 	}
 	counts, err := d.Platform.Counts()
-	s.storeCalls, s.watches = counts.Calls, counts.OpenWatches
+	s.storeCalls, s.watches, s.watchEvents = counts.Calls, counts.OpenWatches, counts.WatchEvents
 	return s, err
 }
 
@@ -98,6 +101,7 @@
 		seconds: later.at.Sub(s.at).Seconds(), sent: map[string]float64{}, received: map[string]float64{},
 		metrics: map[string]float64{}, storeCalls: map[string]float64{}, openWatches: later.watches,
 	}
+	w.watchEvents = float64(later.watchEvents-s.watchEvents) / w.seconds
 	n := float64(len(s.processor))
 	for i, t := range s.processor {
 		w.processorMS = append(w.processorMS, (later.processor[i]-t).Seconds()*1e3/w.seconds)
