--- a/internal/experimenter/main.go
+++ b/internal/experimenter/main.go
@@ -30,7 +30,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(newDemoCmd(), newMatrixCmd(), newBenchCmd(), newSlopesCmd())
+	cmd.AddCommand(newDemoCmd(), newRunCmd(), newMatrixCmd(), newBenchCmd(), newSlopesCmd())
 	return cmd
 }
 
--- a/internal/injector/scene.go
+++ b/internal/injector/scene.go
@@ -206,7 +206,7 @@
 	return waitUntil(ctx, s.haveSameTerm)
 }
 
-// WaitSettled waits until all servers of the group have the same log. It is
+// WaitSettled waits until all servers of the group have applied the same log. It is
 // called after the load has ended.
 func (s *Scene) WaitSettled(ctx context.Context) error { return waitUntil(ctx, s.haveSameLogs) }
 
@@ -233,7 +233,8 @@
 
 func (s *Scene) haveSameLogs() error {
 	return s.compareWithPrimary(func(state, primary server.State) bool {
-		return state.Term == primary.Term && state.LogTerm == primary.LogTerm && state.LogOffset == primary.LogOffset
+		return state.Term == primary.Term && state.LogTerm == primary.LogTerm && state.LogOffset == primary.LogOffset &&
+			state.Applied == state.LogOffset
 	})
 }
 
