--- a/internal/injector/network_faults.go
+++ b/internal/injector/network_faults.go
@@ -60,7 +60,7 @@
 
 // lagReplicas concerns every running server but the primary. During a promotion
 // there may be no primary, and the killed one takes no settings.
-var lagReplicas = Fault{Name: "lag_replicas", Hold: shortHold, Inject: func(_ context.Context, s *Scene) error {
+var lagReplicas = Fault{Name: "lag_replicas", Hold: longHold, Inject: func(_ context.Context, s *Scene) error {
 	p, err := s.Primary()
 	if err != nil {
 		p = nil
