pooler: gauges leave with their server and are bounded

Gauges of a server that left the manifest kept their last value and were never removed. They are now removed with the server and exist for at most 256 database groups.

--- /dev/null
+++ b/internal/pooler/gauge_test.go
@@ -0,0 +1,50 @@
+package pooler
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+func countGauges(r metrics.Registry) int {
+	n := 0
+	r.Each(func(name string, _ any) {
+		if strings.HasPrefix(name, "pooler.") {
+			n++
+		}
+	})
+	return n
+}
+
+// Guards against gauges of servers that left the manifest, which would show
+// the last state for ever and grow with every change.
+func TestGaugesLeaveWithServer(t *testing.T) {
+	server := startServer(t, "")
+	registry := metrics.NewRegistry()
+	f := &fixture{}
+	startPool(t, f, manifest(entryOf("a", server, 20), entryOf("b", server, 20)), func(c *Config) { c.Registry = registry })
+	waitFor(t, "gauges of two servers", func() bool { return countGauges(registry) == 2*len(gaugeNames) })
+	f.setCatalog(manifest(entryOf("a", server, 20)))
+	waitFor(t, "gauges of one server", func() bool { return countGauges(registry) == len(gaugeNames) })
+}
+
+// Guards against memory that grows with the number of database groups.
+func TestGaugesAreBounded(t *testing.T) {
+	p := &Pool{groups: make(map[string]*group)}
+	for i := range maxReportedGroups + 10 {
+		g := newGroup(p, fmt.Sprint(i))
+		g.reported = p.hasRoomForGauges()
+		p.groups[g.name] = g
+	}
+	reported := 0
+	for _, g := range p.groups {
+		if g.reported {
+			reported++
+		}
+	}
+	if reported != maxReportedGroups {
+		t.Errorf("%d groups have gauges, want %d", reported, maxReportedGroups)
+	}
+}
--- a/internal/pooler/group.go
+++ b/internal/pooler/group.go
@@ -15,6 +15,8 @@
 	demand chan struct{}
 	// stop ends the grant loop.
 	stop chan struct{}
+	// reported is set when the servers have gauges. It does not change.
+	reported bool
 
 	mu       sync.Mutex
 	backends map[string]*backend
@@ -63,6 +65,7 @@
 func (g *group) removeBackend(b *backend) {
 	b.removed = true
 	b.shrink(time.Time{})
+	b.forgetGauges()
 	b.refuseAll(&RefusedError{Server: b.name, Reason: ReasonUnknown})
 	if g.backends[b.name] == b {
 		delete(g.backends, b.name)
--- a/internal/pooler/maintain.go
+++ b/internal/pooler/maintain.go
@@ -59,6 +59,7 @@
 		g, ok := p.groups[tracked.Name]
 		if !ok {
 			g = newGroup(p, tracked.Name)
+			g.reported = p.hasRoomForGauges()
 			p.groups[tracked.Name] = g
 			p.tasks.Go(g.requestGrants)
 		}
@@ -81,6 +82,21 @@
 	}
 }
 
+// maxReportedGroups bounds the database groups whose servers have gauges.
+const maxReportedGroups = 256
+
+// hasRoomForGauges reports whether one more group may have gauges. The caller
+// holds mu.
+func (p *Pool) hasRoomForGauges() bool {
+	reported := 0
+	for _, g := range p.groups {
+		if g.reported {
+			reported++
+		}
+	}
+	return reported < maxReportedGroups
+}
+
 // markLeaving takes the leaving signs of the manifest, the platform's list and
 // the server itself. The caller holds mu.
 func (g *group) markLeaving(now time.Time) {
@@ -141,10 +157,27 @@
 	}
 }
 
+// gaugeNames are the gauges of each server.
+var gaugeNames = []string{"open", "allowed", "in_use", "waiting", "opens", "open_failures", "refusals"}
+
+func (b *backend) gaugeName(name string) string {
+	return "pooler." + b.group.name + "." + b.name + "." + name
+}
+
+// forgetGauges removes the gauges of a server that left the manifest.
+func (b *backend) forgetGauges() {
+	for _, name := range gaugeNames {
+		b.group.pool.cfg.Registry.Unregister(b.gaugeName(name))
+	}
+}
+
+// report updates the gauges of the server.
 func (b *backend) report(now time.Time) {
-	prefix := "pooler." + b.group.name + "." + b.name + "."
+	if !b.group.reported {
+		return
+	}
 	gauge := func(name string, v int64) {
-		metrics.GetOrRegisterGauge(prefix+name, b.group.pool.cfg.Registry).Update(v)
+		metrics.GetOrRegisterGauge(b.gaugeName(name), b.group.pool.cfg.Registry).Update(v)
 	}
 	gauge("open", int64(b.open))
 	gauge("allowed", int64(b.allowance(now)))
