--- a/internal/measurer/installation.go
+++ b/internal/measurer/installation.go
@@ -101,13 +101,13 @@
 	return sum, nil
 }
 
+// setLag sets the lag of all servers at nearly the same time.
 func (in installation) setLag(d time.Duration) error {
+	var g errgroup.Group
 	for _, s := range in.Servers {
-		if err := s.SetLag(d); err != nil {
-			return err
-		}
+		g.Go(func() error { return s.SetLag(d) })
 	}
-	return nil
+	return g.Wait()
 }
 
 // primary returns the server that leads the highest term of a group.
--- a/internal/measurer/share.go
+++ b/internal/measurer/share.go
@@ -45,13 +45,19 @@
 
 // shareResult is the outcome of one case.
 type shareResult struct {
-	bounded, replica float64
-	stale            int
-	floorReads       int
-	floorServed      int
-	details          []examiner.Violation
+	// bounded, replica and rejected count bounded reads, those that a replica
+	// served, and attempts at a replica that did not prove the floor.
+	bounded, replica, rejected float64
+	stale                      int
+	floorReads                 int
+	floorServed                int
+	details                    []examiner.Violation
 }
 
+// floor is the share that would result if each session's floor were its
+// position at attach, see [attachFloor].
+func (r shareResult) floor() float64 { return ratio(float64(r.floorServed), float64(r.floorReads)) }
+
 // measureShare browses all groups with replicas that are behind. Routing is
 // the name of the policy that the installation runs with.
 func measureShare(ctx context.Context, in installation, sheet sheetOf, routing string, length time.Duration) error {
@@ -69,12 +75,14 @@
 		case c.lag == 50*time.Millisecond:
 			sheet.atLeast(name, ratio(r.replica, r.bounded), shareAim)
 		case c.lag == time.Minute:
-			floor := ratio(float64(r.floorServed), float64(r.floorReads))
-			sheet.atLeast(name, ratio(r.replica, r.bounded), floor)
-			sheet.add(name+"_floor", floor)
+			sheet.atLeast(name, ratio(r.replica, r.bounded), r.floor())
 		default:
 			sheet.add(name, ratio(r.replica, r.bounded))
 		}
+		if routing == "" {
+			sheet.add(name+"_floor", r.floor())
+			sheet.add(name+"_rejected", ratio(r.rejected, r.bounded))
+		}
 		for i, v := range r.details {
 			if routing == "" && i < 3 {
 				fmt.Fprintf(sheet.w, "# %s stale read: %s\n", sheet.user, v)
@@ -101,9 +109,8 @@
 		}))
 	}
 	time.Sleep(shareWarmUp)
-	if err := in.setLag(c.lag); err != nil {
-		return r, err
-	}
+	// The counters are read before the lag changes: the reads just after it
+	// are the ones that a replica can still serve.
 	begin := make([]time.Duration, len(crowds))
 	for i, crowd := range crowds {
 		begin[i] = crowd.History.Now()
@@ -112,12 +119,15 @@
 	if err != nil {
 		return r, err
 	}
+	if err := in.setLag(c.lag); err != nil {
+		return r, err
+	}
 	time.Sleep(length)
 	after, err := in.readCounters()
 	if err != nil {
 		return r, err
 	}
-	r.bounded, r.replica = after[0]-before[0], after[1]-before[1]
+	r.bounded, r.replica, r.rejected = after[0]-before[0], after[1]-before[1], after[2]-before[2]
 	for i, crowd := range crowds {
 		history := crowd.Stop()
 		printOutcomes(sheet.w, in.Plan.Customer+" "+c.name+" "+in.Plan.Groups[i], history)
@@ -143,14 +153,17 @@
 	fmt.Fprintf(w, "# %s: %v slowest %v\n", what, counts, slowest)
 }
 
-// readCounters returns the bounded reads and those that a replica served.
-func (in installation) readCounters() ([2]float64, error) {
-	bounded, err := in.counter("relayer.bounded_reads")
-	if err != nil {
-		return [2]float64{}, err
+// readCounters returns the bounded reads, those that a replica served, and the
+// rejected attempts.
+func (in installation) readCounters() ([3]float64, error) {
+	var values [3]float64
+	for i, name := range []string{"relayer.bounded_reads", "relayer.replica_reads", "relayer.replica_reads_rejected"} {
+		var err error
+		if values[i], err = in.counter(name); err != nil {
+			return values, err
+		}
 	}
-	replica, err := in.counter("relayer.replica_reads")
-	return [2]float64{bounded, replica}, err
+	return values, nil
 }
 
 // attachFloor counts the bounded reads in a time span, and those that a
