injector: cut_replication checks that the stall was detected

Cause: a cell held whether or not the primary was replaced.

Change: before the fault is healed, the timeline must show a detection with the reason replication_stalled.

--- a/internal/experimenter/cell.go
+++ b/internal/experimenter/cell.go
@@ -127,6 +127,9 @@
 	if err == nil {
 		time.Sleep(r.Cell.Fault.Hold)
 	}
+	if err == nil && r.Cell.Fault.Verify != nil {
+		err = r.Cell.Fault.Verify(s)
+	}
 	err = errors.Join(err, s.Heal())
 	if err == nil {
 		err = s.WaitRecovered(ctx)
--- a/internal/injector/fault.go
+++ b/internal/injector/fault.go
@@ -12,6 +12,9 @@
 	Hold time.Duration
 	// Inject brings the fault about and registers what undoes it.
 	Inject func(ctx context.Context, s *Scene) error
+	// Verify checks, before the fault is healed, that the installation
+	// reacted. It may be nil.
+	Verify func(s *Scene) error
 }
 
 // both returns a fault that is two faults at once.
--- a/internal/injector/network_faults.go
+++ b/internal/injector/network_faults.go
@@ -43,7 +43,41 @@
 		return err
 	}
 	return s.D.Links.Cut("", deployer.ReplicationLink(p.Name))
-}}
+}, Verify: verifyStallDetected}
+
+// verifyStallDetected checks that the primary was replaced for stalled
+// replication. With a server down, no majority of replicas is left for that. A
+// monitor whose links to the servers are slow does not reach them: a round trip
+// takes as long as a probe may.
+func verifyStallDetected(s *Scene) error {
+	for _, server := range s.D.ServersOf(s.Group) {
+		if _, err := server.State(); err != nil {
+			return nil
+		}
+	}
+	for _, e := range s.D.Entries {
+		if e.IsDone() {
+			continue
+		}
+		events, err := e.Timeline()
+		if err != nil {
+			return err
+		}
+		for _, event := range events {
+			if event.Group == s.Group && event.Kind == "detected" && event.Fields["reason"] == "replication_stalled" {
+				return nil
+			}
+		}
+	}
+	m, err := s.Monitor()
+	if err != nil {
+		return err
+	}
+	if s.isProbeSlow && m == s.Probe {
+		return nil
+	}
+	return errors.Errorf("stalled replication of group %s was not detected by %s; the probe's instance is %s", s.Group, m.Name, s.Probe.Name)
+}
 
 // cutEntry cuts the probe's instance off all backend servers and peers.
 var cutEntry = Fault{Name: "cut_entry", Hold: shortHold, Inject: func(_ context.Context, s *Scene) error {
--- a/internal/injector/scene.go
+++ b/internal/injector/scene.go
@@ -24,6 +24,9 @@
 	Seed uint64
 	// Changes are the manifest changes that the run made.
 	Changes Changes
+	// isProbeSlow is set when the links of the probe's instance to the servers
+	// were slowed. Only the step and the fault use it, one after the other.
+	isProbeSlow bool
 
 	mu      sync.Mutex
 	undo    []func() error
--- a/internal/injector/step.go
+++ b/internal/injector/step.go
@@ -86,6 +86,7 @@
 
 // slowServers delays the statements of the probe's instance.
 func slowServers(s *Scene) error {
+	s.isProbeSlow = true
 	d := link.Duration(slowLink)
 	return s.D.Links.Set(link.Rule{Source: s.Probe.IP, Link: "sql:*", DelayToTarget: &d, DelayToSource: &d})
 }
