--- a/internal/experimenter/cell.go
+++ b/internal/experimenter/cell.go
@@ -50,6 +50,7 @@
 	cellGroup    = "booking"
 	cellEntries  = 4
 	cellCallers  = 10
+	cellReaders  = 3
 	cellMaxAge   = 2 * time.Second
 	cellWarmUp   = 700 * time.Millisecond
 	cellCoolDown = 500 * time.Millisecond
@@ -116,6 +117,10 @@
 	crowd := loader.NewCrowd(ctx, loader.CrowdConfig{
 		Callers: cellCallers, Seed: r.Cell.Seed, Target: target, Mix: loader.FullMix(cellMaxAge), OpTimeout: cellOpTimeout,
 	})
+	readers := loader.NewCrowd(ctx, loader.CrowdConfig{
+		Callers: cellReaders, FirstID: 1 + cellCallers, Keys: cellCallers, History: crowd.History,
+		Seed: r.Cell.Seed, Target: target, Mix: loader.ReadOnlyMix(cellMaxAge), OpTimeout: cellOpTimeout,
+	})
 	s.History = crowd.History
 	time.Sleep(cellWarmUp)
 	err = r.Cell.Step.Run(ctx, s, func() error {
@@ -134,6 +139,7 @@
 	}
 	time.Sleep(cellCoolDown)
 	s.Wait()
+	readers.Stop()
 	return crowd.Stop(), reached, err
 }
 
--- a/internal/loader/crowd.go
+++ b/internal/loader/crowd.go
@@ -17,16 +17,23 @@
 type Crowd struct {
 	History *History
 
-	mix     Mix
-	values  atomic.Int64
-	callers int
-	stop    context.CancelFunc
-	done    chan struct{}
+	mix    Mix
+	values atomic.Int64
+	keys   int
+	stop   context.CancelFunc
+	done   chan struct{}
 }
 
 // CrowdConfig describes a [Crowd].
 type CrowdConfig struct {
 	Callers int
+	// FirstID numbers the first caller; 0 means 1.
+	FirstID int
+	// Keys is the number of keys of table catalogue that are read; 0 means one
+	// for each caller.
+	Keys int
+	// History is shared with another crowd; nil means a new one.
+	History *History
 	Seed    uint64
 	Target  Target
 	Mix     Mix
@@ -34,12 +41,26 @@
 	OpTimeout time.Duration
 }
 
+func (c CrowdConfig) withDefaults() CrowdConfig {
+	if c.FirstID == 0 {
+		c.FirstID = 1
+	}
+	if c.Keys == 0 {
+		c.Keys = c.Callers
+	}
+	if c.History == nil {
+		c.History = NewHistory()
+	}
+	return c
+}
+
 // NewCrowd starts the callers.
 func NewCrowd(ctx context.Context, cfg CrowdConfig) *Crowd {
 	ctx, stop := context.WithCancel(ctx)
-	c := &Crowd{History: NewHistory(), mix: cfg.Mix, callers: cfg.Callers, stop: stop, done: make(chan struct{})}
+	cfg = cfg.withDefaults()
+	c := &Crowd{History: cfg.History, mix: cfg.Mix, keys: cfg.Keys, stop: stop, done: make(chan struct{})}
 	var wg sync.WaitGroup
-	for id := 1; id <= cfg.Callers; id++ {
+	for id := cfg.FirstID; id < cfg.FirstID+cfg.Callers; id++ {
 		caller := NewCaller(id, cfg.Seed, cfg.Target, c.History, cfg.OpTimeout)
 		wg.Go(func() {
 			defer caller.Close()
@@ -82,7 +103,7 @@
 	}
 	ctx = context.WithoutCancel(ctx)
 	registerKey := fmt.Sprintf("reg-%d", caller.rnd.IntN(max(c.mix.RegisterKeys, 1)))
-	otherKey := fmt.Sprintf("own-%d", 1+caller.rnd.IntN(c.callers))
+	otherKey := fmt.Sprintf("own-%d", 1+caller.rnd.IntN(c.keys))
 	ownKey := fmt.Sprintf("own-%d", caller.id)
 	value := c.values.Add(1)
 	rowKey := fmt.Sprintf("row-%d", value)
--- a/internal/loader/mix.go
+++ b/internal/loader/mix.go
@@ -30,6 +30,13 @@
 	}
 }
 
+// ReadOnlyMix reads table catalogue and nothing else. Its sessions keep the floor
+// that they took when they attached, so only the stated age keeps them off
+// replicas that fall behind.
+func ReadOnlyMix(maxAge time.Duration) Mix {
+	return Mix{CatalogueRead: 1, MaxAge: maxAge, Pause: 10 * time.Millisecond}
+}
+
 // BrowseMix has 10 % writes and reads that accept data of a stated age.
 func BrowseMix(maxAge time.Duration) Mix {
 	return Mix{CatalogueWrite: 1, CatalogueRead: 9, MaxAge: maxAge, Pause: 10 * time.Millisecond}
