overseer: a monitor that reaches no majority declines its duty; relayer: new work is refused while nothing is confirmed

Ruled out: a hold in the monitor's view (a monitor that is cut off alone would stop all instances). Change: the duty is declined after 1 s for 30 s and peers pass the instance over; an instance whose confirmations fail or are later than 1 s asks for one before it sends new work to the primary; a strict read no longer waits twice.

--- a/internal/enroller/roster.go
+++ b/internal/enroller/roster.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -49,6 +50,8 @@
 	// active is listed without the leaving members.
 	active  []Member
 	changed chan struct{}
+	// declined holds the ends of refusals of duties.
+	declined map[refusal]time.Time
 }
 
 var (
@@ -68,6 +71,7 @@
 		aliveGauge: metrics.GetOrRegisterGauge("enroller.members_alive", cfg.Registry),
 		self:       cfg.Self,
 		lastTick:   cfg.Clock.Now(),
+		declined:   make(map[refusal]time.Time),
 		members:    make(map[string]*entry),
 		candidates: make(map[string]*candidate),
 		dropped:    make(map[string]time.Time),
@@ -130,12 +134,45 @@
 func (r *Roster) Holder(duty string) Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if m, ok := choose(duty, r.eligible()); ok {
+	if m, ok := choose(duty, r.willing(duty)); ok {
 		return m
 	}
 	return r.self
 }
 
+// Decline passes a member over for a duty for the given time, for example
+// because it reaches none of the servers that the duty concerns. When every
+// member is passed over, none is.
+func (r *Roster) Decline(duty, instance string, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.declined[refusal{duty, instance}] = r.cfg.Clock.Now().Add(d)
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// willing returns the eligible members that do not decline the duty, or all
+// eligible ones when every member declines it.
+func (r *Roster) willing(duty string) []Member {
+	members := r.eligible()
+	if len(r.declined) == 0 {
+		return members
+	}
+	now := r.cfg.Clock.Now()
+	maps.DeleteFunc(r.declined, func(_ refusal, until time.Time) bool { return now.After(until) })
+	willing := slices.DeleteFunc(slices.Clone(members), func(m Member) bool {
+		_, declined := r.declined[refusal{duty, m.Instance}]
+		return declined
+	})
+	if len(willing) == 0 {
+		return members
+	}
+	return willing
+}
+
+// refusal is a duty that a member declines.
+type refusal struct{ duty, instance string }
+
 // HolderInZone implements [Directory].
 func (r *Roster) HolderInZone(duty, zone string) (Member, bool) {
 	r.mu.Lock()
--- a/internal/injector/fault.go
+++ b/internal/injector/fault.go
@@ -41,11 +41,11 @@
 // Faults returns every fault of the matrix.
 func Faults() []Fault {
 	single := []Fault{
-		killPrimary, killEntry, killMonitor, freezePrimary, freezeEntry, freezeMonitor,
+		killPrimary, killReplicas, killEntry, killMonitor, freezePrimary, freezeEntry, freezeMonitor,
 		cutPrimary, cutPrimaryOneWay, cutReplication, partition, cutEntry, lagReplicas,
 		storeDown, storeSlow, storeLosesAnswers, operatorRace, stopEntry, serverLeaving, plannedChange, serverLosesAnswers,
 	}
 	return append(single,
-		both(killPrimary, killMonitor), both(cutPrimary, storeDown), both(killPrimary, freezeEntry),
+		blindMonitor, both(killPrimary, killMonitor), both(cutPrimary, storeDown), both(killPrimary, freezeEntry),
 		both(cutPrimary, killEntry), both(killPrimary, storeDown))
 }
--- a/internal/launcher/parts.go
+++ b/internal/launcher/parts.go
@@ -94,7 +94,7 @@
 	control := controlDialer{catalog: i.distributor, localIP: i.localIP, tls: i.security.serverTLS()}
 	i.overseer = overseer.New(overseer.Config{
 		Directory: i.roster, Catalog: i.distributor, Dialer: i.peers, Connect: control.connect,
-		InFlight: inFlight{i}, IsLeaving: i.roster.ServerLeaving,
+		InFlight: inFlight{i}, IsLeaving: i.roster.ServerLeaving, Decline: i.roster.Decline,
 		Clock: i.clock, Recorder: i.recorder, Log: i.partLog("overseer"),
 	})
 	i.divider = divider.New(divider.Config{
--- a/internal/overseer/board.go
+++ b/internal/overseer/board.go
@@ -31,6 +31,8 @@
 	updated chan struct{}
 
 	hold hold
+	// declined is the time until which this instance declines the duty.
+	declined time.Time
 	// established is set when a view named the primary under the present
 	// servers of the group.
 	established bool
@@ -255,3 +257,15 @@
 	defer b.mu.Unlock()
 	return slices.Sorted(maps.Keys(b.completed))
 }
+
+func (b *board) decline(until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.declined = until
+}
+
+func (b *board) declinedUntil() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.declined
+}
--- a/internal/overseer/overseer.go
+++ b/internal/overseer/overseer.go
@@ -39,9 +39,11 @@
 	// IsLeaving reports whether the platform's list marks the server as
 	// leaving. It may be nil.
 	IsLeaving func(server string) bool
-	Clock     clockwork.Clock
-	Recorder  *recorder.Recorder
-	Log       logrus.FieldLogger
+	// Decline passes an instance over for a duty for a time. It may be nil.
+	Decline  func(duty, instance string, d time.Duration)
+	Clock    clockwork.Clock
+	Recorder *recorder.Recorder
+	Log      logrus.FieldLogger
 }
 
 // Overseer keeps the views of all groups in the catalog. It implements
--- a/internal/overseer/server.go
+++ b/internal/overseer/server.go
@@ -36,7 +36,8 @@
 		return &wire.WatchGroupResponse{Header: o.header()}, nil
 	}
 	if _, ok := b.getTracker(); !ok {
-		return &wire.WatchGroupResponse{Header: o.header()}, nil
+		declined := o.cfg.Clock.Now().Before(b.declinedUntil())
+		return &wire.WatchGroupResponse{Header: o.header(), Declined: declined}, nil
 	}
 	b.report(req.GetHeader().GetInstance(), req.GetMonitor(), req.GetSeq(), int(req.GetPrimaryInFlight()))
 	o.holdCall(ctx, b, req)
--- a/internal/overseer/task.go
+++ b/internal/overseer/task.go
@@ -125,7 +125,11 @@
 }
 
 func (t *task) publishLoop(ctx context.Context, tr *tracker.Tracker) {
+	var blind blindness
 	for ctx.Err() == nil && t.holder().Instance == t.self {
+		if blind.lasts(tr.IsBlind(), t.cfg.Clock.Now()) {
+			t.declineSelf()
+		}
 		changed := tr.Changed()
 		t.board.publish(t.mark(tr.View()), t.cfg.Clock.Now())
 		select {
@@ -163,6 +167,9 @@
 			return
 		}
 	}
+	if err == nil && resp.GetDeclined() {
+		t.decline(holder.Instance)
+	}
 	if err != nil {
 		t.cfg.Log.WithField("group", t.group.Name).WithError(err).Debug("overseer: Monitor gave no view.")
 	}
--- a/internal/relayer/confirm.go
+++ b/internal/relayer/confirm.go
@@ -6,6 +6,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"marigoldhub.example/hub/internal/confirmer"
+	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/tracker"
 )
 
@@ -28,9 +29,37 @@
 }
 
 func (s *Session) confirm(pos tracker.Position, fresh bool) (confirmer.Result, error) {
-	ctx, cancel := contextWithTimeout(s.r.cfg.ConfirmWait)
+	return s.confirmWithin(s.r.cfg.ConfirmWait, pos, fresh)
+}
+
+// confirmWithin is confirm with a limit. It notes whether the group confirms
+// anything at present.
+func (s *Session) confirmWithin(limit time.Duration, pos tracker.Position, fresh bool) (confirmer.Result, error) {
+	ctx, cancel := contextWithTimeout(limit)
 	defer cancel()
-	return s.r.parts.Confirmer.Confirm(ctx, confirmer.Request{Group: s.name, Position: pos, Fresh: fresh})
+	late := time.AfterFunc(suspectAfter, func() { s.group.suspect.Store(true) })
+	res, err := s.r.parts.Confirmer.Confirm(ctx, confirmer.Request{Group: s.name, Position: pos, Fresh: fresh})
+	late.Stop()
+	s.group.suspect.Store(err != nil)
+	return res, err
+}
+
+// suspectAfter is the wait for a confirmation after which new work is no
+// longer sent to the primary unchecked. It is above the time that a promotion
+// normally takes.
+const suspectAfter = time.Second
+
+// checkConfirms refuses new work while the group confirms nothing, for example
+// because both replicas are dead: a commit could only end as unknown. The
+// first request that finds the group suspect asks for a confirmation.
+func (s *Session) checkConfirms() *pgproto3.ErrorResponse {
+	if !s.group.suspect.Load() {
+		return nil
+	}
+	if _, err := s.confirmWithin(s.r.cfg.PrimaryWait, tracker.Position{}, true); err != nil {
+		return resolver.NotRunError("no majority of database group " + s.name + " confirms writes")
+	}
+	return nil
 }
 
 // confirmRead confirms the position of a strict read. The parallel proof shows
@@ -39,7 +68,10 @@
 // confirmation without freshness.
 func (s *Session) confirmRead(p *proof, pos tracker.Position) (confirmer.Result, error) {
 	<-p.done
-	if p.err != nil || p.res.Outcome != confirmer.Confirmed || p.res.Position.Term != pos.Term {
+	if p.err != nil {
+		return p.res, p.err
+	}
+	if p.res.Outcome != confirmer.Confirmed || p.res.Position.Term != pos.Term {
 		return s.confirm(pos, true)
 	}
 	if p.res.Position.Offset >= pos.Offset {
--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -192,6 +192,10 @@
 		if failure := s.enterPrimary(w); failure != nil {
 			return nil, failure
 		}
+		if failure := s.checkConfirms(); failure != nil {
+			s.leavePrimary()
+			return nil, failure
+		}
 		changed := s.r.parts.Views.Changed(s.name)
 		v, _ := s.r.parts.Views.View(s.name)
 		conn, err := s.acquireWatched(pooler.Request{Group: s.name, Server: v.Primary, Class: class, Caller: s.caller.Name})
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -30,6 +30,8 @@
 type group struct {
 	// primary counts transactions in flight on the primary.
 	primary atomic.Int64
+	// suspect is set while confirmations of the group fail or are late.
+	suspect atomic.Bool
 
 	mu sync.Mutex
 	// reads counts reads in flight by replica.
