--- a/internal/measurer/report.go
+++ b/internal/measurer/report.go
@@ -1,6 +1,7 @@
 package measurer
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"os"
@@ -95,7 +96,7 @@
 		bars.Offset = vg.Length(i-1) * width * vg.Centimeter
 		bars.Color = plotutil.Color(i)
 		p.Add(bars)
-		p.Legend.Add(strings.TrimPrefix(routing+" ", "_"), bars)
+		p.Legend.Add(cmp.Or(strings.TrimPrefix(routing, "_"), "session"), bars)
 	}
 	p.NominalX(names...)
 	return p, nil
--- a/internal/measurer/share.go
+++ b/internal/measurer/share.go
@@ -17,8 +17,9 @@
 	// shareWarmUp lets every session attach and write before replicas fall
 	// behind, so that its floor at attach is known to the replicas.
 	shareWarmUp = 500 * time.Millisecond
-	// humanPause is the pause of callers that a person drives. BrowseMix's own
-	// pause makes a session write about six times a second.
+	// humanPause is the pause of callers that a person drives. With BrowseMix's
+	// own pause a session writes about four times a second, and the floor that
+	// its writes set allows a share of about 0.8 with replicas 50 ms behind.
 	humanPause = 250 * time.Millisecond
 	shareAim   = 0.95
 )
