sampler: windows that are multiples of the watchers' poll interval

A watcher polls the store every 2 s. In windows of 3 and 5 s the polls of 16 and 32 instances counted the same.

--- a/internal/sampler/callers.go
+++ b/internal/sampler/callers.go
@@ -21,7 +21,7 @@
 	connectors = 16
 	// activeCallers run statements at the same time.
 	activeCallers = 16
-	statementTime = 3 * time.Second
+	statementTime = 2 * time.Second
 	activeTime    = 1500 * time.Millisecond
 )
 
@@ -63,7 +63,7 @@
 }
 
 func (c *callerCost) prepare(ctx context.Context) error {
-	w, err := observe(ctx, c.d, idleTime, idle)
+	w, err := observe(ctx, c.d, shortIdleTime, idle)
 	if err != nil {
 		return err
 	}
@@ -223,7 +223,7 @@
 		if err := sleep(ctx, time.Second); err != nil {
 			return err
 		}
-		w, err := observe(ctx, c.d, idleTime, idle)
+		w, err := observe(ctx, c.d, shortIdleTime, idle)
 		if err != nil {
 			return err
 		}
--- a/internal/sampler/cost.go
+++ b/internal/sampler/cost.go
@@ -20,9 +20,9 @@
 
 const (
 	// changeTime is the length of a window with manifest changes.
-	changeTime = 3 * time.Second
+	changeTime = 4 * time.Second
 	// changesPerWindow is the number of changes in it.
-	changesPerWindow = 30
+	changesPerWindow = 40
 )
 
 // curves collects points of several quantities in the order of first use.
--- a/internal/sampler/parts.go
+++ b/internal/sampler/parts.go
@@ -71,7 +71,7 @@
 }
 
 func (s *Sampler) partWindow(ctx context.Context, c *curves, prefix string, n int, d *deployer.Deployment) (window, error) {
-	w, err := observe(ctx, d, idleTime, idle)
+	w, err := observe(ctx, d, shortIdleTime, idle)
 	if err != nil {
 		return w, err
 	}
--- a/internal/sampler/sampler.go
+++ b/internal/sampler/sampler.go
@@ -21,8 +21,12 @@
 // settleTime lets members, duties and grants settle after a start.
 const settleTime = 3 * time.Second
 
-// idleTime is the length of a window without work.
-const idleTime = 5 * time.Second
+// Lengths of windows without work. The first is a multiple of the two seconds
+// between a watcher's polls of the store, so that calls are not counted unevenly.
+const (
+	idleTime      = 6 * time.Second
+	shortIdleTime = 4 * time.Second
+)
 
 // Config describes a run.
 type Config struct {
