injector: the check after a blind monitor used errors.Wrap on nil

Cause: go-faster/errors wraps a nil error into an error, so three cells that had promoted within 2 s counted as failed. Ruled out: a missing promotion (the servers' logs show the fence 2 s after the kill). Change: the check wraps only a real error; other uses in the tree were looked through.

--- a/internal/injector/blind_faults.go
+++ b/internal/injector/blind_faults.go
@@ -19,8 +19,10 @@
 	}
 	return killPrimary.Inject(ctx, s)
 }, Verify: func(s *Scene) error {
-	_, err := s.Primary()
-	return errors.Wrap(err, "no instance promoted while the monitor was cut off")
+	if _, err := s.Primary(); err != nil {
+		return errors.Wrap(err, "no instance promoted while the monitor was cut off")
+	}
+	return nil
 }}
 
 // killReplicas leaves the primary alone: nothing can be confirmed.
