--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -34,6 +34,14 @@
 	floor := func(offset uint64) Request {
 		return Request{Group: "g", Tables: []string{"titles"}, Floor: tracker.Position{Term: 1, Offset: offset}, FloorSet: true}
 	}
+	// Seen 200 ms ago, 50 ms behind at that time.
+	behind := replica("b", 10, 250*time.Millisecond)
+	behind.SeenAt = now.Add(-200 * time.Millisecond)
+	confirmed := func(ago time.Duration) Request {
+		r := floor(11)
+		r.FloorAt = now.Add(-ago)
+		return r
+	}
 	with := func(r Request, change func(*Request)) Request { change(&r); return r }
 	cases := []struct {
 		name     string
@@ -46,6 +54,9 @@
 		{"own zone", Session, []tracker.ReplicaView{far, near}, floor(9), "b", true},
 		{"floor above near", Session, []tracker.ReplicaView{far, near}, floor(11), "c", true},
 		{"floor above all", Session, []tracker.ReplicaView{far, near}, floor(13), "", true},
+		{"floor expected to be applied", Session, []tracker.ReplicaView{behind}, confirmed(70 * time.Millisecond), "b", true},
+		{"floor too young", Session, []tracker.ReplicaView{behind}, confirmed(40 * time.Millisecond), "", true},
+		{"floor of unknown time", Session, []tracker.ReplicaView{behind}, floor(11), "", true},
 		{"floor unset", Session, []tracker.ReplicaView{near}, Request{Group: "g", Tables: []string{"titles"}}, "", true},
 		{"too old", Session, []tracker.ReplicaView{replica("b", 10, time.Minute)}, floor(9), "", true},
 		{"leaving", Session, []tracker.ReplicaView{leaving}, floor(9), "", true},
