--- /dev/null
+++ b/internal/tracker/state.go
@@ -0,0 +1,57 @@
+package tracker
+
+import "slices"
+
+// State is what a promoter decides on.
+type State struct {
+	// Term, Primary and Lineage are those of the established term.
+	Term    uint64
+	Primary string
+	Lineage Lineage
+	// Confirmed is the highest confirmed position known.
+	Confirmed Position
+	Servers   []Observation
+}
+
+// Server returns the observation of the named server.
+func (s State) Server(name string) Observation {
+	for _, o := range s.Servers {
+		if o.Server == name {
+			return o
+		}
+	}
+	return Observation{Server: name}
+}
+
+// HighestTerm returns the highest term that any server is known to have
+// accepted.
+func (s State) HighestTerm() uint64 {
+	highest := s.Term
+	for _, o := range s.Servers {
+		highest = max(highest, o.Status.Term)
+	}
+	return highest
+}
+
+// Leader returns the server that reported to lead the term.
+func (s State) Leader(term uint64) (Observation, bool) {
+	for _, o := range s.Servers {
+		if o.isMember(term) && o.Status.Role == RolePrimary {
+			return o, true
+		}
+	}
+	return Observation{}, false
+}
+
+// State returns the current state.
+func (t *Tracker) State() State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return State{
+		Term:      t.term,
+		Primary:   t.primary,
+		Lineage:   t.lineage,
+		Confirmed: t.confirmed,
+		Servers:   slices.Clone(t.servers),
+	}
+}
