--- a/internal/relayer/acquire.go
+++ b/internal/relayer/acquire.go
@@ -201,3 +201,12 @@
 	defer s.mu.Unlock()
 	s.canceler = f
 }
+
+// retryDelay is the longest wait for a new view before a batch is sent again.
+const retryDelay = 50 * time.Millisecond
+
+// Causes that end the wait for a connection.
+var (
+	errCanceled = errors.New("canceled while waiting for a connection")
+	errReplaced = errors.New("primary replaced while waiting for a connection")
+)
--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -1,9 +1,6 @@
 package relayer
 
 import (
-	"errors"
-	"time"
-
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"marigoldhub.example/hub/internal/planner"
@@ -92,15 +89,6 @@
 	return pooler.StrictRead
 }
 
-// retryDelay is the longest wait for a new view before a batch is sent again.
-const retryDelay = 50 * time.Millisecond
-
-// Causes that end the wait for a connection.
-var (
-	errCanceled = errors.New("canceled while waiting for a connection")
-	errReplaced = errors.New("primary replaced while waiting for a connection")
-)
-
 // attempt runs a batch once and settles what becomes of the connection and of
 // the answer.
 func (s *Session) attempt(x *exchange) attempt {
