--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -39,10 +41,7 @@
 	handle(p, mux, "/v3/lease/revoke", "lease_revoke", true, revoke)
 	handle(p, mux, "/v3/kv/lease/revoke", "lease_revoke", true, revoke)
 	mux.HandleFunc("POST /v3/watch", p.watch)
-	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, _ *http.Request) {
-		p.counts.call("instances")
-		writeJSON(w, http.StatusOK, p.instances.published())
-	})
+	mux.HandleFunc("GET /v1/instances", p.getInstances)
 	mux.HandleFunc("PUT /v1/instances", p.putInstances)
 	return mux
 }
@@ -136,3 +135,23 @@
 	w.WriteHeader(status)
 	json.NewEncoder(w).Encode(v)
 }
+
+// getInstances answers 304 to a client that has the published list already
+// (RFC 9110, section 13.1.2).
+func (p *Platform) getInstances(w http.ResponseWriter, r *http.Request) {
+	p.counts.call("instances")
+	list := p.instances.published()
+	data, err := json.Marshal(list)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	etag := fmt.Sprintf(`"%x"`, sha256.Sum256(data))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
+}
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -259,3 +259,37 @@
 		t.Errorf("after: %s", got)
 	}
 }
+
+// Guards against a list that is sent again to a client that has it.
+func TestInstancesNotModified(t *testing.T) {
+	p, err := Start(Config{Listen: "127.0.0.1:0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	get := func(etag string) *http.Response {
+		req, err := http.NewRequest(http.MethodGet, "http://"+p.Addr()+"/v1/instances", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("If-None-Match", etag)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		return resp
+	}
+	first := get("")
+	etag := first.Header.Get("ETag")
+	if first.StatusCode != http.StatusOK || etag == "" {
+		t.Fatalf("first answer: status %d, ETag %q", first.StatusCode, etag)
+	}
+	if resp := get(etag); resp.StatusCode != http.StatusNotModified {
+		t.Errorf("unchanged list: status %d, want 304", resp.StatusCode)
+	}
+	p.SetInstances([]Instance{{Name: "a", Address: "127.0.0.1:1", Kind: "entry", State: "live"}})
+	if resp := get(etag); resp.StatusCode != http.StatusOK {
+		t.Errorf("changed list: status %d, want 200", resp.StatusCode)
+	}
+}
