--- a/internal/deployer/plan.go
+++ b/internal/deployer/plan.go
@@ -25,9 +25,9 @@
 	MaxAge time.Duration
 	// TLS secures callers, peers and administration.
 	TLS bool
-	// Routing, Distribution and Promotion select baselines; empty means the
+	// Routing and Distribution select baselines; empty means the
 	// product.
-	Routing, Distribution, Promotion string
+	Routing, Distribution string
 }
 
 // Cooperative returns the sizes of the cooperative.
--- a/internal/deployer/topology.go
+++ b/internal/deployer/topology.go
@@ -192,7 +192,7 @@
 		Log:      launcher.LogSettings{Level: "info", Format: "text"},
 		Timeline: launcher.TimelineSettings{Events: 4096},
 		Experiment: launcher.ExperimentSettings{
-			Routing: d.Plan.Routing, Distribution: d.Plan.Distribution, Promotion: d.Plan.Promotion,
+			Routing: d.Plan.Routing, Distribution: d.Plan.Distribution,
 		},
 	}
 	for j := range min(3, d.Plan.Entries) {
--- a/internal/launcher/settings.go
+++ b/internal/launcher/settings.go
@@ -113,6 +113,4 @@
 	Routing string `toml:"routing"`
 	// Distribution is zone_watcher or every_instance_watches.
 	Distribution string `toml:"distribution"`
-	// Promotion is confirmed or fixed_timer.
-	Promotion string `toml:"promotion"`
 }
