--- a/internal/overseer/blindness.go
+++ b/internal/overseer/blindness.go
@@ -32,7 +32,7 @@
 // declineSelf gives the duty to another instance, which may reach the servers.
 // When every instance is blind, the duty goes round among them.
 func (t *task) declineSelf() {
-	t.cfg.Log.WithField("group", t.group.Name).Warn("overseer: No majority of servers is reached, the duty is declined.")
+	t.cfg.Log.WithField("group", t.group.Name).Warn("overseer: no majority of servers is reached, the duty is declined")
 	t.cfg.Recorder.Record("overseer", "duty_declined", t.group.Name)
 	t.board.decline(t.cfg.Clock.Now().Add(declineTime))
 	t.decline(t.self)
--- a/internal/overseer/regroup.go
+++ b/internal/overseer/regroup.go
@@ -72,6 +72,6 @@
 	}
 	old.refused = next.Servers
 	o.cfg.Log.WithField("group", next.Name).WithField("changed_servers", changed).
-		Error("overseer: New server list is refused, because it changes more than one server at once.")
+		Error("overseer: new server list is refused, because it changes more than one server at once")
 	o.cfg.Recorder.Record("overseer", "group_change_refused", next.Name, "changed_servers", changed)
 }
--- a/internal/overseer/task.go
+++ b/internal/overseer/task.go
@@ -86,7 +86,7 @@
 // lead monitors the group until the duty moves.
 func (t *task) lead(ctx context.Context) {
 	log := t.cfg.Log.WithField("group", t.group.Name)
-	log.Info("overseer: This instance monitors the group.")
+	log.Info("overseer: this instance monitors the group")
 	t.cfg.Recorder.Record("overseer", "duty_taken", t.group.Name)
 	tr := tracker.New(t.group)
 	tr.Seed(t.board.get(t.cfg.Clock.Now()))
@@ -110,7 +110,7 @@
 	})
 	defer prom.Close()
 	t.publishLoop(ctx, tr)
-	log.Info("overseer: This instance no longer monitors the group.")
+	log.Info("overseer: this instance no longer monitors the group")
 	t.cfg.Recorder.Record("overseer", "duty_left", t.group.Name)
 }
 
@@ -171,7 +171,7 @@
 		t.decline(holder.Instance)
 	}
 	if err != nil {
-		t.cfg.Log.WithField("group", t.group.Name).WithError(err).Debug("overseer: Monitor gave no view.")
+		t.cfg.Log.WithField("group", t.group.Name).WithError(err).Debug("overseer: monitor gave no view")
 	}
 	select {
 	case <-t.cfg.Clock.After(watchRetry):
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -213,7 +213,7 @@
 	if !errors.Is(err, context.Canceled) && !isFull(err) {
 		p.cfg.Tracker.ObserveFailure(p.cfg.Server, sentAt, isRefused(err))
 	}
-	p.cfg.Log.WithField("server", p.cfg.Server).WithError(err).Debug("prober: Probe failed.")
+	p.cfg.Log.WithField("server", p.cfg.Server).WithError(err).Debug("prober: probe failed")
 	return tracker.Status{}, err
 }
 
--- a/internal/promoter/change.go
+++ b/internal/promoter/change.go
@@ -40,7 +40,7 @@
 	}
 	if err := p.change(ctx, s, plan); err != nil {
 		p.record("cancelled", s.Term, "to", plan.To, "error", err)
-		p.cfg.Log.WithField("group", p.group.Name).WithError(err).Info("promoter: Planned change of primary was cancelled.")
+		p.cfg.Log.WithField("group", p.group.Name).WithError(err).Info("promoter: planned change of primary was cancelled")
 		p.nextPlanAt = p.cfg.Clock.Now().Add(planRetry)
 	}
 }
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -132,7 +132,7 @@
 func (p *Promoter) replace(ctx context.Context, s tracker.State, reason string) {
 	p.record("detected", s.HighestTerm(), "reason", reason, "primary", s.Primary)
 	if err := p.promote(ctx, s, choice{excluded: p.detector.excluded(s, reason)}); err != nil {
-		p.cfg.Log.WithField("group", p.group.Name).WithError(err).Warn("promoter: Promotion failed.")
+		p.cfg.Log.WithField("group", p.group.Name).WithError(err).Warn("promoter: promotion failed")
 		p.sleep(ctx, backoffMin+rand.N(backoffJitter))
 	}
 }
