approver: verify an approval before it is stored

Cause: an approval that was signed elsewhere and sent through the administration API was stored unverified. A wrong signature made every later step of the proposal fail, so that anybody with an operator's certificate could block a part. Ruled out: an effect on what is in force (each process verifies both signatures itself). Change: the approval is checked against the owner's key first; TestProposalsThroughAPI failed before at 'first co-owner' with status 409. Conclusion: the API and the operators' tool now refuse the same things.

--- a/internal/approver/approve.go
+++ b/internal/approver/approve.go
@@ -108,6 +108,9 @@
 		return Repeated, false, nil
 	}
 	mine := signer.Approve(e, owner)
+	if err := owners.checkApproval(e, mine); err != nil {
+		return 0, false, err
+	}
 	approved := *s.proposal
 	approved.Envelope = e.WithApproval(mine)
 	progress = Waiting
