--- a/internal/relayer/replica.go
+++ b/internal/relayer/replica.go
@@ -18,7 +18,7 @@
 	maxReplicas = 2
 	// proofWait is the time within which a replica sends its status row.
 	proofWait = 300 * time.Millisecond
-	// maxDiscard is the largest resolver.Unproved answer that is read to its end, so
+	// maxDiscard is the largest unproved answer that is read to its end, so
 	// that the connection can be kept, in bytes.
 	maxDiscard = 64 << 10
 	// discardWait bounds the time for it.
@@ -142,8 +142,8 @@
 }
 
 // covers reports whether the row proves the session's floor and the age bound.
-// What the replica has applied is at or past the viewed position, so what the view says about the
-// age of that position holds for the row.
+// What the replica has applied is at or past the viewed position, so what the
+// view says about the age of that position holds for the row.
 func (r *replicaRead) covers(row tracker.Status, now time.Time) bool {
 	if row.Role == tracker.RolePrimary || !row.Applied.Covers(r.floor) || !row.Applied.Covers(r.choice.Viewed.Log) {
 		return false
