--- a/internal/relayer/fakeserver_test.go
+++ b/internal/relayer/fakeserver_test.go
@@ -344,10 +344,12 @@
 	if b.f.appliesLate.Load() {
 		applied--
 	}
-	return []string{
+	columns := []string{
 		"server", "role", "term", "promoter", "log_term", "log_offset", "lineage", "leaving", "connections", "applied_offset",
-	}, [][]string{{
+	}
+	row := []string{
 		b.f.name, string(role), fmt.Sprint(p.Term), "x", fmt.Sprint(p.Term), fmt.Sprint(p.Offset), "1:0", "f", "1",
 		fmt.Sprint(applied),
-	}}
+	}
+	return columns, [][]string{row}
 }
