--- a/internal/deployer/deployertest/build.go
+++ b/internal/deployer/deployertest/build.go
@@ -16,7 +16,7 @@
 const startLimit = time.Minute
 
 // Build builds the programs into a temporary directory of the test and
-// returns it. The test is skipped when they cannot be built.
+// returns it. The test fails when they cannot be built.
 func Build(t testing.TB) string {
 	t.Helper()
 	_, file, _, _ := runtime.Caller(0)
@@ -24,7 +24,7 @@
 	cmd := exec.Command("go", "build", "-o", bin+"/", "./cmd/...")
 	cmd.Dir = filepath.Join(filepath.Dir(file), "..", "..", "..")
 	if out, err := cmd.CombinedOutput(); err != nil {
-		t.Skipf("programs cannot be built: %v\n%s", err, out)
+		t.Fatalf("programs cannot be built: %v\n%s", err, out)
 	}
 	return bin
 }
