--- /dev/null
+++ b/cmd/marigold-node/main.go
@@ -0,0 +1,10 @@
+// Command marigold-node runs one entry instance on the prepared machines.
+package main
+
+import (
+	"os"
+
+	"marigoldhub.example/hub/internal/noder"
+)
+
+func main() { os.Exit(noder.Main(os.Args[1:])) }
--- /dev/null
+++ b/internal/attester/config.go
@@ -0,0 +1,30 @@
+package attester
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/informer"
+)
+
+// Prober asks one server for its report.
+type Prober interface {
+	Probe(srv informer.Server, s exchanger.Statement, deadline time.Time) (exchanger.Report, error)
+}
+
+// Config holds what a [Group] needs.
+type Config struct {
+	Service string
+	// Zone is this instance's availability zone; near servers are asked first.
+	Zone string
+	// Servers returns the service's servers.
+	Servers func() []informer.Server
+	Prober  Prober
+	Clock   clockwork.Clock
+	Log     logrus.FieldLogger
+	// OnLeader is told each new leader; it must not block.
+	OnLeader func(Leader)
+}
--- /dev/null
+++ b/internal/attester/witness.go
@@ -0,0 +1,123 @@
+package attester
+
+import (
+	"time"
+
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/informer"
+)
+
+// Witness returns nil if a replica that was asked after the time knew no later
+// term. Reads that wait at the same time share one question.
+func (g *Group) Witness(after time.Time, term uint64, deadline time.Time) error {
+	g.mu.Lock()
+	r := g.roundAfter(after, term)
+	g.mu.Unlock()
+	timer := g.cfg.Clock.NewTimer(deadline.Sub(g.cfg.Clock.Now()))
+	defer timer.Stop()
+	select {
+	case <-r.done:
+		return r.err
+	case <-timer.Chan():
+		return ErrNoWitness
+	}
+}
+
+// roundAfter returns a running round that began after the time, or the next
+// one. The caller holds mu.
+func (g *Group) roundAfter(after time.Time, term uint64) *round {
+	if w := g.witness; w != nil && w.term == term && !w.began.Before(after) {
+		return w
+	}
+	if g.witness == nil {
+		return g.startRound(term)
+	}
+	if old := g.nextRound; old != nil && old.term != term {
+		old.err = ErrSuperseded
+		close(old.done)
+		g.nextRound = nil
+	}
+	if g.nextRound == nil {
+		g.nextRound = &round{term: term, done: make(chan struct{})}
+	}
+	return g.nextRound
+}
+
+func (g *Group) startRound(term uint64) *round {
+	r := &round{term: term, done: make(chan struct{})}
+	g.run(r)
+	return r
+}
+
+// run asks the replicas in the background. The caller holds mu.
+func (g *Group) run(r *round) {
+	r.began = g.cfg.Clock.Now()
+	g.witness = r
+	leader := g.leader.Server.ID
+	go func() {
+		r.err = g.askWitnesses(leader, r.term)
+		g.mu.Lock()
+		g.witness = nil
+		if next := g.nextRound; next != nil {
+			g.nextRound = nil
+			g.run(next)
+		}
+		g.mu.Unlock()
+		close(r.done)
+	}()
+}
+
+// askWitnesses asks established replicas, near ones first, until one answers.
+// When none is established, every replica must answer.
+func (g *Group) askWitnesses(leader string, term uint64) error {
+	established, others := g.replicas(leader)
+	for _, srv := range established {
+		reports := g.ask([]informer.Server{srv}, exchanger.Statement{Kind: exchanger.Status})
+		if len(reports) == 1 {
+			return g.judge(reports, term)
+		}
+	}
+	if len(established) > 0 || len(others) == 0 {
+		return ErrNoWitness
+	}
+	reports := g.ask(others, exchanger.Statement{Kind: exchanger.Status})
+	if len(reports) < len(others) {
+		return ErrNoWitness
+	}
+	return g.judge(reports, term)
+}
+
+// judge checks that no report shows a later term.
+func (g *Group) judge(reports []ServerReport, term uint64) error {
+	for _, r := range reports {
+		if r.Report.Term > term || r.Report.PausedFor > term {
+			g.Suspect(g.leaderID(), "a replica knows a later term")
+			return ErrSuperseded
+		}
+	}
+	return nil
+}
+
+func (g *Group) leaderID() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leader.Server.ID
+}
+
+// replicas returns the established replicas, near ones first, and the others.
+func (g *Group) replicas(leader string) (established, others []informer.Server) {
+	now := g.cfg.Clock.Now()
+	var far []informer.Server
+	for _, srv := range g.cfg.Servers() {
+		switch {
+		case srv.ID == leader:
+		case now.Sub(srv.Since) < establishedAfter:
+			others = append(others, srv)
+		case srv.Zone == g.cfg.Zone:
+			established = append(established, srv)
+		default:
+			far = append(far, srv)
+		}
+	}
+	return append(established, far...), others
+}
--- /dev/null
+++ b/internal/dispatcher/config.go
@@ -0,0 +1,30 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/informer"
+)
+
+// Config holds what a [Dispatcher] needs.
+type Config struct {
+	Zone     string
+	Informer *informer.Informer
+	Dialer   exchanger.Dialer
+	// Members returns how many instances live in the zone and in all others,
+	// this instance included.
+	Members func(zone string) (near, far int)
+	// DrainLimit is how long a draining server accepts work at least.
+	DrainLimit time.Duration
+	Clock      clockwork.Clock
+	Metrics    metrics.Registry
+	Log        logrus.FieldLogger
+	// OnLeader is told each new primary; it must not block.
+	OnLeader func(service string, l attester.Leader)
+}
--- /dev/null
+++ b/internal/dispatcher/read.go
@@ -0,0 +1,253 @@
+package dispatcher
+
+import (
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/placer"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+const (
+	// maxAttempts bounds how often one statement is sent.
+	maxAttempts = 4
+	// busyPause separates attempts at a server whose queue was full: the time
+	// in which it ends a request or two.
+	busyPause = 10 * time.Millisecond
+)
+
+// floor is a position that a read's server must cover, with the time from
+// which replicas had it available.
+type floor struct {
+	position tracker.Position
+	at       time.Time
+}
+
+// Run runs a statement outside a transaction.
+func (d *Dispatcher) Run(req Request) exchanger.Answer {
+	var a exchanger.Answer
+	switch {
+	case req.IsWrite():
+		d.count.writes.Inc(1)
+		a = d.runWrite(req)
+	case req.Route.Reads == informer.PrimaryReads:
+		d.count.reads.Inc(1)
+		a = d.readAtLeader(req)
+	default:
+		d.count.reads.Inc(1)
+		a = d.readAnywhere(req)
+	}
+	a.State = exchanger.Idle
+	return a
+}
+
+// refuse ends a request that was not run, at once and truthfully.
+func (d *Dispatcher) refuse(req Request, code exchanger.Code, reason string, err error) exchanger.Answer {
+	d.count.refusals.Inc(1)
+	d.cfg.Log.WithFields(logrus.Fields{
+		"request": req.Statement.ID, "service": req.Route.Service, "reads": req.Route.Reads, "code": code, "reason": reason,
+		"waited": d.cfg.Clock.Since(req.Received).String(), "cause": text(err),
+	}).Info("dispatcher: request is refused")
+	return exchanger.Refusal(code, exchanger.Idle, reason+"; retry later")
+}
+
+func (d *Dispatcher) noteRetry(req Request, server, reason string, err error) {
+	d.count.retries.Inc(1)
+	d.cfg.Log.WithFields(logrus.Fields{
+		"request": req.Statement.ID, "service": req.Route.Service, "server": server, "reason": reason, "cause": text(err),
+	}).Info("dispatcher: attempt did not run; trying again")
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// floorOf returns what a bounded or session read must cover.
+func (d *Dispatcher) floorOf(req Request, deadline time.Time) (floor, error) {
+	s, err := d.Group(req.Route.Service).AwaitFloor(req.Received.Add(-req.Route.MaxStaleness), deadline)
+	if err != nil {
+		return floor{}, err
+	}
+	f := floor{position: s.Position, at: s.At}
+	if req.Route.Reads == informer.SessionReads && req.Floor.Compare(f.position) > 0 {
+		f = floor{position: req.Floor, at: req.FloorAt}
+	}
+	return f, nil
+}
+
+// readAnywhere runs a read at the server that is expected to answer first
+// among those that cover the floor.
+func (d *Dispatcher) readAnywhere(req Request) exchanger.Answer {
+	deadline := req.deadline(req.Received)
+	hold := req.Received.Add(placer.HoldLimit(req.Route.Objective, req.Route.StatementTimeout))
+	f, err := d.floorOf(req, hold)
+	if err != nil {
+		return d.refuse(req, exchanger.Busy, "no current position is known", err)
+	}
+	tried := map[string]bool{}
+	last := exchanger.Answer{Code: exchanger.Busy}
+	for range maxAttempts {
+		b := d.chooseRead(req, f, tried)
+		if b == nil {
+			break
+		}
+		answers, err := d.attempt(b, req, deadline, req.Statement.WithFloor(f.position))
+		switch {
+		case err != nil:
+			d.noteRetry(req, b.id, "no answer", err)
+			last = exchanger.Answer{Code: exchanger.Failed}
+		case answers[0].OK() || answers[0].Code == exchanger.Timeout:
+			d.countReplicaRead(req.Route.Service, b.id)
+			return answers[0]
+		default:
+			if answers[0].Code == exchanger.Behind {
+				b.lacked(d.cfg.Clock.Now(), d.cfg.Clock.Since(f.at))
+			}
+			d.noteRetry(req, b.id, answers[0].Code.String(), nil)
+			last = answers[0]
+		}
+		tried[b.id] = true
+		if !d.cfg.Clock.Now().Before(deadline) {
+			break
+		}
+	}
+	if last.Code == exchanger.Failed {
+		return last
+	}
+	return d.refuse(req, exchanger.Busy, "no backend server could run the read", nil)
+}
+
+func (d *Dispatcher) countReplicaRead(service, server string) {
+	if l, ok := d.Group(service).Leader(); !ok || l.Server.ID != server {
+		d.count.readsAtReplicas.Inc(1)
+	}
+}
+
+func (d *Dispatcher) chooseRead(req Request, f floor, tried map[string]bool) *backend {
+	now := d.cfg.Clock.Now()
+	leader := ""
+	if l, ok := d.Group(req.Route.Service).Leader(); ok {
+		leader = l.Server.ID
+	}
+	var backends []*backend
+	var candidates []placer.Candidate
+	for _, b := range d.backendsOf(req.Route.Service, now) {
+		if !tried[b.id] {
+			backends = append(backends, b)
+			candidates = append(candidates, b.candidate(now, d.cfg.Zone, leader, now.Sub(f.at)))
+		}
+	}
+	if i := placer.ChooseRead(candidates); i >= 0 {
+		return backends[i]
+	}
+	return nil
+}
+
+// attempt runs statements at one server. A lost connection that was idle
+// before is no sign that the server is down.
+func (d *Dispatcher) attempt(b *backend, req Request, deadline time.Time, s ...exchanger.Statement) ([]exchanger.Answer, error) {
+	l, err := b.acquire(req.Route.Priority, deadline, req.Context.Values)
+	if err != nil {
+		return nil, errors.Join(errNotSent, err)
+	}
+	began := d.cfg.Clock.Now()
+	answers, err := l.Run(deadline, req.Context, s...)
+	now := d.cfg.Clock.Now()
+	atRest := err == nil && answers[len(answers)-1].State == exchanger.Idle
+	b.release(l, atRest)
+	switch {
+	case err != nil && len(answers) == 0:
+		b.observe(now, 0, exchanger.Success, err)
+		if errors.Is(err, exchanger.ErrNotSent) {
+			return nil, errors.Join(errNotSent, err)
+		}
+		return nil, err
+	case err != nil:
+		return answers, err
+	}
+	b.observe(now, now.Sub(began), answers[0].Code, nil)
+	d.count.latency.Update(now.Sub(began).Microseconds())
+	return answers, nil
+}
+
+// errNotSent marks attempts that never reached a server.
+var errNotSent = errors.New("statement was not sent")
+
+// readAtLeader runs a read that must show every acknowledged commit: at the
+// primary, proved to lead after the read arrived.
+func (d *Dispatcher) readAtLeader(req Request) exchanger.Answer {
+	g := d.Group(req.Route.Service)
+	deadline := req.deadline(req.Received)
+	hold := req.Received.Add(placer.HoldLimit(req.Route.Objective, req.Route.StatementTimeout))
+	var reason error
+	for range maxAttempts {
+		l, err := g.AwaitLeader(hold)
+		if err != nil {
+			return d.refuse(req, exchanger.Busy, "no primary is known", errors.Join(err, reason))
+		}
+		a, err := d.provedRead(g, l, req, deadline)
+		if err == nil {
+			return a
+		}
+		reason = err
+		d.noteRetry(req, l.Server.ID, "read at the primary failed", err)
+		if !d.cfg.Clock.Now().Before(deadline) {
+			break
+		}
+	}
+	return d.refuse(req, exchanger.Busy, "the primary could not run the read", reason)
+}
+
+// errRefused means that a server refused a statement without running it.
+var errRefused = errors.New("backend server refused the statement")
+
+func (d *Dispatcher) provedRead(g *attester.Group, l attester.Leader, req Request, deadline time.Time) (exchanger.Answer, error) {
+	b := d.backend(l.Server.ID)
+	if b == nil {
+		g.Suspect(l.Server.ID, "not listed")
+		return exchanger.Answer{}, errUnknownServer
+	}
+	began := d.cfg.Clock.Now()
+	witness := make(chan error, 1)
+	go func() { witness <- g.Witness(req.Received, l.Term, deadline) }()
+	answers, err := d.attempt(b, req, deadline, req.Statement, exchanger.Statement{Kind: exchanger.Status})
+	if err != nil {
+		d.doubtUnreachable(g, l, err)
+		return exchanger.Answer{}, err
+	}
+	a, report := answers[0], answers[1]
+	if a.Code.IsNotRun() {
+		d.cfg.Clock.Sleep(busyPause)
+		return exchanger.Answer{}, errors.Join(errRefused, errors.New(a.Code.String()))
+	}
+	if !report.OK() {
+		return a, g.Confirm(deadline)
+	}
+	if !g.IsLeading(l, *report.Report) {
+		return exchanger.Answer{}, attester.ErrSuperseded
+	}
+	if err := <-witness; err != nil {
+		return exchanger.Answer{}, err
+	}
+	g.AddSample(l.Term, attester.Sample{At: began, Position: report.Report.Received})
+	return a, nil
+}
+
+// doubtUnreachable looks for another primary when the known one did not answer.
+func (d *Dispatcher) doubtUnreachable(g *attester.Group, l attester.Leader, err error) {
+	b := d.backend(l.Server.ID)
+	if b == nil {
+		return
+	}
+	if _, failures, _ := b.health(); failures > 1 {
+		g.Suspect(l.Server.ID, err.Error())
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/transaction.go
@@ -0,0 +1,308 @@
+package dispatcher
+
+import (
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/linker"
+	"marigoldhub.example/hub/internal/placer"
+)
+
+// maxCommitAttempts bounds how often a commit is sent to a server that refuses
+// to run it because it is busy.
+const maxCommitAttempts = 5
+
+// Transaction is a caller's transaction on one server connection. It begins at
+// the server with its first statement, so that a caller's pause after its begin
+// holds no connection. One goroutine uses it at a time.
+type Transaction struct {
+	d        *Dispatcher
+	readOnly bool
+	begin    Request
+
+	backend *backend
+	link    *linker.Link
+	leader  attester.Leader
+	// witness is the proof that reads wait for; nil when none is needed.
+	witness <-chan error
+	floor   floor
+	failed  bool
+}
+
+// Begin returns a transaction that has not yet reached a server.
+func (d *Dispatcher) Begin(begin Request) *Transaction {
+	return &Transaction{d: d, begin: begin, readOnly: begin.Statement.Kind == exchanger.BeginRead}
+}
+
+// Run runs a statement inside the transaction.
+func (t *Transaction) Run(req Request) exchanger.Answer {
+	if a, ok := t.open(req); !ok {
+		return t.fail(a)
+	}
+	answers, err := t.link.Run(req.deadline(req.Received), req.Context, req.Statement)
+	if err != nil {
+		t.d.cfg.Log.WithError(err).WithFields(logrus.Fields{"request": req.Statement.ID, "server": t.backend.id}).
+			Warn("dispatcher: transaction is aborted, its connection is lost")
+		t.noteLost(err)
+		return t.fail(exchanger.Refusal(exchanger.Aborted, exchanger.FailedTransaction, "the connection to the backend server was lost; nothing is kept"))
+	}
+	a := answers[0]
+	if !a.OK() {
+		return t.fail(a)
+	}
+	if err := t.prove(); err != nil {
+		return t.fail(exchanger.Refusal(exchanger.Aborted, exchanger.FailedTransaction, err.Error()))
+	}
+	a.State = exchanger.InTransaction
+	return a
+}
+
+// Commit ends the transaction. The answer is the server's.
+func (t *Transaction) Commit(req Request) exchanger.Answer {
+	if t.failed {
+		return exchanger.Refusal(exchanger.Aborted, exchanger.Idle, "the transaction had failed and is rolled back")
+	}
+	if a, ok := t.open(req); !ok {
+		a.State = exchanger.Idle
+		return a
+	}
+	if err := t.prove(); err != nil {
+		t.close()
+		return exchanger.Refusal(exchanger.Aborted, exchanger.Idle, err.Error())
+	}
+	a := t.commit(req)
+	a.State = exchanger.Idle
+	return a
+}
+
+func (t *Transaction) commit(req Request) exchanger.Answer {
+	deadline := req.deadline(req.Received)
+	for range maxCommitAttempts {
+		began := t.d.cfg.Clock.Now()
+		answers, err := t.link.Run(deadline, req.Context, req.Statement)
+		if errors.Is(err, exchanger.ErrNotSent) {
+			t.close()
+			return exchanger.Refusal(exchanger.Aborted, exchanger.Idle, "the connection to the backend server was lost; nothing is kept")
+		}
+		if err != nil {
+			t.noteLost(err)
+			l := t.leader
+			t.close()
+			if t.readOnly {
+				return exchanger.Refusal(exchanger.Aborted, exchanger.Idle, "the answer to a transaction without writes was lost")
+			}
+			return t.d.unknown(req, l, err)
+		}
+		a := answers[0]
+		if a.Code == exchanger.Busy && a.State == exchanger.InTransaction && t.d.cfg.Clock.Now().Before(deadline) {
+			t.d.cfg.Clock.Sleep(busyPause)
+			continue
+		}
+		if a.OK() && !t.readOnly {
+			t.d.Group(t.begin.Route.Service).AddSample(t.leader.Term, attester.Sample{At: began, Position: a.Position})
+		}
+		t.finish(a.State == exchanger.Idle)
+		return a
+	}
+	t.close()
+	return exchanger.Refusal(exchanger.Aborted, exchanger.Idle, "the backend server was too busy to commit; nothing is kept")
+}
+
+// Rollback ends the transaction without effect.
+func (t *Transaction) Rollback(req Request) exchanger.Answer {
+	if t.link != nil {
+		answers, err := t.link.RunPlain(req.deadline(req.Received), req.Statement)
+		t.finish(err == nil && answers[0].State == exchanger.Idle)
+	}
+	return exchanger.Acknowledgement(exchanger.Idle)
+}
+
+// Abandon ends the transaction of a caller that has gone or rests too long.
+func (t *Transaction) Abandon() {
+	t.failed = true
+	if t.link != nil {
+		answers, err := t.link.RunPlain(t.d.cfg.Clock.Now().Add(abandonTimeout), exchanger.Statement{Kind: exchanger.Rollback})
+		t.finish(err == nil && answers[0].State == exchanger.Idle)
+	}
+}
+
+// abandonTimeout limits the rollback of an abandoned transaction; closing the
+// connection rolls back as well.
+const abandonTimeout = time.Second
+
+// fail marks the transaction as failed and frees its connection.
+func (t *Transaction) fail(a exchanger.Answer) exchanger.Answer {
+	t.Abandon()
+	a.State = exchanger.FailedTransaction
+	return a
+}
+
+func (t *Transaction) noteLost(err error) {
+	now := t.d.cfg.Clock.Now()
+	t.backend.observe(now, 0, exchanger.Success, err)
+	if t.leader.Term > 0 {
+		t.d.doubtUnreachable(t.d.Group(t.begin.Route.Service), t.leader, err)
+	}
+}
+
+// finish returns the connection; one that is not at rest is closed.
+func (t *Transaction) finish(atRest bool) {
+	if t.link != nil {
+		t.backend.release(t.link, atRest)
+		t.link = nil
+	}
+}
+
+func (t *Transaction) close() { t.finish(false) }
+
+// prove waits for the proof that the server led when the transaction began.
+func (t *Transaction) prove() error {
+	if t.witness == nil {
+		return nil
+	}
+	err := <-t.witness
+	t.witness = nil
+	return err
+}
+
+// open begins the transaction at a server, trying others while nothing ran.
+func (t *Transaction) open(req Request) (exchanger.Answer, bool) {
+	if t.link != nil {
+		return exchanger.Answer{}, true
+	}
+	if t.failed {
+		return exchanger.Refusal(exchanger.Aborted, exchanger.FailedTransaction, "the transaction has failed"), false
+	}
+	if t.readOnly && t.begin.Route.Reads != informer.PrimaryReads {
+		return t.openAnywhere(req)
+	}
+	return t.openAtLeader(req)
+}
+
+func (t *Transaction) openAnywhere(req Request) (exchanger.Answer, bool) {
+	d := t.d
+	now := d.cfg.Clock.Now()
+	open := t.begin
+	open.Received = now
+	f, err := d.floorOf(open, now.Add(placer.HoldLimit(open.Route.Objective, open.Route.StatementTimeout)))
+	if err != nil {
+		return d.refuse(req, exchanger.Busy, "no current position is known", err), false
+	}
+	tried := map[string]bool{}
+	for range maxAttempts {
+		b := d.chooseRead(open, f, tried)
+		if b == nil {
+			break
+		}
+		a, err := t.beginAt(b, req, exchanger.Statement{Kind: exchanger.BeginRead, Floor: f.position})
+		if err == nil && a.OK() {
+			return a, true
+		}
+		if a.Code == exchanger.Behind {
+			b.lacked(d.cfg.Clock.Now(), d.cfg.Clock.Since(f.at))
+		}
+		d.noteRetry(req, b.id, "transaction did not begin: "+a.Code.String(), err)
+		tried[b.id] = true
+	}
+	return d.refuse(req, exchanger.Busy, "no backend server could begin the transaction", nil), false
+}
+
+func (t *Transaction) openAtLeader(req Request) (exchanger.Answer, bool) {
+	d := t.d
+	g := d.Group(t.begin.Route.Service)
+	began := d.cfg.Clock.Now()
+	hold := began.Add(placer.HoldLimit(t.begin.Route.Objective, t.begin.Route.StatementTimeout))
+	var reason error
+	for range maxAttempts {
+		l, err := g.AwaitLeader(hold)
+		if err != nil {
+			return d.refuse(req, exchanger.Busy, "no primary is known", errors.Join(err, reason)), false
+		}
+		b := d.backend(l.Server.ID)
+		if b == nil {
+			g.Suspect(l.Server.ID, "not listed")
+			reason = errUnknownServer
+			continue
+		}
+		begin, err := t.beginStatement(g, req, hold)
+		if err != nil {
+			return d.refuse(req, exchanger.Busy, "no current position is known", err), false
+		}
+		a, err := t.beginAt(b, req, begin)
+		if err == nil && a.OK() {
+			t.leader = l
+			t.startProof(g, l, began)
+			return a, true
+		}
+		if err != nil {
+			d.doubtUnreachable(g, l, err)
+			reason = err
+		} else {
+			reason = d.afterRefusal(g, l, a)
+		}
+		d.noteRetry(req, b.id, "transaction did not begin", reason)
+	}
+	return d.refuse(req, exchanger.Busy, "the primary could not begin the transaction", reason), false
+}
+
+// beginStatement returns the begin for the primary. Routes with a staleness
+// need a position that is young enough; a server that does not cover it is a
+// primary of the past.
+func (t *Transaction) beginStatement(g *attester.Group, req Request, hold time.Time) (exchanger.Statement, error) {
+	if t.begin.Route.Reads == informer.PrimaryReads {
+		return exchanger.Statement{Kind: t.begin.Statement.Kind}, nil
+	}
+	open := t.begin
+	open.Received = req.Received
+	f, err := t.d.floorOf(open, hold)
+	return exchanger.Statement{Kind: exchanger.Begin, Floor: f.position}, err
+}
+
+// startProof asks for the witness of a transaction that reads at the primary.
+// A plain begin is refused by a server that does not lead; for a read-only one
+// the leader must report besides.
+func (t *Transaction) startProof(g *attester.Group, l attester.Leader, began time.Time) {
+	if t.begin.Route.Reads != informer.PrimaryReads {
+		return
+	}
+	deadline := began.Add(t.begin.Route.StatementTimeout)
+	witness := make(chan error, 1)
+	t.witness = witness
+	go func() {
+		if t.readOnly {
+			witness <- g.Confirm(deadline)
+			return
+		}
+		witness <- g.Witness(began, l.Term, deadline)
+	}()
+}
+
+// beginAt begins the transaction on a new link of the server. Statements
+// follow only after the begin has been answered: behind a begin that failed
+// they would run by themselves.
+func (t *Transaction) beginAt(b *backend, req Request, begin exchanger.Statement) (exchanger.Answer, error) {
+	now := t.d.cfg.Clock.Now()
+	deadline := now.Add(t.begin.Route.StatementTimeout)
+	l, err := b.acquire(t.begin.Route.Priority, deadline, req.Context.Values)
+	if err != nil {
+		return exchanger.Answer{}, err
+	}
+	answers, err := l.Run(deadline, req.Context, begin)
+	if err != nil {
+		b.observe(t.d.cfg.Clock.Now(), 0, exchanger.Success, err)
+		b.release(l, false)
+		return exchanger.Answer{}, err
+	}
+	a := answers[0]
+	if !a.OK() || a.State != exchanger.InTransaction {
+		b.release(l, a.State == exchanger.Idle)
+		return a, nil
+	}
+	t.backend, t.link = b, l
+	return a, nil
+}
--- /dev/null
+++ b/internal/dispatcher/write.go
@@ -0,0 +1,74 @@
+package dispatcher
+
+import (
+	"errors"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/placer"
+)
+
+// runWrite runs a single write at the primary. It is sent again only when
+// nothing of it was kept.
+func (d *Dispatcher) runWrite(req Request) exchanger.Answer {
+	g := d.Group(req.Route.Service)
+	deadline := req.deadline(req.Received)
+	hold := req.Received.Add(placer.HoldLimit(req.Route.Objective, req.Route.StatementTimeout))
+	var reason error
+	for range maxAttempts {
+		l, err := g.AwaitLeader(hold)
+		if err != nil {
+			return d.refuse(req, exchanger.Busy, "no primary is known", errors.Join(err, reason))
+		}
+		b := d.backend(l.Server.ID)
+		if b == nil {
+			g.Suspect(l.Server.ID, "not listed")
+			reason = errUnknownServer
+			continue
+		}
+		began := d.cfg.Clock.Now()
+		answers, err := d.attempt(b, req, deadline, req.Statement)
+		switch {
+		case errors.Is(err, errNotSent):
+			d.doubtUnreachable(g, l, err)
+			reason = err
+		case err != nil:
+			d.doubtUnreachable(g, l, err)
+			return d.unknown(req, l, err)
+		case answers[0].OK():
+			g.AddSample(l.Term, attester.Sample{At: began, Position: answers[0].Position})
+			return answers[0]
+		case !answers[0].Code.IsNotRun():
+			return answers[0]
+		default:
+			reason = d.afterRefusal(g, l, answers[0])
+		}
+		d.noteRetry(req, l.Server.ID, "write was not run", reason)
+		if !d.cfg.Clock.Now().Before(deadline) {
+			break
+		}
+	}
+	return d.refuse(req, exchanger.Busy, "the primary could not run the write", reason)
+}
+
+// afterRefusal handles a proof that the primary did not run a statement.
+func (d *Dispatcher) afterRefusal(g *attester.Group, l attester.Leader, a exchanger.Answer) error {
+	if a.Code == exchanger.ReadOnly {
+		g.Suspect(l.Server.ID, "refuses writes")
+	} else {
+		d.cfg.Clock.Sleep(busyPause)
+	}
+	return errors.Join(errRefused, errors.New(a.Code.String()+" "+a.Text))
+}
+
+// unknown ends a request that may or may not have taken effect.
+func (d *Dispatcher) unknown(req Request, l attester.Leader, err error) exchanger.Answer {
+	d.count.unknown.Inc(1)
+	d.cfg.Log.WithError(err).WithFields(logrus.Fields{
+		"request": req.Statement.ID, "service": req.Route.Service, "server": l.Server.ID, "term": l.Term,
+		"waited": d.cfg.Clock.Since(req.Received).String(),
+	}).Warn("dispatcher: outcome of a request is unknown")
+	return exchanger.Refusal(exchanger.UnknownOutcome, exchanger.Idle, "the answer was lost")
+}
--- /dev/null
+++ b/internal/informer/config.go
@@ -0,0 +1,40 @@
+package informer
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/storer"
+)
+
+// Schema names and decodes the records of the store.
+type Schema struct {
+	// ConfigurationKey holds the newest configuration; ConfigurationPrefix is
+	// what is watched for it.
+	ConfigurationKey, ConfigurationPrefix string
+	// ServerPrefix is the prefix of the servers' entries.
+	ServerPrefix string
+	// DecodeConfiguration returns an error that names what cannot be read.
+	DecodeConfiguration func([]byte) (*Configuration, error)
+	// DecodeServer returns an error for an entry that names no server to use.
+	DecodeServer func(key string, value []byte) (Server, error)
+}
+
+// Config holds what an [Informer] needs.
+type Config struct {
+	Store  storer.Store
+	Schema Schema
+	Clock  clockwork.Clock
+	Log    logrus.FieldLogger
+	// ListInterval is the pause between two lists of the servers.
+	ListInterval time.Duration
+	// CurrentEvery makes every n-th list a current one; the others may be old.
+	CurrentEvery int
+	// GoneAfter is how long a server may be missing before it counts as gone.
+	GoneAfter time.Duration
+	// OnConfiguration is told each configuration that comes into force; it
+	// must not block.
+	OnConfiguration func(*Configuration)
+}
--- /dev/null
+++ b/internal/informer/informer.go
@@ -0,0 +1,258 @@
+package informer
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/storer"
+)
+
+// retryPause is the mean pause after a failed call to the store; it is
+// randomized by half so that instances do not return together.
+const retryPause = 300 * time.Millisecond
+
+// Informer follows the store.
+type Informer struct {
+	cfg   Config
+	state atomic.Pointer[State]
+
+	mu            sync.Mutex
+	configuration *Configuration
+	servers       map[string]Server
+	rejected      map[string][]byte
+	listRevision  int64
+	listed        bool
+	changed       chan struct{}
+
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New starts following the store.
+func New(cfg Config) *Informer {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Informer{
+		cfg:      cfg,
+		servers:  map[string]Server{},
+		rejected: map[string][]byte{},
+		changed:  make(chan struct{}),
+		cancel:   cancel,
+		done:     make(chan struct{}),
+	}
+	n.state.Store(newState(nil, nil))
+	var wg sync.WaitGroup
+	wg.Go(func() { n.followConfiguration(ctx) })
+	wg.Go(func() { n.followServers(ctx) })
+	go func() {
+		wg.Wait()
+		close(n.done)
+	}()
+	return n
+}
+
+// State returns the present view.
+func (n *Informer) State() *State { return n.state.Load() }
+
+// Changed returns a channel that is closed at the next change of the view.
+func (n *Informer) Changed() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.changed
+}
+
+// IsListed reports whether the servers have been listed at least once.
+func (n *Informer) IsListed() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.listed
+}
+
+// Done returns a channel that is closed when the informer has stopped.
+func (n *Informer) Done() <-chan struct{} { return n.done }
+
+// Close stops following the store.
+func (n *Informer) Close() {
+	n.cancel()
+	<-n.done
+}
+
+// Offer puts an encoded configuration into force if it is newer than the
+// present one.
+func (n *Informer) Offer(raw []byte, source string) {
+	c, err := n.cfg.Schema.DecodeConfiguration(raw)
+	if err != nil {
+		n.cfg.Log.WithError(err).WithField("source", source).Warn("informer: configuration cannot be read; the present one stays")
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.configuration != nil && c.Version <= n.configuration.Version {
+		return
+	}
+	c.Raw = bytes.Clone(raw)
+	n.configuration = c
+	n.publish()
+	n.cfg.Log.WithFields(logrus.Fields{"version": c.Version, "source": source, "routes": len(c.Routes)}).
+		Info("informer: configuration is in force")
+	if n.cfg.OnConfiguration != nil {
+		n.cfg.OnConfiguration(c)
+	}
+}
+
+// publish makes the present beliefs visible. The caller holds mu.
+func (n *Informer) publish() {
+	n.state.Store(newState(n.configuration, n.servers))
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+func (n *Informer) followConfiguration(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := n.watchConfiguration(ctx); err != nil && ctx.Err() == nil {
+			n.cfg.Log.WithError(err).Debug("informer: watch of the configuration ended")
+			n.pause(ctx, retryPause/2+rand.N(retryPause))
+		}
+	}
+}
+
+func (n *Informer) watchConfiguration(ctx context.Context) error {
+	e, ok, err := n.cfg.Store.Get(ctx, n.cfg.Schema.ConfigurationKey)
+	if err != nil {
+		return err
+	}
+	if ok {
+		n.Offer(e.Value, "store")
+	}
+	w, err := n.cfg.Store.Watch(ctx, n.cfg.Schema.ConfigurationPrefix, e.ModRevision+1)
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	for batch := range w.Batches() {
+		for _, c := range batch.Changes {
+			if !c.Deleted && c.Entry.Key == n.cfg.Schema.ConfigurationKey {
+				n.Offer(c.Entry.Value, "watch")
+			}
+		}
+	}
+	return w.Err()
+}
+
+func (n *Informer) followServers(ctx context.Context) {
+	for i := 0; ctx.Err() == nil; i++ {
+		err := n.listServers(ctx, i%n.cfg.CurrentEvery == 0)
+		wait := n.cfg.ListInterval*3/4 + rand.N(n.cfg.ListInterval/2)
+		if err != nil || !n.IsListed() {
+			wait = retryPause/2 + rand.N(retryPause)
+		}
+		n.pause(ctx, wait)
+	}
+}
+
+func (n *Informer) listServers(ctx context.Context, current bool) error {
+	list := n.cfg.Store.List
+	if stale, ok := n.cfg.Store.(storer.StaleLister); ok && !current {
+		list = stale.ListStale
+	}
+	entries, revision, err := list(ctx, n.cfg.Schema.ServerPrefix)
+	if err != nil {
+		return errors.Wrap(err, "list servers")
+	}
+	n.apply(entries, revision)
+	return nil
+}
+
+// apply merges a list. A list of an older revision than the last is ignored.
+func (n *Informer) apply(entries []storer.Entry, revision int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if revision < n.listRevision || len(entries) == 0 && !n.listed {
+		return
+	}
+	n.listRevision = revision
+	now := n.cfg.Clock.Now()
+	changed := !n.listed
+	n.listed = true
+	seen := map[string]bool{}
+	for _, e := range entries {
+		srv, err := n.cfg.Schema.DecodeServer(e.Key, e.Value)
+		if err != nil {
+			n.reject(e, err)
+			continue
+		}
+		seen[srv.ID] = true
+		changed = n.merge(srv, now) || changed
+	}
+	for id, srv := range n.servers {
+		changed = !seen[id] && n.miss(srv, now) || changed
+	}
+	if changed {
+		n.publish()
+	}
+}
+
+// merge takes over what a server says of itself and reports whether it differs.
+func (n *Informer) merge(srv Server, now time.Time) bool {
+	old, known := n.servers[srv.ID]
+	srv.Since, srv.DrainingSince = old.Since, old.DrainingSince
+	if !known || old.Born != srv.Born {
+		srv.Since, srv.DrainingSince = now, time.Time{}
+	}
+	if srv.Draining && srv.DrainingSince.IsZero() {
+		srv.DrainingSince = now
+	}
+	if known && old == srv {
+		return false
+	}
+	n.servers[srv.ID] = srv
+	n.cfg.Log.WithFields(logrus.Fields{
+		"server": srv.ID, "service": srv.Service, "draining": srv.Draining, "role": srv.Role, "born": srv.Born,
+		"revision": n.listRevision,
+	}).Info("informer: backend server changed")
+	return true
+}
+
+// miss handles a server that the list lacks.
+func (n *Informer) miss(srv Server, now time.Time) bool {
+	if srv.MissingSince.IsZero() {
+		srv.MissingSince = now
+		n.servers[srv.ID] = srv
+		return true
+	}
+	if now.Sub(srv.MissingSince) < n.cfg.GoneAfter {
+		return false
+	}
+	delete(n.servers, srv.ID)
+	n.cfg.Log.WithFields(logrus.Fields{"server": srv.ID, "service": srv.Service, "missing": now.Sub(srv.MissingSince).String()}).
+		Info("informer: backend server is gone")
+	return true
+}
+
+// reject logs an unreadable entry once for each of its values.
+func (n *Informer) reject(e storer.Entry, err error) {
+	if bytes.Equal(n.rejected[e.Key], e.Value) {
+		return
+	}
+	if len(n.rejected) >= maxRejected {
+		clear(n.rejected)
+	}
+	n.rejected[e.Key] = bytes.Clone(e.Value)
+	n.cfg.Log.WithError(err).WithField("key", e.Key).Warn("informer: entry names no backend server to use")
+}
+
+// maxRejected bounds the entries remembered to log each only once.
+const maxRejected = 64
+
+func (n *Informer) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-n.cfg.Clock.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/informer/server.go
@@ -0,0 +1,35 @@
+package informer
+
+import (
+	"time"
+
+	"marigoldhub.example/hub/internal/exchanger"
+)
+
+// Server is a backend server as it reports itself.
+type Server struct {
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	// Slots is the number of requests that it runs at a time.
+	Slots    int
+	Draining bool
+	Role     exchanger.Role
+	// Born identifies one incarnation: the start of the process by its own
+	// clock.
+	Born int64
+	// DrainingSince is when this instance first saw the server draining; zero
+	// while it is not.
+	DrainingSince time.Time
+	// Since is when this instance first saw this incarnation.
+	Since time.Time
+	// MissingSince is when the list first lacked the server; zero while it is
+	// listed.
+	MissingSince time.Time
+}
+
+// Target returns where to connect.
+func (s Server) Target() exchanger.Target {
+	return exchanger.Target{Service: s.Service, ServerID: s.ID, Address: s.Address}
+}
--- /dev/null
+++ b/internal/linker/pool.go
@@ -0,0 +1,245 @@
+package linker
+
+import (
+	"container/heap"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"marigoldhub.example/hub/internal/exchanger"
+)
+
+var (
+	// ErrNoLink means that no link became free in time; nothing was sent.
+	ErrNoLink = errors.New("no connection to the backend server became free")
+	// ErrClosed means that the pool has been closed; nothing was sent.
+	ErrClosed = errors.New("connections to the backend server are closed")
+)
+
+const (
+	// dialTimeout covers a handshake of 12 ms on a busy server several times
+	// and stays below the shortest statement timeout of 800 ms.
+	dialTimeout = 500 * time.Millisecond
+	// refusalPause is how long no connection is opened after the server
+	// refused one; a dead instance's connections count for 3 s.
+	refusalPause = 300 * time.Millisecond
+	// maxOpening limits handshakes at a time, each of which takes a slot.
+	maxOpening = 2
+)
+
+// Config holds what a [Pool] needs.
+type Config struct {
+	Dialer exchanger.Dialer
+	Target exchanger.Target
+	// Limit is the number of connections that this instance may hold.
+	Limit int
+	Clock clockwork.Clock
+	// OnDial is told the outcome and time of each attempt to connect; it must not block.
+	OnDial func(err error, started time.Time)
+}
+
+// Pool holds the links to one backend server.
+type Pool struct {
+	cfg Config
+
+	mu      sync.Mutex
+	idle    []*Link
+	open    int
+	opening int
+	paused  time.Time
+	waiters waiters
+	serial  uint64
+	closed  bool
+}
+
+// NewPool returns an empty pool.
+func NewPool(cfg Config) *Pool { return &Pool{cfg: cfg} }
+
+// Acquire returns a link for the caller's context, an idle one that needs the
+// fewest changes first. Waiters with a lower priority number go first.
+func (p *Pool) Acquire(priority int, deadline time.Time, values map[string]string) (*Link, error) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, ErrClosed
+	}
+	if l := p.takeIdle(values); l != nil {
+		p.mu.Unlock()
+		return l, nil
+	}
+	if err := p.unavailable(); err != nil {
+		p.mu.Unlock()
+		return nil, err
+	}
+	p.serial++
+	w := &waiter{priority: priority, serial: p.serial, result: make(chan result, 1)}
+	heap.Push(&p.waiters, w)
+	p.startDials()
+	p.mu.Unlock()
+
+	timer := p.cfg.Clock.NewTimer(deadline.Sub(p.cfg.Clock.Now()))
+	defer timer.Stop()
+	select {
+	case r := <-w.result:
+		return r.link, r.err
+	case <-timer.Chan():
+	}
+	p.mu.Lock()
+	waiting := w.index >= 0
+	if waiting {
+		heap.Remove(&p.waiters, w.index)
+	}
+	p.mu.Unlock()
+	if waiting {
+		return nil, ErrNoLink
+	}
+	r := <-w.result
+	return r.link, r.err
+}
+
+// unavailable returns the last refusal while no connection is open and none
+// may be opened.
+func (p *Pool) unavailable() error {
+	if p.open == 0 && p.opening == 0 && p.cfg.Clock.Now().Before(p.paused) {
+		return &exchanger.RefusedError{Code: exchanger.TooManyConnections, Text: "refused a moment ago"}
+	}
+	return nil
+}
+
+func (p *Pool) takeIdle(values map[string]string) *Link {
+	best, cost := -1, 0
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		n := p.idle[i].fit(values)
+		if best < 0 || n < cost {
+			best, cost = i, n
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	l := p.idle[best]
+	p.idle = append(p.idle[:best], p.idle[best+1:]...)
+	return l
+}
+
+// startDials opens connections for waiters within the limits.
+func (p *Pool) startDials() {
+	for p.opening < len(p.waiters) && p.opening < maxOpening && p.open+p.opening < p.cfg.Limit &&
+		!p.cfg.Clock.Now().Before(p.paused) && !p.closed {
+		p.opening++
+		go p.dial()
+	}
+}
+
+func (p *Pool) dial() {
+	started := p.cfg.Clock.Now()
+	conn, err := p.cfg.Dialer.Dial(p.cfg.Target, started.Add(dialTimeout))
+	p.cfg.OnDial(err, started)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening--
+	if err != nil {
+		p.dialFailed(err)
+		return
+	}
+	if p.closed {
+		conn.Close()
+		return
+	}
+	p.open++
+	p.hand(newLink(conn))
+}
+
+// dialFailed fails the waiters that no open connection will serve.
+func (p *Pool) dialFailed(err error) {
+	var refused *exchanger.RefusedError
+	if errors.As(err, &refused) && refused.Code == exchanger.TooManyConnections {
+		p.paused = p.cfg.Clock.Now().Add(refusalPause)
+	}
+	if p.open > 0 {
+		return
+	}
+	for len(p.waiters) > 0 {
+		heap.Pop(&p.waiters).(*waiter).result <- result{err: err}
+	}
+}
+
+// hand gives the link to the first waiter or keeps it idle.
+func (p *Pool) hand(l *Link) {
+	if len(p.waiters) > 0 {
+		heap.Pop(&p.waiters).(*waiter).result <- result{link: l}
+		return
+	}
+	p.idle = append(p.idle, l)
+}
+
+// Release returns a link. A link that is broken or not at rest is closed.
+func (p *Pool) Release(l *Link, atRest bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.broken || !atRest || p.closed || p.open > p.cfg.Limit {
+		p.open--
+		go l.conn.Close()
+		p.startDials()
+		return
+	}
+	l.used = p.cfg.Clock.Now()
+	p.hand(l)
+}
+
+// SetLimit changes the share of connections; idle links above it are closed.
+func (p *Pool) SetLimit(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cfg.Limit = n
+	for p.open > n && len(p.idle) > 0 {
+		p.dropIdle(0)
+	}
+	p.startDials()
+}
+
+// CloseIdle closes links that were not used since the time.
+func (p *Pool) CloseIdle(before time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].used.Before(before) {
+			p.dropIdle(i)
+		}
+	}
+}
+
+func (p *Pool) dropIdle(i int) {
+	go p.idle[i].conn.Close()
+	p.idle = append(p.idle[:i], p.idle[i+1:]...)
+	p.open--
+}
+
+// Stats returns the open and idle links and the waiters.
+func (p *Pool) Stats() (open, idle, waiting int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open, len(p.idle), len(p.waiters)
+}
+
+// CanServe reports whether a link is free or may be opened at once.
+func (p *Pool) CanServe() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0 || p.open+p.opening < p.cfg.Limit && len(p.waiters) == 0
+}
+
+// Close closes idle links now and others as they are released.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for len(p.idle) > 0 {
+		p.dropIdle(0)
+	}
+	for len(p.waiters) > 0 {
+		heap.Pop(&p.waiters).(*waiter).result <- result{err: ErrClosed}
+	}
+}
--- /dev/null
+++ b/internal/noder/node.go
@@ -0,0 +1,141 @@
+package noder
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/dispatcher"
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/printer"
+	"marigoldhub.example/hub/internal/sessioner"
+	"marigoldhub.example/hub/platform"
+)
+
+const (
+	// reservedFiles are descriptors for everything but callers' sessions:
+	// the platform reserves 200, connections to servers and instances need
+	// the rest.
+	reservedFiles = 600
+	// memoryShare of the limit is where the collector works harder.
+	memoryShare = 0.5
+	// collectorPercent trades processor time for peak memory: the live heap is
+	// a few megabytes, so that the default of 100 costs little memory.
+	collectorPercent = 100
+	// serverListInterval is how often the servers are listed. Draining servers
+	// must be known within seconds; a list from the past costs a tenth.
+	serverListInterval = time.Second
+	// currentListEvery bounds how old the list can be while stale answers lag.
+	currentListEvery = 3
+	// goneAfter is the time in which entries that lapsed while the store was
+	// away return, with a margin for one list.
+	goneAfter = 2500 * time.Millisecond
+)
+
+// Node is a running instance.
+type Node struct {
+	settings   platform.Settings
+	clock      clockwork.Clock
+	metrics    metrics.Registry
+	log        *logrus.Logger
+	printer    *printer.Printer
+	store      *platform.Store
+	informer   *informer.Informer
+	dispatcher *dispatcher.Dispatcher
+	sessions   *sessioner.Server
+	web        []*http.Server
+
+	mu       sync.Mutex
+	draining bool
+	done     chan struct{}
+}
+
+// New starts an instance that logs to out.
+func New(settings platform.Settings, out io.Writer) (*Node, error) {
+	n := &Node{settings: settings, clock: clockwork.NewRealClock(), metrics: metrics.NewRegistry(), done: make(chan struct{})}
+	debug.SetGCPercent(collectorPercent)
+	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare))
+	n.printer = printer.New(out, n.clock, n.metrics)
+	n.log = newLogger(n.printer, settings)
+	n.log.WithFields(logrus.Fields{"callers": settings.Callers, "store": settings.Store}).Info("noder: starting")
+	callers, err := net.Listen("tcp4", settings.Callers)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	n.store = platform.NewStore(settings.Store, n.metrics)
+	n.informer = informer.New(informer.Config{
+		Store: n.store, Schema: platform.Schema(), Clock: n.clock, Log: n.log,
+		ListInterval: serverListInterval, CurrentEvery: currentListEvery, GoneAfter: goneAfter,
+	})
+	n.dispatcher = dispatcher.New(dispatcher.Config{
+		Zone: settings.Zone, Informer: n.informer, Dialer: platform.ServerDialer{Caller: settings.Instance},
+		Members:    n.members,
+		DrainLimit: settings.DrainLimit, Clock: n.clock, Metrics: n.metrics, Log: n.log,
+		OnLeader: n.onLeader,
+	})
+	n.sessions = sessioner.NewServer(sessioner.Config{
+		Listener: callers, NewConn: func(c net.Conn) sessioner.Conn { return platform.NewCallerConn(c) },
+		Informer: n.informer, Dispatcher: n.dispatcher, MaxSessions: max(settings.MaxFiles-reservedFiles, 100),
+		Clock: n.clock, Metrics: n.metrics, Log: n.log,
+	})
+	if err := n.serveReadiness(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func newLogger(w io.Writer, settings platform.Settings) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(w)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	log.AddHook(instanceHook{settings.Instance})
+	return log
+}
+
+// instanceHook adds the instance's name to each line.
+type instanceHook struct{ instance string }
+
+// Levels implements [logrus.Hook].
+func (instanceHook) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements [logrus.Hook].
+func (h instanceHook) Fire(e *logrus.Entry) error {
+	e.Data["instance"] = h.instance
+	return nil
+}
+
+func (n *Node) members(zone string) (near, far int) { return 3, 5 }
+
+func (n *Node) onLeader(service string, l attester.Leader) {}
+
+// isReady reports whether callers should come: the instance knows what to
+// serve and is not stopping.
+func (n *Node) isReady() bool {
+	n.mu.Lock()
+	draining := n.draining
+	n.mu.Unlock()
+	return !draining && n.informer.State().HasConfiguration() && n.informer.IsListed()
+}
+
+// Reload reads the settings again. Addresses cannot change while the process
+// runs; a file that cannot be read changes nothing.
+func (n *Node) Reload() {
+	_, err := platform.LoadSettings()
+	if err != nil {
+		n.log.WithError(err).Warn("noder: settings cannot be read; the present ones stay")
+		return
+	}
+	n.log.Info("noder: settings were read again")
+}
+
+// Done returns a channel that is closed when the instance has stopped.
+func (n *Node) Done() <-chan struct{} { return n.done }
--- /dev/null
+++ b/internal/noder/readiness.go
@@ -0,0 +1,45 @@
+package noder
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
+)
+
+// headerTimeout ends a connection to the probe and metrics ports that sends no
+// request.
+const headerTimeout = 3 * time.Second
+
+// serveReadiness starts the ports of the balancer's probe and of the metrics.
+func (n *Node) serveReadiness() error {
+	probe := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !n.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	if err := n.serveWeb(n.settings.Readiness, probe); err != nil {
+		return errors.Wrap(err, "listen for readiness probes")
+	}
+	if n.settings.Metrics == "" {
+		return nil
+	}
+	figures := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(n.metrics, w) })
+	if err := n.serveWeb(n.settings.Metrics, figures); err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	return nil
+}
+
+func (n *Node) serveWeb(address string, h http.Handler) error {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	n.web = append(n.web, srv)
+	go srv.Serve(l)
+	return nil
+}
--- /dev/null
+++ b/internal/sessioner/server.go
@@ -0,0 +1,198 @@
+package sessioner
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/dispatcher"
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/informer"
+)
+
+// Config holds what a [Server] needs.
+type Config struct {
+	// Listener accepts callers; NewConn presents one of them.
+	Listener   net.Listener
+	NewConn    func(net.Conn) Conn
+	Informer   *informer.Informer
+	Dispatcher *dispatcher.Dispatcher
+	// MaxSessions limits the sessions at a time.
+	MaxSessions int
+	Clock       clockwork.Clock
+	Metrics     metrics.Registry
+	Log         logrus.FieldLogger
+}
+
+// Server serves sessions until it is drained.
+type Server struct {
+	Config
+	count counters
+
+	mu       sync.Mutex
+	sessions map[*session]struct{}
+	draining bool
+	ending   bool
+	wg       sync.WaitGroup
+	done     chan struct{}
+}
+
+// NewServer starts accepting callers.
+func NewServer(cfg Config) *Server {
+	s := &Server{Config: cfg, count: newCounters(cfg.Metrics), sessions: map[*session]struct{}{}, done: make(chan struct{})}
+	go func() {
+		defer close(s.done)
+		s.accept()
+	}()
+	return s
+}
+
+// Done returns a channel that is closed when no more callers are accepted.
+func (s *Server) Done() <-chan struct{} { return s.done }
+
+// acceptPause is the pause after a failure to accept, such as a lack of
+// descriptors.
+const acceptPause = 50 * time.Millisecond
+
+func (s *Server) accept() {
+	for {
+		conn, err := s.Listener.Accept()
+		if err != nil {
+			if s.isEnding() {
+				return
+			}
+			s.Log.WithError(err).Warn("sessioner: cannot accept a caller")
+			s.Clock.Sleep(acceptPause)
+			continue
+		}
+		s.open(conn)
+	}
+}
+
+func (s *Server) open(conn net.Conn) {
+	ss := &session{
+		Server: s, conn: s.NewConn(conn),
+		values: map[string]string{}, prepared: map[string]exchanger.PreparedKey{},
+	}
+	s.mu.Lock()
+	full := len(s.sessions) >= s.MaxSessions
+	if !full && !s.ending {
+		s.sessions[ss] = struct{}{}
+		s.wg.Add(1)
+	}
+	ended := s.ending
+	s.mu.Unlock()
+	if full || ended {
+		go func() {
+			ss.conn.RefuseStart(exchanger.TooManyConnections, "the instance has no room for another session")
+			ss.conn.Close()
+		}()
+		return
+	}
+	s.count.opened.Inc(1)
+	go func() {
+		defer s.wg.Done()
+		ss.serve()
+		s.mu.Lock()
+		delete(s.sessions, ss)
+		s.mu.Unlock()
+	}()
+}
+
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+func (s *Server) isEnding() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ending
+}
+
+// Drain closes sessions that rest, spread over the duration so that their
+// callers do not return to the other instances all at once. Open transactions
+// may end within the same time.
+func (s *Server) Drain(over time.Duration) {
+	s.mu.Lock()
+	open := make([]*session, 0, len(s.sessions))
+	for ss := range s.sessions {
+		open = append(open, ss)
+	}
+	s.draining = true
+	s.mu.Unlock()
+	for i, ss := range open {
+		ss.conn.Interrupt()
+		if i+1 < len(open) {
+			s.Clock.Sleep(over / time.Duration(len(open)))
+		}
+	}
+}
+
+// Stop closes the listener, ends what still rests and waits for running
+// statements until the timeout. It reports whether all sessions have ended.
+func (s *Server) Stop(timeout time.Duration) bool {
+	s.mu.Lock()
+	s.ending = true
+	open := make([]*session, 0, len(s.sessions))
+	for ss := range s.sessions {
+		open = append(open, ss)
+	}
+	s.mu.Unlock()
+	s.Listener.Close()
+	for _, ss := range open {
+		ss.conn.Interrupt()
+	}
+	ended := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return true
+	case <-s.Clock.After(timeout):
+		return false
+	}
+}
+
+// counters count sessions and answers.
+type counters struct {
+	opened   metrics.Counter
+	answers  [int(exchanger.Unrecognized) + 1]metrics.Counter
+	duration metrics.Histogram
+}
+
+// durationSamples bounds the memory of the histogram.
+const durationSamples = 512
+
+func newCounters(r metrics.Registry) counters {
+	c := counters{
+		opened:   metrics.GetOrRegisterCounter("sessioner.opened", r),
+		duration: metrics.GetOrRegisterHistogram("sessioner.statement_us", r, metrics.NewExpDecaySample(durationSamples, 0.015)),
+	}
+	for code := range c.answers {
+		c.answers[code] = metrics.GetOrRegisterCounter("sessioner.answers."+exchanger.Code(code).String(), r)
+	}
+	return c
+}
+
+// note counts an answer and logs one that was late or not a success.
+func (s *session) note(st exchanger.Statement, a exchanger.Answer, began time.Time) {
+	took := s.Clock.Since(began)
+	s.count.answers[a.Code].Inc(1)
+	s.count.duration.Update(took.Microseconds())
+	late := s.route.Objective > 0 && took > s.route.Objective
+	if a.OK() && !late {
+		return
+	}
+	s.Log.WithFields(logrus.Fields{
+		"request": st.ID, "database": s.database, "service": s.route.Service, "code": a.Code.String(), "text": a.Text,
+		"took": took.String(), "objective": s.route.Objective.String(),
+	}).Info("sessioner: statement failed or was late")
+}
--- /dev/null
+++ b/internal/sessioner/session.go
@@ -0,0 +1,275 @@
+package sessioner
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"marigoldhub.example/hub/internal/dispatcher"
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/linker"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+const (
+	// maxNames bounds the values and prepared statements of a session.
+	maxNames = 1024
+	// startTimeout is how long a caller may take to name its database.
+	startTimeout = 5 * time.Second
+	// configurationWait is how long a caller that comes before the first
+	// configuration waits for it; callers give up after 2 s.
+	configurationWait = 1500 * time.Millisecond
+)
+
+// session is one caller's session. Its task alone uses it, except for drain.
+type session struct {
+	*Server
+	conn     Conn
+	database string
+
+	values   map[string]string
+	prepared map[string]exchanger.PreparedKey
+	state    exchanger.State
+	tx       *dispatcher.Transaction
+	route    informer.Route
+	// floor covers the session's own commits.
+	floor   tracker.Position
+	floorAt time.Time
+}
+
+func (s *session) serve() {
+	defer s.conn.Close()
+	if !s.start() {
+		return
+	}
+	defer s.abandon()
+	for s.await() {
+		st, err := s.conn.ReadStatement()
+		if err != nil {
+			return
+		}
+		began := s.Clock.Now()
+		a := s.handle(st, began)
+		s.note(st, a, began)
+		if s.conn.WriteAnswer(a) != nil {
+			return
+		}
+	}
+}
+
+func (s *session) start() bool {
+	database, err := s.conn.ReadStart(s.Clock.Now().Add(startTimeout))
+	if err != nil {
+		return false
+	}
+	state, ok := s.awaitConfiguration()
+	if !ok {
+		s.conn.RefuseStart(exchanger.Busy, "no configuration is known yet; retry later")
+		return false
+	}
+	if _, ok := state.Route(database); !ok {
+		s.conn.RefuseStart(exchanger.UnknownDatabase, "no route has this name")
+		return false
+	}
+	s.database = database
+	return s.conn.WriteReady() == nil
+}
+
+func (s *session) awaitConfiguration() (*informer.State, bool) {
+	timeout := s.Clock.After(configurationWait)
+	for {
+		changed := s.Informer.Changed()
+		if state := s.Informer.State(); state.HasConfiguration() {
+			return state, true
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return nil, false
+		}
+	}
+}
+
+// await waits for the caller's next statement. It returns false when the
+// session ends: the caller has gone, or the instance stops and the session
+// rests. A transaction that rests too long is rolled back.
+func (s *session) await() bool {
+	for {
+		var deadline time.Time
+		if limit := s.idleLimit(); s.tx != nil && limit > 0 {
+			deadline = s.Clock.Now().Add(limit)
+		}
+		if s.state == exchanger.Idle && s.isDraining() {
+			deadline = s.Clock.Now().Add(lastWords)
+		}
+		err := s.conn.Wait(deadline)
+		switch {
+		case err == nil:
+			return true
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return false
+		case s.state == exchanger.Idle && s.isDraining() || s.isEnding():
+			return false
+		case s.tx != nil && !deadline.IsZero() && !s.Clock.Now().Before(deadline):
+			s.Log.WithField("database", s.database).Info("sessioner: transaction rested too long and is rolled back")
+			s.abandon()
+			s.state = exchanger.FailedTransaction
+		}
+	}
+}
+
+// lastWords lets a statement that is already on its way arrive before a
+// session at rest is closed.
+const lastWords = 5 * time.Millisecond
+
+func (s *session) idleLimit() time.Duration {
+	if c := s.Informer.State().Configuration; c != nil {
+		return c.IdleInTransaction
+	}
+	return 0
+}
+
+func (s *session) abandon() {
+	if s.tx != nil {
+		s.tx.Abandon()
+		s.tx = nil
+	}
+}
+
+func (s *session) handle(st exchanger.Statement, now time.Time) exchanger.Answer {
+	switch s.state {
+	case exchanger.FailedTransaction:
+		return s.handleFailed(st)
+	case exchanger.InTransaction:
+		return s.handleInside(st, now)
+	}
+	return s.handleIdle(st, now)
+}
+
+func (s *session) handleFailed(st exchanger.Statement) exchanger.Answer {
+	switch st.Kind {
+	case exchanger.Commit:
+		s.end()
+		return exchanger.Refusal(exchanger.Aborted, exchanger.Idle, "the transaction had failed and is rolled back")
+	case exchanger.Rollback:
+		s.end()
+		return exchanger.Acknowledgement(exchanger.Idle)
+	}
+	return exchanger.Refusal(exchanger.Malformed, exchanger.FailedTransaction, "the transaction has failed; only its end is accepted")
+}
+
+func (s *session) end() {
+	s.abandon()
+	s.state = exchanger.Idle
+}
+
+func (s *session) handleIdle(st exchanger.Statement, now time.Time) exchanger.Answer {
+	if a, ok := s.handleLocally(st); ok {
+		return a
+	}
+	switch st.Kind {
+	case exchanger.Begin, exchanger.BeginRead, exchanger.Read, exchanger.Write, exchanger.Execute:
+	default:
+		return exchanger.Refusal(exchanger.Malformed, exchanger.Idle, "statement is not understood here")
+	}
+	route, ok := s.Informer.State().Route(s.database)
+	if !ok {
+		return exchanger.Refusal(exchanger.UnknownDatabase, exchanger.Idle, "no route has this name any more")
+	}
+	s.route = route
+	req, ok := s.request(st, now)
+	if !ok {
+		return exchanger.Refusal(exchanger.UnknownPrepared, exchanger.Idle, "no prepared statement has this name")
+	}
+	if st.Kind == exchanger.Begin || st.Kind == exchanger.BeginRead {
+		s.tx = s.Dispatcher.Begin(req)
+		s.state = exchanger.InTransaction
+		return exchanger.Acknowledgement(exchanger.InTransaction)
+	}
+	a := s.Dispatcher.Run(req)
+	if a.OK() && req.IsWrite() {
+		s.raise(a)
+	}
+	return a
+}
+
+// raise makes the session's later reads show a commit.
+func (s *session) raise(a exchanger.Answer) {
+	if a.Position.Compare(s.floor) > 0 {
+		s.floor, s.floorAt = a.Position, s.Clock.Now()
+	}
+}
+
+func (s *session) handleInside(st exchanger.Statement, now time.Time) exchanger.Answer {
+	if a, ok := s.handleLocally(st); ok {
+		return a
+	}
+	req, prepared := s.request(st, now)
+	var a exchanger.Answer
+	switch {
+	case !prepared:
+		a = s.failInside(exchanger.UnknownPrepared, "no prepared statement has this name")
+	case st.Kind == exchanger.Commit:
+		a = s.tx.Commit(req)
+		s.tx = nil
+		if a.OK() {
+			s.raise(a)
+		}
+	case st.Kind == exchanger.Rollback:
+		a = s.tx.Rollback(req)
+		s.tx = nil
+	case st.Kind == exchanger.Read || st.Kind == exchanger.Write || st.Kind == exchanger.Execute:
+		a = s.tx.Run(req)
+	default:
+		a = s.failInside(exchanger.Malformed, "statement is not understood inside a transaction")
+	}
+	s.state = a.State
+	return a
+}
+
+func (s *session) failInside(code exchanger.Code, text string) exchanger.Answer {
+	s.abandon()
+	return exchanger.Refusal(code, exchanger.FailedTransaction, text)
+}
+
+// handleLocally answers what needs no server.
+func (s *session) handleLocally(st exchanger.Statement) (exchanger.Answer, bool) {
+	switch st.Kind {
+	case exchanger.Set:
+		if _, known := s.values[st.Name]; !known && len(s.values) >= maxNames {
+			return exchanger.Refusal(exchanger.TooLarge, s.state, "the session has too many values"), true
+		}
+		s.values[st.Name] = st.Value
+	case exchanger.Prepare:
+		if _, known := s.prepared[st.Name]; !known && len(s.prepared) >= maxNames {
+			return exchanger.Refusal(exchanger.TooLarge, s.state, "the session has too many prepared statements"), true
+		}
+		s.prepared[st.Name] = exchanger.PreparedKey{Target: st.Target, Shape: st.Shape}
+	case exchanger.Deallocate:
+		if _, known := s.prepared[st.Name]; !known {
+			return exchanger.Refusal(exchanger.UnknownPrepared, s.state, "no prepared statement has this name"), true
+		}
+		delete(s.prepared, st.Name)
+	default:
+		return exchanger.Answer{}, false
+	}
+	return exchanger.Acknowledgement(s.state), true
+}
+
+// request adds the session's context to a statement. It returns false if the
+// statement names an unknown prepared statement.
+func (s *session) request(st exchanger.Statement, now time.Time) (dispatcher.Request, bool) {
+	req := dispatcher.Request{
+		Statement: st, Context: linker.Context{Values: s.values}, Route: s.route,
+		Received: now, Floor: s.floor, FloorAt: s.floorAt,
+	}
+	if st.Kind == exchanger.Execute {
+		key, ok := s.prepared[st.Name]
+		if !ok {
+			return req, false
+		}
+		req.Context.Prepared = &key
+	}
+	return req, true
+}
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -52,3 +52,9 @@
 	// Revision is the revision of the store after the transaction.
 	Revision int64
 }
+
+// StaleLister is a store that answers a list from the past at a lower price.
+type StaleLister interface {
+	// ListStale is List with an answer that may be seconds old.
+	ListStale(ctx context.Context, prefix string) ([]Entry, int64, error)
+}
--- a/internal/storer/transaction.go
+++ b/internal/storer/transaction.go
@@ -67,3 +67,18 @@
 	}
 	return true
 }
+
+// Each visits the compares and the operations, for implementations of Store
+// that send them on.
+func (t Transaction) Each(unchanged func(key string, modRevision int64), put func(key string, value []byte, lease int64), remove func(key string)) {
+	for _, c := range t.compares {
+		unchanged(c.key, c.revision)
+	}
+	for _, o := range t.operations {
+		if o.delete {
+			remove(o.key)
+		} else {
+			put(o.key, o.value, o.lease)
+		}
+	}
+}
