replacer, holder, gossiper, registrar: changes of primary on the prepared machines

Cause: a primary that failed or left was never replaced, and an instance that the store turns away learnt nothing. Ruled out: leases for reads (they would end in an outage of the store); proofs come from the servers themselves. Change: one holder with a growing token; fence, choose, promote; handing over without a pause; beliefs between instances over drpc.

--- a/internal/attester/config.go
+++ b/internal/attester/config.go
@@ -25,6 +25,4 @@
 	Prober  Prober
 	Clock   clockwork.Clock
 	Log     logrus.FieldLogger
-	// OnLeader is told each new leader; it must not block.
-	OnLeader func(Leader)
 }
--- a/internal/attester/group.go
+++ b/internal/attester/group.go
@@ -9,6 +9,7 @@
 
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/tracker"
 )
 
 var (
@@ -38,17 +39,17 @@
 type Group struct {
 	cfg Config
 
-	mu         sync.Mutex
-	leader     Leader
-	known      bool
-	suspended  bool
-	highest    uint64
-	samples    samples
-	changed    chan struct{}
-	exploring  bool
-	witness    *round
-	nextRound  *round
-	lastProved time.Time
+	mu        sync.Mutex
+	leader    Leader
+	known     bool
+	suspended bool
+	highest   uint64
+	samples   samples
+	acked     tracker.Position
+	changed   chan struct{}
+	exploring bool
+	witness   *round
+	nextRound *round
 }
 
 // round is one question to the replicas that any number of reads wait for.
@@ -110,14 +111,10 @@
 	if l.Term < g.highest || g.known && !g.suspended && l.Term == g.leader.Term && l.Server.ID == g.leader.Server.ID {
 		return
 	}
-	isNew := !g.known || l.Term != g.leader.Term || l.Server.ID != g.leader.Server.ID
 	g.leader, g.known, g.suspended, g.highest = l, true, false, l.Term
 	g.notify()
 	g.cfg.Log.WithFields(logrus.Fields{"service": g.cfg.Service, "server": l.Server.ID, "term": l.Term, "source": source}).
 		Info("attester: primary is known")
-	if isNew && g.cfg.OnLeader != nil {
-		g.cfg.OnLeader(l)
-	}
 }
 
 // Suspect withdraws the belief that the server leads, until a report confirms
@@ -221,6 +218,24 @@
 	g.samples = g.samples.with(s)
 }
 
+// Acknowledge records the position of a commit that a caller, of this instance
+// or another, was told has succeeded.
+func (g *Group) Acknowledge(p tracker.Position) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p.Compare(g.acked) > 0 {
+		g.acked = p
+	}
+}
+
+// Acknowledged returns the highest position of an acknowledged commit that is
+// known.
+func (g *Group) Acknowledged() tracker.Position {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.acked
+}
+
 // Floor returns the lowest known position that covers every commit that was
 // acknowledged before the time.
 func (g *Group) Floor(before time.Time) (Sample, bool) {
--- a/internal/attester/witness.go
+++ b/internal/attester/witness.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/informer"
 )
@@ -67,31 +69,44 @@
 	}()
 }
 
-// askWitnesses asks established replicas, near ones first, until one answers.
-// When none is established, every replica must answer.
+// askWitnesses asks established replicas, near ones first, until one knows no
+// later term: a change takes effect only when all of them are paused for a
+// later term or lead it, so one that is neither is proof enough. When none is
+// established, every replica must answer.
 func (g *Group) askWitnesses(leader string, term uint64) error {
 	established, others := g.replicas(leader)
+	err := ErrNoWitness
 	for _, srv := range established {
 		reports := g.ask([]informer.Server{srv}, exchanger.Statement{Kind: exchanger.Status})
-		if len(reports) == 1 {
-			return g.judge(reports, term)
+		if len(reports) == 0 {
+			continue
+		}
+		if err = g.judge(reports, term); err == nil {
+			return nil
 		}
 	}
 	if len(established) > 0 || len(others) == 0 {
-		return ErrNoWitness
+		return g.doubt(err)
 	}
 	reports := g.ask(others, exchanger.Statement{Kind: exchanger.Status})
 	if len(reports) < len(others) {
 		return ErrNoWitness
 	}
-	return g.judge(reports, term)
+	return g.doubt(g.judge(reports, term))
+}
+
+// doubt looks for another leader when a later term is known.
+func (g *Group) doubt(err error) error {
+	if errors.Is(err, ErrSuperseded) {
+		g.Suspect(g.leaderID(), "replicas know a later term")
+	}
+	return err
 }
 
 // judge checks that no report shows a later term.
 func (g *Group) judge(reports []ServerReport, term uint64) error {
 	for _, r := range reports {
 		if r.Report.Term > term || r.Report.PausedFor > term {
-			g.Suspect(g.leaderID(), "a replica knows a later term")
 			return ErrSuperseded
 		}
 	}
--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -42,6 +42,8 @@
 	answered  time.Time
 	failures  int
 	failed    time.Time
+	// writes holds the starts of writes that are not answered.
+	writes map[*time.Time]struct{}
 }
 
 // acquire takes a link and counts the request.
@@ -128,3 +130,31 @@
 		Latency:  b.latency,
 	}
 }
+
+// beginWrite notes a write that is sent; the returned function notes its end.
+func (b *backend) beginWrite(began time.Time) func() {
+	key := &began
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.writes == nil {
+		b.writes = map[*time.Time]struct{}{}
+	}
+	b.writes[key] = struct{}{}
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		delete(b.writes, key)
+	}
+}
+
+// pendingSince returns the start of the oldest write that is not answered.
+func (b *backend) pendingSince() (oldest time.Time, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for began := range b.writes {
+		if !ok || began.Before(oldest) {
+			oldest, ok = *began, true
+		}
+	}
+	return oldest, ok
+}
--- a/internal/dispatcher/config.go
+++ b/internal/dispatcher/config.go
@@ -7,7 +7,6 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
-	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/informer"
 )
@@ -25,6 +24,4 @@
 	Clock      clockwork.Clock
 	Metrics    metrics.Registry
 	Log        logrus.FieldLogger
-	// OnLeader is told each new primary; it must not block.
-	OnLeader func(service string, l attester.Leader)
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -189,8 +189,7 @@
 	if g == nil {
 		g = attester.NewGroup(attester.Config{
 			Service: service, Zone: d.cfg.Zone, Prober: d, Clock: d.cfg.Clock, Log: d.cfg.Log,
-			Servers:  func() []informer.Server { return d.cfg.Informer.State().ServersOf(service) },
-			OnLeader: func(l attester.Leader) { d.cfg.OnLeader(service, l) },
+			Servers: func() []informer.Server { return d.cfg.Informer.State().ServersOf(service) },
 		})
 		d.groups[service] = g
 	}
@@ -233,6 +232,15 @@
 	return time.Time{}, 0, time.Time{}
 }
 
+// PendingSince returns the start of the oldest write at the server that is not
+// answered.
+func (d *Dispatcher) PendingSince(id string) (time.Time, bool) {
+	if b := d.backend(id); b != nil {
+		return b.pendingSince()
+	}
+	return time.Time{}, false
+}
+
 // counters count what the dispatcher does.
 type counters struct {
 	dials, probes, reads, readsAtReplicas, writes, retries, refusals, unknown metrics.Counter
--- a/internal/dispatcher/transaction.go
+++ b/internal/dispatcher/transaction.go
@@ -30,7 +30,6 @@
 	leader  attester.Leader
 	// witness is the proof that reads wait for; nil when none is needed.
 	witness <-chan error
-	floor   floor
 	failed  bool
 }
 
@@ -84,7 +83,9 @@
 	deadline := req.deadline(req.Received)
 	for range maxCommitAttempts {
 		began := t.d.cfg.Clock.Now()
+		written := t.backend.beginWrite(began)
 		answers, err := t.link.Run(deadline, req.Context, req.Statement)
+		written()
 		if errors.Is(err, exchanger.ErrNotSent) {
 			t.close()
 			return exchanger.Refusal(exchanger.Aborted, exchanger.Idle, "the connection to the backend server was lost; nothing is kept")
@@ -104,7 +105,9 @@
 			continue
 		}
 		if a.OK() && !t.readOnly {
-			t.d.Group(t.begin.Route.Service).AddSample(t.leader.Term, attester.Sample{At: began, Position: a.Position})
+			g := t.d.Group(t.begin.Route.Service)
+			g.Acknowledge(a.Position)
+			g.AddSample(t.leader.Term, attester.Sample{At: began, Position: a.Position})
 		}
 		t.finish(a.State == exchanger.Idle)
 		return a
--- a/internal/dispatcher/write.go
+++ b/internal/dispatcher/write.go
@@ -29,7 +29,9 @@
 			continue
 		}
 		began := d.cfg.Clock.Now()
+		written := b.beginWrite(began)
 		answers, err := d.attempt(b, req, deadline, req.Statement)
+		written()
 		switch {
 		case errors.Is(err, errNotSent):
 			d.doubtUnreachable(g, l, err)
@@ -38,6 +40,7 @@
 			d.doubtUnreachable(g, l, err)
 			return d.unknown(req, l, err)
 		case answers[0].OK():
+			g.Acknowledge(answers[0].Position)
 			g.AddSample(l.Term, attester.Sample{At: began, Position: answers[0].Position})
 			return answers[0]
 		case !answers[0].Code.IsNotRun():
--- /dev/null
+++ b/internal/gossiper/gossiper.go
@@ -0,0 +1,139 @@
+// Package gossiper exchanges beliefs with the other instances, so that one
+// that the store turns away learns the configuration and the primaries in time.
+//
+// Each instance asks one other at random in each interval. A new primary is
+// also told to all at once by the instance that made it.
+package gossiper
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/messenger"
+	"marigoldhub.example/hub/internal/messenger/wire"
+)
+
+const (
+	// exchangeInterval keeps the way of a configuration through a fleet of some
+	// tens of instances within the 3 s in which it must be in force.
+	exchangeInterval = 700 * time.Millisecond
+	// exchangeTimeout covers two ways between zones and a busy instance.
+	exchangeTimeout = 400 * time.Millisecond
+)
+
+// Beliefs is what an instance tells others and learns from them.
+type Beliefs interface {
+	// State returns what this instance believes, with the configuration if the
+	// other's version is older.
+	State(otherVersion int64) *wire.PeerState
+	// Learn takes over what another instance believes.
+	Learn(s *wire.PeerState)
+	// EndTenure stops acting under the token.
+	EndTenure(token int64)
+}
+
+// Config holds what a [Gossiper] needs.
+type Config struct {
+	Name    string
+	Beliefs Beliefs
+	// Addresses returns where the other instances listen.
+	Addresses func() []string
+	Dialer    messenger.Dialer
+	Clock     clockwork.Clock
+	Log       logrus.FieldLogger
+}
+
+// Gossiper exchanges beliefs until it is closed.
+type Gossiper struct {
+	cfg    Config
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New starts exchanging.
+func New(cfg Config) *Gossiper {
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &Gossiper{cfg: cfg, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(g.done)
+		g.run(ctx)
+	}()
+	return g
+}
+
+// Done returns a channel that is closed when the gossiper has stopped.
+func (g *Gossiper) Done() <-chan struct{} { return g.done }
+
+// Close stops exchanging.
+func (g *Gossiper) Close() {
+	g.cancel()
+	<-g.done
+}
+
+func (g *Gossiper) run(ctx context.Context) {
+	for {
+		select {
+		case <-g.cfg.Clock.After(exchangeInterval*3/4 + rand.N(exchangeInterval/2)):
+		case <-ctx.Done():
+			return
+		}
+		if addresses := g.cfg.Addresses(); len(addresses) > 0 {
+			g.exchange(ctx, addresses[rand.N(len(addresses))])
+		}
+	}
+}
+
+func (g *Gossiper) exchange(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	conn, err := g.cfg.Dialer.Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	state, err := wire.NewDRPCPeersClient(conn).Exchange(ctx, g.cfg.Beliefs.State(-1))
+	if err != nil {
+		return errors.Wrap(err, address)
+	}
+	g.cfg.Beliefs.Learn(state)
+	return nil
+}
+
+// Tell exchanges beliefs with all instances at the same time and returns the
+// number that could not be reached.
+func (g *Gossiper) Tell(ctx context.Context) (unreached int) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for _, address := range g.cfg.Addresses() {
+		wg.Go(func() {
+			if err := g.exchange(ctx, address); err != nil {
+				g.cfg.Log.WithError(err).Debug("gossiper: instance is out of reach")
+				mu.Lock()
+				unreached++
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return unreached
+}
+
+// HasEnded asks the instance at the address to stop acting under the token. A
+// process that is gone does not act: its port refuses the connection.
+func (g *Gossiper) HasEnded(ctx context.Context, address string, token int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	conn, err := g.cfg.Dialer.Dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	_, err = wire.NewDRPCPeersClient(conn).EndTenure(ctx, &wire.EndTenureRequest{
+		Header: &wire.Header{Instance: g.cfg.Name}, Token: token,
+	})
+	return err == nil || isRefused(err)
+}
--- /dev/null
+++ b/internal/gossiper/service.go
@@ -0,0 +1,25 @@
+package gossiper
+
+import (
+	"context"
+
+	"marigoldhub.example/hub/internal/messenger/wire"
+)
+
+// Service answers other instances.
+type Service struct {
+	Name    string
+	Beliefs Beliefs
+}
+
+// Exchange implements the Peers service.
+func (s Service) Exchange(_ context.Context, in *wire.PeerState) (*wire.PeerState, error) {
+	s.Beliefs.Learn(in)
+	return s.Beliefs.State(in.GetConfigurationVersion()), nil
+}
+
+// EndTenure implements the Peers service.
+func (s Service) EndTenure(_ context.Context, in *wire.EndTenureRequest) (*wire.EndTenureResponse, error) {
+	s.Beliefs.EndTenure(in.GetToken())
+	return &wire.EndTenureResponse{Header: in.GetHeader(), Instance: s.Name}, nil
+}
--- /dev/null
+++ b/internal/holder/holder.go
@@ -0,0 +1,261 @@
+package holder
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/storer"
+)
+
+// Keys of the store.
+const (
+	liveKey   = "marigold/duty/live"
+	recordKey = "marigold/duty/record"
+)
+
+const (
+	// leaseTime is the longest time in which two instances could believe that
+	// they hold the duty. A shorter one would end during a brief outage of the
+	// store; a longer one delays a change of primary after a holder's death.
+	leaseTime = 3 * time.Second
+	// leaseMargin is kept before the end of a lease for the time of a call.
+	leaseMargin = 500 * time.Millisecond
+	// renewInterval costs a tenth of a read each.
+	renewInterval = 700 * time.Millisecond
+	// lookInterval is how often others look whether the duty is free.
+	lookInterval = time.Second
+	// claimSpread spreads the attempts to take a free duty.
+	claimSpread = 500 * time.Millisecond
+)
+
+// Config holds what a [Holder] needs.
+type Config struct {
+	Store storer.Store
+	// Name is this instance; Address is where others ask it about the duty.
+	Name, Address string
+	// HasEnded asks the last holder whether it has stopped acting under the
+	// token. It returns false when there is no proof.
+	HasEnded func(ctx context.Context, address string, token int64) bool
+	Clock    clockwork.Clock
+	Log      logrus.FieldLogger
+}
+
+// record is the last holder.
+type record struct {
+	Holder  string `json:"holder"`
+	Address string `json:"address"`
+	// Resigned is true when the holder gave the duty up.
+	Resigned bool `json:"resigned"`
+}
+
+// Holder competes for the duty.
+type Holder struct {
+	cfg Config
+
+	mu sync.Mutex
+	// token is the token of the present tenure; 0 while there is none.
+	token   int64
+	lease   int64
+	until   time.Time
+	actFrom time.Time
+
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New starts competing.
+func New(cfg Config) *Holder {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Holder{cfg: cfg, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(h.done)
+		h.run(ctx)
+	}()
+	return h
+}
+
+// Token returns the fencing token while this instance holds the duty and may
+// act. It must be called right before each action.
+func (h *Holder) Token() (int64, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.cfg.Clock.Now()
+	return h.token, h.token != 0 && now.Before(h.until) && !now.Before(h.actFrom)
+}
+
+// IsHolding reports whether this instance holds the duty, be it that it may
+// not act yet.
+func (h *Holder) IsHolding() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.token != 0 && h.cfg.Clock.Now().Before(h.until)
+}
+
+// Disown ends the tenure with the token, if it lasts, because another instance
+// has the duty, and reports that this instance does not act under it.
+func (h *Holder) Disown(token int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.token == token {
+		h.token = 0
+	}
+}
+
+// Done returns a channel that is closed when the holder has stopped.
+func (h *Holder) Done() <-chan struct{} { return h.done }
+
+// Close gives the duty up.
+func (h *Holder) Close() {
+	h.cancel()
+	<-h.done
+	h.mu.Lock()
+	token, lease := h.token, h.lease
+	h.token = 0
+	h.mu.Unlock()
+	if token == 0 {
+		return
+	}
+	if err := h.resign(lease); err != nil {
+		h.cfg.Log.WithError(err).Info("holder: duty was not given up; it lapses by itself")
+	}
+}
+
+func (h *Holder) resign(lease int64) error {
+	ctx := context.Background()
+	value, err := json.Marshal(record{Holder: h.cfg.Name, Address: h.cfg.Address, Resigned: true})
+	if err != nil {
+		return err
+	}
+	live, ok, err := h.cfg.Store.Get(ctx, liveKey)
+	if err != nil {
+		return err
+	}
+	if !ok || live.Lease != lease {
+		return nil
+	}
+	_, err = h.cfg.Store.Commit(ctx, storer.Transaction{}.
+		WithUnchanged(liveKey, live.ModRevision).WithDelete(liveKey).WithPut(recordKey, value))
+	return err
+}
+
+func (h *Holder) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := lookInterval*3/4 + rand.N(lookInterval/2)
+		if h.IsHolding() {
+			h.renew(ctx)
+			wait = renewInterval
+		} else if err := h.look(ctx); err != nil {
+			h.cfg.Log.WithError(err).Debug("holder: store is out of reach")
+		}
+		select {
+		case <-h.cfg.Clock.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (h *Holder) renew(ctx context.Context) {
+	h.mu.Lock()
+	token, lease := h.token, h.lease
+	h.mu.Unlock()
+	began := h.cfg.Clock.Now()
+	_, err := h.cfg.Store.KeepAlive(ctx, lease)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.token != token:
+	case err == nil:
+		h.until = began.Add(leaseTime - leaseMargin)
+	case errors.Is(err, storer.ErrLeaseNotFound):
+		h.token = 0
+		h.cfg.Log.WithField("token", token).Warn("holder: lease has ended; the duty is lost")
+	default:
+		h.cfg.Log.WithError(err).WithFields(logrus.Fields{"token": token, "left": h.until.Sub(h.cfg.Clock.Now()).String()}).
+			Info("holder: lease was not renewed")
+	}
+}
+
+// look takes the duty if it is free.
+func (h *Holder) look(ctx context.Context) error {
+	free, err := h.isFree(ctx)
+	if err != nil || !free {
+		return err
+	}
+	select {
+	case <-h.cfg.Clock.After(rand.N(claimSpread)):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return h.claim(ctx)
+}
+
+// isFree uses an answer from the past: a claim is checked by the store.
+func (h *Holder) isFree(ctx context.Context) (bool, error) {
+	list := h.cfg.Store.List
+	if stale, ok := h.cfg.Store.(storer.StaleLister); ok {
+		list = stale.ListStale
+	}
+	entries, _, err := list(ctx, liveKey)
+	return len(entries) == 0, err
+}
+
+func (h *Holder) claim(ctx context.Context) error {
+	last, known, err := h.cfg.Store.Get(ctx, recordKey)
+	if err != nil {
+		return err
+	}
+	began := h.cfg.Clock.Now()
+	lease, err := h.cfg.Store.GrantLease(ctx, leaseTime)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(record{Holder: h.cfg.Name, Address: h.cfg.Address})
+	if err != nil {
+		return err
+	}
+	// A transaction whose answer is lost is not tried again: if it took effect,
+	// its lease ends unused.
+	result, err := h.cfg.Store.Commit(ctx, storer.Transaction{}.
+		WithAbsent(liveKey).WithUnchanged(recordKey, last.ModRevision).
+		WithLeasedPut(liveKey, []byte(h.cfg.Name), lease).WithPut(recordKey, value))
+	if err != nil || !result.Succeeded {
+		h.cfg.Store.Revoke(ctx, lease)
+		return err
+	}
+	h.begin(ctx, last, known, lease, result.Revision, began)
+	return nil
+}
+
+// begin starts a tenure. It may act only when the last one has surely ended.
+func (h *Holder) begin(ctx context.Context, last storer.Entry, known bool, lease, token int64, began time.Time) {
+	acquired := h.cfg.Clock.Now()
+	h.mu.Lock()
+	h.token, h.lease = token, lease
+	h.until = began.Add(leaseTime - leaseMargin)
+	h.actFrom = acquired.Add(leaseTime)
+	h.mu.Unlock()
+	ended := !known || h.lastHasEnded(ctx, last)
+	h.cfg.Log.WithFields(logrus.Fields{"token": token, "last_has_ended": ended}).Info("holder: instance holds the duty")
+	if ended {
+		h.mu.Lock()
+		h.actFrom = acquired
+		h.mu.Unlock()
+	}
+}
+
+func (h *Holder) lastHasEnded(ctx context.Context, last storer.Entry) bool {
+	var r record
+	if err := json.Unmarshal(last.Value, &r); err != nil {
+		h.cfg.Log.WithError(err).Warn("holder: record of the last holder cannot be read")
+		return false
+	}
+	// An own earlier tenure has ended: this process begins the next one.
+	return r.Resigned || r.Holder == h.cfg.Name || h.cfg.HasEnded(ctx, r.Address, last.ModRevision)
+}
--- /dev/null
+++ b/internal/noder/beliefs.go
@@ -0,0 +1,67 @@
+package noder
+
+import (
+	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/messenger/wire"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// beliefs tells other instances what this one knows and learns from them.
+type beliefs struct{ *Node }
+
+// State implements [gossiper.Beliefs].
+func (b beliefs) State(otherVersion int64) *wire.PeerState {
+	s := &wire.PeerState{Header: &wire.Header{Instance: b.settings.Instance}}
+	state := b.informer.State()
+	if !state.HasConfiguration() {
+		return s
+	}
+	c := state.Configuration
+	s.ConfigurationVersion = c.Version
+	if otherVersion >= 0 && otherVersion < c.Version {
+		s.Configuration = c.Raw
+	}
+	for name := range c.Services {
+		g := b.dispatcher.Group(name)
+		view := &wire.ServiceView{Service: name}
+		if l, ok := g.Leader(); ok {
+			view.Primary, view.Term = l.Server.ID, l.Term
+		}
+		p := g.Acknowledged()
+		view.Acknowledged = &wire.Position{Term: p.Term, Offset: p.Offset}
+		s.Services = append(s.Services, view)
+	}
+	return s
+}
+
+// Learn implements [gossiper.Beliefs]. A configuration is checked like one from
+// the store, and replaces only an older one.
+func (b beliefs) Learn(s *wire.PeerState) {
+	source := "instance " + s.GetHeader().GetInstance()
+	state := b.informer.State()
+	if len(s.GetConfiguration()) > 0 && (!state.HasConfiguration() || state.Configuration.Version < s.GetConfigurationVersion()) {
+		b.informer.Offer(s.GetConfiguration(), source)
+		state = b.informer.State()
+	}
+	if !state.HasConfiguration() {
+		return
+	}
+	for _, view := range s.GetServices() {
+		if _, ok := state.Configuration.Services[view.GetService()]; !ok {
+			continue
+		}
+		g := b.dispatcher.Group(view.GetService())
+		g.Acknowledge(tracker.Position{Term: view.GetAcknowledged().GetTerm(), Offset: view.GetAcknowledged().GetOffset()})
+		if srv, ok := state.Server(view.GetService(), view.GetPrimary()); ok && view.GetTerm() > g.Term() {
+			g.Learn(attester.Leader{Server: srv, Term: view.GetTerm()}, source)
+		}
+	}
+}
+
+// EndTenure implements [gossiper.Beliefs].
+func (b beliefs) EndTenure(token int64) { b.holder.Disown(token) }
+
+// Acknowledged implements [replacer.Peers].
+func (b beliefs) Acknowledged(service string) tracker.Position {
+	return b.dispatcher.Group(service).Acknowledged()
+}
--- /dev/null
+++ b/internal/noder/duties.go
@@ -0,0 +1,66 @@
+package noder
+
+import (
+	"net"
+
+	"github.com/go-faster/errors"
+
+	"marigoldhub.example/hub/internal/gossiper"
+	"marigoldhub.example/hub/internal/holder"
+	"marigoldhub.example/hub/internal/messenger"
+	"marigoldhub.example/hub/internal/messenger/wire"
+	"marigoldhub.example/hub/internal/replacer"
+	"marigoldhub.example/hub/platform"
+)
+
+// replacerPeers joins what package replacer asks of other instances.
+type replacerPeers struct {
+	beliefs
+	*gossiper.Gossiper
+}
+
+// startDuties starts the exchange with other instances and the competition for
+// the duty of changing primaries.
+func (n *Node) startDuties() error {
+	l, err := net.Listen("tcp4", n.settings.Control)
+	if err != nil {
+		return errors.Wrap(err, "listen for instances")
+	}
+	b := beliefs{n}
+	n.peers = messenger.NewPool(messenger.PoolConfig{Registry: n.metrics, Clock: n.clock})
+	n.gossiper = gossiper.New(gossiper.Config{
+		Name: n.settings.Instance, Beliefs: b, Addresses: n.peerAddresses, Dialer: n.peers, Clock: n.clock, Log: n.log,
+	})
+	n.holder = holder.New(holder.Config{
+		Store: n.store, Name: n.settings.Instance, Address: n.settings.Control,
+		HasEnded: n.gossiper.HasEnded, Clock: n.clock, Log: n.log,
+	})
+	n.replacer = replacer.New(replacer.Config{
+		Name: n.settings.Instance, Informer: n.informer, Fleet: n.dispatcher,
+		Promoter: platform.NewCloud(n.settings.Cloud), Duty: n.holder, Peers: replacerPeers{b, n.gossiper},
+		Clock: n.clock, Metrics: n.metrics, Log: n.log,
+	})
+	n.control = messenger.NewServer(messenger.ServerConfig{Listener: l, Registry: n.metrics, Log: n.log})
+	if err := wire.DRPCRegisterPeers(n.control.Mux(), gossiper.Service{Name: n.settings.Instance, Beliefs: b}); err != nil {
+		return errors.Wrap(err, "register the service for instances")
+	}
+	n.control.Start()
+	return nil
+}
+
+// peerAddresses returns the listed instances, or the seeds before any is known.
+func (n *Node) peerAddresses() []string {
+	var addresses []string
+	for _, o := range n.registrar.Others() {
+		addresses = append(addresses, o.Address)
+	}
+	if len(addresses) > 0 {
+		return addresses
+	}
+	for _, seed := range n.settings.Seeds {
+		if seed != n.settings.Control {
+			addresses = append(addresses, seed)
+		}
+	}
+	return addresses
+}
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -13,10 +13,15 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
-	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/clocker"
 	"marigoldhub.example/hub/internal/dispatcher"
+	"marigoldhub.example/hub/internal/gossiper"
+	"marigoldhub.example/hub/internal/holder"
 	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/messenger"
 	"marigoldhub.example/hub/internal/printer"
+	"marigoldhub.example/hub/internal/registrar"
+	"marigoldhub.example/hub/internal/replacer"
 	"marigoldhub.example/hub/internal/sessioner"
 	"marigoldhub.example/hub/platform"
 )
@@ -51,7 +56,13 @@
 	store      *platform.Store
 	informer   *informer.Informer
 	dispatcher *dispatcher.Dispatcher
+	registrar  *registrar.Registrar
 	sessions   *sessioner.Server
+	control    *messenger.Server
+	peers      *messenger.Pool
+	gossiper   *gossiper.Gossiper
+	holder     *holder.Holder
+	replacer   *replacer.Replacer
 	web        []*http.Server
 
 	mu       sync.Mutex
@@ -61,7 +72,7 @@
 
 // New starts an instance that logs to out.
 func New(settings platform.Settings, out io.Writer) (*Node, error) {
-	n := &Node{settings: settings, clock: clockwork.NewRealClock(), metrics: metrics.NewRegistry(), done: make(chan struct{})}
+	n := &Node{settings: settings, clock: clocker.NewBoot(), metrics: metrics.NewRegistry(), done: make(chan struct{})}
 	debug.SetGCPercent(collectorPercent)
 	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare))
 	n.printer = printer.New(out, n.clock, n.metrics)
@@ -76,14 +87,22 @@
 		Store: n.store, Schema: platform.Schema(), Clock: n.clock, Log: n.log,
 		ListInterval: serverListInterval, CurrentEvery: currentListEvery, GoneAfter: goneAfter,
 	})
+	n.registrar = registrar.New(registrar.Config{
+		Store: n.store, Clock: n.clock, Log: n.log,
+		Self: registrar.Instance{
+			Name: settings.Instance, Address: settings.Control, Zone: settings.Zone, Incarnation: time.Now().UnixNano(),
+		},
+	})
 	n.dispatcher = dispatcher.New(dispatcher.Config{
-		Zone: settings.Zone, Informer: n.informer, Dialer: platform.ServerDialer{Caller: settings.Instance},
-		Members:    n.members,
+		Zone: settings.Zone, Informer: n.informer, Dialer: platform.ServerDialer{Caller: settings.Instance, Clock: n.clock},
+		Members:    n.registrar.Count,
 		DrainLimit: settings.DrainLimit, Clock: n.clock, Metrics: n.metrics, Log: n.log,
-		OnLeader: n.onLeader,
 	})
+	if err := n.startDuties(); err != nil {
+		return nil, err
+	}
 	n.sessions = sessioner.NewServer(sessioner.Config{
-		Listener: callers, NewConn: func(c net.Conn) sessioner.Conn { return platform.NewCallerConn(c) },
+		Listener: callers, NewConn: func(c net.Conn) sessioner.Conn { return platform.NewCallerConn(c, n.clock) },
 		Informer: n.informer, Dispatcher: n.dispatcher, MaxSessions: max(settings.MaxFiles-reservedFiles, 100),
 		Clock: n.clock, Metrics: n.metrics, Log: n.log,
 	})
@@ -113,10 +132,6 @@
 	return nil
 }
 
-func (n *Node) members(zone string) (near, far int) { return 3, 5 }
-
-func (n *Node) onLeader(service string, l attester.Leader) {}
-
 // isReady reports whether callers should come: the instance knows what to
 // serve and is not stopping.
 func (n *Node) isReady() bool {
--- /dev/null
+++ b/internal/replacer/choose.go
@@ -0,0 +1,107 @@
+package replacer
+
+import (
+	"fmt"
+
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// member is a server of the service as the fence found it.
+type member struct {
+	id       string
+	draining bool
+	// isOld is true for the primary that is replaced.
+	isOld bool
+	// fenced is true if the server reported after the fence that it stepped
+	// down or is paused.
+	fenced   bool
+	received tracker.Position
+}
+
+// choose returns the server that may lead next without losing an acknowledged
+// commit, or why none may.
+//
+//   - With the old primary fenced, its log has every acknowledged commit: a
+//     server whose log is as long may lead, the old primary itself included.
+//   - With all replicas fenced, one of them has every acknowledged commit: the
+//     longest log may lead.
+//
+// least is a position that is known to have been acknowledged. A longest log
+// that is shorter shows that a witness has left: only the old primary can help.
+func choose(members []member, least tracker.Position) (string, error) {
+	longest := tracker.Position{}
+	replicas, fenced, oldFenced := 0, 0, false
+	for _, m := range members {
+		if !m.isOld {
+			replicas++
+		}
+		if !m.fenced {
+			continue
+		}
+		if m.isOld {
+			oldFenced = true
+		} else {
+			fenced++
+		}
+		if m.received.Compare(longest) > 0 {
+			longest = m.received
+		}
+	}
+	switch {
+	case !oldFenced && fenced < replicas:
+		return "", fmt.Errorf("the old primary is out of reach and only %d of %d replicas are fenced", fenced, replicas)
+	case fenced == 0 && !oldFenced:
+		return "", fmt.Errorf("no server is fenced")
+	case longest.Compare(least) < 0:
+		return "", fmt.Errorf("the longest log ends at %v, before the acknowledged %v", longest, least)
+	}
+	need := longest
+	if oldFenced && fenced == replicas && fenced > 0 {
+		need = longestReplica(members)
+		if need.Compare(least) < 0 {
+			need = longest
+		}
+	}
+	return best(members, need)
+}
+
+// longestReplica returns the longest log of the replicas. When all are fenced,
+// it has every acknowledged commit even if the old primary's log is longer.
+func longestReplica(members []member) tracker.Position {
+	longest := tracker.Position{}
+	for _, m := range members {
+		if !m.isOld && m.fenced && m.received.Compare(longest) > 0 {
+			longest = m.received
+		}
+	}
+	return longest
+}
+
+// best returns the fenced server whose log is long enough, one that stays and
+// is not the old primary first.
+func best(members []member, need tracker.Position) (string, error) {
+	found, cost := "", 0
+	for _, m := range members {
+		if !m.fenced || m.received.Compare(need) < 0 {
+			continue
+		}
+		c := 1
+		if m.draining {
+			c += 4
+		}
+		if m.isOld {
+			c += 2
+		}
+		if found == "" || c < cost {
+			found, cost = m.id, c
+		}
+	}
+	if found == "" {
+		return "", fmt.Errorf("no fenced server has the log up to %v", need)
+	}
+	return found, nil
+}
+
+// isReplica reports whether a report shows a server that does not lead.
+func isReplica(r exchanger.Report) bool { return r.Role == exchanger.Replica }
--- /dev/null
+++ b/internal/replacer/config.go
@@ -0,0 +1,67 @@
+package replacer
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// Fleet is what a [Replacer] sees and does through this instance's connections.
+type Fleet interface {
+	attester.Prober
+	Group(service string) *attester.Group
+	// Health returns when the server last answered, and how many attempts to
+	// reach it failed since.
+	Health(serverID string) (answered time.Time, failures int, failed time.Time)
+	// PendingSince returns the start of the oldest write at the server that is
+	// not answered; false if there is none.
+	PendingSince(serverID string) (time.Time, bool)
+}
+
+// Promoter makes the platform promote a server.
+type Promoter interface {
+	Promote(ctx context.Context, service, server, holder string, token int64) error
+}
+
+// Duty tells whether this instance may act.
+type Duty interface {
+	// Token returns the fencing token if the instance may act right now.
+	Token() (int64, bool)
+	IsHolding() bool
+}
+
+// Peers are the other instances.
+type Peers interface {
+	// Tell tells all others what this instance believes and learns what they
+	// do. It returns how many were out of reach.
+	Tell(ctx context.Context) (unreached int)
+	// Acknowledged returns the highest position of the service that any
+	// instance is known to have seen acknowledged.
+	Acknowledged(service string) tracker.Position
+}
+
+// Config holds what a [Replacer] needs.
+type Config struct {
+	Name     string
+	Informer *informer.Informer
+	Fleet    Fleet
+	Promoter Promoter
+	Duty     Duty
+	Peers    Peers
+	Clock    clockwork.Clock
+	Metrics  metrics.Registry
+	Log      logrus.FieldLogger
+}
+
+// statement kinds that a replacement sends, for its log lines.
+var commandNames = map[exchanger.Kind]string{
+	exchanger.Status: "status", exchanger.Pause: "pause", exchanger.Resume: "resume", exchanger.StepDown: "step_down",
+}
--- /dev/null
+++ b/internal/replacer/hand_over.go
@@ -0,0 +1,84 @@
+package replacer
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// handOver changes the primary while the present one goes on. All replicas but
+// the next primary are paused first: from then on every acknowledged commit is
+// in the next primary's log.
+func (t *task) handOver(old attester.Leader) {
+	reports := t.group().Survey()
+	next, others, ok := t.successor(old, reports)
+	if !ok {
+		return
+	}
+	term := old.Term + 1
+	t.log.WithFields(logrus.Fields{"server": old.Server.ID, "next": next.ID, "term": term}).Info("replacer: primary is leaving and hands over")
+	paused := t.command(others, func(informer.Server) exchanger.Statement {
+		return exchanger.Statement{Kind: exchanger.Pause, Term: term}
+	})
+	longest := tracker.Position{}
+	for _, r := range paused {
+		if r == nil || r.PausedFor < term {
+			t.replace(old, "leaving, and a replica was not paused")
+			return
+		}
+		if r.Received.Compare(longest) > 0 {
+			longest = r.Received
+		}
+	}
+	if !t.awaitReceived(next, longest) {
+		t.replace(old, "leaving, and the next primary does not receive its log")
+		return
+	}
+	if !t.promote(next.ID, term) {
+		t.replace(old, "leaving, and the next primary did not lead in time")
+		return
+	}
+	t.command([]informer.Server{old.Server}, func(informer.Server) exchanger.Statement {
+		return exchanger.Statement{Kind: exchanger.StepDown, Term: term}
+	})
+}
+
+// catchUpLimit is how long the next primary may take to receive what paused
+// replicas have; receiving takes milliseconds.
+const catchUpLimit = 500 * time.Millisecond
+
+// awaitReceived waits until the server's log reaches the position.
+func (t *task) awaitReceived(srv informer.Server, p tracker.Position) bool {
+	deadline := t.cfg.Clock.Now().Add(catchUpLimit)
+	for t.cfg.Clock.Now().Before(deadline) {
+		r, err := t.cfg.Fleet.Probe(srv, exchanger.Statement{Kind: exchanger.Status}, deadline)
+		if err == nil && r.Received.Compare(p) >= 0 {
+			return true
+		}
+		t.sleep(effectPause)
+	}
+	return false
+}
+
+// successor returns the replica with the longest log that stays, and the other
+// replicas. The longest log of all is needed: a commit may have been
+// acknowledged by any replica before the others are paused.
+func (t *task) successor(old attester.Leader, reports []attester.ServerReport) (next informer.Server, others []informer.Server, ok bool) {
+	var best exchanger.Report
+	for _, r := range reports {
+		if r.Server.ID != old.Server.ID && isReplica(r.Report) && !r.Server.Draining && (!ok || r.Report.Received.Compare(best.Received) > 0) {
+			next, best, ok = r.Server, r.Report, true
+		}
+	}
+	for _, srv := range t.servers() {
+		if srv.ID != old.Server.ID && srv.ID != next.ID {
+			others = append(others, srv)
+		}
+	}
+	return next, others, ok
+}
--- /dev/null
+++ b/internal/replacer/replace.go
@@ -0,0 +1,214 @@
+package replacer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+const (
+	// commandTimeout limits one command to a server.
+	commandTimeout = 500 * time.Millisecond
+	// fencePause separates two attempts to fence while servers are missing.
+	fencePause = 150 * time.Millisecond
+	// waitLimit is how long a change waits for servers whose log might have an
+	// acknowledged commit: a crashed primary comes back within some seconds.
+	// After it, a service without a primary is worse than the risk.
+	waitLimit = 20 * time.Second
+	// effectLimit is how long a promotion may take; the platform's take 300 to
+	// 600 ms.
+	effectLimit = 3 * time.Second
+	// effectPause separates two looks whether a promotion has taken effect.
+	effectPause = 30 * time.Millisecond
+	// callPause separates two calls to the platform.
+	callPause = 100 * time.Millisecond
+)
+
+// replace changes the primary after a failure.
+func (t *task) replace(old attester.Leader, reason string) {
+	t.log.WithFields(logrus.Fields{"server": old.Server.ID, "term": old.Term, "reason": reason}).Warn("replacer: primary must be replaced")
+	for t.ctx.Err() == nil && t.cfg.Duty.IsHolding() {
+		reports := t.group().Survey()
+		term, found := t.nextTerm(old, reports)
+		if found {
+			t.stuck = time.Time{}
+			return
+		}
+		id, err := t.fenceAndChoose(leadersOf(old, reports), term)
+		if err == nil && t.promote(id, term) {
+			t.stuck = time.Time{}
+			return
+		}
+		if err != nil {
+			t.log.WithError(err).WithFields(logrus.Fields{"term": term}).Warn("replacer: no server may lead yet")
+		}
+		t.sleep(fencePause)
+	}
+}
+
+// nextTerm returns the term for a new primary. It returns true if a server
+// leads after all: an earlier promotion took effect, or the primary is back.
+func (t *task) nextTerm(old attester.Leader, reports []attester.ServerReport) (uint64, bool) {
+	newest := max(t.group().Term(), old.Term)
+	for _, r := range reports {
+		newest = max(newest, r.Report.Term)
+	}
+	if l, ok := newestLeader(reports); ok && l.Term >= newest && (l.Server.ID != old.Server.ID || l.Term != old.Term) {
+		t.announce(l)
+		return 0, true
+	}
+	return newest + 1, false
+}
+
+func (t *task) announce(l attester.Leader) {
+	t.group().Learn(l, "replacer")
+	if n := t.cfg.Peers.Tell(t.ctx); n > 0 {
+		t.log.WithField("unreached", n).Info("replacer: some instances were not told of the new primary")
+	}
+}
+
+// leadersOf returns the servers that lead or have led: they must step down.
+func leadersOf(old attester.Leader, reports []attester.ServerReport) map[string]bool {
+	leaders := map[string]bool{}
+	if old.Server.ID != "" {
+		leaders[old.Server.ID] = true
+	}
+	for _, r := range reports {
+		if r.Report.Role == exchanger.Primary {
+			leaders[r.Server.ID] = true
+		}
+	}
+	return leaders
+}
+
+// fenceAndChoose fences all servers that it reaches and chooses one.
+func (t *task) fenceAndChoose(leaders map[string]bool, term uint64) (string, error) {
+	servers := t.servers()
+	reports := t.command(servers, func(srv informer.Server) exchanger.Statement {
+		if leaders[srv.ID] {
+			return exchanger.Statement{Kind: exchanger.StepDown, Term: term}
+		}
+		return exchanger.Statement{Kind: exchanger.Pause, Term: term}
+	})
+	members := make([]member, len(servers))
+	for i, srv := range servers {
+		m := member{id: srv.ID, draining: srv.Draining, isOld: leaders[srv.ID]}
+		if r := reports[i]; r != nil {
+			m.received = r.Received
+			m.fenced = isReplica(*r) && (m.isOld || r.PausedFor >= term)
+		}
+		members[i] = m
+	}
+	t.cfg.Peers.Tell(t.ctx)
+	least := t.cfg.Peers.Acknowledged(t.service.Name)
+	id, err := choose(members, least)
+	if err == nil {
+		return id, nil
+	}
+	return t.chooseAnyway(members, err)
+}
+
+// chooseAnyway gives up on missing servers after the limit.
+func (t *task) chooseAnyway(members []member, reason error) (string, error) {
+	now := t.cfg.Clock.Now()
+	if t.stuck.IsZero() {
+		t.stuck = now
+	}
+	if now.Sub(t.stuck) < waitLimit {
+		return "", reason
+	}
+	longest := tracker.Position{}
+	for _, m := range members {
+		if m.fenced && m.received.Compare(longest) > 0 {
+			longest = m.received
+		}
+	}
+	t.log.WithError(reason).WithField("waited", now.Sub(t.stuck).String()).Error("replacer: servers did not return; the longest known log leads, commits may be lost")
+	return best(members, longest)
+}
+
+// command sends each server its statement and returns the reports that came.
+func (t *task) command(servers []informer.Server, s func(informer.Server) exchanger.Statement) []*exchanger.Report {
+	reports := make([]*exchanger.Report, len(servers))
+	deadline := t.cfg.Clock.Now().Add(commandTimeout)
+	var wg sync.WaitGroup
+	for i, srv := range servers {
+		wg.Go(func() {
+			st := s(srv)
+			r, err := t.cfg.Fleet.Probe(srv, st, deadline)
+			fields := logrus.Fields{"server": srv.ID, "command": commandNames[st.Kind], "term": st.Term}
+			if err != nil {
+				t.log.WithError(err).WithFields(fields).Info("replacer: command was not confirmed")
+				return
+			}
+			fields["role"], fields["received"], fields["paused_for"] = r.Role.String(), r.Received.String(), r.PausedFor
+			t.log.WithFields(fields).Info("replacer: command was confirmed")
+			reports[i] = &r
+		})
+	}
+	wg.Wait()
+	return reports
+}
+
+// promote makes the server lead and waits for it. It returns false if the
+// server does not lead in time; everything stays fenced then.
+func (t *task) promote(id string, term uint64) bool {
+	srv, ok := t.cfg.Informer.State().Server(t.service.Name, id)
+	if !ok {
+		return false
+	}
+	deadline := t.cfg.Clock.Now().Add(effectLimit)
+	called := false
+	for t.ctx.Err() == nil && t.cfg.Clock.Now().Before(deadline) {
+		if !called {
+			token, mayAct := t.cfg.Duty.Token()
+			if !mayAct {
+				t.sleep(effectPause)
+				continue
+			}
+			err := t.cfg.Promoter.Promote(t.ctx, t.service.Name, id, t.cfg.Name, token)
+			called = err == nil
+			t.log.WithFields(logrus.Fields{"server": id, "term": term, "token": token, "failed": err != nil, "cause": causeText(err)}).
+				Info("replacer: platform was asked to promote a server")
+			if err != nil {
+				t.sleep(callPause)
+			}
+		}
+		r, err := t.cfg.Fleet.Probe(srv, exchanger.Statement{Kind: exchanger.Status}, t.cfg.Clock.Now().Add(commandTimeout))
+		if err == nil && r.Role == exchanger.Primary && r.Term >= term {
+			t.finish(attester.Leader{Server: srv, Term: r.Term})
+			return true
+		}
+		t.sleep(effectPause)
+	}
+	t.log.WithFields(logrus.Fields{"server": id, "term": term}).Warn("replacer: promotion has not taken effect in time")
+	return false
+}
+
+func causeText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// finish tells everyone and lifts pauses that the promotion left.
+func (t *task) finish(l attester.Leader) {
+	t.replaced.Inc(1)
+	t.failing, t.leaderless, t.stuck = time.Time{}, time.Time{}, time.Time{}
+	t.log.WithFields(logrus.Fields{"server": l.Server.ID, "term": l.Term}).Info("replacer: new primary leads")
+	t.announce(l)
+	var others []informer.Server
+	for _, r := range t.group().Survey() {
+		if r.Server.ID != l.Server.ID && r.Report.PausedFor != 0 && r.Report.PausedFor <= l.Term {
+			others = append(others, r.Server)
+		}
+	}
+	t.command(others, func(informer.Server) exchanger.Statement { return exchanger.Statement{Kind: exchanger.Resume} })
+}
