dispatcher: proofs are of the leader that ran the statement

Ruled out: floors of other instances (the readers' own samples had the wrong position). Change: only a commit after a write gives a sample; Confirm names the leader.

--- a/internal/attester/group.go
+++ b/internal/attester/group.go
@@ -263,19 +263,19 @@
 		if !g.cfg.Clock.Now().Before(deadline) {
 			return Sample{}, ErrNoLeader
 		}
-		if err := g.Confirm(deadline); err != nil {
+		l, err := g.AwaitLeader(deadline)
+		if err != nil {
+			return Sample{}, err
+		}
+		if err := g.Confirm(l, deadline); err != nil {
 			return Sample{}, err
 		}
 	}
 }
 
-// Confirm takes a new sample from the leader. The proof holds for everything
-// that arrived before the call.
-func (g *Group) Confirm(deadline time.Time) error {
-	l, err := g.AwaitLeader(deadline)
-	if err != nil {
-		return err
-	}
+// Confirm proves that the server leads the term at a time after the call, and
+// takes a new sample from it. What ran at another server is not proved by it.
+func (g *Group) Confirm(l Leader, deadline time.Time) error {
 	began := g.cfg.Clock.Now()
 	var report exchanger.Report
 	var probeErr error
@@ -284,7 +284,7 @@
 		defer close(asked)
 		report, probeErr = g.cfg.Prober.Probe(l.Server, exchanger.Statement{Kind: exchanger.Status}, earlier(deadline, began.Add(probeTimeout)))
 	}()
-	err = g.Witness(began, l.Term, deadline)
+	err := g.Witness(began, l.Term, deadline)
 	<-asked
 	if probeErr != nil {
 		return probeErr
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -229,7 +229,7 @@
 		return exchanger.Answer{}, errors.Join(errRefused, errors.New(a.Code.String()))
 	}
 	if !report.OK() {
-		return a, g.Confirm(deadline)
+		return a, g.Confirm(l, deadline)
 	}
 	if !g.IsLeading(l, *report.Report) {
 		return exchanger.Answer{}, attester.ErrSuperseded
--- a/internal/dispatcher/transaction.go
+++ b/internal/dispatcher/transaction.go
@@ -30,7 +30,10 @@
 	leader  attester.Leader
 	// witness is the proof that reads wait for; nil when none is needed.
 	witness <-chan error
-	failed  bool
+	// wrote is true once a write has run. Only its commit needs a replica and
+	// so proves that the server still leads.
+	wrote  bool
+	failed bool
 }
 
 // Begin returns a transaction that has not yet reached a server.
@@ -57,6 +60,7 @@
 	if err := t.prove(); err != nil {
 		return t.fail(exchanger.Refusal(exchanger.Aborted, exchanger.FailedTransaction, err.Error()))
 	}
+	t.wrote = t.wrote || req.IsWrite()
 	a.State = exchanger.InTransaction
 	return a
 }
@@ -94,7 +98,7 @@
 			t.noteLost(err)
 			l := t.leader
 			t.close()
-			if t.readOnly {
+			if !t.wrote {
 				return exchanger.Refusal(exchanger.Aborted, exchanger.Idle, "the answer to a transaction without writes was lost")
 			}
 			return t.d.unknown(req, l, err)
@@ -104,7 +108,7 @@
 			t.d.cfg.Clock.Sleep(busyPause)
 			continue
 		}
-		if a.OK() && !t.readOnly {
+		if a.OK() && t.wrote {
 			g := t.d.Group(t.begin.Route.Service)
 			g.Acknowledge(a.Position)
 			g.AddSample(t.leader.Term, attester.Sample{At: began, Position: a.Position})
@@ -278,7 +282,7 @@
 	t.witness = witness
 	go func() {
 		if t.readOnly {
-			witness <- g.Confirm(deadline)
+			witness <- g.Confirm(l, deadline)
 			return
 		}
 		witness <- g.Witness(began, l.Term, deadline)
