attester: a server that takes itself for a primary is no witness

Ruled out: the read's own report (it showed the old term, as expected). Change: a round belongs to a leader, and a witness must report the role of a replica.

--- a/internal/attester/group.go
+++ b/internal/attester/group.go
@@ -52,14 +52,6 @@
 	nextRound *round
 }
 
-// round is one question to the replicas that any number of reads wait for.
-type round struct {
-	began time.Time
-	term  uint64
-	done  chan struct{}
-	err   error
-}
-
 // NewGroup returns a group whose leader is not known yet.
 func NewGroup(cfg Config) *Group { return &Group{cfg: cfg, changed: make(chan struct{})} }
 
@@ -284,7 +276,7 @@
 		defer close(asked)
 		report, probeErr = g.cfg.Prober.Probe(l.Server, exchanger.Statement{Kind: exchanger.Status}, earlier(deadline, began.Add(probeTimeout)))
 	}()
-	err := g.Witness(began, l.Term, deadline)
+	err := g.Witness(began, l, deadline)
 	<-asked
 	if probeErr != nil {
 		return probeErr
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -217,7 +217,7 @@
 	}
 	began := d.cfg.Clock.Now()
 	witness := make(chan error, 1)
-	go func() { witness <- g.Witness(req.Received, l.Term, deadline) }()
+	go func() { witness <- g.Witness(req.Received, l, deadline) }()
 	answers, err := d.attempt(b, req, deadline, req.Statement, exchanger.Statement{Kind: exchanger.Status})
 	if err != nil {
 		d.doubtUnreachable(g, l, err)
--- a/internal/dispatcher/transaction.go
+++ b/internal/dispatcher/transaction.go
@@ -285,7 +285,7 @@
 			witness <- g.Confirm(l, deadline)
 			return
 		}
-		witness <- g.Witness(began, l.Term, deadline)
+		witness <- g.Witness(began, l, deadline)
 	}()
 }
 
