replacer, attester, linker: faster recovery and changes of primary

Cause: after a power cut connections of dead instances counted for 3 s against the cap, fresh instances had no witness, and a change of primary waited for the failed server three times (survey, fence, peers). Ruled out: the store (configuration and lists are there within 0.3 s of the start). Change: idle links close after 1.5 s; a replica's birth makes it a witness; the fence waits for replicas only; lease 2 s.

--- a/internal/attester/config.go
+++ b/internal/attester/config.go
@@ -24,5 +24,7 @@
 	Servers func() []informer.Server
 	Prober  Prober
 	Clock   clockwork.Clock
-	Log     logrus.FieldLogger
+	// TimeOfDay returns the wall-clock time, which may be wrong by seconds.
+	TimeOfDay func() time.Time
+	Log       logrus.FieldLogger
 }
--- a/internal/attester/doc.go
+++ b/internal/attester/doc.go
@@ -12,5 +12,6 @@
 // acknowledged before that time.
 //
 // A replica that restarted forgets that it was paused. One that this instance
-// has known for less than [establishedAfter] is therefore no witness by itself.
+// has known for less than [establishedAfter], and that does not say that it
+// started longer ago than [oldAfter], is therefore no witness by itself.
 package attester
--- a/internal/attester/group.go
+++ b/internal/attester/group.go
@@ -33,6 +33,10 @@
 	// establishedAfter is how long a replica must be known to be a witness by
 	// itself. It exceeds the time in which every list shows a restart.
 	establishedAfter = 10 * time.Second
+	// oldAfter is the same for a replica that this instance has just met, by
+	// the time of day at which the replica says it started. It allows for
+	// clocks that are wrong by 20 s.
+	oldAfter = 30 * time.Second
 )
 
 // Group is one service's leader with its proofs.
--- a/internal/attester/witness.go
+++ b/internal/attester/witness.go
@@ -117,7 +117,7 @@
 	for _, srv := range g.cfg.Servers() {
 		switch {
 		case srv.ID == leader:
-		case now.Sub(srv.Since) < establishedAfter:
+		case now.Sub(srv.Since) < establishedAfter && g.cfg.TimeOfDay().Sub(time.UnixMilli(srv.Born)) < oldAfter:
 			others = append(others, srv)
 		case srv.Zone == g.cfg.Zone:
 			established = append(established, srv)
--- a/internal/dispatcher/config.go
+++ b/internal/dispatcher/config.go
@@ -22,6 +22,8 @@
 	// DrainLimit is how long a draining server accepts work at least.
 	DrainLimit time.Duration
 	Clock      clockwork.Clock
-	Metrics    metrics.Registry
-	Log        logrus.FieldLogger
+	// TimeOfDay returns the wall-clock time, which may be wrong by seconds.
+	TimeOfDay func() time.Time
+	Metrics   metrics.Registry
+	Log       logrus.FieldLogger
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -21,6 +21,12 @@
 	defaultConnections = 20
 	// reserveInterval is how often shares of connections are computed again.
 	reserveInterval = 500 * time.Millisecond
+	// idleLimit is how long a connection above keepOpen may rest. Connections
+	// of an instance that lost power count for 3 s against a server's limit:
+	// what is not open then is free for the instances that start again.
+	idleLimit = 1500 * time.Millisecond
+	// keepOpen connections to each server stay for reports and the next request.
+	keepOpen = 1
 	// probePriority lets reports go before callers' requests: they are short
 	// and proofs wait for them.
 	probePriority = -1
@@ -122,6 +128,7 @@
 	b.server = srv
 	b.mu.Unlock()
 	b.SetLimit(limit)
+	b.CloseIdle(d.cfg.Clock.Now().Add(-idleLimit), keepOpen)
 }
 
 func (d *Dispatcher) newBackend(srv informer.Server, limit int) *backend {
@@ -188,7 +195,7 @@
 	g := d.groups[service]
 	if g == nil {
 		g = attester.NewGroup(attester.Config{
-			Service: service, Zone: d.cfg.Zone, Prober: d, Clock: d.cfg.Clock, Log: d.cfg.Log,
+			Service: service, Zone: d.cfg.Zone, Prober: d, Clock: d.cfg.Clock, TimeOfDay: d.cfg.TimeOfDay, Log: d.cfg.Log,
 			Servers: func() []informer.Server { return d.cfg.Informer.State().ServersOf(service) },
 		})
 		d.groups[service] = g
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -24,15 +24,15 @@
 	// leaseTime is the longest time in which two instances could believe that
 	// they hold the duty. A shorter one would end during a brief outage of the
 	// store; a longer one delays a change of primary after a holder's death.
-	leaseTime = 3 * time.Second
+	leaseTime = 2 * time.Second
 	// leaseMargin is kept before the end of a lease for the time of a call.
-	leaseMargin = 500 * time.Millisecond
+	leaseMargin = 300 * time.Millisecond
 	// renewInterval costs a tenth of a read each.
-	renewInterval = 700 * time.Millisecond
+	renewInterval = 500 * time.Millisecond
 	// lookInterval is how often others look whether the duty is free.
-	lookInterval = time.Second
+	lookInterval = 700 * time.Millisecond
 	// claimSpread spreads the attempts to take a free duty.
-	claimSpread = 500 * time.Millisecond
+	claimSpread = 200 * time.Millisecond
 )
 
 // Config holds what a [Holder] needs.
--- a/internal/linker/pool.go
+++ b/internal/linker/pool.go
@@ -200,11 +200,12 @@
 	p.startDials()
 }
 
-// CloseIdle closes links that were not used since the time.
-func (p *Pool) CloseIdle(before time.Time) {
+// CloseIdle closes links that were not used since the time, but the last keep
+// ones.
+func (p *Pool) CloseIdle(before time.Time, keep int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i := len(p.idle) - 1; i >= 0; i-- {
+	for i := len(p.idle) - 1; i >= 0 && p.open > keep; i-- {
 		if p.idle[i].used.Before(before) {
 			p.dropIdle(i)
 		}
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -96,7 +96,7 @@
 	n.dispatcher = dispatcher.New(dispatcher.Config{
 		Zone: settings.Zone, Informer: n.informer, Dialer: platform.ServerDialer{Caller: settings.Instance, Clock: n.clock},
 		Members:    n.registrar.Count,
-		DrainLimit: settings.DrainLimit, Clock: n.clock, Metrics: n.metrics, Log: n.log,
+		DrainLimit: settings.DrainLimit, Clock: n.clock, TimeOfDay: time.Now, Metrics: n.metrics, Log: n.log,
 	})
 	if err := n.startDuties(); err != nil {
 		return nil, err
--- a/internal/noder/stop.go
+++ b/internal/noder/stop.go
@@ -14,8 +14,9 @@
 	stopMargin = time.Second
 )
 
-// Stop ends the instance within its stop limit: it is not ready at once, closes
-// sessions at rest, lets transactions end, and answers what runs.
+// Stop ends the instance within its stop limit: it is not ready at once, gives
+// its duty up, closes sessions at rest, lets transactions end, and answers what
+// runs. What depends on the store has no part in the time that sessions get.
 func (n *Node) Stop() {
 	began := n.clock.Now()
 	n.mu.Lock()
@@ -24,24 +25,32 @@
 	n.log.Info("noder: stopping")
 	go func() {
 		defer close(n.done)
-		n.replacer.Close()
-		n.holder.Close()
+		left := make(chan struct{})
+		go func() {
+			defer close(left)
+			n.leave()
+		}()
 		drain := time.Duration(float64(n.settings.StopLimit) * drainShare)
 		n.sessions.Drain(drain)
 		n.clock.Sleep(drain - n.clock.Since(began))
 		ended := n.sessions.Stop(n.settings.StopLimit - stopMargin - n.clock.Since(began))
-		n.gossiper.Close()
-		n.registrar.Close()
-		n.control.Close()
-		n.peers.Close()
-		n.dispatcher.Close()
-		n.informer.Close()
-		n.store.Close()
-		for _, srv := range n.web {
-			srv.Close()
-		}
 		n.log.WithFields(logrus.Fields{"took": n.clock.Since(began).String(), "all_sessions_ended": ended}).Info("noder: stopped")
+		select {
+		case <-left:
+		case <-n.clock.After(leaveLimit):
+		}
 		n.printer.Close()
 		<-n.printer.Done()
 	}()
 }
+
+// leaveLimit is how long a process that has nothing else to do waits for the
+// store; entries lapse by themselves.
+const leaveLimit = 200 * time.Millisecond
+
+// leave gives up what other instances can take over.
+func (n *Node) leave() {
+	n.replacer.Close()
+	n.holder.Close()
+	n.registrar.Close()
+}
--- a/internal/replacer/hand_over.go
+++ b/internal/replacer/hand_over.go
@@ -24,7 +24,7 @@
 	t.log.WithFields(logrus.Fields{"server": old.Server.ID, "next": next.ID, "term": term}).Info("replacer: primary is leaving and hands over")
 	paused := t.command(others, func(informer.Server) exchanger.Statement {
 		return exchanger.Statement{Kind: exchanger.Pause, Term: term}
-	})
+	}, everyServer)
 	longest := tracker.Position{}
 	for _, r := range paused {
 		if r == nil || r.PausedFor < term {
@@ -45,7 +45,7 @@
 	}
 	t.command([]informer.Server{old.Server}, func(informer.Server) exchanger.Statement {
 		return exchanger.Statement{Kind: exchanger.StepDown, Term: term}
-	})
+	}, everyServer)
 }
 
 // catchUpLimit is how long the next primary may take to receive what paused
--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -1,6 +1,7 @@
 package replacer
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,13 @@
 const (
 	// commandTimeout limits one command to a server.
 	commandTimeout = 500 * time.Millisecond
+	// oldLimit is how long the old primary may take to step down once all
+	// replicas are paused: it has usually failed.
+	oldLimit = 30 * time.Millisecond
+	// askPeersLimit is how long others may take to tell which commits they saw
+	// acknowledged. It covers two ways between zones; those that are cut off do
+	// not answer.
+	askPeersLimit = 60 * time.Millisecond
 	// fencePause separates two attempts to fence while servers are missing.
 	fencePause = 150 * time.Millisecond
 	// waitLimit is how long a change waits for servers whose log might have an
@@ -33,8 +41,13 @@
 // replace changes the primary after a failure.
 func (t *task) replace(old attester.Leader, reason string) {
 	t.log.WithFields(logrus.Fields{"server": old.Server.ID, "term": old.Term, "reason": reason}).Warn("replacer: primary must be replaced")
-	for t.ctx.Err() == nil && t.cfg.Duty.IsHolding() {
-		reports := t.group().Survey()
+	// The first attempt trusts the term that is known: asking all servers would
+	// wait for the one that has failed.
+	var reports []attester.ServerReport
+	for first := true; t.ctx.Err() == nil && t.cfg.Duty.IsHolding(); first = false {
+		if !first || old.Server.ID == "" {
+			reports = t.group().Survey()
+		}
 		term, found := t.nextTerm(old, reports)
 		if found {
 			t.stuck = time.Time{}
@@ -90,12 +103,21 @@
 // fenceAndChoose fences all servers that it reaches and chooses one.
 func (t *task) fenceAndChoose(leaders map[string]bool, term uint64) (string, error) {
 	servers := t.servers()
+	told := make(chan struct{})
+	go func() {
+		defer close(told)
+		t.cfg.Peers.Tell(t.ctx)
+	}()
 	reports := t.command(servers, func(srv informer.Server) exchanger.Statement {
 		if leaders[srv.ID] {
 			return exchanger.Statement{Kind: exchanger.StepDown, Term: term}
 		}
 		return exchanger.Statement{Kind: exchanger.Pause, Term: term}
-	})
+	}, func(srv informer.Server) bool { return !leaders[srv.ID] })
+	select {
+	case <-told:
+	case <-t.cfg.Clock.After(askPeersLimit):
+	}
 	members := make([]member, len(servers))
 	for i, srv := range servers {
 		m := member{id: srv.ID, draining: srv.Draining, isOld: leaders[srv.ID]}
@@ -105,7 +127,6 @@
 		}
 		members[i] = m
 	}
-	t.cfg.Peers.Tell(t.ctx)
 	least := t.cfg.Peers.Acknowledged(t.service.Name)
 	id, err := choose(members, least)
 	if err == nil {
@@ -133,29 +154,59 @@
 	return best(members, longest)
 }
 
-// command sends each server its statement and returns the reports that came.
-func (t *task) command(servers []informer.Server, s func(informer.Server) exchanger.Statement) []*exchanger.Report {
-	reports := make([]*exchanger.Report, len(servers))
+// command sends each server its statement and returns the reports that came. It
+// waits for the servers that are needed, and only briefly for the others.
+func (t *task) command(servers []informer.Server, s func(informer.Server) exchanger.Statement, needed func(informer.Server) bool) []*exchanger.Report {
 	deadline := t.cfg.Clock.Now().Add(commandTimeout)
-	var wg sync.WaitGroup
+	var mu sync.Mutex
+	reports := make([]*exchanger.Report, len(servers))
+	var need, all sync.WaitGroup
 	for i, srv := range servers {
-		wg.Go(func() {
-			st := s(srv)
-			r, err := t.cfg.Fleet.Probe(srv, st, deadline)
-			fields := logrus.Fields{"server": srv.ID, "command": commandNames[st.Kind], "term": st.Term}
-			if err != nil {
-				t.log.WithError(err).WithFields(fields).Info("replacer: command was not confirmed")
-				return
+		all.Add(1)
+		if needed(srv) {
+			need.Add(1)
+		}
+		go func() {
+			defer all.Done()
+			r := t.commandOne(srv, s(srv), deadline)
+			mu.Lock()
+			reports[i] = r
+			mu.Unlock()
+			if needed(srv) {
+				need.Done()
 			}
-			fields["role"], fields["received"], fields["paused_for"] = r.Role.String(), r.Received.String(), r.PausedFor
-			t.log.WithFields(fields).Info("replacer: command was confirmed")
-			reports[i] = &r
-		})
+		}()
 	}
-	wg.Wait()
-	return reports
+	need.Wait()
+	done := make(chan struct{})
+	go func() {
+		all.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-t.cfg.Clock.After(oldLimit):
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	return slices.Clone(reports)
 }
 
+func (t *task) commandOne(srv informer.Server, st exchanger.Statement, deadline time.Time) *exchanger.Report {
+	r, err := t.cfg.Fleet.Probe(srv, st, deadline)
+	fields := logrus.Fields{"server": srv.ID, "command": commandNames[st.Kind], "term": st.Term}
+	if err != nil {
+		t.log.WithError(err).WithFields(fields).Info("replacer: command was not confirmed")
+		return nil
+	}
+	fields["role"], fields["received"], fields["paused_for"] = r.Role.String(), r.Received.String(), r.PausedFor
+	t.log.WithFields(fields).Info("replacer: command was confirmed")
+	return &r
+}
+
+// everyServer makes a command wait for all servers.
+func everyServer(informer.Server) bool { return true }
+
 // promote makes the server lead and waits for it. It returns false if the
 // server does not lead in time; everything stays fenced then.
 func (t *task) promote(id string, term uint64) bool {
@@ -210,5 +261,5 @@
 			others = append(others, r.Server)
 		}
 	}
-	t.command(others, func(informer.Server) exchanger.Statement { return exchanger.Statement{Kind: exchanger.Resume} })
+	t.command(others, func(informer.Server) exchanger.Statement { return exchanger.Statement{Kind: exchanger.Resume} }, everyServer)
 }
--- a/internal/replacer/replacer.go
+++ b/internal/replacer/replacer.go
@@ -18,12 +18,15 @@
 	checkInterval = 100 * time.Millisecond
 	// quietLimit is how long the primary may not have answered before it is
 	// asked.
-	quietLimit = 400 * time.Millisecond
-	// failureLimit is how long the primary must have been out of reach. A
+	quietLimit = 200 * time.Millisecond
+	// askLimit is how long the answer may take. It must be shorter than
+	// failureLimit so that two attempts fit.
+	askLimit = 250 * time.Millisecond
+	// failureLimit is how long the primary must not have answered anything. A
 	// shorter one would take a lost packet, sent again after 200 ms, for a failure.
 	failureLimit = 600 * time.Millisecond
 	// refusedLimit is the same for a primary that refuses connections.
-	refusedLimit = 250 * time.Millisecond
+	refusedLimit = 200 * time.Millisecond
 	// minFailures is how many attempts must have failed.
 	minFailures = 2
 	// stallLimit is how long a write may go unanswered before the replicas are
@@ -189,7 +192,8 @@
 }
 
 // isReachable asks a primary that has been quiet and reports false when it has
-// been out of reach for long enough.
+// answered nothing for long enough. Any answer counts: a busy primary may keep
+// a report waiting.
 func (t *task) isReachable(l attester.Leader) bool {
 	now := t.cfg.Clock.Now()
 	answered, failures, _ := t.cfg.Fleet.Health(l.Server.ID)
@@ -197,7 +201,7 @@
 		t.failing = time.Time{}
 		return true
 	}
-	r, err := t.cfg.Fleet.Probe(l.Server, exchanger.Statement{Kind: exchanger.Status}, now.Add(quietLimit))
+	r, err := t.cfg.Fleet.Probe(l.Server, exchanger.Statement{Kind: exchanger.Status}, now.Add(askLimit))
 	if err == nil {
 		t.failing = time.Time{}
 		if r.Role != exchanger.Primary {
@@ -212,8 +216,16 @@
 	if isRefused(err) {
 		limit = refusedLimit
 	}
-	_, failures, _ = t.cfg.Fleet.Health(l.Server.ID)
-	return failures < minFailures || t.cfg.Clock.Since(t.failing) < limit
+	answered, failures, _ = t.cfg.Fleet.Health(l.Server.ID)
+	silent := t.cfg.Clock.Since(later(answered, t.failing.Add(-quietLimit)))
+	return failures < minFailures || silent < limit
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // isStalled reports whether the primary has commits that no replica receives.
