dispatcher, placer: refuse at once what an overloaded or stalled primary cannot serve in time

Ruled out: the server's queue (24 requests take 150 ms). Change: admission by expected wait; one write at a time while commits are not acknowledged; a stall needs two replicas to be replaced; sessions of a stopping instance close only after 60 ms of quiet.

--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -29,7 +29,8 @@
 // backend is one backend server as this instance uses it.
 type backend struct {
 	*linker.Pool
-	id string
+	id     string
+	writes acknowledgements
 
 	mu       sync.Mutex
 	server   informer.Server
@@ -42,8 +43,6 @@
 	answered  time.Time
 	failures  int
 	failed    time.Time
-	// writes holds the starts of writes that are not answered.
-	writes map[*time.Time]struct{}
 }
 
 // acquire takes a link and counts the request.
@@ -131,30 +130,10 @@
 	}
 }
 
-// beginWrite notes a write that is sent; the returned function notes its end.
-func (b *backend) beginWrite(began time.Time) func() {
-	key := &began
+// load returns how busy the connections to the server are.
+func (b *backend) load() placer.Load {
+	open, idle, waiting := b.Stats()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.writes == nil {
-		b.writes = map[*time.Time]struct{}{}
-	}
-	b.writes[key] = struct{}{}
-	return func() {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		delete(b.writes, key)
-	}
-}
-
-// pendingSince returns the start of the oldest write that is not answered.
-func (b *backend) pendingSince() (oldest time.Time, ok bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for began := range b.writes {
-		if !ok || began.Before(oldest) {
-			oldest, ok = *began, true
-		}
-	}
-	return oldest, ok
+	return placer.Load{Open: open, Idle: idle, Waiting: waiting, Latency: b.latency}
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -243,7 +243,7 @@
 // answered.
 func (d *Dispatcher) PendingSince(id string) (time.Time, bool) {
 	if b := d.backend(id); b != nil {
-		return b.pendingSince()
+		return b.writes.oldest()
 	}
 	return time.Time{}, false
 }
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -99,11 +99,13 @@
 		if b == nil {
 			break
 		}
-		answers, err := d.attempt(b, req, deadline, req.Statement.WithFloor(f.position))
+		answers, err := d.attemptRead(b, req, deadline, req.Statement.WithFloor(f.position))
 		switch {
+		case errors.Is(err, errNotSent):
+			d.noteRetry(req, b.id, "not sent", err)
 		case err != nil:
 			d.noteRetry(req, b.id, "no answer", err)
-			last = exchanger.Answer{Code: exchanger.Failed}
+			last = exchanger.Answer{Code: exchanger.Failed, Text: "the answer was lost"}
 		case answers[0].OK() || answers[0].Code == exchanger.Timeout:
 			d.countReplicaRead(req.Route.Service, b.id)
 			return answers[0]
@@ -151,6 +153,14 @@
 	return nil
 }
 
+// attemptRead runs a read at a server where it is not expected to be late.
+func (d *Dispatcher) attemptRead(b *backend, req Request, deadline time.Time, s ...exchanger.Statement) ([]exchanger.Answer, error) {
+	if !b.load().Admits(req.Received.Add(req.Route.Objective).Sub(d.cfg.Clock.Now())) {
+		return nil, errors.Join(errNotSent, errOverloaded)
+	}
+	return d.attempt(b, req, deadline, s...)
+}
+
 // attempt runs statements at one server. A lost connection that was idle
 // before is no sign that the server is down.
 func (d *Dispatcher) attempt(b *backend, req Request, deadline time.Time, s ...exchanger.Statement) ([]exchanger.Answer, error) {
@@ -159,6 +169,9 @@
 		return nil, errors.Join(errNotSent, err)
 	}
 	began := d.cfg.Clock.Now()
+	if req.IsWrite() {
+		defer b.writes.begin(began)()
+	}
 	answers, err := l.Run(deadline, req.Context, s...)
 	now := d.cfg.Clock.Now()
 	atRest := err == nil && answers[len(answers)-1].State == exchanger.Idle
@@ -178,6 +191,9 @@
 	return answers, nil
 }
 
+// errOverloaded means that a request would wait too long for a connection.
+var errOverloaded = errors.New("too many requests wait for the backend server")
+
 // errNotSent marks attempts that never reached a server.
 var errNotSent = errors.New("statement was not sent")
 
@@ -199,7 +215,7 @@
 		}
 		reason = err
 		d.noteRetry(req, l.Server.ID, "read at the primary failed", err)
-		if !d.cfg.Clock.Now().Before(deadline) {
+		if errors.Is(err, errOverloaded) || !d.cfg.Clock.Now().Before(deadline) {
 			break
 		}
 	}
@@ -218,9 +234,11 @@
 	began := d.cfg.Clock.Now()
 	witness := make(chan error, 1)
 	go func() { witness <- g.Witness(req.Received, l, deadline) }()
-	answers, err := d.attempt(b, req, deadline, req.Statement, exchanger.Statement{Kind: exchanger.Status})
+	answers, err := d.attemptRead(b, req, deadline, req.Statement, exchanger.Statement{Kind: exchanger.Status})
 	if err != nil {
-		d.doubtUnreachable(g, l, err)
+		if !errors.Is(err, errOverloaded) {
+			d.doubtUnreachable(g, l, err)
+		}
 		return exchanger.Answer{}, err
 	}
 	a, report := answers[0], answers[1]
--- a/internal/dispatcher/transaction.go
+++ b/internal/dispatcher/transaction.go
@@ -85,11 +85,13 @@
 
 func (t *Transaction) commit(req Request) exchanger.Answer {
 	deadline := req.deadline(req.Received)
+	if t.wrote && t.backend.writes.isStalled(t.d.cfg.Clock.Now()) {
+		t.Abandon()
+		return exchanger.Refusal(exchanger.Aborted, exchanger.Idle, "no replica receives the primary's commits; nothing is kept")
+	}
 	for range maxCommitAttempts {
 		began := t.d.cfg.Clock.Now()
-		written := t.backend.beginWrite(began)
-		answers, err := t.link.Run(deadline, req.Context, req.Statement)
-		written()
+		answers, err := t.runCommit(req, deadline, began)
 		if errors.Is(err, exchanger.ErrNotSent) {
 			t.close()
 			return exchanger.Refusal(exchanger.Aborted, exchanger.Idle, "the connection to the backend server was lost; nothing is kept")
@@ -120,6 +122,13 @@
 	return exchanger.Refusal(exchanger.Aborted, exchanger.Idle, "the backend server was too busy to commit; nothing is kept")
 }
 
+func (t *Transaction) runCommit(req Request, deadline, began time.Time) ([]exchanger.Answer, error) {
+	if t.wrote {
+		defer t.backend.writes.begin(began)()
+	}
+	return t.link.Run(deadline, req.Context, req.Statement)
+}
+
 // Rollback ends the transaction without effect.
 func (t *Transaction) Rollback(req Request) exchanger.Answer {
 	if t.link != nil {
--- a/internal/dispatcher/write.go
+++ b/internal/dispatcher/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -29,10 +30,13 @@
 			continue
 		}
 		began := d.cfg.Clock.Now()
-		written := b.beginWrite(began)
-		answers, err := d.attempt(b, req, deadline, req.Statement)
-		written()
+		if b.writes.isStalled(began) {
+			return d.refuse(req, exchanger.Busy, "no replica receives the primary's commits", reason)
+		}
+		answers, err := d.attemptWrite(b, req, deadline)
 		switch {
+		case errors.Is(err, errOverloaded):
+			return d.refuse(req, exchanger.Busy, "too many requests wait for the primary", err)
 		case errors.Is(err, errNotSent):
 			d.doubtUnreachable(g, l, err)
 			reason = err
@@ -56,6 +60,18 @@
 	return d.refuse(req, exchanger.Busy, "the primary could not run the write", reason)
 }
 
+// attemptWrite sends a write once a connection is free.
+func (d *Dispatcher) attemptWrite(b *backend, req Request, deadline time.Time) ([]exchanger.Answer, error) {
+	if !b.load().Admits(writePatience * req.Route.Objective) {
+		return nil, errors.Join(errNotSent, errOverloaded)
+	}
+	return d.attempt(b, req, deadline, req.Statement)
+}
+
+// writePatience is how many objectives a write may wait. A late write is worth
+// more to callers than a late read, and only the primary can run it.
+const writePatience = 2
+
 // afterRefusal handles a proof that the primary did not run a statement.
 func (d *Dispatcher) afterRefusal(g *attester.Group, l attester.Leader, a exchanger.Answer) error {
 	if a.Code == exchanger.ReadOnly {
--- /dev/null
+++ b/internal/placer/admit.go
@@ -0,0 +1,28 @@
+package placer
+
+import "time"
+
+// Load is how busy this instance's connections to a server are.
+type Load struct {
+	// Open connections, Idle ones among them, and requests that Wait for one.
+	Open, Idle, Waiting int
+	// Latency is the mean time of a request at the server.
+	Latency time.Duration
+}
+
+// wait estimates how long a new request waits for a connection.
+func (l Load) wait() time.Duration {
+	if l.Idle > 0 || l.Open == 0 {
+		return 0
+	}
+	return l.Latency * time.Duration(l.Waiting+1) / time.Duration(l.Open)
+}
+
+// Admits reports whether a request that has the time left may wait at the
+// server. It answers an overload of one server, such as a primary whose
+// replicas are all behind: requests that would be late anyway are refused at
+// once, and the others are in time.
+func (l Load) Admits(left time.Duration) bool {
+	w := l.wait()
+	return w == 0 || w+l.Latency <= left
+}
--- a/internal/replacer/stall.go
+++ b/internal/replacer/stall.go
@@ -16,8 +16,12 @@
 	behind bool
 }
 
+// minStalledReplicas is how many replicas must answer for a stalled primary to
+// be replaced: the next primary needs another one for its own commits.
+const minStalledReplicas = 2
+
 // newestReplica compares the replicas with the primary. It returns false if
-// the primary or all replicas are missing.
+// the primary or too many replicas are missing.
 func newestReplica(reports []attester.ServerReport, l attester.Leader) (progress, bool) {
 	var p progress
 	var leader tracker.Position
@@ -34,7 +38,7 @@
 		}
 	}
 	p.behind = leader.Compare(p.received) > 0
-	return p, hasLeader && replicas > 0
+	return p, hasLeader && replicas >= minStalledReplicas
 }
 
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/internal/sessioner/session.go
+++ b/internal/sessioner/session.go
@@ -119,9 +119,10 @@
 	}
 }
 
-// lastWords lets a statement that is already on its way arrive before a
-// session at rest is closed.
-const lastWords = 5 * time.Millisecond
+// lastWords is how long a session of a stopping instance must have been quiet
+// before it is closed. A caller in the middle of its work sends its next
+// statement one way to it and back after an answer, some milliseconds.
+const lastWords = 60 * time.Millisecond
 
 func (s *session) idleLimit() time.Duration {
 	if c := s.Informer.State().Configuration; c != nil {
