attester, gossiper: instances tell each other proved positions

Ruled out: missing witnesses (births make them) and the store. Change: a proved position travels with its age, counted from the question; a started instance takes half its share for 3 s.

--- a/internal/attester/group.go
+++ b/internal/attester/group.go
@@ -143,6 +143,7 @@
 	go func() {
 		pause := discoverPause
 		for !g.discover() {
+			g.cfg.AskPeers()
 			g.cfg.Clock.Sleep(pause)
 			pause = min(2*pause, discoverPauseLimit)
 		}
@@ -205,10 +206,10 @@
 
 // AddSample records a position that the leader of the term had after at. The
 // caller has a proof that the leader had not been superseded then.
-func (g *Group) AddSample(term uint64, s Sample) {
+func (g *Group) AddSample(s Sample) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if term < g.highest {
+	if s.Term < g.highest {
 		return
 	}
 	g.samples = g.samples.with(s)
@@ -259,14 +260,32 @@
 		if !g.cfg.Clock.Now().Before(deadline) {
 			return Sample{}, ErrNoLeader
 		}
-		l, err := g.AwaitLeader(deadline)
+		err := g.refresh(deadline)
+		if s, ok := g.Floor(before); ok {
+			return s, nil
+		}
 		if err != nil {
 			return Sample{}, err
 		}
-		if err := g.Confirm(l, deadline); err != nil {
-			return Sample{}, err
+	}
+}
+
+// refresh takes a new sample from the leader or, if it cannot be asked, from
+// the other instances.
+func (g *Group) refresh(deadline time.Time) error {
+	l, ok := g.Leader()
+	if !ok {
+		g.cfg.AskPeers()
+		var err error
+		if l, err = g.AwaitLeader(deadline); err != nil {
+			return err
 		}
 	}
+	err := g.Confirm(l, deadline)
+	if err != nil {
+		g.cfg.AskPeers()
+	}
+	return err
 }
 
 // Confirm proves that the server leads the term at a time after the call, and
@@ -291,7 +310,7 @@
 	if !g.IsLeading(l, report) {
 		return ErrSuperseded
 	}
-	g.AddSample(l.Term, Sample{At: began, Position: report.Received})
+	g.AddSample(Sample{At: began, Position: report.Received, Term: l.Term})
 	return nil
 }
 
--- a/internal/attester/sample.go
+++ b/internal/attester/sample.go
@@ -18,6 +18,8 @@
 type Sample struct {
 	At       time.Time
 	Position tracker.Position
+	// Term is the term in which the position was proved.
+	Term uint64
 }
 
 // samples holds the proved samples in order of time.
--- a/internal/dispatcher/config.go
+++ b/internal/dispatcher/config.go
@@ -21,7 +21,9 @@
 	Members func(zone string) (near, far int)
 	// DrainLimit is how long a draining server accepts work at least.
 	DrainLimit time.Duration
-	Clock      clockwork.Clock
+	// AskPeers is as in [attester.Config].
+	AskPeers func()
+	Clock    clockwork.Clock
 	// TimeOfDay returns the wall-clock time, which may be wrong by seconds.
 	TimeOfDay func() time.Time
 	Metrics   metrics.Registry
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -25,6 +25,9 @@
 	// of an instance that lost power count for 3 s against a server's limit:
 	// what is not open then is free for the instances that start again.
 	idleLimit = 1500 * time.Millisecond
+	// lingerTime is how long a server counts connections whose instance has lost
+	// power, as the servers' protocol says.
+	lingerTime = 3 * time.Second
 	// keepOpen connections to each server stay for reports and the next request.
 	keepOpen = 1
 	// probePriority lets reports go before callers' requests: they are short
@@ -37,8 +40,9 @@
 
 // Dispatcher runs statements on the servers that an informer lists.
 type Dispatcher struct {
-	cfg   Config
-	count counters
+	cfg     Config
+	count   counters
+	started time.Time
 
 	mu       sync.RWMutex
 	backends map[string]*backend
@@ -52,6 +56,7 @@
 func New(cfg Config) *Dispatcher {
 	d := &Dispatcher{
 		cfg:      cfg,
+		started:  cfg.Clock.Now(),
 		count:    newCounters(cfg.Metrics),
 		backends: map[string]*backend{},
 		groups:   map[string]*attester.Group{},
@@ -156,7 +161,11 @@
 		}
 	}
 	near, far := d.cfg.Members(srv.Zone)
-	return placer.Share(limit, near, far, srv.Zone == d.cfg.Zone)
+	share := placer.Share(limit, near, far, srv.Zone == d.cfg.Zone)
+	if d.cfg.Clock.Since(d.started) < lingerTime {
+		return placer.StartShare(share)
+	}
+	return share
 }
 
 func (d *Dispatcher) backend(id string) *backend {
@@ -195,7 +204,7 @@
 	g := d.groups[service]
 	if g == nil {
 		g = attester.NewGroup(attester.Config{
-			Service: service, Zone: d.cfg.Zone, Prober: d, Clock: d.cfg.Clock, TimeOfDay: d.cfg.TimeOfDay, Log: d.cfg.Log,
+			Service: service, Zone: d.cfg.Zone, Prober: d, AskPeers: d.cfg.AskPeers, Clock: d.cfg.Clock, TimeOfDay: d.cfg.TimeOfDay, Log: d.cfg.Log,
 			Servers: func() []informer.Server { return d.cfg.Informer.State().ServersOf(service) },
 		})
 		d.groups[service] = g
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -255,7 +255,7 @@
 	if err := <-witness; err != nil {
 		return exchanger.Answer{}, err
 	}
-	g.AddSample(l.Term, attester.Sample{At: began, Position: report.Report.Received})
+	g.AddSample(attester.Sample{At: began, Position: report.Report.Received, Term: l.Term})
 	return a, nil
 }
 
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -25,6 +25,10 @@
 	exchangeInterval = 700 * time.Millisecond
 	// exchangeTimeout covers two ways between zones and a busy instance.
 	exchangeTimeout = 400 * time.Millisecond
+	// askCount instances are asked at a time; some may know no more.
+	askCount = 3
+	// askInterval bounds how often an instance asks while it lacks knowledge.
+	askInterval = 50 * time.Millisecond
 )
 
 // Beliefs is what an instance tells others and learns from them.
@@ -32,8 +36,10 @@
 	// State returns what this instance believes, with the configuration if the
 	// other's version is older.
 	State(otherVersion int64) *wire.PeerState
-	// Learn takes over what another instance believes.
-	Learn(s *wire.PeerState)
+	// Learn takes over what another instance believes. Asked is when this
+	// instance asked for it; zero if it was not asked for, so that the age of
+	// what it says is unknown.
+	Learn(s *wire.PeerState, asked time.Time)
 	// EndTenure stops acting under the token.
 	EndTenure(token int64)
 }
@@ -51,7 +57,11 @@
 
 // Gossiper exchanges beliefs until it is closed.
 type Gossiper struct {
-	cfg    Config
+	cfg Config
+
+	mu    sync.Mutex
+	asked time.Time
+
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -96,11 +106,12 @@
 	if err != nil {
 		return err
 	}
+	asked := g.cfg.Clock.Now()
 	state, err := wire.NewDRPCPeersClient(conn).Exchange(ctx, g.cfg.Beliefs.State(-1))
 	if err != nil {
 		return errors.Wrap(err, address)
 	}
-	g.cfg.Beliefs.Learn(state)
+	g.cfg.Beliefs.Learn(state, asked)
 	return nil
 }
 
@@ -123,6 +134,37 @@
 	return unreached
 }
 
+// Ask exchanges beliefs with a few instances, unless that was done a moment
+// ago, and returns when the first has answered or all have failed.
+func (g *Gossiper) Ask() {
+	if !g.mayAsk() {
+		return
+	}
+	addresses := g.cfg.Addresses()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses = addresses[:min(len(addresses), askCount)]
+	answers := make(chan error, len(addresses))
+	for _, address := range addresses {
+		go func() { answers <- g.exchange(context.Background(), address) }()
+	}
+	for range addresses {
+		if <-answers == nil {
+			return
+		}
+	}
+}
+
+func (g *Gossiper) mayAsk() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.cfg.Clock.Now()
+	if now.Sub(g.asked) < askInterval {
+		return false
+	}
+	g.asked = now
+	return true
+}
+
 // HasEnded asks the instance at the address to stop acting under the token. A
 // process that is gone does not act: its port refuses the connection.
 func (g *Gossiper) HasEnded(ctx context.Context, address string, token int64) bool {
--- a/internal/gossiper/service.go
+++ b/internal/gossiper/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"marigoldhub.example/hub/internal/messenger/wire"
 )
@@ -14,7 +15,7 @@
 
 // Exchange implements the Peers service.
 func (s Service) Exchange(_ context.Context, in *wire.PeerState) (*wire.PeerState, error) {
-	s.Beliefs.Learn(in)
+	s.Beliefs.Learn(in, time.Time{})
 	return s.Beliefs.State(in.GetConfigurationVersion()), nil
 }
 
--- a/internal/noder/beliefs.go
+++ b/internal/noder/beliefs.go
@@ -1,6 +1,8 @@
 package noder
 
 import (
+	"time"
+
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/messenger/wire"
 	"marigoldhub.example/hub/internal/tracker"
@@ -29,14 +31,19 @@
 		}
 		p := g.Acknowledged()
 		view.Acknowledged = &wire.Position{Term: p.Term, Offset: p.Offset}
+		if sample, ok := g.Newest(); ok {
+			view.Sample = &wire.Position{Term: sample.Position.Term, Offset: sample.Position.Offset}
+			view.SampleTerm, view.SampleAgeUs = sample.Term, uint64(b.clock.Since(sample.At).Microseconds())+1
+		}
 		s.Services = append(s.Services, view)
 	}
 	return s
 }
 
 // Learn implements [gossiper.Beliefs]. A configuration is checked like one from
-// the store, and replaces only an older one.
-func (b beliefs) Learn(s *wire.PeerState) {
+// the store, and replaces only an older one. A sample is at least as young as
+// its age says, counted from when it was asked for.
+func (b beliefs) Learn(s *wire.PeerState, asked time.Time) {
 	source := "instance " + s.GetHeader().GetInstance()
 	state := b.informer.State()
 	if len(s.GetConfiguration()) > 0 && (!state.HasConfiguration() || state.Configuration.Version < s.GetConfigurationVersion()) {
@@ -55,6 +62,13 @@
 		if srv, ok := state.Server(view.GetService(), view.GetPrimary()); ok && view.GetTerm() > g.Term() {
 			g.Learn(attester.Leader{Server: srv, Term: view.GetTerm()}, source)
 		}
+		if view.GetSample() != nil && !asked.IsZero() {
+			age := time.Duration(view.GetSampleAgeUs()) * time.Microsecond
+			g.AddSample(attester.Sample{
+				At: asked.Add(-age), Term: view.GetSampleTerm(),
+				Position: tracker.Position{Term: view.GetSample().GetTerm(), Offset: view.GetSample().GetOffset()},
+			})
+		}
 	}
 }
 
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -96,6 +96,7 @@
 	n.dispatcher = dispatcher.New(dispatcher.Config{
 		Zone: settings.Zone, Informer: n.informer, Dialer: platform.ServerDialer{Caller: settings.Instance, Clock: n.clock},
 		Members:    n.registrar.Count,
+		AskPeers:   func() { n.gossiper.Ask() },
 		DrainLimit: settings.DrainLimit, Clock: n.clock, TimeOfDay: time.Now, Metrics: n.metrics, Log: n.log,
 	})
 	if err := n.startDuties(); err != nil {
--- a/internal/placer/share.go
+++ b/internal/placer/share.go
@@ -17,3 +17,8 @@
 	}
 	return max(limit*weight/max(total, 1), 1)
 }
+
+// StartShare returns the share of an instance that has just started. After a
+// loss of power the servers still count the connections of before; instances
+// that return together must leave each other at least one.
+func StartShare(share int) int { return max(share/2, 1) }
