gossiper, sessioner: the list of servers travels between instances; only quiet sessions of a stopping instance are closed

Ruled out: the readiness probe (the platform uses all instances of a zone when fewer than half are ready).

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -33,9 +33,9 @@
 
 // Beliefs is what an instance tells others and learns from them.
 type Beliefs interface {
-	// State returns what this instance believes, with the configuration if the
-	// other's version is older.
-	State(otherVersion int64) *wire.PeerState
+	// State returns what this instance believes, with the configuration and the
+	// servers if those of the other are older. The other is nil if unknown.
+	State(other *wire.PeerState) *wire.PeerState
 	// Learn takes over what another instance believes. Asked is when this
 	// instance asked for it; zero if it was not asked for, so that the age of
 	// what it says is unknown.
@@ -107,7 +107,7 @@
 		return err
 	}
 	asked := g.cfg.Clock.Now()
-	state, err := wire.NewDRPCPeersClient(conn).Exchange(ctx, g.cfg.Beliefs.State(-1))
+	state, err := wire.NewDRPCPeersClient(conn).Exchange(ctx, g.cfg.Beliefs.State(nil))
 	if err != nil {
 		return errors.Wrap(err, address)
 	}
--- a/internal/gossiper/service.go
+++ b/internal/gossiper/service.go
@@ -16,7 +16,7 @@
 // Exchange implements the Peers service.
 func (s Service) Exchange(_ context.Context, in *wire.PeerState) (*wire.PeerState, error) {
 	s.Beliefs.Learn(in, time.Time{})
-	return s.Beliefs.State(in.GetConfigurationVersion()), nil
+	return s.Beliefs.State(in), nil
 }
 
 // EndTenure implements the Peers service.
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -27,7 +27,7 @@
 	configuration *Configuration
 	servers       map[string]Server
 	rejected      map[string][]byte
-	listRevision  int64
+	list          List
 	listed        bool
 	changed       chan struct{}
 
@@ -74,6 +74,21 @@
 	return n.listed
 }
 
+// List returns the last list of the servers, as instances pass it on.
+func (n *Informer) List() List {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.list
+}
+
+// OfferList takes over a list that another instance read, if it is newer than
+// the last one.
+func (n *Informer) OfferList(l List) {
+	if l.Revision > n.List().Revision {
+		n.apply(l.Entries, l.Revision)
+	}
+}
+
 // Done returns a channel that is closed when the informer has stopped.
 func (n *Informer) Done() <-chan struct{} { return n.done }
 
@@ -173,10 +188,10 @@
 func (n *Informer) apply(entries []storer.Entry, revision int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if revision < n.listRevision || len(entries) == 0 && !n.listed {
+	if revision < n.list.Revision || len(entries) == 0 && !n.listed {
 		return
 	}
-	n.listRevision = revision
+	n.list = newList(entries, revision)
 	now := n.cfg.Clock.Now()
 	changed := !n.listed
 	n.listed = true
@@ -214,7 +229,7 @@
 	n.servers[srv.ID] = srv
 	n.cfg.Log.WithFields(logrus.Fields{
 		"server": srv.ID, "service": srv.Service, "draining": srv.Draining, "role": srv.Role, "born": srv.Born,
-		"revision": n.listRevision,
+		"revision": n.list.Revision,
 	}).Info("informer: backend server changed")
 	return true
 }
--- /dev/null
+++ b/internal/informer/list.go
@@ -0,0 +1,26 @@
+package informer
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"marigoldhub.example/hub/internal/storer"
+)
+
+// List is the servers' entries as the store had them at a revision.
+type List struct {
+	Revision int64
+	Entries  []storer.Entry
+	// Digest is equal for lists with equal entries.
+	Digest uint64
+}
+
+func newList(entries []storer.Entry, revision int64) List {
+	h := xxhash.New()
+	for _, e := range entries {
+		h.WriteString(e.Key)
+		h.Write([]byte{0})
+		h.Write(e.Value)
+		h.Write([]byte{0})
+	}
+	return List{Revision: revision, Entries: entries, Digest: h.Sum64()}
+}
--- a/internal/noder/beliefs.go
+++ b/internal/noder/beliefs.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/informer"
 	"marigoldhub.example/hub/internal/messenger/wire"
+	"marigoldhub.example/hub/internal/storer"
 	"marigoldhub.example/hub/internal/tracker"
 )
 
@@ -12,15 +14,16 @@
 type beliefs struct{ *Node }
 
 // State implements [gossiper.Beliefs].
-func (b beliefs) State(otherVersion int64) *wire.PeerState {
+func (b beliefs) State(other *wire.PeerState) *wire.PeerState {
 	s := &wire.PeerState{Header: &wire.Header{Instance: b.settings.Instance}}
 	state := b.informer.State()
+	b.addServers(s, other)
 	if !state.HasConfiguration() {
 		return s
 	}
 	c := state.Configuration
 	s.ConfigurationVersion = c.Version
-	if otherVersion >= 0 && otherVersion < c.Version {
+	if other != nil && other.GetConfigurationVersion() < c.Version {
 		s.Configuration = c.Raw
 	}
 	for name := range c.Services {
@@ -40,6 +43,17 @@
 	return s
 }
 
+func (b beliefs) addServers(s, other *wire.PeerState) {
+	list := b.informer.List()
+	s.ServersRevision, s.ServersDigest = list.Revision, list.Digest
+	if other == nil || other.GetServersRevision() >= list.Revision || other.GetServersDigest() == list.Digest {
+		return
+	}
+	for _, e := range list.Entries {
+		s.Servers = append(s.Servers, &wire.ServerEntry{Key: e.Key, Value: e.Value})
+	}
+}
+
 // Learn implements [gossiper.Beliefs]. A configuration is checked like one from
 // the store, and replaces only an older one. A sample is at least as young as
 // its age says, counted from when it was asked for.
@@ -50,6 +64,14 @@
 		b.informer.Offer(s.GetConfiguration(), source)
 		state = b.informer.State()
 	}
+	if len(s.GetServers()) > 0 {
+		entries := make([]storer.Entry, 0, len(s.GetServers()))
+		for _, e := range s.GetServers() {
+			entries = append(entries, storer.Entry{Key: e.GetKey(), Value: e.GetValue()})
+		}
+		b.informer.OfferList(informer.List{Revision: s.GetServersRevision(), Entries: entries})
+		state = b.informer.State()
+	}
 	if !state.HasConfiguration() {
 		return
 	}
--- a/internal/sessioner/session.go
+++ b/internal/sessioner/session.go
@@ -96,22 +96,15 @@
 // rests. A transaction that rests too long is rolled back.
 func (s *session) await() bool {
 	for {
-		var deadline time.Time
-		if limit := s.idleLimit(); s.tx != nil && limit > 0 {
-			deadline = s.Clock.Now().Add(limit)
-		}
-		if s.state == exchanger.Idle && s.isDraining() {
-			deadline = s.Clock.Now().Add(lastWords)
-		}
+		deadline, closing := s.patience()
 		err := s.conn.Wait(deadline)
+		passed := !deadline.IsZero() && !s.Clock.Now().Before(deadline)
 		switch {
 		case err == nil:
 			return true
-		case !errors.Is(err, os.ErrDeadlineExceeded):
+		case !errors.Is(err, os.ErrDeadlineExceeded), s.isEnding(), closing && passed:
 			return false
-		case s.state == exchanger.Idle && s.isDraining() || s.isEnding():
-			return false
-		case s.tx != nil && !deadline.IsZero() && !s.Clock.Now().Before(deadline):
+		case passed:
 			s.Log.WithField("database", s.database).Info("sessioner: transaction rested too long and is rolled back")
 			s.abandon()
 			s.state = exchanger.FailedTransaction
@@ -119,6 +112,18 @@
 	}
 }
 
+// patience returns until when the session may rest, and whether it is closed
+// then. The zero time is no limit.
+func (s *session) patience() (deadline time.Time, closing bool) {
+	if s.state == exchanger.Idle && s.isDraining() {
+		return s.Clock.Now().Add(lastWords), true
+	}
+	if limit := s.idleLimit(); s.tx != nil && limit > 0 {
+		return s.Clock.Now().Add(limit), false
+	}
+	return time.Time{}, false
+}
+
 // lastWords is how long a session of a stopping instance must have been quiet
 // before it is closed. A caller in the middle of its work sends its next
 // statement one way to it and back after an answer, some milliseconds.
