replacer, attester, gossiper: the duty's holder promises that primaries stay; fewer calls to the store

Cause: each read at a primary asked the primary and a replica for a proof; probes were the largest price after the machines. Ruled out: longer batches of proofs (18 reads a second and service leave nothing to batch). Change: promises of 300 ms, asked for every 110 ms, waited out before a promotion and by a new holder, given only while the primary is well and no earlier change is unfinished; questions to servers remain for times without a holder. Waits for a connection end at half the objective.

--- a/internal/attester/doc.go
+++ b/internal/attester/doc.go
@@ -7,6 +7,11 @@
 // were asked. A read that arrived before they were asked, and ran at the
 // leader, shows every commit that was acknowledged before it.
 //
+// The holder of the duty also promises, for a moment at a time, that it will
+// not change a primary; see [Group.Permit]. Such a promise proves the same
+// without a question to the servers. The questions remain for the times without
+// a holder.
+//
 // A [Sample] is a position of the leader with the time before it was asked for,
 // kept only with such a proof. A read that covers the sample shows every commit
 // acknowledged before that time.
--- a/internal/attester/group.go
+++ b/internal/attester/group.go
@@ -54,6 +54,7 @@
 	exploring bool
 	witness   *round
 	nextRound *round
+	permit    permit
 }
 
 // NewGroup returns a group whose leader is not known yet.
@@ -299,7 +300,10 @@
 		defer close(asked)
 		report, probeErr = g.cfg.Prober.Probe(l.Server, exchanger.Statement{Kind: exchanger.Status}, earlier(deadline, began.Add(probeTimeout)))
 	}()
-	err := g.Witness(began, l, deadline)
+	var err error
+	if !g.IsPermitted(l) {
+		err = g.Witness(began, l, deadline)
+	}
 	<-asked
 	if probeErr != nil {
 		return probeErr
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -9,6 +9,7 @@
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/linker"
 	"marigoldhub.example/hub/internal/placer"
 	"marigoldhub.example/hub/internal/tracker"
 )
@@ -158,13 +159,16 @@
 	if !b.load().Admits(req.Received.Add(req.Route.Objective).Sub(d.cfg.Clock.Now())) {
 		return nil, errors.Join(errNotSent, errOverloaded)
 	}
-	return d.attempt(b, req, deadline, s...)
+	return d.attempt(b, req, placer.WaitLimit(req.Received, req.Route.Objective), deadline, s...)
 }
 
 // attempt runs statements at one server. A lost connection that was idle
 // before is no sign that the server is down.
-func (d *Dispatcher) attempt(b *backend, req Request, deadline time.Time, s ...exchanger.Statement) ([]exchanger.Answer, error) {
-	l, err := b.acquire(req.Route.Priority, deadline, req.Context.Values)
+func (d *Dispatcher) attempt(b *backend, req Request, wait, deadline time.Time, s ...exchanger.Statement) ([]exchanger.Answer, error) {
+	l, err := b.acquire(req.Route.Priority, wait, req.Context.Values)
+	if errors.Is(err, linker.ErrNoLink) {
+		return nil, errors.Join(errNotSent, errOverloaded, err)
+	}
 	if err != nil {
 		return nil, errors.Join(errNotSent, err)
 	}
@@ -172,6 +176,7 @@
 	if req.IsWrite() {
 		defer b.writes.begin(began)()
 	}
+	leader, permitted := d.permittedLeader(req.Route.Service, b)
 	answers, err := l.Run(deadline, req.Context, s...)
 	now := d.cfg.Clock.Now()
 	atRest := err == nil && answers[len(answers)-1].State == exchanger.Idle
@@ -187,10 +192,21 @@
 		return answers, err
 	}
 	b.observe(now, now.Sub(began), answers[0].Code, nil)
+	if permitted && !answers[0].Position.IsZero() {
+		d.Group(req.Route.Service).AddSample(attester.Sample{At: began, Position: answers[0].Position, Term: leader.Term})
+	}
 	d.count.latency.Update(now.Sub(began).Microseconds())
 	return answers, nil
 }
 
+// permittedLeader returns the leader if it is this server and is promised to
+// lead now. Every answer of such a server tells a proved position.
+func (d *Dispatcher) permittedLeader(service string, b *backend) (attester.Leader, bool) {
+	g := d.Group(service)
+	l, ok := g.Leader()
+	return l, ok && l.Server.ID == b.id && g.IsPermitted(l)
+}
+
 // errOverloaded means that a request would wait too long for a connection.
 var errOverloaded = errors.New("too many requests wait for the backend server")
 
@@ -231,21 +247,17 @@
 		g.Suspect(l.Server.ID, "not listed")
 		return exchanger.Answer{}, errUnknownServer
 	}
+	if g.IsPermitted(l) {
+		return d.permittedRead(g, l, b, req, deadline)
+	}
 	began := d.cfg.Clock.Now()
 	witness := make(chan error, 1)
 	go func() { witness <- g.Witness(req.Received, l, deadline) }()
 	answers, err := d.attemptRead(b, req, deadline, req.Statement, exchanger.Statement{Kind: exchanger.Status})
-	if err != nil {
-		if !errors.Is(err, errOverloaded) {
-			d.doubtUnreachable(g, l, err)
-		}
+	if err := d.checkLeaderRead(g, l, answers, err); err != nil {
 		return exchanger.Answer{}, err
 	}
 	a, report := answers[0], answers[1]
-	if a.Code.IsNotRun() {
-		d.cfg.Clock.Sleep(busyPause)
-		return exchanger.Answer{}, errors.Join(errRefused, errors.New(a.Code.String()))
-	}
 	if !report.OK() {
 		return a, g.Confirm(l, deadline)
 	}
@@ -259,6 +271,30 @@
 	return a, nil
 }
 
+// permittedRead runs a read that is already proved.
+func (d *Dispatcher) permittedRead(g *attester.Group, l attester.Leader, b *backend, req Request, deadline time.Time) (exchanger.Answer, error) {
+	answers, err := d.attemptRead(b, req, deadline, req.Statement)
+	if err := d.checkLeaderRead(g, l, answers, err); err != nil {
+		return exchanger.Answer{}, err
+	}
+	return answers[0], nil
+}
+
+// checkLeaderRead returns why a read at the primary has to be tried again.
+func (d *Dispatcher) checkLeaderRead(g *attester.Group, l attester.Leader, answers []exchanger.Answer, err error) error {
+	switch {
+	case errors.Is(err, errOverloaded):
+		return err
+	case err != nil:
+		d.doubtUnreachable(g, l, err)
+		return err
+	case answers[0].Code.IsNotRun():
+		d.cfg.Clock.Sleep(busyPause)
+		return errors.Join(errRefused, errors.New(answers[0].Code.String()))
+	}
+	return nil
+}
+
 // doubtUnreachable looks for another primary when the known one did not answer.
 func (d *Dispatcher) doubtUnreachable(g *attester.Group, l attester.Leader, err error) {
 	b := d.backend(l.Server.ID)
--- a/internal/dispatcher/write.go
+++ b/internal/dispatcher/write.go
@@ -65,7 +65,7 @@
 	if !b.load().Admits(writePatience * req.Route.Objective) {
 		return nil, errors.Join(errNotSent, errOverloaded)
 	}
-	return d.attempt(b, req, deadline, req.Statement)
+	return d.attempt(b, req, placer.WaitLimit(req.Received, writePatience*req.Route.Objective), deadline, req.Statement)
 }
 
 // writePatience is how many objectives a write may wait. A late write is worth
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -25,6 +25,11 @@
 	exchangeInterval = 700 * time.Millisecond
 	// exchangeTimeout covers two ways between zones and a busy instance.
 	exchangeTimeout = 400 * time.Millisecond
+	// permitInterval keeps promises of 300 ms from lapsing when one answer is
+	// late. A question and its answer take about 200 bytes.
+	permitInterval = 110 * time.Millisecond
+	// permitTimeout is how long an answer is of use.
+	permitTimeout = 200 * time.Millisecond
 	// askCount instances are asked at a time; some may know no more.
 	askCount = 3
 	// askInterval bounds how often an instance asks while it lacks knowledge.
@@ -42,6 +47,13 @@
 	Learn(s *wire.PeerState, asked time.Time)
 	// EndTenure stops acting under the token.
 	EndTenure(token int64)
+	// Permits returns the promises that this instance gives as the duty's holder.
+	Permits() *wire.PermitResponse
+	// LearnPermits takes over promises that were asked for at the time.
+	LearnPermits(p *wire.PermitResponse, asked time.Time)
+	// HolderAddress returns where the holder of the duty is asked: empty if it
+	// is unknown, and self if it is this instance.
+	HolderAddress() (address string, self bool)
 }
 
 // Config holds what a [Gossiper] needs.
@@ -70,9 +82,12 @@
 func New(cfg Config) *Gossiper {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gossiper{cfg: cfg, cancel: cancel, done: make(chan struct{})}
+	var wg sync.WaitGroup
+	wg.Go(func() { g.run(ctx) })
+	wg.Go(func() { g.askPermits(ctx) })
 	go func() {
 		defer close(g.done)
-		g.run(ctx)
+		wg.Wait()
 	}()
 	return g
 }
@@ -115,6 +130,42 @@
 	return nil
 }
 
+// askPermits asks the holder of the duty for promises again and again.
+func (g *Gossiper) askPermits(ctx context.Context) {
+	for {
+		select {
+		case <-g.cfg.Clock.After(permitInterval):
+		case <-ctx.Done():
+			return
+		}
+		address, self := g.cfg.Beliefs.HolderAddress()
+		asked := g.cfg.Clock.Now()
+		switch {
+		case self:
+			g.cfg.Beliefs.LearnPermits(g.cfg.Beliefs.Permits(), asked)
+		case address != "":
+			if err := g.askPermit(ctx, address, asked); err != nil {
+				g.cfg.Log.WithError(err).Debug("gossiper: holder of the duty is out of reach")
+			}
+		}
+	}
+}
+
+func (g *Gossiper) askPermit(ctx context.Context, address string, asked time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	conn, err := g.cfg.Dialer.Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	permits, err := wire.NewDRPCPeersClient(conn).Permit(ctx, &wire.PermitRequest{Instance: g.cfg.Name})
+	if err != nil {
+		return errors.Wrap(err, address)
+	}
+	g.cfg.Beliefs.LearnPermits(permits, asked)
+	return nil
+}
+
 // Tell exchanges beliefs with all instances at the same time and returns the
 // number that could not be reached.
 func (g *Gossiper) Tell(ctx context.Context) (unreached int) {
--- a/internal/gossiper/service.go
+++ b/internal/gossiper/service.go
@@ -24,3 +24,8 @@
 	s.Beliefs.EndTenure(in.GetToken())
 	return &wire.EndTenureResponse{Header: in.GetHeader(), Instance: s.Name}, nil
 }
+
+// Permit implements the Peers service.
+func (s Service) Permit(context.Context, *wire.PermitRequest) (*wire.PermitResponse, error) {
+	return s.Beliefs.Permits(), nil
+}
--- a/internal/holder/doc.go
+++ b/internal/holder/doc.go
@@ -9,4 +9,7 @@
 // take a lease away while its holder cannot hear of it. A new holder therefore
 // waits a whole lease before it acts, unless the last holder gave the duty up,
 // answers that it does not hold it, or its process is gone.
+//
+// A holder also promises the other instances, for [PromiseTime] at a time, that
+// no primary changes; whoever acts next waits for the end of these promises.
 package holder
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -29,6 +29,9 @@
 	leaseMargin = 300 * time.Millisecond
 	// renewInterval costs a tenth of a read each.
 	renewInterval = 500 * time.Millisecond
+	// PromiseTime is how long a holder promises at a time that no primary
+	// changes. A new holder waits it out besides the last tenure.
+	PromiseTime = 300 * time.Millisecond
 	// lookInterval is how often others look whether the duty is free.
 	lookInterval = 700 * time.Millisecond
 	// claimSpread spreads the attempts to take a free duty.
@@ -90,6 +93,17 @@
 	return h.token, h.token != 0 && now.Before(h.until) && !now.Before(h.actFrom)
 }
 
+// Tenure returns the token of the present tenure, acting or not; 0 while there
+// is none.
+func (h *Holder) Tenure() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.cfg.Clock.Now().Before(h.until) {
+		return 0
+	}
+	return h.token
+}
+
 // IsHolding reports whether this instance holds the duty, be it that it may
 // not act yet.
 func (h *Holder) IsHolding() bool {
@@ -239,13 +253,14 @@
 	h.mu.Lock()
 	h.token, h.lease = token, lease
 	h.until = began.Add(leaseTime - leaseMargin)
-	h.actFrom = acquired.Add(leaseTime)
+	h.actFrom = acquired.Add(leaseTime + PromiseTime)
 	h.mu.Unlock()
 	ended := !known || h.lastHasEnded(ctx, last)
+	acquired = h.cfg.Clock.Now()
 	h.cfg.Log.WithFields(logrus.Fields{"token": token, "last_has_ended": ended}).Info("holder: instance holds the duty")
 	if ended {
 		h.mu.Lock()
-		h.actFrom = acquired
+		h.actFrom = acquired.Add(PromiseTime)
 		h.mu.Unlock()
 	}
 }
--- a/internal/informer/config.go
+++ b/internal/informer/config.go
@@ -34,7 +34,9 @@
 	CurrentEvery int
 	// GoneAfter is how long a server may be missing before it counts as gone.
 	GoneAfter time.Duration
-	// OnConfiguration is told each configuration that comes into force; it
-	// must not block.
-	OnConfiguration func(*Configuration)
+	// CheckInterval returns the pause until the configuration is read again
+	// although its watch shows no change: a watch may miss one.
+	CheckInterval func() time.Duration
+	// OnMissed is called when such a read found what the watch had missed.
+	OnMissed func()
 }
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -49,6 +49,7 @@
 	n.state.Store(newState(nil, nil))
 	var wg sync.WaitGroup
 	wg.Go(func() { n.followConfiguration(ctx) })
+	wg.Go(func() { n.checkConfiguration(ctx) })
 	wg.Go(func() { n.followServers(ctx) })
 	go func() {
 		wg.Wait()
@@ -99,26 +100,24 @@
 }
 
 // Offer puts an encoded configuration into force if it is newer than the
-// present one.
-func (n *Informer) Offer(raw []byte, source string) {
+// present one, and reports whether it was.
+func (n *Informer) Offer(raw []byte, source string) bool {
 	c, err := n.cfg.Schema.DecodeConfiguration(raw)
 	if err != nil {
 		n.cfg.Log.WithError(err).WithField("source", source).Warn("informer: configuration cannot be read; the present one stays")
-		return
+		return false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.configuration != nil && c.Version <= n.configuration.Version {
-		return
+		return false
 	}
 	c.Raw = bytes.Clone(raw)
 	n.configuration = c
 	n.publish()
 	n.cfg.Log.WithFields(logrus.Fields{"version": c.Version, "source": source, "routes": len(c.Routes)}).
 		Info("informer: configuration is in force")
-	if n.cfg.OnConfiguration != nil {
-		n.cfg.OnConfiguration(c)
-	}
+	return true
 }
 
 // publish makes the present beliefs visible. The caller holds mu.
@@ -160,8 +159,28 @@
 	return w.Err()
 }
 
+// checkConfiguration reads the configuration now and then. The store may drop
+// its history, and a watch then stays silent about what was changed before.
+func (n *Informer) checkConfiguration(ctx context.Context) {
+	for ctx.Err() == nil {
+		interval := n.cfg.CheckInterval()
+		n.pause(ctx, interval*3/4+rand.N(interval/2))
+		e, ok, err := n.cfg.Store.Get(ctx, n.cfg.Schema.ConfigurationKey)
+		if err != nil || !ok {
+			continue
+		}
+		if n.Offer(e.Value, "check") && ctx.Err() == nil {
+			n.cfg.OnMissed()
+		}
+	}
+}
+
 func (n *Informer) followServers(ctx context.Context) {
+	// The first list is a current one; later ones are spread over instances.
 	for i := 0; ctx.Err() == nil; i++ {
+		if i == 1 {
+			i += rand.N(n.cfg.CurrentEvery)
+		}
 		err := n.listServers(ctx, i%n.cfg.CurrentEvery == 0)
 		wait := n.cfg.ListInterval*3/4 + rand.N(n.cfg.ListInterval/2)
 		if err != nil || !n.IsListed() {
--- a/internal/noder/beliefs.go
+++ b/internal/noder/beliefs.go
@@ -15,9 +15,11 @@
 
 // State implements [gossiper.Beliefs].
 func (b beliefs) State(other *wire.PeerState) *wire.PeerState {
+	<-b.built
 	s := &wire.PeerState{Header: &wire.Header{Instance: b.settings.Instance}}
 	state := b.informer.State()
 	b.addServers(s, other)
+	b.addDuty(s)
 	if !state.HasConfiguration() {
 		return s
 	}
@@ -58,6 +60,8 @@
 // the store, and replaces only an older one. A sample is at least as young as
 // its age says, counted from when it was asked for.
 func (b beliefs) Learn(s *wire.PeerState, asked time.Time) {
+	<-b.built
+	b.duty.learn(s.GetDutyHolder(), s.GetDutyToken())
 	source := "instance " + s.GetHeader().GetInstance()
 	state := b.informer.State()
 	if len(s.GetConfiguration()) > 0 && (!state.HasConfiguration() || state.Configuration.Version < s.GetConfigurationVersion()) {
@@ -95,7 +99,10 @@
 }
 
 // EndTenure implements [gossiper.Beliefs].
-func (b beliefs) EndTenure(token int64) { b.holder.Disown(token) }
+func (b beliefs) EndTenure(token int64) {
+	<-b.built
+	b.holder.Disown(token)
+}
 
 // Acknowledged implements [replacer.Peers].
 func (b beliefs) Acknowledged(service string) tracker.Position {
--- a/internal/noder/duties.go
+++ b/internal/noder/duties.go
@@ -37,7 +37,7 @@
 	})
 	n.replacer = replacer.New(replacer.Config{
 		Name: n.settings.Instance, Informer: n.informer, Fleet: n.dispatcher,
-		Promoter: platform.NewCloud(n.settings.Cloud), Duty: n.holder, Peers: replacerPeers{b, n.gossiper},
+		Promoter: platform.NewCloud(n.settings.Cloud), Duty: n.holder, Peers: replacerPeers{b, n.gossiper}, PromiseTime: holder.PromiseTime,
 		Clock: n.clock, Metrics: n.metrics, Log: n.log,
 	})
 	n.control = messenger.NewServer(messenger.ServerConfig{Listener: l, Registry: n.metrics, Log: n.log})
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -1,6 +1,7 @@
 package noder
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -39,8 +40,16 @@
 	// serverListInterval is how often the servers are listed. Draining servers
 	// must be known within seconds; a list from the past costs a tenth.
 	serverListInterval = time.Second
-	// currentListEvery bounds how old the list can be while stale answers lag.
-	currentListEvery = 3
+	// currentListEvery bounds how old the list can be while stale answers lag. The
+	// instances read at different times and pass newer lists on.
+	currentListEvery = 8
+	// fleetCheckInterval is how often any instance reads the configuration
+	// without a sign of a change. With one way to the others it must stay well
+	// within the 3 s in which a configuration must be in force.
+	fleetCheckInterval = 500 * time.Millisecond
+	// checkIntervalLimit bounds the interval of one instance, for the case that
+	// the others cannot reach it.
+	checkIntervalLimit = 5 * time.Second
 	// goneAfter is the time in which entries that lapsed while the store was
 	// away return, with a margin for one list.
 	goneAfter = 2500 * time.Millisecond
@@ -63,8 +72,13 @@
 	gossiper   *gossiper.Gossiper
 	holder     *holder.Holder
 	replacer   *replacer.Replacer
+	duty       knownDuty
 	web        []*http.Server
 
+	// built is closed when all parts exist. Parts that start earlier wait for it
+	// before they use others.
+	built chan struct{}
+
 	mu       sync.Mutex
 	draining bool
 	done     chan struct{}
@@ -72,7 +86,7 @@
 
 // New starts an instance that logs to out.
 func New(settings platform.Settings, out io.Writer) (*Node, error) {
-	n := &Node{settings: settings, clock: clocker.NewBoot(), metrics: metrics.NewRegistry(), done: make(chan struct{})}
+	n := &Node{settings: settings, clock: clocker.NewBoot(), metrics: metrics.NewRegistry(), built: make(chan struct{}), done: make(chan struct{})}
 	debug.SetGCPercent(collectorPercent)
 	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare))
 	n.printer = printer.New(out, n.clock, n.metrics)
@@ -83,20 +97,21 @@
 		return nil, errors.Wrap(err, "listen for callers")
 	}
 	n.store = platform.NewStore(settings.Store, n.metrics)
-	n.informer = informer.New(informer.Config{
-		Store: n.store, Schema: platform.Schema(), Clock: n.clock, Log: n.log,
-		ListInterval: serverListInterval, CurrentEvery: currentListEvery, GoneAfter: goneAfter,
-	})
 	n.registrar = registrar.New(registrar.Config{
 		Store: n.store, Clock: n.clock, Log: n.log,
 		Self: registrar.Instance{
 			Name: settings.Instance, Address: settings.Control, Zone: settings.Zone, Incarnation: time.Now().UnixNano(),
 		},
 	})
+	n.informer = informer.New(informer.Config{
+		Store: n.store, Schema: platform.Schema(), Clock: n.clock, Log: n.log,
+		ListInterval: serverListInterval, CurrentEvery: currentListEvery, GoneAfter: goneAfter,
+		CheckInterval: n.checkInterval, OnMissed: n.tellPeers,
+	})
 	n.dispatcher = dispatcher.New(dispatcher.Config{
 		Zone: settings.Zone, Informer: n.informer, Dialer: platform.ServerDialer{Caller: settings.Instance, Clock: n.clock},
 		Members:    n.registrar.Count,
-		AskPeers:   func() { n.gossiper.Ask() },
+		AskPeers:   n.askPeers,
 		DrainLimit: settings.DrainLimit, Clock: n.clock, TimeOfDay: time.Now, Metrics: n.metrics, Log: n.log,
 	})
 	if err := n.startDuties(); err != nil {
@@ -110,6 +125,7 @@
 	if err := n.serveReadiness(); err != nil {
 		return nil, err
 	}
+	close(n.built)
 	return n, nil
 }
 
@@ -133,9 +149,28 @@
 	return nil
 }
 
+// checkInterval spreads the reads of the configuration over all instances.
+func (n *Node) checkInterval() time.Duration {
+	near, far := n.registrar.Count(n.settings.Zone)
+	return min(fleetCheckInterval*time.Duration(near+far), checkIntervalLimit)
+}
+
+// tellPeers tells all other instances what this one believes.
+func (n *Node) tellPeers() {
+	<-n.built
+	n.gossiper.Tell(context.Background())
+}
+
+// askPeers asks some other instances for what they believe.
+func (n *Node) askPeers() {
+	<-n.built
+	n.gossiper.Ask()
+}
+
 // isReady reports whether callers should come: the instance knows what to
 // serve and is not stopping.
 func (n *Node) isReady() bool {
+	<-n.built
 	n.mu.Lock()
 	draining := n.draining
 	n.mu.Unlock()
--- a/internal/placer/hold.go
+++ b/internal/placer/hold.go
@@ -8,3 +8,10 @@
 func HoldLimit(objective, timeout time.Duration) time.Duration {
 	return min(objective/4, timeout)
 }
+
+// WaitLimit returns until when a request may wait for a connection: half of its
+// objective leaves the other half for its work. Whoever waits longer is refused
+// and can ask another instance.
+func WaitLimit(received time.Time, objective time.Duration) time.Time {
+	return received.Add(objective / 2)
+}
--- a/internal/replacer/config.go
+++ b/internal/replacer/config.go
@@ -56,9 +56,11 @@
 	Promoter Promoter
 	Duty     Duty
 	Peers    Peers
-	Clock    clockwork.Clock
-	Metrics  metrics.Registry
-	Log      logrus.FieldLogger
+	// PromiseTime is how long a promise holds.
+	PromiseTime time.Duration
+	Clock       clockwork.Clock
+	Metrics     metrics.Registry
+	Log         logrus.FieldLogger
 }
 
 // statement kinds that a replacement sends, for its log lines.
--- a/internal/replacer/hand_over.go
+++ b/internal/replacer/hand_over.go
@@ -20,6 +20,8 @@
 	if !ok {
 		return
 	}
+	t.beginChange()
+	defer t.endChange()
 	term := old.Term + 1
 	t.log.WithFields(logrus.Fields{"server": old.Server.ID, "next": next.ID, "term": term}).Info("replacer: primary is leaving and hands over")
 	paused := t.command(others, func(informer.Server) exchanger.Statement {
--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -41,6 +41,8 @@
 // replace changes the primary after a failure.
 func (t *task) replace(old attester.Leader, reason string) {
 	t.log.WithFields(logrus.Fields{"server": old.Server.ID, "term": old.Term, "reason": reason}).Warn("replacer: primary must be replaced")
+	t.beginChange()
+	defer t.endChange()
 	// The first attempt trusts the term that is known: asking all servers would
 	// wait for the one that has failed.
 	var reports []attester.ServerReport
@@ -214,6 +216,7 @@
 	if !ok {
 		return false
 	}
+	t.awaitPromises()
 	deadline := t.cfg.Clock.Now().Add(effectLimit)
 	called := false
 	for t.ctx.Err() == nil && t.cfg.Clock.Now().Before(deadline) {
--- a/internal/replacer/replacer.go
+++ b/internal/replacer/replacer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -40,10 +41,13 @@
 type Replacer struct {
 	cfg      Config
 	replaced metrics.Counter
-	tasks    map[string]*task
-	ctx      context.Context
-	cancel   context.CancelFunc
-	done     chan struct{}
+
+	mu    sync.Mutex
+	tasks map[string]*task
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
 }
 
 // New starts a replacer.
@@ -89,6 +93,8 @@
 	if !state.HasConfiguration() || !r.cfg.Duty.IsHolding() {
 		return
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for name, service := range state.Configuration.Services {
 		if r.tasks[name] == nil && len(state.ServersOf(name)) > 1 {
 			r.tasks[name] = newTask(r, service)
@@ -108,6 +114,15 @@
 	// stuck is since when a change has waited for servers.
 	stuck time.Time
 	done  chan struct{}
+
+	// settledToken is the tenure in which the servers showed no unfinished change.
+	settledToken int64
+	tenureToken  int64
+	tenureSince  time.Time
+
+	promiseMu     sync.Mutex
+	promisedUntil time.Time
+	changing      bool
 }
 
 func newTask(r *Replacer, service informer.Service) *task {
@@ -154,6 +169,8 @@
 		t.group().Suspect(l.Server.ID, "restarted")
 	case !t.isReachable(l):
 		t.replace(l, "out of reach")
+	case !t.isSettled(l):
+		t.replace(l, "an earlier change was not finished")
 	case t.isStalled(l):
 		t.replace(l, "commits are not acknowledged")
 	case listed && srv.Draining:
