--- /dev/null
+++ b/internal/attester/attester_test.go
@@ -0,0 +1,195 @@
+package attester_test
+
+import (
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/exchanger/exchangertest"
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// prober asks the servers of a cluster over new connections.
+type prober struct{ *exchangertest.Cluster }
+
+func (p prober) Probe(srv informer.Server, s exchanger.Statement, deadline time.Time) (exchanger.Report, error) {
+	conn, err := p.Dial(srv.Target(), deadline)
+	if err != nil {
+		return exchanger.Report{}, err
+	}
+	answers, err := conn.Exchange(deadline, s)
+	if err != nil {
+		return exchanger.Report{}, err
+	}
+	return *answers[0].Report, nil
+}
+
+func newGroup(c *exchangertest.Cluster) *attester.Group {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return attester.NewGroup(attester.Config{
+		Service: exchangertest.Service, Zone: "zone-b", Servers: c.Servers, Prober: prober{c}, AskPeers: func() {},
+		Clock: clockwork.NewRealClock(), TimeOfDay: time.Now, Log: log,
+	})
+}
+
+func soon() time.Time { return time.Now().Add(2 * time.Second) }
+
+func leaderOf(t *testing.T, g *attester.Group) attester.Leader {
+	t.Helper()
+	l, err := g.AwaitLeader(soon())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func TestWitness(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change func(c *exchangertest.Cluster)
+		want   error
+	}{
+		{"all well", func(*exchangertest.Cluster) {}, nil},
+		{"near replica down, far one asked", func(c *exchangertest.Cluster) { c.SetDown("b", true) }, nil},
+		{"no replica in reach", func(c *exchangertest.Cluster) { c.SetDown("b", true); c.SetDown("c", true) }, attester.ErrNoWitness},
+		{"a replica leads and the others know", func(c *exchangertest.Cluster) { c.Lead("b", 2, true) }, attester.ErrSuperseded},
+		{"one replica leads, one is paused", func(c *exchangertest.Cluster) {
+			pause(c, "c", 2)
+			c.Lead("b", 2, false)
+		}, attester.ErrSuperseded},
+		{"one replica is paused, the other goes on: no change has taken effect", func(c *exchangertest.Cluster) { pause(c, "b", 2) }, nil},
+		// Guards against a restarted replica, which forgets that it was paused,
+		// confirming a primary that was replaced.
+		{"young replica alone is no witness", func(c *exchangertest.Cluster) {
+			c.SetBorn("b", time.Now())
+			c.SetBorn("c", time.Now())
+			c.SetDown("c", true)
+		}, attester.ErrNoWitness},
+		{"all young replicas together are", func(c *exchangertest.Cluster) {
+			c.SetBorn("b", time.Now())
+			c.SetBorn("c", time.Now())
+		}, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := exchangertest.New("a", "b", "c")
+			g := newGroup(c)
+			l := leaderOf(t, g)
+			tc.change(c)
+			if err := g.Witness(time.Now(), l, soon()); !errors.Is(err, tc.want) {
+				t.Errorf("got %v, want %v", err, tc.want)
+			}
+		})
+	}
+}
+
+func pause(c *exchangertest.Cluster, id string, term uint64) {
+	for _, srv := range c.Servers() {
+		if srv.ID == id {
+			prober{c}.Probe(srv, exchanger.Statement{Kind: exchanger.Pause, Term: term}, soon())
+		}
+	}
+}
+
+// Guards against the stale reads of formosa-dots trouble-1, seed 868845852397:
+// the replaced primary, which other instances still reach, was taken for a
+// replica that confirms its own term once the new primary was known.
+func TestReplacedPrimaryIsNoWitness(t *testing.T) {
+	c := exchangertest.New("a", "b", "c")
+	g := newGroup(c)
+	old := leaderOf(t, g)
+	c.SetDown("b", true)
+	c.SetDown("c", true)
+	var next informer.Server
+	for _, srv := range c.Servers() {
+		if srv.ID == "b" {
+			next = srv
+		}
+	}
+	g.Learn(attester.Leader{Server: next, Term: 2}, "test")
+	if err := g.Witness(time.Now(), old, time.Now().Add(time.Second)); err == nil {
+		t.Error("the old primary was confirmed although no replica answers")
+	}
+}
+
+// Guards against the other stale read of that seed: a confirmation of the new
+// primary must not prove what ran at the old one.
+func TestConfirmIsOfOneLeader(t *testing.T) {
+	c := exchangertest.New("a", "b", "c")
+	g := newGroup(c)
+	old := leaderOf(t, g)
+	pause(c, "c", 2)
+	c.Lead("b", 2, false)
+	if err := g.Confirm(old, soon()); err == nil {
+		t.Error("the old leader was confirmed after another began to lead")
+	}
+	c.Lead("b", 2, true)
+	if err := g.Confirm(leaderOf(t, g), soon()); err != nil {
+		t.Errorf("the new leader is not confirmed: %v", err)
+	}
+}
+
+func TestFloorIsTheOldestYoungEnough(t *testing.T) {
+	c := exchangertest.New("a", "b", "c")
+	g := newGroup(c)
+	leaderOf(t, g)
+	now := time.Now()
+	at := func(ago time.Duration, offset uint64) attester.Sample {
+		return attester.Sample{At: now.Add(-ago), Position: tracker.Position{Term: 1, Offset: offset}, Term: 1}
+	}
+	for _, s := range []attester.Sample{at(3*time.Second, 10), at(2*time.Second, 20), at(time.Second, 30)} {
+		g.AddSample(s)
+	}
+	for _, tc := range []struct {
+		name   string
+		ago    time.Duration
+		want   uint64
+		exists bool
+	}{
+		{"older than all", 5 * time.Second, 10, true},
+		{"between", 2500 * time.Millisecond, 20, true},
+		{"just as old", time.Second, 30, true},
+		{"younger than all", 500 * time.Millisecond, 0, false},
+	} {
+		s, ok := g.Floor(now.Add(-tc.ago))
+		if ok != tc.exists || s.Position.Offset != tc.want {
+			t.Errorf("%s: %v, %v", tc.name, s.Position, ok)
+		}
+	}
+	g.Learn(attester.Leader{Server: c.Servers()[1], Term: 2}, "test")
+	g.AddSample(at(0, 99))
+	if s, ok := g.Floor(now.Add(-500 * time.Millisecond)); ok {
+		t.Errorf("a sample of an old term was taken: %v", s)
+	}
+}
+
+// Guards against promises that outlive their time, their leader or their term.
+func TestPermit(t *testing.T) {
+	c := exchangertest.New("a", "b", "c")
+	g := newGroup(c)
+	l := leaderOf(t, g)
+	g.Permit("a", 1, time.Now().Add(60*time.Millisecond))
+	if !g.IsPermitted(l) {
+		t.Error("a fresh promise does not hold")
+	}
+	time.Sleep(70 * time.Millisecond)
+	if g.IsPermitted(l) {
+		t.Error("the promise holds after its end")
+	}
+	g.Permit("b", 1, time.Now().Add(time.Minute))
+	if g.IsPermitted(l) {
+		t.Error("a promise for another server holds")
+	}
+	g.Permit("a", 1, time.Now().Add(2*time.Minute))
+	g.Learn(attester.Leader{Server: c.Servers()[1], Term: 2}, "test")
+	if g.IsPermitted(l) {
+		t.Error("a promise for an old term holds")
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher_test.go
@@ -0,0 +1,219 @@
+package dispatcher_test
+
+import (
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+func TestWhereStatementsRun(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		kind   exchanger.Kind
+		reads  informer.Reads
+		change func(f *fixture)
+		code   exchanger.Code
+		ranAt  []string
+	}{
+		{"write at the primary", exchanger.Write, informer.PrimaryReads, nil, exchanger.Success, []string{"a"}},
+		{"strict read at the primary", exchanger.Read, informer.PrimaryReads, nil, exchanger.Success, []string{"a"}},
+		{"bounded read at the near replica", exchanger.Read, informer.BoundedReads, nil, exchanger.Success, []string{"b"}},
+		{"session read at the near replica", exchanger.Read, informer.SessionReads, nil, exchanger.Success, []string{"b"}},
+		{"bounded read elsewhere while the near replica is down", exchanger.Read, informer.BoundedReads, func(f *fixture) { f.SetDown("b", true) }, exchanger.Success, []string{"c"}},
+		{"bounded read while the near replica refuses", exchanger.Read, informer.BoundedReads, func(f *fixture) { f.SetBusy("b", true) }, exchanger.Success, []string{"c"}},
+		{"write while all refuse", exchanger.Write, informer.PrimaryReads, func(f *fixture) { f.SetBusy("a", true) }, exchanger.Busy, nil},
+		// Guards against a primary that is cut off: nobody proves that it leads.
+		{"strict read without a replica in reach", exchanger.Read, informer.PrimaryReads, func(f *fixture) { f.SetDown("b", true); f.SetDown("c", true) }, exchanger.Busy, []string{"a", "a", "a", "a"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			if a := f.d.Run(request("warm", exchanger.Read, informer.BoundedReads)); !a.OK() {
+				t.Fatalf("warm-up: %v %s", a.Code, a.Text)
+			}
+			if tc.change != nil {
+				tc.change(f)
+			}
+			a := f.d.Run(request("r1", tc.kind, tc.reads))
+			at := f.ranAt("r1")
+			if tc.code == exchanger.Busy && len(at) < len(tc.ranAt) {
+				// How many attempts fit is a matter of time; each ran at the primary.
+				tc.ranAt = tc.ranAt[:len(at)]
+			}
+			if a.Code != tc.code || !slices.Equal(at, tc.ranAt) {
+				t.Errorf("code %v (%s), ran at %v, want %v at %v", a.Code, a.Text, at, tc.code, tc.ranAt)
+			}
+		})
+	}
+}
+
+// Guards against a session that does not see its own commit at a replica that
+// is behind.
+func TestSessionSeesItsOwnCommit(t *testing.T) {
+	f := newFixture(t)
+	w := f.d.Run(request("w", exchanger.Write, informer.SessionReads))
+	if !w.OK() {
+		t.Fatal(w.Code, w.Text)
+	}
+	f.SetBehind("b", true)
+	f.SetBehind("c", true)
+	req := request("r", exchanger.Read, informer.SessionReads)
+	req.Floor, req.FloorAt = w.Position, time.Now()
+	if a := f.d.Run(req); !a.OK() || !slices.Equal(f.ranAt("r"), []string{"a"}) {
+		t.Errorf("code %v, ran at %v, want success at a", a.Code, f.ranAt("r"))
+	}
+}
+
+// Guards against the stale reads of formosa-dots trouble-1, seed 868845852397:
+// the commit of a transaction that wrote nothing needs no replica and proves
+// nothing about the primary.
+func TestCommitWithoutWritesIsNoProof(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		write  bool
+		sample bool
+	}{
+		{"only reads", false, false},
+		{"a write", true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			tx := f.d.Begin(request("begin", exchanger.Begin, informer.PrimaryReads))
+			kind := exchanger.Read
+			if tc.write {
+				kind = exchanger.Write
+			}
+			if a := tx.Run(request("s", kind, informer.PrimaryReads)); !a.OK() {
+				t.Fatal(a.Code, a.Text)
+			}
+			before := time.Now()
+			if a := tx.Commit(request("c", exchanger.Commit, informer.PrimaryReads)); !a.OK() {
+				t.Fatal(a.Code, a.Text)
+			}
+			if _, ok := f.d.Group("service").Floor(before); ok != tc.sample {
+				t.Errorf("sample taken: %v, want %v", ok, tc.sample)
+			}
+		})
+	}
+}
+
+// Guards against an outcome that is told wrong when an answer is lost.
+func TestOutcomesWhenAnswersAreLost(t *testing.T) {
+	lose := func(f *fixture, kind exchanger.Kind, id string) {
+		var once atomic.Bool
+		f.OnStatement = func(server string, s exchanger.Statement) {
+			if s.Kind == kind && s.ID == id && once.CompareAndSwap(false, true) {
+				f.SetDown(server, true)
+				time.AfterFunc(30*time.Millisecond, func() { f.SetDown(server, false) })
+			}
+		}
+	}
+	t.Run("single write ends unknown", func(t *testing.T) {
+		f := newFixture(t)
+		f.d.Run(request("warm", exchanger.Read, informer.PrimaryReads))
+		lose(f, exchanger.Write, "w")
+		if a := f.d.Run(request("w", exchanger.Write, informer.PrimaryReads)); a.Code != exchanger.UnknownOutcome {
+			t.Errorf("code %v, want unknown", a.Code)
+		}
+	})
+	t.Run("read runs elsewhere", func(t *testing.T) {
+		f := newFixture(t)
+		f.d.Run(request("warm", exchanger.Read, informer.BoundedReads))
+		lose(f, exchanger.Read, "r")
+		if a := f.d.Run(request("r", exchanger.Read, informer.BoundedReads)); !a.OK() {
+			t.Errorf("code %v, want success", a.Code)
+		}
+	})
+	t.Run("statement of a transaction aborts it", func(t *testing.T) {
+		f := newFixture(t)
+		tx := f.d.Begin(request("begin", exchanger.Begin, informer.PrimaryReads))
+		if a := tx.Run(request("s1", exchanger.Write, informer.PrimaryReads)); !a.OK() {
+			t.Fatal(a.Code, a.Text)
+		}
+		lose(f, exchanger.Write, "s2")
+		if a := tx.Run(request("s2", exchanger.Write, informer.PrimaryReads)); a.Code != exchanger.Aborted || a.State != exchanger.FailedTransaction {
+			t.Errorf("code %v, state %v, want aborted", a.Code, a.State)
+		}
+		if a := tx.Commit(request("c", exchanger.Commit, informer.PrimaryReads)); a.Code != exchanger.Aborted {
+			t.Errorf("commit after it: %v, want aborted", a.Code)
+		}
+		if at := f.ranAt("c"); len(at) > 0 {
+			t.Errorf("the commit of a failed transaction ran at %v", at)
+		}
+	})
+	t.Run("commit of a transaction that wrote ends unknown", func(t *testing.T) {
+		f := newFixture(t)
+		tx := f.d.Begin(request("begin", exchanger.Begin, informer.PrimaryReads))
+		tx.Run(request("s1", exchanger.Write, informer.PrimaryReads))
+		lose(f, exchanger.Commit, "c")
+		if a := tx.Commit(request("c", exchanger.Commit, informer.PrimaryReads)); a.Code != exchanger.UnknownOutcome {
+			t.Errorf("code %v, want unknown", a.Code)
+		}
+	})
+}
+
+// Guards against a change of primary that instances do not follow.
+func TestWritesFollowTheNewPrimary(t *testing.T) {
+	f := newFixture(t)
+	if a := f.d.Run(request("w1", exchanger.Write, informer.PrimaryReads)); !a.OK() {
+		t.Fatal(a.Code)
+	}
+	f.Lead("c", 2, true)
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		a := f.d.Run(request("w2", exchanger.Write, informer.PrimaryReads))
+		if a.OK() {
+			break
+		}
+		if a.Code != exchanger.Busy || time.Now().After(deadline) {
+			t.Fatalf("code %v %s", a.Code, a.Text)
+		}
+	}
+	if at := f.ranAt("w2"); !slices.Equal(at, []string{"c"}) {
+		t.Errorf("ran at %v, want c", at)
+	}
+}
+
+// Guards against a write that is sent again although it may have run.
+func TestUnknownWriteIsNotSentAgain(t *testing.T) {
+	f := newFixture(t)
+	f.SetDeaf("b", true)
+	f.SetDeaf("c", true)
+	a := f.d.Run(request("w", exchanger.Write, informer.PrimaryReads))
+	if a.Code != exchanger.UnknownOutcome || len(f.ranAt("w")) != 1 {
+		t.Errorf("code %v, ran %d times, want unknown after one run", a.Code, len(f.ranAt("w")))
+	}
+}
+
+// Guards against a read of a primary that was replaced behind a promise: once
+// another leader is known, the promise counts no more.
+func TestPromiseReplacesQuestions(t *testing.T) {
+	f := newFixture(t)
+	g := f.d.Group("service")
+	if _, err := g.AwaitLeader(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	var questions atomic.Int32
+	f.OnStatement = func(_ string, s exchanger.Statement) {
+		if s.Kind == exchanger.Status {
+			questions.Add(1)
+		}
+	}
+	g.Permit("a", 1, time.Now().Add(time.Minute))
+	for range 5 {
+		if a := f.d.Run(request("r", exchanger.Read, informer.PrimaryReads)); !a.OK() {
+			t.Fatal(a.Code, a.Text)
+		}
+	}
+	if n := questions.Load(); n != 0 {
+		t.Errorf("%d questions to servers under a promise", n)
+	}
+	if s, ok := g.Newest(); !ok || s.Position != (tracker.Position{Term: 1}) {
+		t.Errorf("answers under a promise gave the sample %+v", s)
+	}
+}
+
--- /dev/null
+++ b/internal/dispatcher/fixture_test.go
@@ -0,0 +1,108 @@
+package dispatcher_test
+
+import (
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/dispatcher"
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/exchanger/exchangertest"
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/linker"
+	"marigoldhub.example/hub/internal/storer/storertest"
+)
+
+// fixture is a dispatcher before a cluster in memory.
+type fixture struct {
+	*exchangertest.Cluster
+	d        *dispatcher.Dispatcher
+	informer *informer.Informer
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{Cluster: exchangertest.New("a", "b", "c")}
+	store := storertest.New()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	clock := clockwork.NewRealClock()
+	f.informer = informer.New(informer.Config{
+		Store: store, Clock: clock, Log: log,
+		Schema: informer.Schema{
+			ConfigurationKey: "config/now", ConfigurationPrefix: "config/", ServerPrefix: "servers/",
+			DecodeConfiguration: func(b []byte) (*informer.Configuration, error) {
+				c := &informer.Configuration{}
+				return c, json.Unmarshal(b, c)
+			},
+			DecodeServer: func(key string, value []byte) (informer.Server, error) {
+				s := informer.Server{}
+				return s, json.Unmarshal(value, &s)
+			},
+		},
+		ListInterval: 20 * time.Millisecond, CurrentEvery: 1, GoneAfter: time.Hour,
+		CheckInterval: func() time.Duration { return time.Hour }, OnMissed: func() {},
+	})
+	for _, srv := range f.Servers() {
+		value, err := json.Marshal(srv)
+		if err != nil {
+			t.Fatal(err)
+		}
+		store.Put("servers/"+srv.ID, value)
+	}
+	f.d = dispatcher.New(dispatcher.Config{
+		Zone: "zone-b", Informer: f.informer, Dialer: f.Cluster, Members: func(string) (int, int) { return 1, 1 },
+		AskPeers: func() {}, DrainLimit: time.Minute, Clock: clock, TimeOfDay: time.Now, Metrics: metrics.NewRegistry(), Log: log,
+	})
+	t.Cleanup(func() {
+		f.d.Close()
+		f.informer.Close()
+	})
+	for deadline := time.Now().Add(5 * time.Second); len(f.informer.State().ServersOf(exchangertest.Service)) < 3; {
+		if time.Now().After(deadline) {
+			t.Fatal("servers are not listed")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond)
+	return f
+}
+
+func route(reads informer.Reads) informer.Route {
+	return informer.Route{
+		Name: "r", Database: "d", Service: exchangertest.Service, Reads: reads, MaxStaleness: time.Second,
+		StatementTimeout: 800 * time.Millisecond, Objective: 400 * time.Millisecond, Priority: 1,
+	}
+}
+
+func request(id string, kind exchanger.Kind, reads informer.Reads) dispatcher.Request {
+	return dispatcher.Request{
+		Statement: exchanger.Statement{ID: id, Kind: kind, Text: id}, Context: linker.Context{Values: map[string]string{}},
+		Route: route(reads), Received: time.Now(),
+	}
+}
+
+// ranAt returns the servers that ran the request.
+func (f *fixture) ranAt(id string) []string {
+	var at []string
+	for _, r := range f.Ran() {
+		if server, ran, _ := cut(r); ran == id {
+			at = append(at, server)
+		}
+	}
+	return at
+}
+
+func cut(s string) (server, id string, ok bool) {
+	for i := range s {
+		if s[i] == ' ' {
+			return s[:i], s[i+1:], true
+		}
+	}
+	return s, "", false
+}
--- /dev/null
+++ b/internal/exchanger/exchangertest/cluster.go
@@ -0,0 +1,170 @@
+package exchangertest
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// Service is the name of the cluster's service.
+const Service = "service"
+
+// Cluster is a group of servers. Its exported methods are safe for concurrent
+// use.
+type Cluster struct {
+	mu      sync.Mutex
+	servers map[string]*server
+	order   []string
+	// ran lists every read, write and commit that ran, as "server id".
+	ran []string
+	// PromoteDelay is the time until a promotion takes effect.
+	PromoteDelay time.Duration
+	promotions   []string
+	// OnStatement runs before each statement, without the lock.
+	OnStatement func(server string, s exchanger.Statement)
+}
+
+type server struct {
+	id      string
+	role    exchanger.Role
+	term    uint64
+	log     tracker.Position
+	paused  uint64
+	down    bool
+	deaf    bool
+	full    bool
+	behind  bool
+	born    int64
+	busy    bool
+}
+
+// New returns a cluster whose first server leads term 1. All are old enough to
+// be witnesses.
+func New(ids ...string) *Cluster {
+	c := &Cluster{servers: map[string]*server{}, order: ids}
+	born := time.Now().Add(-time.Hour).UnixMilli()
+	for i, id := range ids {
+		role := exchanger.Replica
+		if i == 0 {
+			role = exchanger.Primary
+		}
+		c.servers[id] = &server{id: id, role: role, term: 1, log: tracker.Position{Term: 1}, born: born}
+	}
+	return c
+}
+
+// Servers returns the entries of the servers.
+func (c *Cluster) Servers() []informer.Server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []informer.Server
+	for _, id := range c.order {
+		s := c.servers[id]
+		out = append(out, informer.Server{
+			ID: id, Service: Service, Address: id, Zone: "zone-" + id, Slots: 3, Role: s.role, Born: s.born,
+			Since: time.Now(),
+		})
+	}
+	return out
+}
+
+func (c *Cluster) change(id string, f func(s *server)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(c.servers[id])
+}
+
+// SetDown makes a server unreachable, or reachable again.
+func (c *Cluster) SetDown(id string, down bool) { c.change(id, func(s *server) { s.down = down }) }
+
+// SetDeaf makes a replica receive nothing, or receive again.
+func (c *Cluster) SetDeaf(id string, deaf bool) { c.change(id, func(s *server) { s.deaf = deaf }) }
+
+// SetBehind makes a replica refuse every floor above the first position.
+func (c *Cluster) SetBehind(id string, behind bool) {
+	c.change(id, func(s *server) { s.behind = behind })
+}
+
+// SetBusy makes a server refuse every request.
+func (c *Cluster) SetBusy(id string, busy bool) { c.change(id, func(s *server) { s.busy = busy }) }
+
+// SetBorn sets the start of a server.
+func (c *Cluster) SetBorn(id string, born time.Time) {
+	c.change(id, func(s *server) { s.born = born.UnixMilli() })
+}
+
+// Lead makes a server the primary of a term without any fence, as if another
+// instance had done it. The others learn the term if told is true.
+func (c *Cluster) Lead(id string, term uint64, told bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lead(id, term, told)
+}
+
+func (c *Cluster) lead(id string, term uint64, told bool) {
+	for _, s := range c.servers {
+		switch {
+		case s.id == id:
+			s.role, s.term, s.paused = exchanger.Primary, term, 0
+		case told && !s.down:
+			s.role, s.term, s.paused = exchanger.Replica, term, 0
+		}
+	}
+}
+
+// Promote implements the platform's call.
+func (c *Cluster) Promote(_ context.Context, _, id, _ string, _ int64) error {
+	c.mu.Lock()
+	delay := c.PromoteDelay
+	c.promotions = append(c.promotions, id)
+	s := c.servers[id]
+	if s.down {
+		c.mu.Unlock()
+		return fmt.Errorf("server %s does not run", id)
+	}
+	c.mu.Unlock()
+	time.AfterFunc(delay, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		next := uint64(0)
+		for _, o := range c.servers {
+			next = max(next, o.term, o.paused)
+		}
+		if next == s.term && s.role == exchanger.Primary {
+			return
+		}
+		c.lead(id, max(next, s.log.Term+1), true)
+	})
+	return nil
+}
+
+// Promotions returns the servers that were promoted, in order.
+func (c *Cluster) Promotions() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.promotions...)
+}
+
+// Ran returns what ran, as "server id" each.
+func (c *Cluster) Ran() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.ran...)
+}
+
+// Log returns the end of a server's log.
+func (c *Cluster) Log(id string) tracker.Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.servers[id].log
+}
+
+// SetLog sets the end of a server's log.
+func (c *Cluster) SetLog(id string, p tracker.Position) {
+	c.change(id, func(s *server) { s.log = p })
+}
--- /dev/null
+++ b/internal/exchanger/exchangertest/conn.go
@@ -0,0 +1,149 @@
+package exchangertest
+
+import (
+	"fmt"
+	"time"
+
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// conn is a connection to one server.
+type conn struct {
+	cluster *Cluster
+	server  string
+	state   exchanger.State
+	wrote   bool
+	plain   bool
+}
+
+// Dial implements [exchanger.Dialer].
+func (c *Cluster) Dial(t exchanger.Target, _ time.Time) (exchanger.Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.servers[t.ServerID]
+	switch {
+	case s == nil || s.down:
+		return nil, fmt.Errorf("server %s is out of reach", t.ServerID)
+	case s.full:
+		return nil, &exchanger.RefusedError{Code: exchanger.TooManyConnections}
+	}
+	return &conn{cluster: c, server: t.ServerID}, nil
+}
+
+// Exchange implements [exchanger.Conn].
+func (c *conn) Exchange(deadline time.Time, statements ...exchanger.Statement) ([]exchanger.Answer, error) {
+	var answers []exchanger.Answer
+	for _, st := range statements {
+		if f := c.cluster.OnStatement; f != nil {
+			f(c.server, st)
+		}
+		a, err := c.run(st)
+		if err != nil {
+			return answers, err
+		}
+		answers = append(answers, a)
+	}
+	return answers, nil
+}
+
+// Close implements [exchanger.Conn].
+func (c *conn) Close() error { return nil }
+
+func (c *conn) run(st exchanger.Statement) (exchanger.Answer, error) {
+	c.cluster.mu.Lock()
+	defer c.cluster.mu.Unlock()
+	s := c.cluster.servers[c.server]
+	if s.down {
+		return exchanger.Answer{}, exchanger.ErrConnectionLost
+	}
+	a, err := c.cluster.execute(c, s, st)
+	a.State, a.Position = c.state, s.log
+	return a, err
+}
+
+// execute runs a statement at the server. The caller holds mu.
+func (c *Cluster) execute(k *conn, s *server, st exchanger.Statement) (exchanger.Answer, error) {
+	if s.busy && st.Kind != exchanger.Status {
+		return exchanger.Refusal(exchanger.Busy, k.state, ""), nil
+	}
+	if !st.Floor.IsZero() && (s.log.Compare(st.Floor) < 0 || s.behind && st.Floor.Offset > 0) {
+		return exchanger.Refusal(exchanger.Behind, k.state, ""), nil
+	}
+	switch st.Kind {
+	case exchanger.Status:
+		return s.report(), nil
+	case exchanger.Pause:
+		if s.role == exchanger.Replica && st.Term > s.term {
+			s.paused = st.Term
+		}
+		return s.report(), nil
+	case exchanger.Resume:
+		s.paused = 0
+		return s.report(), nil
+	case exchanger.StepDown:
+		if s.role == exchanger.Primary && st.Term > s.term {
+			s.role = exchanger.Replica
+		}
+		return s.report(), nil
+	}
+	return c.executeCaller(k, s, st)
+}
+
+func (c *Cluster) executeCaller(k *conn, s *server, st exchanger.Statement) (exchanger.Answer, error) {
+	ok := exchanger.Answer{Signature: s.id}
+	readOnly := exchanger.Refusal(exchanger.ReadOnly, k.state, s.id)
+	switch st.Kind {
+	case exchanger.Begin, exchanger.BeginRead:
+		if st.Kind == exchanger.Begin && s.role != exchanger.Primary {
+			return readOnly, nil
+		}
+		k.state, k.wrote, k.plain = exchanger.InTransaction, false, st.Kind == exchanger.Begin
+	case exchanger.Rollback:
+		k.state = exchanger.Idle
+	case exchanger.Commit:
+		k.state = exchanger.Idle
+		if k.wrote {
+			return c.commit(s, st, ok, readOnly)
+		}
+		c.ran = append(c.ran, s.id+" "+st.ID)
+	case exchanger.Read, exchanger.Execute:
+		c.ran = append(c.ran, s.id+" "+st.ID)
+	case exchanger.Write:
+		if s.role != exchanger.Primary {
+			return readOnly, nil
+		}
+		if k.state == exchanger.InTransaction {
+			k.wrote = true
+			return ok, nil
+		}
+		return c.commit(s, st, ok, readOnly)
+	}
+	return ok, nil
+}
+
+// commit acknowledges a commit once a replica has it. Without one the answer
+// is lost.
+func (c *Cluster) commit(s *server, st exchanger.Statement, ok, readOnly exchanger.Answer) (exchanger.Answer, error) {
+	if s.role != exchanger.Primary {
+		return readOnly, nil
+	}
+	s.log = tracker.Position{Term: s.term, Offset: s.log.Offset + 1}
+	c.ran = append(c.ran, s.id+" "+st.ID)
+	received := false
+	for _, r := range c.servers {
+		if r.role == exchanger.Replica && !r.down && !r.deaf && r.paused == 0 && r.term == s.term {
+			r.log, received = s.log, true
+		}
+	}
+	if !received {
+		return exchanger.Answer{}, exchanger.ErrConnectionLost
+	}
+	return ok, nil
+}
+
+func (s *server) report() exchanger.Answer {
+	return exchanger.Answer{Signature: s.id, Report: &exchanger.Report{
+		Role: s.role, Term: s.term, Received: s.log, PausedFor: s.paused, Busy: 1, Connections: 1,
+	}}
+}
--- /dev/null
+++ b/internal/informer/informer_test.go
@@ -0,0 +1,209 @@
+package informer_test
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/storer"
+	"marigoldhub.example/hub/internal/storer/storertest"
+)
+
+func decodeServer(key string, value []byte) (informer.Server, error) {
+	var s informer.Server
+	err := json.Unmarshal(value, &s)
+	s.ID = key[len("servers/"):]
+	if err == nil && s.Service == "" {
+		err = errors.New("service is missing")
+	}
+	return s, err
+}
+
+func schema() informer.Schema {
+	return informer.Schema{
+		ConfigurationKey: "config/now", ConfigurationPrefix: "config/", ServerPrefix: "servers/",
+		DecodeConfiguration: func(b []byte) (*informer.Configuration, error) {
+			c := &informer.Configuration{}
+			return c, json.Unmarshal(b, c)
+		},
+		DecodeServer: decodeServer,
+	}
+}
+
+func encode(t *testing.T, v any) []byte {
+	t.Helper()
+	b, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func quiet() logrus.FieldLogger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
+
+type fixture struct {
+	store    *storertest.Memory
+	informer *informer.Informer
+	missed   chan struct{}
+}
+
+func start(t *testing.T, change func(*informer.Config)) fixture {
+	t.Helper()
+	f := fixture{store: storertest.New(), missed: make(chan struct{}, 8)}
+	cfg := informer.Config{
+		Store: f.store, Schema: schema(), Clock: clockwork.NewRealClock(), Log: quiet(),
+		ListInterval: 10 * time.Millisecond, CurrentEvery: 3, GoneAfter: 80 * time.Millisecond,
+		CheckInterval: func() time.Duration { return time.Hour },
+		OnMissed:      func() { f.missed <- struct{}{} },
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	f.informer = informer.New(cfg)
+	t.Cleanup(f.informer.Close)
+	return f
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(2 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not within 5 s: %s", what)
+}
+
+func (f fixture) version() int64 {
+	if c := f.informer.State().Configuration; c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// Guards against a configuration that goes back, whoever offers it.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	f := start(t, nil)
+	f.store.Put("config/now", encode(t, informer.Configuration{Version: 5}))
+	eventually(t, "version 5 is in force", func() bool { return f.version() == 5 })
+	for _, tc := range []struct {
+		name    string
+		raw     []byte
+		want    int64
+		isTaken bool
+	}{
+		{"older", encode(t, informer.Configuration{Version: 4}), 5, false},
+		{"same", encode(t, informer.Configuration{Version: 5}), 5, false},
+		{"unreadable", []byte("{"), 5, false},
+		{"newer", encode(t, informer.Configuration{Version: 9}), 9, true},
+	} {
+		if got := f.informer.Offer(tc.raw, "test"); got != tc.isTaken || f.version() != tc.want {
+			t.Errorf("%s: taken %v, version %d, want %v, %d", tc.name, got, f.version(), tc.isTaken, tc.want)
+		}
+	}
+}
+
+// Guards against a watch that lost its history: formosa-dots scale-1 broke the
+// rule on configurations 14 times when only the watch was trusted.
+func TestChangeThatTheWatchMisses(t *testing.T) {
+	f := start(t, func(c *informer.Config) { c.CheckInterval = func() time.Duration { return 20 * time.Millisecond } })
+	f.store.Put("config/now", encode(t, informer.Configuration{Version: 1}))
+	eventually(t, "version 1 is in force", func() bool { return f.version() == 1 })
+	f.store.SetSilentWatch(true)
+	f.store.Put("config/now", encode(t, informer.Configuration{Version: 2}))
+	eventually(t, "version 2 is in force", func() bool { return f.version() == 2 })
+	select {
+	case <-f.missed:
+	case <-time.After(time.Second):
+		t.Error("other instances were not told")
+	}
+}
+
+// Guards against servers that vanish because the store was away: their entries
+// lapse and come back.
+func TestServersThatLapse(t *testing.T) {
+	f := start(t, func(c *informer.Config) { c.GoneAfter = 300 * time.Millisecond })
+	server := encode(t, informer.Server{Service: "s", Address: "a"})
+	f.store.Put("servers/x", server)
+	f.store.Put("servers/y", server)
+	eventually(t, "both are listed", func() bool { return len(f.informer.State().ServersOf("s")) == 2 })
+	f.store.SetDown(true)
+	f.store.Delete("servers/x")
+	f.store.Delete("servers/y")
+	time.Sleep(50 * time.Millisecond)
+	if n := len(f.informer.State().ServersOf("s")); n != 2 {
+		t.Fatalf("%d servers while the store is down, want 2", n)
+	}
+	f.store.SetDown(false)
+	time.Sleep(50 * time.Millisecond)
+	f.store.Put("servers/x", server)
+	eventually(t, "only y is gone", func() bool {
+		list := f.informer.State().ServersOf("s")
+		return len(list) == 1 && list[0].ID == "x" && list[0].MissingSince.IsZero()
+	})
+}
+
+// Guards against an entry by another writer that hides the others.
+func TestEntryThatCannotBeRead(t *testing.T) {
+	f := start(t, nil)
+	f.store.Put("servers/bad", []byte("\xff"))
+	f.store.Put("servers/empty", []byte("{}"))
+	f.store.Put("servers/good", encode(t, informer.Server{Service: "s", Address: "a"}))
+	eventually(t, "the good one is listed", func() bool { return len(f.informer.State().ServersOf("s")) == 1 })
+	if names := f.informer.State().Services(); len(names) != 1 {
+		t.Errorf("services %v, want only s", names)
+	}
+}
+
+// Guards against an instance that starts while the store is silent and knows a
+// configuration from its peers but no server (tapak-boot trouble-2).
+func TestServersFromAnotherInstance(t *testing.T) {
+	f := start(t, nil)
+	f.store.SetDown(true)
+	value := encode(t, informer.Server{Service: "s", Address: "a"})
+	for _, tc := range []struct {
+		name     string
+		revision int64
+		keys     []string
+		want     int
+	}{
+		{"first list", 50, []string{"servers/x", "servers/y"}, 2},
+		{"older list", 40, []string{"servers/z"}, 2},
+		{"newer list", 60, []string{"servers/x", "servers/y", "servers/z"}, 3},
+	} {
+		var entries []storer.Entry
+		for _, k := range tc.keys {
+			entries = append(entries, storer.Entry{Key: k, Value: value})
+		}
+		f.informer.OfferList(informer.List{Revision: tc.revision, Entries: entries})
+		if n := len(f.informer.State().ServersOf("s")); n != tc.want {
+			t.Errorf("%s: %d servers, want %d", tc.name, n, tc.want)
+		}
+	}
+}
+
+// Guards against the birth of a restarted server being missed.
+func TestServerThatStartsAgain(t *testing.T) {
+	f := start(t, nil)
+	f.store.Put("servers/x", encode(t, informer.Server{Service: "s", Address: "a", Born: 1, Draining: true}))
+	eventually(t, "draining is noticed", func() bool {
+		s, ok := f.informer.State().Server("s", "x")
+		return ok && !s.DrainingSince.IsZero()
+	})
+	first, _ := f.informer.State().Server("s", "x")
+	f.store.Put("servers/x", encode(t, informer.Server{Service: "s", Address: "a", Born: 2}))
+	eventually(t, "the new incarnation is known", func() bool {
+		s, _ := f.informer.State().Server("s", "x")
+		return s.Born == 2 && s.Since.After(first.Since) && s.DrainingSince.IsZero()
+	})
+}
--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,140 @@
+package placer_test
+
+import (
+	"testing"
+	"time"
+
+	"marigoldhub.example/hub/internal/placer"
+)
+
+func TestChooseRead(t *testing.T) {
+	ms := time.Millisecond
+	near := placer.Candidate{Near: true, Slots: 3, Latency: 20 * ms}
+	far := placer.Candidate{Slots: 3, Latency: 20 * ms}
+	with := func(c placer.Candidate, f func(*placer.Candidate)) placer.Candidate { f(&c); return c }
+	for _, tc := range []struct {
+		name       string
+		candidates []placer.Candidate
+		want       int
+	}{
+		{"none", nil, -1},
+		{"near before far", []placer.Candidate{far, near}, 1},
+		{"far replica before a slow near one", []placer.Candidate{far, with(near, func(c *placer.Candidate) { c.Latency = 140 * ms })}, 0},
+		{"far replica before a near one with a queue", []placer.Candidate{far, with(near, func(c *placer.Candidate) { c.InFlight = 6 })}, 0},
+		{"replica before the primary at the same distance", []placer.Candidate{with(near, func(c *placer.Candidate) { c.Leader = true }), near}, 1},
+		{"near primary before a far replica while it is idle", []placer.Candidate{far, with(near, func(c *placer.Candidate) { c.Leader = true })}, 1},
+		{"what is behind comes after all others", []placer.Candidate{with(near, func(c *placer.Candidate) { c.Behind = true }), with(far, func(c *placer.Candidate) { c.Leader, c.InFlight = true, 9 })}, 1},
+		{"what is avoided comes last", []placer.Candidate{with(near, func(c *placer.Candidate) { c.Avoid = true }), with(far, func(c *placer.Candidate) { c.Behind = true })}, 1},
+		{"unknown latency counts as usual", []placer.Candidate{with(near, func(c *placer.Candidate) { c.Latency = 0 }), far}, 0},
+	} {
+		if got := placer.ChooseRead(tc.candidates); got != tc.want {
+			t.Errorf("%s: got %d, want %d", tc.name, got, tc.want)
+		}
+	}
+}
+
+// Guards against instances that together exceed a server's limit, which then
+// refuses connections to those that come back.
+func TestSharesStayWithinTheLimit(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		limit     int
+		instances []int // by zone; servers are in the first
+		near, far int
+	}{
+		{"cooperative", 23, []int{3, 3, 2}, 4, 2},
+		{"cooperative with spare instances", 23, []int{4, 4, 3}, 3, 1},
+		{"council unit", 41, []int{3, 2, 2}, 8, 4},
+		{"one instance", 23, []int{1}, 23, 11},
+		{"more instances than connections", 5, []int{10, 10}, 1, 1},
+	} {
+		others := 0
+		for _, n := range tc.instances[1:] {
+			others += n
+		}
+		near := placer.Share(tc.limit, tc.instances[0], others, true)
+		far := placer.Share(tc.limit, tc.instances[0], others, false)
+		if near != tc.near || far != tc.far {
+			t.Errorf("%s: near %d, far %d, want %d, %d", tc.name, near, far, tc.near, tc.far)
+		}
+		if sum := near*tc.instances[0] + far*others; sum > tc.limit && near > 1 {
+			t.Errorf("%s: %d connections in all, limit %d", tc.name, sum, tc.limit)
+		}
+	}
+	if got := placer.StartShare(4); got != 2 {
+		t.Errorf("start share of 4 is %d", got)
+	}
+	if got := placer.StartShare(1); got != 1 {
+		t.Errorf("start share of 1 is %d", got)
+	}
+}
+
+func TestAdmits(t *testing.T) {
+	ms := time.Millisecond
+	for _, tc := range []struct {
+		name string
+		load placer.Load
+		left time.Duration
+		want bool
+	}{
+		{"idle connection", placer.Load{Open: 2, Idle: 1, Latency: 400 * ms}, 250 * ms, true},
+		{"no connection yet", placer.Load{Latency: 400 * ms}, 250 * ms, true},
+		{"short queue", placer.Load{Open: 2, Waiting: 1, Latency: 50 * ms}, 250 * ms, true},
+		{"long queue", placer.Load{Open: 2, Waiting: 9, Latency: 50 * ms}, 250 * ms, false},
+		{"late already", placer.Load{Open: 2, Latency: 50 * ms}, 10 * ms, false},
+	} {
+		if got := tc.load.Admits(tc.left); got != tc.want {
+			t.Errorf("%s: %v", tc.name, got)
+		}
+	}
+}
+
+// Plays the load that admission answers: reads with an objective of 250 ms
+// arrive at a primary faster than its two connections serve them, as when all
+// replicas are behind. Without admission all wait, and after a while none is in
+// time; with it those that are admitted are. The callers that are refused know
+// at once.
+func TestAdmissionUnderOverload(t *testing.T) {
+	const (
+		service   = 50 * time.Millisecond
+		interval  = 20 * time.Millisecond
+		objective = 250 * time.Millisecond
+		arrivals  = 500
+		links     = 2
+	)
+	play := func(admit bool) (inTime, late, refused int) {
+		var free [links]time.Duration
+		for i := range arrivals {
+			now := time.Duration(i) * interval
+			first := 0
+			for k := range free {
+				if free[k] < free[first] {
+					first = k
+				}
+			}
+			wait := max(free[first]-now, 0)
+			waiting := int(wait / service * links)
+			load := placer.Load{Open: links, Waiting: waiting, Latency: service}
+			if wait == 0 {
+				load.Idle = 1
+			}
+			if admit && !load.Admits(objective) {
+				refused++
+				continue
+			}
+			free[first] = now + wait + service
+			if wait+service <= objective {
+				inTime++
+			} else {
+				late++
+			}
+		}
+		return inTime, late, refused
+	}
+	inTime, late, _ := play(false)
+	gotInTime, gotLate, refused := play(true)
+	t.Logf("without admission %d in time, %d late; with it %d in time, %d late, %d refused", inTime, late, gotInTime, gotLate, refused)
+	if gotInTime < 4*inTime || gotLate > arrivals/50 {
+		t.Errorf("with admission %d in time and %d late, without %d and %d", gotInTime, gotLate, inTime, late)
+	}
+}
--- /dev/null
+++ b/internal/replacer/choose_test.go
@@ -0,0 +1,72 @@
+package replacer
+
+import (
+	"testing"
+
+	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+func at(offset uint64) tracker.Position { return tracker.Position{Term: 1, Offset: offset} }
+
+// Guards against a promotion that loses an acknowledged commit. A commit is
+// acknowledged when the primary and one replica have it.
+func TestChoose(t *testing.T) {
+	old := func(offset uint64) member { return member{id: "old", isOld: true, fenced: true, received: at(offset)} }
+	lost := member{id: "old", isOld: true}
+	replica := func(id string, offset uint64) member { return member{id: id, fenced: true, received: at(offset)} }
+	away := func(id string) member { return member{id: id} }
+	leaving := func(m member) member { m.draining = true; return m }
+	for _, tc := range []struct {
+		name    string
+		members []member
+		least   tracker.Position
+		want    string
+	}{
+		{"old one gone, longest replica", []member{lost, replica("x", 5), replica("y", 7)}, at(0), "y"},
+		{"old one gone, one replica away: it may have a commit alone", []member{lost, replica("x", 5), away("y")}, at(0), ""},
+		{"old one fenced, replica as long", []member{old(7), replica("x", 7), away("y")}, at(0), "x"},
+		{"old one fenced, replica shorter, other away: only the old one is complete", []member{old(7), replica("x", 5), away("y")}, at(0), "old"},
+		{"all fenced: what only the old one has was not acknowledged", []member{old(9), replica("x", 5), replica("y", 7)}, at(0), "y"},
+		{"all fenced, but a commit beyond the replicas was acknowledged", []member{old(9), replica("x", 5), replica("y", 7)}, at(8), "old"},
+		{"a witness has left: known commit beyond all logs", []member{lost, replica("x", 5), replica("y", 7)}, at(8), ""},
+		{"equal logs, one leaves", []member{lost, leaving(replica("x", 7)), replica("y", 7)}, at(0), "y"},
+		{"only the leaving one is complete", []member{lost, leaving(replica("x", 8)), replica("y", 7)}, at(0), "x"},
+		{"nobody in reach", []member{lost, away("x"), away("y")}, at(0), ""},
+		{"old one that leaves is replaced by an equal replica", []member{leaving(old(7)), replica("x", 7), replica("y", 6)}, at(0), "x"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got, err := choose(tc.members, tc.least)
+			if got != tc.want || (err == nil) != (tc.want != "") {
+				t.Errorf("got %q, %v, want %q", got, err, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against replacing a primary whose only replica receives nothing by
+// itself, which took formosa-dots scale-1 another half second of its service.
+func TestStallNeedsTwoReplicas(t *testing.T) {
+	l := attester.Leader{Server: informer.Server{ID: "p"}, Term: 1}
+	report := func(id string, role exchanger.Role, offset uint64) attester.ServerReport {
+		return attester.ServerReport{Server: informer.Server{ID: id}, Report: exchanger.Report{Role: role, Term: 1, Received: at(offset)}}
+	}
+	for _, tc := range []struct {
+		name       string
+		reports    []attester.ServerReport
+		comparable bool
+		behind     bool
+	}{
+		{"both replicas behind", []attester.ServerReport{report("p", exchanger.Primary, 9), report("x", exchanger.Replica, 5), report("y", exchanger.Replica, 4)}, true, true},
+		{"one replica receives", []attester.ServerReport{report("p", exchanger.Primary, 9), report("x", exchanger.Replica, 9), report("y", exchanger.Replica, 4)}, true, false},
+		{"only one replica left", []attester.ServerReport{report("p", exchanger.Primary, 9), report("x", exchanger.Replica, 5)}, false, true},
+		{"primary out of reach", []attester.ServerReport{report("x", exchanger.Replica, 5), report("y", exchanger.Replica, 4)}, false, false},
+	} {
+		p, ok := newestReplica(tc.reports, l)
+		if ok != tc.comparable || ok && p.behind != tc.behind {
+			t.Errorf("%s: %+v, %v", tc.name, p, ok)
+		}
+	}
+}
--- /dev/null
+++ b/internal/storer/storertest/memory.go
@@ -0,0 +1,262 @@
+// Package storertest is a store in memory, for tests of the packages that use
+// [storer.Store]. It can be silent, refuse, lose answers and end leases early.
+package storertest
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"marigoldhub.example/hub/internal/storer"
+)
+
+// Memory implements [storer.Store] and [storer.StaleLister].
+type Memory struct {
+	mu       sync.Mutex
+	entries  map[string]storer.Entry
+	leases   map[int64]time.Time
+	revision int64
+	serial   int64
+	changed  chan struct{}
+	history  []storer.Change
+	down     bool
+	// loseAnswers makes writes take effect and fail.
+	loseAnswers bool
+	// silentWatch makes watches hear nothing.
+	silentWatch bool
+	calls       map[string]int
+}
+
+// New returns an empty store.
+func New() *Memory {
+	return &Memory{
+		entries: map[string]storer.Entry{}, leases: map[int64]time.Time{}, revision: 1,
+		changed: make(chan struct{}), calls: map[string]int{},
+	}
+}
+
+// SetDown makes all calls fail, or work again.
+func (m *Memory) SetDown(down bool) { m.set(func() { m.down = down }) }
+
+// SetLoseAnswers makes writes take effect without an answer.
+func (m *Memory) SetLoseAnswers(lose bool) { m.set(func() { m.loseAnswers = lose }) }
+
+// SetSilentWatch makes watches miss all changes.
+func (m *Memory) SetSilentWatch(silent bool) { m.set(func() { m.silentWatch = silent }) }
+
+// EndLeases ends all leases at once, as a store may while their holders cannot
+// hear of it.
+func (m *Memory) EndLeases() {
+	m.set(func() {
+		for id := range m.leases {
+			m.endLease(id)
+		}
+	})
+}
+
+// Calls returns how often the method was called.
+func (m *Memory) Calls(method string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls[method]
+}
+
+// Put writes a key.
+func (m *Memory) Put(key string, value []byte) {
+	m.set(func() {
+		m.revision++
+		m.put(key, value, 0)
+	})
+}
+
+// Delete removes a key.
+func (m *Memory) Delete(key string) {
+	m.set(func() {
+		m.revision++
+		m.remove(key)
+	})
+}
+
+func (m *Memory) set(f func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f()
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *Memory) put(key string, value []byte, lease int64) {
+	e := storer.Entry{Key: key, Value: value, ModRevision: m.revision, Lease: lease, CreateRevision: m.revision}
+	if old, ok := m.entries[key]; ok {
+		e.CreateRevision = old.CreateRevision
+	}
+	m.entries[key] = e
+	m.history = append(m.history, storer.Change{Entry: e})
+}
+
+func (m *Memory) remove(key string) {
+	delete(m.entries, key)
+	m.history = append(m.history, storer.Change{Entry: storer.Entry{Key: key, ModRevision: m.revision}, Deleted: true})
+}
+
+func (m *Memory) endLease(id int64) {
+	delete(m.leases, id)
+	m.revision++
+	for key, e := range m.entries {
+		if e.Lease == id {
+			m.remove(key)
+		}
+	}
+}
+
+// begin counts a call and expires leases. The caller holds mu.
+func (m *Memory) begin(method string) error {
+	m.calls[method]++
+	for id, until := range m.leases {
+		if !time.Now().Before(until) {
+			m.endLease(id)
+		}
+	}
+	if m.down {
+		return storer.ErrUnavailable
+	}
+	return nil
+}
+
+func (m *Memory) end() error {
+	if m.loseAnswers {
+		return &storer.UnknownOutcomeError{Call: "write", Cause: errors.New("answer lost")}
+	}
+	return nil
+}
+
+// Get implements [storer.Store].
+func (m *Memory) Get(_ context.Context, key string) (storer.Entry, bool, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin("get"); err != nil {
+		return storer.Entry{}, false, err
+	}
+	e, ok := m.entries[key]
+	return e, ok, nil
+}
+
+// List implements [storer.Store].
+func (m *Memory) List(_ context.Context, prefix string) ([]storer.Entry, int64, error) {
+	return m.list("list", prefix)
+}
+
+// ListStale implements [storer.StaleLister].
+func (m *Memory) ListStale(_ context.Context, prefix string) ([]storer.Entry, int64, error) {
+	return m.list("list_stale", prefix)
+}
+
+func (m *Memory) list(method, prefix string) ([]storer.Entry, int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin(method); err != nil {
+		return nil, 0, err
+	}
+	var out []storer.Entry
+	for _, key := range slices.Sorted(maps.Keys(m.entries)) {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, m.entries[key])
+		}
+	}
+	return out, m.revision, nil
+}
+
+// Commit implements [storer.Store].
+func (m *Memory) Commit(_ context.Context, tx storer.Transaction) (storer.Result, error) {
+	var result storer.Result
+	var err error
+	m.set(func() {
+		if err = m.begin("commit"); err != nil {
+			return
+		}
+		holds := true
+		tx.Each(func(key string, revision int64) { holds = holds && m.entries[key].ModRevision == revision },
+			func(string, []byte, int64) {}, func(string) {})
+		if !holds {
+			return
+		}
+		m.revision++
+		tx.Each(func(string, int64) {}, m.put, m.remove)
+		result = storer.Result{Succeeded: true, Revision: m.revision}
+		err = m.end()
+	})
+	return result, err
+}
+
+// GrantLease implements [storer.Store].
+func (m *Memory) GrantLease(_ context.Context, ttl time.Duration) (int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin("grant"); err != nil {
+		return 0, err
+	}
+	m.serial++
+	m.leases[m.serial] = time.Now().Add(ttl)
+	return m.serial, m.end()
+}
+
+// KeepAlive implements [storer.Store]. It extends the lease by a minute.
+func (m *Memory) KeepAlive(_ context.Context, lease int64) (time.Duration, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin("keep"); err != nil {
+		return 0, err
+	}
+	if _, ok := m.leases[lease]; !ok {
+		return 0, storer.ErrLeaseNotFound
+	}
+	m.leases[lease] = time.Now().Add(time.Minute)
+	return time.Minute, m.end()
+}
+
+// Revoke implements [storer.Store].
+func (m *Memory) Revoke(_ context.Context, lease int64) error {
+	var err error
+	m.set(func() {
+		if err = m.begin("revoke"); err == nil {
+			m.endLease(lease)
+		}
+	})
+	return err
+}
+
+// Watch implements [storer.Store].
+func (m *Memory) Watch(ctx context.Context, prefix string, from int64) (*storer.Watch, error) {
+	return storer.NewWatch(ctx, func(ctx context.Context, send func(storer.Batch) error) error {
+		sent := from - 1
+		for {
+			m.mu.Lock()
+			changed, down := m.changed, m.down
+			b := storer.Batch{Revision: m.revision}
+			for _, c := range m.history {
+				if c.Entry.ModRevision > sent && strings.HasPrefix(c.Entry.Key, prefix) && !m.silentWatch {
+					b.Changes = append(b.Changes, c)
+				}
+			}
+			sent = m.revision
+			m.mu.Unlock()
+			if down {
+				return storer.ErrUnavailable
+			}
+			if len(b.Changes) > 0 {
+				if err := send(b); err != nil {
+					return err
+				}
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}), nil
+}
