--- /dev/null
+++ b/internal/holder/holder_test.go
@@ -0,0 +1,148 @@
+package holder_test
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/holder"
+	"marigoldhub.example/hub/internal/storer/storertest"
+)
+
+func start(t *testing.T, store *storertest.Memory, name string, hasEnded func() bool) *holder.Holder {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h := holder.New(holder.Config{
+		Store: store, Name: name, Address: name, Clock: clockwork.NewRealClock(), Log: log,
+		HasEnded: func(context.Context, string, int64) bool { return hasEnded() },
+	})
+	return h
+}
+
+func never() bool { return false }
+
+func eventually(t *testing.T, limit time.Duration, what string, ok func() bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for time.Since(began) < limit {
+		if ok() {
+			return time.Since(began)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("not within %v: %s", limit, what)
+	return 0
+}
+
+func mayAct(h *holder.Holder) func() bool {
+	return func() bool { _, ok := h.Token(); return ok }
+}
+
+func TestOneHolderAndGrowingTokens(t *testing.T) {
+	store := storertest.New()
+	a := start(t, store, "a", never)
+	eventually(t, 5*time.Second, "a may act", mayAct(a))
+	b := start(t, store, "b", never)
+	time.Sleep(1500 * time.Millisecond)
+	if b.IsHolding() {
+		t.Fatal("b holds the duty beside a")
+	}
+	first, _ := a.Token()
+	a.Close()
+	// A duty that was given up is free at once.
+	if took := eventually(t, 3*time.Second, "b may act", mayAct(b)); took > 2*time.Second {
+		t.Errorf("b waited %v for a duty that was given up", took)
+	}
+	if second, _ := b.Token(); second <= first {
+		t.Errorf("token %d follows %d", second, first)
+	}
+	b.Close()
+}
+
+// Guards against two instances that act at a time: the store may take a lease
+// away while its holder cannot hear of it.
+func TestNewHolderWaitsForTheLast(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		hasEnded func() bool
+		least    time.Duration
+	}{
+		{"no proof that the last one has stopped", never, 2 * time.Second},
+		{"the last one has stopped", func() bool { return true }, holder.PromiseTime},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			store := storertest.New()
+			a := start(t, store, "a", never)
+			eventually(t, 5*time.Second, "a may act", mayAct(a))
+			store.EndLeases()
+			var held atomic.Int64
+			b := start(t, store, "b", tc.hasEnded)
+			eventually(t, 5*time.Second, "b holds", func() bool {
+				if b.IsHolding() {
+					held.Store(time.Now().UnixNano())
+					return true
+				}
+				return false
+			})
+			eventually(t, 10*time.Second, "b may act", mayAct(b))
+			if waited := time.Since(time.Unix(0, held.Load())); waited < tc.least-20*time.Millisecond {
+				t.Errorf("b acts %v after it took the duty, want at least %v", waited, tc.least)
+			}
+			if _, ok := a.Token(); ok {
+				t.Error("a may still act")
+			}
+			a.Close()
+			b.Close()
+		})
+	}
+}
+
+// Guards against a holder that acts although it could not renew its lease.
+func TestTenureEndsWithoutTheStore(t *testing.T) {
+	store := storertest.New()
+	a := start(t, store, "a", never)
+	eventually(t, 5*time.Second, "a may act", mayAct(a))
+	store.SetDown(true)
+	eventually(t, 3*time.Second, "a may not act", func() bool { return !mayAct(a)() })
+	store.SetDown(false)
+	a.Close()
+}
+
+// Guards against a tenure that was ended at the request of the next holder and
+// comes back.
+func TestDisown(t *testing.T) {
+	store := storertest.New()
+	a := start(t, store, "a", never)
+	defer a.Close()
+	eventually(t, 5*time.Second, "a may act", mayAct(a))
+	token, _ := a.Token()
+	a.Disown(token - 1)
+	if !mayAct(a)() {
+		t.Error("an older token ended the tenure")
+	}
+	a.Disown(token)
+	if got, ok := a.Token(); ok && got == token {
+		t.Error("the tenure lasts")
+	}
+}
+
+// Guards against a claim whose answer is lost being held by nobody for longer
+// than its lease.
+func TestLostAnswerToAClaim(t *testing.T) {
+	store := storertest.New()
+	store.SetLoseAnswers(true)
+	a := start(t, store, "a", never)
+	defer a.Close()
+	time.Sleep(time.Second)
+	if a.IsHolding() {
+		t.Error("a holds a duty whose claim was not answered")
+	}
+	store.SetLoseAnswers(false)
+	eventually(t, 8*time.Second, "a may act", mayAct(a))
+}
--- /dev/null
+++ b/internal/printer/printer_test.go
@@ -0,0 +1,83 @@
+package printer_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+
+	"marigoldhub.example/hub/internal/printer"
+)
+
+// stuck is a reader that has stopped: writes to it do not return until it goes on.
+type stuck struct {
+	goOn chan struct{}
+	mu   sync.Mutex
+	buf  bytes.Buffer
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.goOn
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.Write(b)
+}
+
+// Guards against a full pipe that stops requests: lines are lost, with a count.
+func TestStoppedReaderDoesNotBlock(t *testing.T) {
+	w := &stuck{goOn: make(chan struct{})}
+	r := metrics.NewRegistry()
+	clock := clockwork.NewFakeClock()
+	p := printer.New(w, clock, r)
+	written := make(chan struct{})
+	const lines = 5000
+	go func() {
+		for i := range lines {
+			fmt.Fprintf(p, "line %d\n", i)
+			clock.Advance(20 * time.Millisecond)
+		}
+		close(written)
+	}()
+	select {
+	case <-written:
+	case <-time.After(5 * time.Second):
+		t.Fatal("writing blocks while the reader has stopped")
+	}
+	dropped := metrics.GetOrRegisterCounter("log.dropped", r).Count()
+	if dropped == 0 || dropped >= lines {
+		t.Errorf("%d of %d lines dropped", dropped, lines)
+	}
+	close(w.goOn)
+	p.Close()
+	<-p.Done()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if got := int64(strings.Count(w.buf.String(), "line ")) + dropped; got < lines {
+		t.Errorf("%d lines written or counted, want %d", got, lines)
+	}
+	if !strings.Contains(w.buf.String(), "log lines were dropped") {
+		t.Error("nothing tells that lines were dropped")
+	}
+}
+
+// Guards against a volume that grows with the load.
+func TestVolumeIsBounded(t *testing.T) {
+	var buf bytes.Buffer
+	clock := clockwork.NewFakeClock()
+	p := printer.New(&buf, clock, metrics.NewRegistry())
+	const seconds, perSecond = 20, 1000
+	for range seconds * perSecond {
+		fmt.Fprintln(p, "line")
+		clock.Advance(time.Second / perSecond)
+	}
+	p.Close()
+	<-p.Done()
+	if n := strings.Count(buf.String(), "line\n"); n > 400+seconds*printer.LinesPerSecond+1 {
+		t.Errorf("%d lines in %d s", n, seconds)
+	}
+}
--- /dev/null
+++ b/internal/replacer/replacer_test.go
@@ -0,0 +1,334 @@
+package replacer_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/exchanger/exchangertest"
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/replacer"
+	"marigoldhub.example/hub/internal/storer/storertest"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// fleet reaches a cluster over new connections.
+type fleet struct {
+	*exchangertest.Cluster
+	group *attester.Group
+
+	mu       sync.Mutex
+	answered map[string]time.Time
+	failures map[string]int
+	pending  time.Time
+}
+
+func (f *fleet) Probe(srv informer.Server, s exchanger.Statement, deadline time.Time) (exchanger.Report, error) {
+	r, err := f.probe(srv, s, deadline)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		f.failures[srv.ID]++
+		return r, err
+	}
+	f.answered[srv.ID], f.failures[srv.ID] = time.Now(), 0
+	return r, nil
+}
+
+func (f *fleet) probe(srv informer.Server, s exchanger.Statement, deadline time.Time) (exchanger.Report, error) {
+	conn, err := f.Dial(srv.Target(), deadline)
+	if err != nil {
+		return exchanger.Report{}, err
+	}
+	answers, err := conn.Exchange(deadline, s)
+	if err != nil {
+		return exchanger.Report{}, err
+	}
+	return *answers[0].Report, nil
+}
+
+func (f *fleet) Group(string) *attester.Group { return f.group }
+
+func (f *fleet) Health(id string) (time.Time, int, time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answered[id], f.failures[id], time.Time{}
+}
+
+func (f *fleet) PendingSince(string) (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pending, !f.pending.IsZero()
+}
+
+// duty is held as the test says.
+type duty struct {
+	token atomic.Int64
+	mute  atomic.Bool
+}
+
+func (d *duty) Token() (int64, bool) { return d.token.Load(), d.token.Load() != 0 && !d.mute.Load() }
+func (d *duty) IsHolding() bool      { return d.token.Load() != 0 }
+
+// peers know of a commit that was acknowledged.
+type peers struct{ acknowledged tracker.Position }
+
+func (peers) Tell(context.Context) int                    { return 0 }
+func (p peers) Acknowledged(string) tracker.Position { return p.acknowledged }
+
+type fixture struct {
+	*fleet
+	duty     *duty
+	store    *storertest.Memory
+	replacer *replacer.Replacer
+	draining map[string]bool
+}
+
+func newFixture(t *testing.T, known tracker.Position) *fixture {
+	t.Helper()
+	c := exchangertest.New("a", "b", "c")
+	c.PromoteDelay = 20 * time.Millisecond
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	clock := clockwork.NewRealClock()
+	f := &fixture{
+		fleet: &fleet{Cluster: c, answered: map[string]time.Time{}, failures: map[string]int{}},
+		duty:  &duty{}, store: storertest.New(), draining: map[string]bool{},
+	}
+	inf := informer.New(informer.Config{
+		Store: f.store, Clock: clock, Log: log,
+		Schema: informer.Schema{
+			ConfigurationKey: "config/now", ConfigurationPrefix: "config/", ServerPrefix: "servers/",
+			DecodeConfiguration: func(b []byte) (*informer.Configuration, error) {
+				c := &informer.Configuration{}
+				return c, json.Unmarshal(b, c)
+			},
+			DecodeServer: func(key string, value []byte) (informer.Server, error) {
+				s := informer.Server{}
+				return s, json.Unmarshal(value, &s)
+			},
+		},
+		ListInterval: 10 * time.Millisecond, CurrentEvery: 1, GoneAfter: time.Hour,
+		CheckInterval: func() time.Duration { return time.Hour }, OnMissed: func() {},
+	})
+	f.group = attester.NewGroup(attester.Config{
+		Service: exchangertest.Service, Zone: "zone-a", Prober: f, AskPeers: func() {}, Clock: clock, TimeOfDay: time.Now, Log: log,
+		Servers: func() []informer.Server { return inf.State().ServersOf(exchangertest.Service) },
+	})
+	f.putServers(t)
+	config, err := json.Marshal(informer.Configuration{Version: 1, Services: map[string]informer.Service{
+		exchangertest.Service: {Name: exchangertest.Service, SyncReplicas: 1},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.store.Put("config/now", config)
+	f.replacer = replacer.New(replacer.Config{
+		Name: "self", Informer: inf, Fleet: f, Promoter: c, Duty: f.duty, Peers: peers{known}, PromiseTime: 300 * time.Millisecond,
+		Clock: clock, Metrics: metrics.NewRegistry(), Log: log,
+	})
+	t.Cleanup(func() {
+		f.replacer.Close()
+		inf.Close()
+	})
+	return f
+}
+
+func (f *fixture) putServers(t *testing.T) {
+	t.Helper()
+	for _, srv := range f.Servers() {
+		srv.Draining = f.draining[srv.ID]
+		value, err := json.Marshal(srv)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.store.Put("servers/"+srv.ID, value)
+	}
+}
+
+func eventually(t *testing.T, limit time.Duration, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", limit, what)
+}
+
+func (f *fixture) leads(id string) func() bool {
+	return func() bool {
+		l, ok := f.group.Leader()
+		return ok && l.Server.ID == id
+	}
+}
+
+func pos(offset uint64) tracker.Position { return tracker.Position{Term: 1, Offset: offset} }
+
+func TestFailedPrimaryIsReplaced(t *testing.T) {
+	f := newFixture(t, pos(0))
+	f.SetLog("b", pos(5))
+	f.SetLog("c", pos(7))
+	f.duty.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	f.SetDown("a", true)
+	eventually(t, 5*time.Second, "c, which has the longest log, leads", f.leads("c"))
+}
+
+// Guards against a promotion that loses a commit which only the missing replica
+// may have besides the failed primary.
+func TestMissingReplicaIsWaitedFor(t *testing.T) {
+	f := newFixture(t, pos(0))
+	f.SetLog("b", pos(5))
+	f.SetLog("c", pos(7))
+	f.duty.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	f.SetDown("a", true)
+	f.SetDown("c", true)
+	time.Sleep(2 * time.Second)
+	if p := f.Promotions(); len(p) > 0 {
+		t.Fatalf("%v promoted while c is missing", p)
+	}
+	f.SetDown("c", false)
+	eventually(t, 5*time.Second, "c leads", f.leads("c"))
+}
+
+// Guards against a promotion of replicas that lack a commit which another
+// instance saw acknowledged.
+func TestKnownCommitIsWaitedFor(t *testing.T) {
+	f := newFixture(t, pos(9))
+	f.SetLog("a", pos(9))
+	f.SetLog("b", pos(5))
+	f.SetLog("c", pos(7))
+	f.duty.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	f.SetDown("a", true)
+	time.Sleep(1500 * time.Millisecond)
+	if p := f.Promotions(); len(p) > 0 {
+		t.Fatalf("%v promoted without the known commit", p)
+	}
+	f.SetDown("a", false)
+	eventually(t, 5*time.Second, "a leads again", func() bool { return f.leads("a")() && f.group.Term() > 1 })
+}
+
+// Guards against an instance that acts without the duty, or before it may.
+func TestNothingWithoutTheDuty(t *testing.T) {
+	f := newFixture(t, pos(0))
+	f.duty.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	f.duty.mute.Store(true)
+	f.SetDown("a", true)
+	time.Sleep(1500 * time.Millisecond)
+	if p := f.Promotions(); len(p) > 0 {
+		t.Fatalf("%v promoted while the duty may not act", p)
+	}
+	f.duty.mute.Store(false)
+	eventually(t, 5*time.Second, "another leads", func() bool { return !f.leads("a")() && len(f.Promotions()) > 0 })
+}
+
+// Guards against a pause of the service while its primary leaves: the primary
+// steps down only after the next one leads.
+func TestLeavingPrimaryHandsOver(t *testing.T) {
+	f := newFixture(t, pos(0))
+	var stepped, promoted atomic.Int64
+	f.OnStatement = func(_ string, s exchanger.Statement) {
+		if s.Kind == exchanger.StepDown {
+			stepped.CompareAndSwap(0, time.Now().UnixNano())
+		}
+	}
+	f.duty.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	f.draining["a"] = true
+	f.putServers(t)
+	eventually(t, 5*time.Second, "another leads", func() bool {
+		l, ok := f.group.Leader()
+		if ok && l.Server.ID != "a" {
+			promoted.CompareAndSwap(0, time.Now().UnixNano())
+			return true
+		}
+		return false
+	})
+	eventually(t, 2*time.Second, "the old one steps down", func() bool { return stepped.Load() != 0 })
+	if stepped.Load() < promoted.Load()-int64(100*time.Millisecond) {
+		t.Error("the old primary stepped down before the next one led")
+	}
+}
+
+// Guards against a change that its holder left unfinished: a paused replica
+// would receive nothing for ever.
+func TestUnfinishedChangeIsFinished(t *testing.T) {
+	f := newFixture(t, pos(0))
+	for _, srv := range f.Servers() {
+		if srv.ID == "b" {
+			f.Probe(srv, exchanger.Statement{Kind: exchanger.Pause, Term: 2}, time.Now().Add(time.Second))
+		}
+	}
+	f.duty.token.Store(3)
+	eventually(t, 5*time.Second, "a later term leads and nobody is paused", func() bool {
+		if f.group.Term() < 2 {
+			return false
+		}
+		for _, r := range f.group.Survey() {
+			if r.Report.PausedFor != 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a promotion while a promise to readers still holds, and
+// against promises while a change is due.
+func TestPromisesAreWaitedOut(t *testing.T) {
+	f := newFixture(t, pos(0))
+	f.duty.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	var last time.Time
+	eventually(t, 5*time.Second, "promises are given", func() bool {
+		if len(f.replacer.Promises()) == 1 {
+			last = time.Now()
+			return true
+		}
+		return false
+	})
+	f.SetDown("a", true)
+	for len(f.Promotions()) == 0 {
+		if p := f.replacer.Promises(); len(p) > 0 {
+			last = time.Now()
+		}
+		if time.Since(last) > 5*time.Second {
+			t.Fatal("no promotion")
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	if gap := time.Since(last); gap < 290*time.Millisecond {
+		t.Errorf("promoted %v after a promise of 300 ms", gap)
+	}
+}
+
+// Guards against a stalled primary that keeps the service: its commits reach no
+// replica although both could follow another one.
+func TestStalledPrimaryIsReplaced(t *testing.T) {
+	f := newFixture(t, pos(0))
+	f.duty.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	f.SetLog("a", pos(9))
+	f.mu.Lock()
+	f.pending = time.Now()
+	f.mu.Unlock()
+	eventually(t, 5*time.Second, "another leads", func() bool {
+		l, ok := f.group.Leader()
+		return ok && l.Term > 1 && slices.Contains([]string{"b", "c"}, l.Server.ID)
+	})
+}
