dispatcher: a primary that is slow to answer stays the primary

Ruled out: the detector of the holder (any answer counts there). Change: only a server's own word withdraws the belief; silence makes instances look for another leader beside it, and a server that has answered nothing for 300 ms gets no new request.

--- a/internal/attester/group.go
+++ b/internal/attester/group.go
@@ -30,6 +30,8 @@
 	discoverPause = 80 * time.Millisecond
 	// discoverPauseLimit is what the pause grows to by doubling.
 	discoverPauseLimit = 640 * time.Millisecond
+	// checkPause separates two looks for another leader.
+	checkPause = 300 * time.Millisecond
 	// establishedAfter is how long a replica must be known to be a witness by
 	// itself. It exceeds the time in which every list shows a restart.
 	establishedAfter = 10 * time.Second
@@ -52,6 +54,7 @@
 	acked     tracker.Position
 	changed   chan struct{}
 	exploring bool
+	checked   time.Time
 	witness   *round
 	nextRound *round
 	permit    permit
@@ -129,6 +132,23 @@
 		Warn("attester: primary is in doubt")
 }
 
+// Check looks in the background whether another server leads meanwhile. The
+// present leader stays until one is found: that it does not answer may mean
+// that it is slow.
+func (g *Group) Check() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.cfg.Clock.Now()
+	if g.exploring || now.Sub(g.checked) < checkPause {
+		return
+	}
+	g.checked = now
+	go func() {
+		g.cfg.AskPeers()
+		g.discover()
+	}()
+}
+
 // notify wakes those that wait for a change. The caller holds mu.
 func (g *Group) notify() {
 	close(g.changed)
--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -31,6 +31,8 @@
 	*linker.Pool
 	id     string
 	writes acknowledgements
+	// exchanges are the requests that are sent and not answered.
+	exchanges acknowledgements
 
 	mu       sync.Mutex
 	server   informer.Server
@@ -137,3 +139,14 @@
 	defer b.mu.Unlock()
 	return placer.Load{Open: open, Idle: idle, Waiting: waiting, Latency: b.latency}
 }
+
+// isSilent reports whether requests wait for answers and the server has given
+// none for a while. A slow server still answers now and then.
+func (b *backend) isSilent(now time.Time) bool {
+	if !b.exchanges.isStalled(now) {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Sub(b.answered) > stallAfter
+}
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -216,4 +216,3 @@
 		t.Errorf("answers under a promise gave the sample %+v", s)
 	}
 }
-
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -156,6 +156,9 @@
 
 // attemptRead runs a read at a server where it is not expected to be late.
 func (d *Dispatcher) attemptRead(b *backend, req Request, deadline time.Time, s ...exchanger.Statement) ([]exchanger.Answer, error) {
+	if b.isSilent(d.cfg.Clock.Now()) {
+		return nil, errors.Join(errNotSent, errSilent)
+	}
 	if !b.load().Admits(req.Received.Add(req.Route.Objective).Sub(d.cfg.Clock.Now())) {
 		return nil, errors.Join(errNotSent, errOverloaded)
 	}
@@ -173,6 +176,7 @@
 		return nil, errors.Join(errNotSent, err)
 	}
 	began := d.cfg.Clock.Now()
+	defer b.exchanges.begin(began)()
 	if req.IsWrite() {
 		defer b.writes.begin(began)()
 	}
@@ -210,6 +214,9 @@
 // errOverloaded means that a request would wait too long for a connection.
 var errOverloaded = errors.New("too many requests wait for the backend server")
 
+// errSilent means that a server has answered nothing for a while.
+var errSilent = errors.New("the backend server does not answer")
+
 // errNotSent marks attempts that never reached a server.
 var errNotSent = errors.New("statement was not sent")
 
@@ -231,7 +238,7 @@
 		}
 		reason = err
 		d.noteRetry(req, l.Server.ID, "read at the primary failed", err)
-		if errors.Is(err, errOverloaded) || !d.cfg.Clock.Now().Before(deadline) {
+		if errors.Is(err, errOverloaded) || errors.Is(err, errSilent) || !d.cfg.Clock.Now().Before(deadline) {
 			break
 		}
 	}
@@ -286,7 +293,7 @@
 	case errors.Is(err, errOverloaded):
 		return err
 	case err != nil:
-		d.doubtUnreachable(g, l, err)
+		d.doubtUnreachable(g, l)
 		return err
 	case answers[0].Code.IsNotRun():
 		d.cfg.Clock.Sleep(busyPause)
@@ -296,12 +303,10 @@
 }
 
 // doubtUnreachable looks for another primary when the known one did not answer.
-func (d *Dispatcher) doubtUnreachable(g *attester.Group, l attester.Leader, err error) {
-	b := d.backend(l.Server.ID)
-	if b == nil {
+func (d *Dispatcher) doubtUnreachable(g *attester.Group, l attester.Leader) {
+	if b := d.backend(l.Server.ID); b == nil {
+		g.Suspect(l.Server.ID, "not listed")
 		return
 	}
-	if _, failures, _ := b.health(); failures > 1 {
-		g.Suspect(l.Server.ID, err.Error())
-	}
+	g.Check()
 }
--- a/internal/dispatcher/transaction.go
+++ b/internal/dispatcher/transaction.go
@@ -162,7 +162,7 @@
 	now := t.d.cfg.Clock.Now()
 	t.backend.observe(now, 0, exchanger.Success, err)
 	if t.leader.Term > 0 {
-		t.d.doubtUnreachable(t.d.Group(t.begin.Route.Service), t.leader, err)
+		t.d.doubtUnreachable(t.d.Group(t.begin.Route.Service), t.leader)
 	}
 }
 
@@ -255,8 +255,12 @@
 			t.startProof(g, l, began)
 			return a, true
 		}
+		if errors.Is(err, errSilent) || errors.Is(err, errOverloaded) || errors.Is(err, linker.ErrNoLink) {
+			d.doubtUnreachable(g, l)
+			return d.refuse(req, exchanger.Busy, "the primary could not begin the transaction", err), false
+		}
 		if err != nil {
-			d.doubtUnreachable(g, l, err)
+			d.doubtUnreachable(g, l)
 			reason = err
 		} else {
 			reason = d.afterRefusal(g, l, a)
@@ -304,11 +308,20 @@
 func (t *Transaction) beginAt(b *backend, req Request, begin exchanger.Statement) (exchanger.Answer, error) {
 	now := t.d.cfg.Clock.Now()
 	deadline := now.Add(t.begin.Route.StatementTimeout)
-	l, err := b.acquire(t.begin.Route.Priority, deadline, req.Context.Values)
+	if b.isSilent(now) {
+		return exchanger.Answer{}, errSilent
+	}
+	if !b.load().Admits(writePatience * t.begin.Route.Objective) {
+		return exchanger.Answer{}, errOverloaded
+	}
+	wait := placer.WaitLimit(now, writePatience*t.begin.Route.Objective)
+	l, err := b.acquire(t.begin.Route.Priority, wait, req.Context.Values)
 	if err != nil {
 		return exchanger.Answer{}, err
 	}
+	ended := b.exchanges.begin(now)
 	answers, err := l.Run(deadline, req.Context, begin)
+	ended()
 	if err != nil {
 		b.observe(t.d.cfg.Clock.Now(), 0, exchanger.Success, err)
 		b.release(l, false)
--- a/internal/dispatcher/write.go
+++ b/internal/dispatcher/write.go
@@ -37,11 +37,14 @@
 		switch {
 		case errors.Is(err, errOverloaded):
 			return d.refuse(req, exchanger.Busy, "too many requests wait for the primary", err)
+		case errors.Is(err, errSilent):
+			d.doubtUnreachable(g, l)
+			return d.refuse(req, exchanger.Busy, "the primary does not answer", err)
 		case errors.Is(err, errNotSent):
-			d.doubtUnreachable(g, l, err)
+			d.doubtUnreachable(g, l)
 			reason = err
 		case err != nil:
-			d.doubtUnreachable(g, l, err)
+			d.doubtUnreachable(g, l)
 			return d.unknown(req, l, err)
 		case answers[0].OK():
 			g.Acknowledge(answers[0].Position)
@@ -62,6 +65,9 @@
 
 // attemptWrite sends a write once a connection is free.
 func (d *Dispatcher) attemptWrite(b *backend, req Request, deadline time.Time) ([]exchanger.Answer, error) {
+	if b.isSilent(d.cfg.Clock.Now()) {
+		return nil, errors.Join(errNotSent, errSilent)
+	}
 	if !b.load().Admits(writePatience * req.Route.Objective) {
 		return nil, errors.Join(errNotSent, errOverloaded)
 	}
--- a/internal/exchanger/exchangertest/cluster.go
+++ b/internal/exchanger/exchangertest/cluster.go
@@ -30,17 +30,17 @@
 }
 
 type server struct {
-	id      string
-	role    exchanger.Role
-	term    uint64
-	log     tracker.Position
-	paused  uint64
-	down    bool
-	deaf    bool
-	full    bool
-	behind  bool
-	born    int64
-	busy    bool
+	id     string
+	role   exchanger.Role
+	term   uint64
+	log    tracker.Position
+	paused uint64
+	down   bool
+	deaf   bool
+	full   bool
+	behind bool
+	born   int64
+	busy   bool
 }
 
 // New returns a cluster whose first server leads term 1. All are old enough to
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -84,7 +84,7 @@
 // peers know of a commit that was acknowledged.
 type peers struct{ acknowledged tracker.Position }
 
-func (peers) Tell(context.Context) int                    { return 0 }
+func (peers) Tell(context.Context) int               { return 0 }
 func (p peers) Acknowledged(string) tracker.Position { return p.acknowledged }
 
 type fixture struct {
