placer, dispatcher: reads that accept old data leave half of a primary's connections to others

Change: a bounded read runs at a primary only while fewer than half of this instance's connections there are busy.

--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -137,7 +137,7 @@
 	open, idle, waiting := b.Stats()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return placer.Load{Open: open, Idle: idle, Waiting: waiting, Latency: b.latency}
+	return placer.Load{Open: open, Idle: idle, Waiting: waiting, Limit: b.Limit(), Latency: b.latency}
 }
 
 // isSilent reports whether requests wait for answers and the server has given
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -159,7 +159,11 @@
 	if b.isSilent(d.cfg.Clock.Now()) {
 		return nil, errors.Join(errNotSent, errSilent)
 	}
-	if !b.load().Admits(req.Received.Add(req.Route.Objective).Sub(d.cfg.Clock.Now())) {
+	load := b.load()
+	if !load.Admits(req.Received.Add(req.Route.Objective).Sub(d.cfg.Clock.Now())) {
+		return nil, errors.Join(errNotSent, errOverloaded)
+	}
+	if req.Route.Reads == informer.BoundedReads && !load.HasSpare() && d.isLeader(req.Route.Service, b) {
 		return nil, errors.Join(errNotSent, errOverloaded)
 	}
 	return d.attempt(b, req, placer.WaitLimit(req.Received, req.Route.Objective), deadline, s...)
@@ -203,6 +207,11 @@
 	return answers, nil
 }
 
+func (d *Dispatcher) isLeader(service string, b *backend) bool {
+	l, ok := d.Group(service).Leader()
+	return ok && l.Server.ID == b.id
+}
+
 // permittedLeader returns the leader if it is this server and is promised to
 // lead now. Every answer of such a server tells a proved position.
 func (d *Dispatcher) permittedLeader(service string, b *backend) (attester.Leader, bool) {
--- a/internal/linker/pool.go
+++ b/internal/linker/pool.go
@@ -225,11 +225,11 @@
 	return p.open, len(p.idle), len(p.waiters)
 }
 
-// CanServe reports whether a link is free or may be opened at once.
-func (p *Pool) CanServe() bool {
+// Limit returns how many links may be open.
+func (p *Pool) Limit() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.idle) > 0 || p.open+p.opening < p.cfg.Limit && len(p.waiters) == 0
+	return p.cfg.Limit
 }
 
 // Close closes idle links now and others as they are released.
--- a/internal/placer/admit.go
+++ b/internal/placer/admit.go
@@ -6,6 +6,8 @@
 type Load struct {
 	// Open connections, Idle ones among them, and requests that Wait for one.
 	Open, Idle, Waiting int
+	// Limit is how many connections may be open.
+	Limit int
 	// Latency is the mean time of a request at the server.
 	Latency time.Duration
 }
@@ -26,3 +28,10 @@
 	w := l.wait()
 	return w == 0 || w+l.Latency <= left
 }
+
+// HasSpare reports whether at least half of the connections are free. Reads that
+// accept old data run at a primary only then: while all replicas are too far
+// behind for them, submissions and reads of one's own work come first.
+func (l Load) HasSpare() bool {
+	return l.Waiting == 0 && 2*(l.Open-l.Idle) < max(l.Limit, 2)
+}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -138,3 +138,24 @@
 		t.Errorf("with admission %d in time and %d late, without %d and %d", gotInTime, gotLate, inTime, late)
 	}
 }
+
+// Guards against reads that accept old data crowding out submissions at the only
+// server that is current (formosa-dots trouble-3, all replicas 3 s behind).
+func TestHasSpare(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		load placer.Load
+		want bool
+	}{
+		{"nothing open", placer.Load{Limit: 4}, true},
+		{"one of four busy", placer.Load{Open: 2, Idle: 1, Limit: 4}, true},
+		{"half busy", placer.Load{Open: 2, Limit: 4}, false},
+		{"requests wait", placer.Load{Open: 1, Waiting: 1, Limit: 4}, false},
+		{"share of one, free", placer.Load{Open: 1, Idle: 1, Limit: 1}, true},
+		{"share of one, busy", placer.Load{Open: 1, Limit: 1}, false},
+	} {
+		if got := tc.load.HasSpare(); got != tc.want {
+			t.Errorf("%s: %v", tc.name, got)
+		}
+	}
+}
