dispatcher, informer: a server that leaves gets no new work 2 s after it was seen to leave

Ruled out: a list that never arrived (the server was avoided, and used when the others refused). Change: 2 s from the sign; whoever reads a new sign from the store tells the others at once. Before: the new test ran the read at the leaving server.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -187,15 +187,17 @@
 	return out
 }
 
-// accepts reports whether a server may get new work: a draining one until a
-// second before its limit.
+// accepts reports whether a server may get new work. A draining one gets it for
+// a moment longer, in case it leads and hands over.
 func (d *Dispatcher) accepts(srv informer.Server, now time.Time) bool {
-	return srv.DrainingSince.IsZero() || now.Sub(srv.DrainingSince) < d.cfg.DrainLimit-drainMargin
+	return srv.DrainingSince.IsZero() || now.Sub(srv.DrainingSince) < min(drainGrace, d.cfg.DrainLimit/2)
 }
 
-// drainMargin covers the age of the list that showed the server draining and a
-// statement's way.
-const drainMargin = 3 * time.Second
+// drainGrace is how long a server that is seen to leave still gets new work.
+// A change of primary takes about a second. It is counted from when this
+// instance saw the sign, which may be some seconds old, and must end well
+// before the servers' drain limit.
+const drainGrace = 2 * time.Second
 
 // Group returns the leader of the service with its proofs.
 func (d *Dispatcher) Group(service string) *attester.Group {
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -216,3 +216,22 @@
 		t.Errorf("answers under a promise gave the sample %+v", s)
 	}
 }
+
+// Guards against a server that gets work long after it said that it leaves: on
+// the grown deployment one did after 12 s.
+func TestLeavingServerGetsNoWork(t *testing.T) {
+	f := newFixture(t)
+	if a := f.d.Run(request("warm", exchanger.Read, informer.BoundedReads)); !a.OK() {
+		t.Fatal(a.Code, a.Text)
+	}
+	f.leave(t, "b")
+	f.leave(t, "c")
+	time.Sleep(3 * time.Second)
+	f.SetBusy("a", true)
+	if a := f.d.Run(request("late", exchanger.Read, informer.BoundedReads)); a.Code != exchanger.Busy {
+		t.Errorf("code %v, want a refusal", a.Code)
+	}
+	if at := f.ranAt("late"); len(at) > 0 {
+		t.Errorf("ran at %v 3 s after it had said that it leaves", at)
+	}
+}
--- a/internal/dispatcher/fixture_test.go
+++ b/internal/dispatcher/fixture_test.go
@@ -21,14 +21,15 @@
 // fixture is a dispatcher before a cluster in memory.
 type fixture struct {
 	*exchangertest.Cluster
+	store    *storertest.Memory
 	d        *dispatcher.Dispatcher
 	informer *informer.Informer
 }
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{Cluster: exchangertest.New("a", "b", "c")}
 	store := storertest.New()
+	f := &fixture{Cluster: exchangertest.New("a", "b", "c"), store: store}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	clock := clockwork.NewRealClock()
@@ -46,7 +47,7 @@
 			},
 		},
 		ListInterval: 20 * time.Millisecond, CurrentEvery: 1, GoneAfter: time.Hour,
-		CheckInterval: func() time.Duration { return time.Hour }, OnMissed: func() {},
+		CheckInterval: func() time.Duration { return time.Hour }, OnNews: func() {},
 	})
 	for _, srv := range f.Servers() {
 		value, err := json.Marshal(srv)
@@ -106,3 +107,19 @@
 	}
 	return s, "", false
 }
+
+// leave makes a server say that it leaves.
+func (f *fixture) leave(t *testing.T, id string) {
+	t.Helper()
+	for _, srv := range f.Servers() {
+		if srv.ID != id {
+			continue
+		}
+		srv.Draining = true
+		value, err := json.Marshal(srv)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.store.Put("servers/"+id, value)
+	}
+}
--- a/internal/informer/config.go
+++ b/internal/informer/config.go
@@ -37,6 +37,8 @@
 	// CheckInterval returns the pause until the configuration is read again
 	// although its watch shows no change: a watch may miss one.
 	CheckInterval func() time.Duration
-	// OnMissed is called when such a read found what the watch had missed.
-	OnMissed func()
+	// OnNews is called when this instance has read something from the store that
+	// the others should hear at once: a configuration that a watch missed, or a
+	// server that begins to leave.
+	OnNews func()
 }
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -170,7 +170,7 @@
 			continue
 		}
 		if n.Offer(e.Value, "check") && ctx.Err() == nil {
-			n.cfg.OnMissed()
+			n.cfg.OnNews()
 		}
 	}
 }
@@ -199,16 +199,19 @@
 	if err != nil {
 		return errors.Wrap(err, "list servers")
 	}
-	n.apply(entries, revision)
+	if n.apply(entries, revision) && current {
+		n.cfg.OnNews()
+	}
 	return nil
 }
 
-// apply merges a list. A list of an older revision than the last is ignored.
-func (n *Informer) apply(entries []storer.Entry, revision int64) {
+// apply merges a list. A list of an older revision than the last is ignored. It
+// reports whether a known server has begun to leave, which others must hear.
+func (n *Informer) apply(entries []storer.Entry, revision int64) (leaving bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if revision < n.list.Revision || len(entries) == 0 && !n.listed {
-		return
+		return false
 	}
 	n.list = newList(entries, revision)
 	now := n.cfg.Clock.Now()
@@ -222,6 +225,8 @@
 			continue
 		}
 		seen[srv.ID] = true
+		old, known := n.servers[srv.ID]
+		leaving = leaving || known && srv.Draining && !old.Draining
 		changed = n.merge(srv, now) || changed
 	}
 	for id, srv := range n.servers {
@@ -230,6 +235,7 @@
 	if changed {
 		n.publish()
 	}
+	return leaving
 }
 
 // merge takes over what a server says of itself and reports whether it differs.
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -64,7 +64,7 @@
 		Store: f.store, Schema: schema(), Clock: clockwork.NewRealClock(), Log: quiet(),
 		ListInterval: 10 * time.Millisecond, CurrentEvery: 3, GoneAfter: 80 * time.Millisecond,
 		CheckInterval: func() time.Duration { return time.Hour },
-		OnMissed:      func() { f.missed <- struct{}{} },
+		OnNews:        func() { f.missed <- struct{}{} },
 	}
 	if change != nil {
 		change(&cfg)
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -106,7 +106,7 @@
 	n.informer = informer.New(informer.Config{
 		Store: n.store, Schema: platform.Schema(), Clock: n.clock, Log: n.log,
 		ListInterval: serverListInterval, CurrentEvery: currentListEvery, GoneAfter: goneAfter,
-		CheckInterval: n.checkInterval, OnMissed: n.tellPeers,
+		CheckInterval: n.checkInterval, OnNews: n.tellPeers,
 	})
 	n.dispatcher = dispatcher.New(dispatcher.Config{
 		Zone: settings.Zone, Informer: n.informer, Dialer: platform.ServerDialer{Caller: settings.Instance, Clock: n.clock},
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -120,7 +120,7 @@
 			},
 		},
 		ListInterval: 10 * time.Millisecond, CurrentEvery: 1, GoneAfter: time.Hour,
-		CheckInterval: func() time.Duration { return time.Hour }, OnMissed: func() {},
+		CheckInterval: func() time.Duration { return time.Hour }, OnNews: func() {},
 	})
 	f.group = attester.NewGroup(attester.Config{
 		Service: exchangertest.Service, Zone: "zone-a", Prober: f, AskPeers: func() {}, Clock: clock, TimeOfDay: time.Now, Log: log,
