--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -51,7 +51,7 @@
 func (d *Dispatcher) refuse(req Request, code exchanger.Code, reason string, err error) exchanger.Answer {
 	d.count.refusals.Inc(1)
 	d.cfg.Log.WithFields(logrus.Fields{
-		"request": req.Statement.ID, "service": req.Route.Service, "reads": req.Route.Reads, "code": code, "reason": reason,
+		"request": req.Statement.ID, "service": req.Route.Service, "reads": req.Route.Reads.String(), "code": code.String(), "reason": reason,
 		"waited": d.cfg.Clock.Since(req.Received).String(), "cause": text(err),
 	}).Info("dispatcher: request is refused")
 	return exchanger.Refusal(code, exchanger.Idle, reason+"; retry later")
@@ -172,6 +172,7 @@
 // attempt runs statements at one server. A lost connection that was idle
 // before is no sign that the server is down.
 func (d *Dispatcher) attempt(b *backend, req Request, wait, deadline time.Time, s ...exchanger.Statement) ([]exchanger.Answer, error) {
+	asked := d.cfg.Clock.Now()
 	l, err := b.acquire(req.Route.Priority, wait, req.Context.Values)
 	if errors.Is(err, linker.ErrNoLink) {
 		return nil, errors.Join(errNotSent, errOverloaded, err)
@@ -189,6 +190,7 @@
 	now := d.cfg.Clock.Now()
 	atRest := err == nil && answers[len(answers)-1].State == exchanger.Idle
 	b.release(l, atRest)
+	d.noteSlow(req, b, began.Sub(asked), now.Sub(began))
 	switch {
 	case err != nil && len(answers) == 0:
 		b.observe(now, 0, exchanger.Success, err)
@@ -207,6 +209,17 @@
 	return answers, nil
 }
 
+// noteSlow logs where the time of a late attempt went.
+func (d *Dispatcher) noteSlow(req Request, b *backend, waited, took time.Duration) {
+	if waited+took <= req.Route.Objective {
+		return
+	}
+	d.cfg.Log.WithFields(logrus.Fields{
+		"request": req.Statement.ID, "service": req.Route.Service, "server": b.id,
+		"waited_for_connection": waited.String(), "at_server": took.String(),
+	}).Info("dispatcher: attempt was slow")
+}
+
 func (d *Dispatcher) isLeader(service string, b *backend) bool {
 	l, ok := d.Group(service).Leader()
 	return ok && l.Server.ID == b.id
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -24,11 +24,11 @@
 	// leaseTime is the longest time in which two instances could believe that
 	// they hold the duty. A shorter one would end during a brief outage of the
 	// store; a longer one delays a change of primary after a holder's death.
-	leaseTime = 2 * time.Second
+	leaseTime = 1500 * time.Millisecond
 	// leaseMargin is kept before the end of a lease for the time of a call.
-	leaseMargin = 300 * time.Millisecond
+	leaseMargin = 250 * time.Millisecond
 	// renewInterval costs a tenth of a read each.
-	renewInterval = 500 * time.Millisecond
+	renewInterval = 350 * time.Millisecond
 	// PromiseTime is how long a holder promises at a time that no primary
 	// changes. A new holder waits it out besides the last tenure.
 	PromiseTime = 300 * time.Millisecond
--- a/internal/noder/stop.go
+++ b/internal/noder/stop.go
@@ -20,8 +20,12 @@
 func (n *Node) Stop() {
 	began := n.clock.Now()
 	n.mu.Lock()
+	stopping := n.draining
 	n.draining = true
 	n.mu.Unlock()
+	if stopping {
+		return
+	}
 	n.log.Info("noder: stopping")
 	go func() {
 		defer close(n.done)
@@ -34,6 +38,7 @@
 		n.sessions.Drain(drain)
 		n.clock.Sleep(drain - n.clock.Since(began))
 		ended := n.sessions.Stop(n.settings.StopLimit - stopMargin - n.clock.Since(began))
+		n.close()
 		n.log.WithFields(logrus.Fields{"took": n.clock.Since(began).String(), "all_sessions_ended": ended}).Info("noder: stopped")
 		select {
 		case <-left:
@@ -44,6 +49,18 @@
 	}()
 }
 
+// close ends the parts that need no farewell.
+func (n *Node) close() {
+	n.gossiper.Close()
+	n.control.Close()
+	n.peers.Close()
+	n.dispatcher.Close()
+	n.informer.Close()
+	for _, srv := range n.web {
+		srv.Close()
+	}
+}
+
 // leaveLimit is how long a process that has nothing else to do waits for the
 // store; entries lapse by themselves.
 const leaveLimit = 200 * time.Millisecond
