--- a/internal/launcher/docs_test.go
+++ b/internal/launcher/docs_test.go
@@ -9,7 +9,7 @@
 	"testing"
 )
 
-const operatorsPage = "../../docs/operators.md"
+const operatorsPage = "../../docs/OPERATIONS.md"
 
 func readFile(t *testing.T, name string) string {
 	t.Helper()
