replacer: servers that cannot be reached are never given up; promises need a replica's word

Ruled out: waiting longer (no time proves it). Change: a promise needs the leader's report and a replica's, all of them or 10 s of tenure; a stuck holder leaves the duty to another instance; a server that vanished without leaving counts for 30 s. The holder's test now stops the last holder when it is asked, as the real call does: once it had 50 ms too few beside load. Before: the new tests promised and promoted. After: they do not.

--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -68,6 +68,8 @@
 	lease   int64
 	until   time.Time
 	actFrom time.Time
+	// yieldUntil is until when this instance leaves the duty to others.
+	yieldUntil time.Time
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -122,6 +124,33 @@
 	}
 }
 
+// yieldTime is how long an instance that has yielded does not compete: long
+// enough for any other to take the duty and to act.
+const yieldTime = 5 * time.Second
+
+// Yield gives the duty up because this instance cannot do what is due; another
+// may reach what it cannot.
+func (h *Holder) Yield() {
+	h.mu.Lock()
+	token, lease := h.token, h.lease
+	h.token = 0
+	h.yieldUntil = h.cfg.Clock.Now().Add(yieldTime)
+	h.mu.Unlock()
+	if token == 0 {
+		return
+	}
+	h.cfg.Log.WithField("token", token).Warn("holder: duty is left to another instance")
+	if err := h.resign(lease); err != nil {
+		h.cfg.Log.WithError(err).Info("holder: duty was not given up; it lapses by itself")
+	}
+}
+
+func (h *Holder) hasYielded() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cfg.Clock.Now().Before(h.yieldUntil)
+}
+
 // Done returns a channel that is closed when the holder has stopped.
 func (h *Holder) Done() <-chan struct{} { return h.done }
 
@@ -165,6 +194,8 @@
 		if h.IsHolding() {
 			h.renew(ctx)
 			wait = renewInterval
+		} else if h.hasYielded() {
+			wait = renewInterval
 		} else if err := h.look(ctx); err != nil {
 			h.cfg.Log.WithError(err).Debug("holder: store is out of reach")
 		}
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -69,20 +69,27 @@
 // away while its holder cannot hear of it.
 func TestNewHolderWaitsForTheLast(t *testing.T) {
 	for _, tc := range []struct {
-		name     string
-		hasEnded func() bool
-		least    time.Duration
+		name string
+		// stops is true if the last holder can be asked and stops at once.
+		stops bool
+		least time.Duration
 	}{
-		{"no proof that the last one has stopped", never, 1500*time.Millisecond + holder.PromiseTime},
-		{"the last one has stopped", func() bool { return true }, holder.PromiseTime},
+		{"no proof that the last one has stopped", false, 1500*time.Millisecond + holder.PromiseTime},
+		{"the last one has stopped", true, holder.PromiseTime},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			store := storertest.New()
 			a := start(t, store, "a", never)
 			eventually(t, 5*time.Second, "a may act", mayAct(a))
+			// Both have leases from now on; a's ends early without its knowledge.
 			store.EndLeases()
 			var held atomic.Int64
-			b := start(t, store, "b", tc.hasEnded)
+			b := start(t, store, "b", func() bool {
+				if tc.stops {
+					a.Disown(a.Tenure())
+				}
+				return tc.stops
+			})
 			eventually(t, 5*time.Second, "b holds", func() bool {
 				if b.IsHolding() {
 					held.Store(time.Now().UnixNano())
--- a/internal/replacer/config.go
+++ b/internal/replacer/config.go
@@ -36,6 +36,8 @@
 	// Token returns the fencing token if the instance may act right now.
 	Token() (int64, bool)
 	IsHolding() bool
+	// Yield leaves the duty to another instance.
+	Yield()
 }
 
 // Peers are the other instances.
--- a/internal/replacer/hand_over.go
+++ b/internal/replacer/hand_over.go
@@ -20,6 +20,10 @@
 	if !ok {
 		return
 	}
+	if len(t.vanished(t.servers(), map[string]bool{old.Server.ID: true})) > 0 {
+		t.replace(old, "leaving, and a replica that may acknowledge commits is not listed")
+		return
+	}
 	t.beginChange()
 	defer t.endChange()
 	term := old.Term + 1
--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -10,7 +10,6 @@
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/informer"
-	"marigoldhub.example/hub/internal/tracker"
 )
 
 const (
@@ -25,10 +24,14 @@
 	askPeersLimit = 60 * time.Millisecond
 	// fencePause separates two attempts to fence while servers are missing.
 	fencePause = 150 * time.Millisecond
-	// waitLimit is how long a change waits for servers whose log might have an
-	// acknowledged commit: a crashed primary comes back within some seconds.
-	// After it, a service without a primary is worse than the risk.
-	waitLimit = 20 * time.Second
+	// yieldLimit is how long a change waits for servers that this instance cannot
+	// reach before it leaves the duty to another, which may reach them. A crashed
+	// primary comes back within some seconds.
+	yieldLimit = 4 * time.Second
+	// rememberLimit is how long a server that vanished from the list without
+	// leaving still counts as one that may acknowledge commits: it may live, cut
+	// off the store only.
+	rememberLimit = 30 * time.Second
 	// effectLimit is how long a promotion may take; the platform's take 300 to
 	// 600 ms.
 	effectLimit = 3 * time.Second
@@ -130,30 +133,57 @@
 		members[i] = m
 	}
 	least := t.cfg.Peers.Acknowledged(t.service.Name)
+	members = append(members, t.vanished(servers, leaders)...)
 	id, err := choose(members, least)
-	if err == nil {
-		return id, nil
+	if err != nil {
+		t.yieldIfStuck()
 	}
-	return t.chooseAnyway(members, err)
+	return id, err
 }
 
-// chooseAnyway gives up on missing servers after the limit.
-func (t *task) chooseAnyway(members []member, reason error) (string, error) {
+// vanished returns the replicas that the list lacks although they have not left.
+func (t *task) vanished(listed []informer.Server, leaders map[string]bool) []member {
 	now := t.cfg.Clock.Now()
-	if t.stuck.IsZero() {
-		t.stuck = now
+	isListed := map[string]bool{}
+	for _, srv := range listed {
+		isListed[srv.ID] = true
 	}
-	if now.Sub(t.stuck) < waitLimit {
-		return "", reason
+	var out []member
+	for id, seen := range t.known {
+		switch {
+		case isListed[id]:
+		case now.Sub(seen) > rememberLimit:
+			delete(t.known, id)
+		case !leaders[id]:
+			out = append(out, member{id: id})
+		}
 	}
-	longest := tracker.Position{}
-	for _, m := range members {
-		if m.fenced && m.received.Compare(longest) > 0 {
-			longest = m.received
+	return out
+}
+
+// remember notes which servers are listed now.
+func (t *task) remember() {
+	now := t.cfg.Clock.Now()
+	for _, srv := range t.servers() {
+		if srv.Draining {
+			delete(t.known, srv.ID)
+		} else {
+			t.known[srv.ID] = now
 		}
 	}
-	t.log.WithError(reason).WithField("waited", now.Sub(t.stuck).String()).Error("replacer: servers did not return; the longest known log leads, commits may be lost")
-	return best(members, longest)
+}
+
+// yieldIfStuck leaves the duty to another instance when a change has waited for
+// long. Choosing without the missing servers could lose acknowledged commits.
+func (t *task) yieldIfStuck() {
+	now := t.cfg.Clock.Now()
+	if t.stuck.IsZero() {
+		t.stuck = now
+	}
+	if now.Sub(t.stuck) >= yieldLimit {
+		t.stuck = time.Time{}
+		t.cfg.Duty.Yield()
+	}
 }
 
 // command sends each server its statement and returns the reports that came. It
--- a/internal/replacer/replacer.go
+++ b/internal/replacer/replacer.go
@@ -87,10 +87,11 @@
 	}
 }
 
-// startTasks starts a task for each service of the configuration.
+// startTasks starts a task for each service of the configuration, with or
+// without the duty: it knows the servers when the duty comes.
 func (r *Replacer) startTasks() {
 	state := r.cfg.Informer.State()
-	if !state.HasConfiguration() || !r.cfg.Duty.IsHolding() {
+	if !state.HasConfiguration() {
 		return
 	}
 	r.mu.Lock()
@@ -113,6 +114,8 @@
 	leaderless time.Time
 	// stuck is since when a change has waited for servers.
 	stuck time.Time
+	// known holds when each server that has not left was last listed.
+	known map[string]time.Time
 	done  chan struct{}
 
 	// settledToken is the tenure in which the servers showed no unfinished change.
@@ -126,10 +129,14 @@
 }
 
 func newTask(r *Replacer, service informer.Service) *task {
-	t := &task{Replacer: r, service: service, log: r.cfg.Log.WithField("service", service.Name), done: make(chan struct{})}
+	t := &task{
+		Replacer: r, service: service, log: r.cfg.Log.WithField("service", service.Name), known: map[string]time.Time{},
+		done: make(chan struct{}),
+	}
 	go func() {
 		defer close(t.done)
 		for t.ctx.Err() == nil {
+			t.remember()
 			if t.cfg.Duty.IsHolding() {
 				t.check()
 			} else {
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -74,12 +74,14 @@
 
 // duty is held as the test says.
 type duty struct {
-	token atomic.Int64
-	mute  atomic.Bool
+	token   atomic.Int64
+	mute    atomic.Bool
+	yielded atomic.Bool
 }
 
 func (d *duty) Token() (int64, bool) { return d.token.Load(), d.token.Load() != 0 && !d.mute.Load() }
 func (d *duty) IsHolding() bool      { return d.token.Load() != 0 }
+func (d *duty) Yield()               { d.yielded.Store(true) }
 
 // peers know of a commit that was acknowledged.
 type peers struct{ acknowledged tracker.Position }
@@ -119,7 +121,7 @@
 				return s, json.Unmarshal(value, &s)
 			},
 		},
-		ListInterval: 10 * time.Millisecond, CurrentEvery: 1, GoneAfter: time.Hour,
+		ListInterval: 10 * time.Millisecond, CurrentEvery: 1, GoneAfter: 100 * time.Millisecond,
 		CheckInterval: func() time.Duration { return time.Hour }, OnNews: func() {},
 	})
 	f.group = attester.NewGroup(attester.Config{
@@ -204,6 +206,24 @@
 	eventually(t, 5*time.Second, "c leads", f.leads("c"))
 }
 
+// Guards against a promotion of the only listed server while the others live,
+// cut off the store only, and go on acknowledging commits.
+func TestVanishedServersStillCount(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, pos(0))
+	f.duty.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	time.Sleep(200 * time.Millisecond)
+	f.SetDown("a", true)
+	f.SetDown("c", true)
+	f.store.Delete("servers/a")
+	f.store.Delete("servers/c")
+	eventually(t, 10*time.Second, "the duty is left to another instance", f.duty.yielded.Load)
+	if p := f.Promotions(); len(p) > 0 {
+		t.Errorf("%v promoted", p)
+	}
+}
+
 // Guards against a promotion of replicas that lack a commit which another
 // instance saw acknowledged.
 func TestKnownCommitIsWaitedFor(t *testing.T) {
@@ -332,3 +352,21 @@
 		return ok && l.Term > 1 && slices.Contains([]string{"b", "c"}, l.Server.ID)
 	})
 }
+
+// Guards against a promise for a primary whose replicas follow another one out of
+// the holder's reach: an earlier holder may have promoted it on its side of a
+// partition. No time makes up for the missing answers.
+func TestNoPromiseWithoutAReplica(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, pos(0))
+	f.Lead("b", 2, false)
+	f.SetDown("b", true)
+	f.SetDown("c", true)
+	f.duty.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	for deadline := time.Now().Add(11 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		if p := f.replacer.Promises(); len(p) > 0 {
+			t.Fatalf("promised %+v", p)
+		}
+	}
+}
--- a/internal/replacer/settle.go
+++ b/internal/replacer/settle.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/exchanger"
 )
 
 // settleLimit is how long after the start of a tenure a call of an earlier
@@ -15,8 +16,11 @@
 // replica that is paused for a later term than the leader's shows one: the
 // promotion may still take effect, and the replica receives nothing.
 //
-// Promises need more than the absence of such a sign: every replica must have
-// shown that it is not paused, or enough time must have passed.
+// Promises need more than the absence of such a sign. The leader must report
+// that it leads, and every replica that it is not paused and knows no later
+// term. A replica may be missing only if another has answered and no earlier
+// call to the platform can still be under way: with all replicas out of reach
+// another server may lead them already.
 func (t *task) isSettled(l attester.Leader) bool {
 	token, mayAct := t.cfg.Duty.Token()
 	if !mayAct {
@@ -29,19 +33,24 @@
 	if token == t.settled() {
 		return true
 	}
-	answered := map[string]bool{}
+	leads, clear := false, 0
 	for _, r := range t.group().Survey() {
-		answered[r.Server.ID] = true
-		if isReplica(r.Report) && r.Report.PausedFor > l.Term {
+		switch {
+		case r.Server.ID == l.Server.ID:
+			leads = r.Report.Role == exchanger.Primary && r.Report.Term == l.Term
+		case r.Report.Role == exchanger.Primary && r.Report.Term > l.Term:
+			t.announce(attester.Leader{Server: r.Server, Term: r.Report.Term})
+			return true
+		case isReplica(r.Report) && r.Report.PausedFor > l.Term:
 			return false
+		case isReplica(r.Report) && r.Report.Term <= l.Term:
+			clear++
 		}
 	}
-	for _, srv := range t.servers() {
-		if srv.ID != l.Server.ID && !answered[srv.ID] && now.Sub(t.tenureSince) < settleLimit {
-			return true
-		}
+	replicas := len(t.servers()) - 1
+	if leads && clear > 0 && (clear >= replicas || now.Sub(t.tenureSince) >= settleLimit) {
+		t.settle(token)
 	}
-	t.settle(token)
 	return true
 }
 
