--- /dev/null
+++ b/internal/attester/floor.go
@@ -0,0 +1,128 @@
+package attester
+
+import (
+	"time"
+
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// AddSample records a position that the leader of the term had after at. The
+// caller has a proof that the leader had not been superseded then.
+func (g *Group) AddSample(s Sample) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s.Term < g.highest {
+		return
+	}
+	g.samples = g.samples.with(s)
+}
+
+// Acknowledge records the position of a commit that a caller, of this instance
+// or another, was told has succeeded.
+func (g *Group) Acknowledge(p tracker.Position) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p.Compare(g.acked) > 0 {
+		g.acked = p
+	}
+}
+
+// Acknowledged returns the highest position of an acknowledged commit that is
+// known.
+func (g *Group) Acknowledged() tracker.Position {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.acked
+}
+
+// Floor returns the lowest known position that covers every commit that was
+// acknowledged before the time.
+func (g *Group) Floor(before time.Time) (Sample, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.samples.since(before)
+}
+
+// Newest returns the newest sample.
+func (g *Group) Newest() (Sample, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.samples) == 0 {
+		return Sample{}, false
+	}
+	return g.samples[len(g.samples)-1], true
+}
+
+// AwaitFloor is Floor, and asks the leader when no sample is young enough.
+func (g *Group) AwaitFloor(before, deadline time.Time) (Sample, error) {
+	for {
+		if s, ok := g.Floor(before); ok {
+			return s, nil
+		}
+		if !g.cfg.Clock.Now().Before(deadline) {
+			return Sample{}, ErrNoLeader
+		}
+		err := g.refresh(deadline)
+		if s, ok := g.Floor(before); ok {
+			return s, nil
+		}
+		if err != nil {
+			return Sample{}, err
+		}
+	}
+}
+
+// refresh takes a new sample from the leader or, if it cannot be asked, from
+// the other instances.
+func (g *Group) refresh(deadline time.Time) error {
+	l, ok := g.Leader()
+	if !ok {
+		g.cfg.AskPeers()
+		var err error
+		if l, err = g.AwaitLeader(deadline); err != nil {
+			return err
+		}
+	}
+	err := g.Confirm(l, deadline)
+	if err != nil {
+		g.cfg.AskPeers()
+	}
+	return err
+}
+
+// Confirm proves that the server leads the term at a time after the call, and
+// takes a new sample from it. What ran at another server is not proved by it.
+func (g *Group) Confirm(l Leader, deadline time.Time) error {
+	began := g.cfg.Clock.Now()
+	var report exchanger.Report
+	var probeErr error
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
+		report, probeErr = g.cfg.Prober.Probe(l.Server, exchanger.Statement{Kind: exchanger.Status}, earlier(deadline, began.Add(probeTimeout)))
+	}()
+	var err error
+	if !g.IsPermitted(l) {
+		err = g.Witness(began, l, deadline)
+	}
+	<-asked
+	if probeErr != nil {
+		return probeErr
+	}
+	if err != nil {
+		return err
+	}
+	if !g.IsLeading(l, report) {
+		return ErrSuperseded
+	}
+	g.AddSample(Sample{At: began, Position: report.Received, Term: l.Term})
+	return nil
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/internal/attester/group.go
+++ b/internal/attester/group.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldhub.example/hub/internal/exchanger"
-	"marigoldhub.example/hub/internal/informer"
 	"marigoldhub.example/hub/internal/tracker"
 )
 
@@ -132,212 +131,12 @@
 		Warn("attester: primary is in doubt")
 }
 
-// Check looks in the background whether another server leads meanwhile. The
-// present leader stays until one is found: that it does not answer may mean
-// that it is slow.
-func (g *Group) Check() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.cfg.Clock.Now()
-	if g.exploring || now.Sub(g.checked) < checkPause {
-		return
-	}
-	g.checked = now
-	go func() {
-		g.cfg.AskPeers()
-		g.discover()
-	}()
-}
-
 // notify wakes those that wait for a change. The caller holds mu.
 func (g *Group) notify() {
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
 
-// explore starts a search for the primary. The caller holds mu.
-func (g *Group) explore() {
-	if g.exploring {
-		return
-	}
-	g.exploring = true
-	go func() {
-		pause := discoverPause
-		for !g.discover() {
-			g.cfg.AskPeers()
-			g.cfg.Clock.Sleep(pause)
-			pause = min(2*pause, discoverPauseLimit)
-		}
-		g.mu.Lock()
-		g.exploring = false
-		g.mu.Unlock()
-	}()
-}
-
-// discover asks all servers once and reports whether a leader is known.
-func (g *Group) discover() bool {
-	reports := g.Survey()
-	var best Leader
-	var newest uint64
-	for _, r := range reports {
-		newest = max(newest, r.Report.Term, r.Report.PausedFor)
-		if r.Report.Role == exchanger.Primary && r.Report.Term > best.Term {
-			best = Leader{Server: r.Server, Term: r.Report.Term}
-		}
-	}
-	if best.Term > 0 && best.Term >= newest {
-		g.Learn(best, "report")
-	}
-	_, ok := g.Leader()
-	return ok
-}
-
-// ServerReport is a report with the server that gave it.
-type ServerReport struct {
-	Server informer.Server
-	Report exchanger.Report
-}
-
-// Survey asks all servers of the service at the same time and returns the
-// reports that arrived.
-func (g *Group) Survey() []ServerReport {
-	return g.ask(g.cfg.Servers(), exchanger.Statement{Kind: exchanger.Status})
-}
-
-func (g *Group) ask(servers []informer.Server, s exchanger.Statement) []ServerReport {
-	deadline := g.cfg.Clock.Now().Add(probeTimeout)
-	reports := make([]*exchanger.Report, len(servers))
-	var wg sync.WaitGroup
-	for i, srv := range servers {
-		wg.Go(func() {
-			if r, err := g.cfg.Prober.Probe(srv, s, deadline); err == nil {
-				reports[i] = &r
-			}
-		})
-	}
-	wg.Wait()
-	var out []ServerReport
-	for i, r := range reports {
-		if r != nil {
-			out = append(out, ServerReport{Server: servers[i], Report: *r})
-		}
-	}
-	return out
-}
-
-// AddSample records a position that the leader of the term had after at. The
-// caller has a proof that the leader had not been superseded then.
-func (g *Group) AddSample(s Sample) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if s.Term < g.highest {
-		return
-	}
-	g.samples = g.samples.with(s)
-}
-
-// Acknowledge records the position of a commit that a caller, of this instance
-// or another, was told has succeeded.
-func (g *Group) Acknowledge(p tracker.Position) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if p.Compare(g.acked) > 0 {
-		g.acked = p
-	}
-}
-
-// Acknowledged returns the highest position of an acknowledged commit that is
-// known.
-func (g *Group) Acknowledged() tracker.Position {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.acked
-}
-
-// Floor returns the lowest known position that covers every commit that was
-// acknowledged before the time.
-func (g *Group) Floor(before time.Time) (Sample, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.samples.since(before)
-}
-
-// Newest returns the newest sample.
-func (g *Group) Newest() (Sample, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if len(g.samples) == 0 {
-		return Sample{}, false
-	}
-	return g.samples[len(g.samples)-1], true
-}
-
-// AwaitFloor is Floor, and asks the leader when no sample is young enough.
-func (g *Group) AwaitFloor(before, deadline time.Time) (Sample, error) {
-	for {
-		if s, ok := g.Floor(before); ok {
-			return s, nil
-		}
-		if !g.cfg.Clock.Now().Before(deadline) {
-			return Sample{}, ErrNoLeader
-		}
-		err := g.refresh(deadline)
-		if s, ok := g.Floor(before); ok {
-			return s, nil
-		}
-		if err != nil {
-			return Sample{}, err
-		}
-	}
-}
-
-// refresh takes a new sample from the leader or, if it cannot be asked, from
-// the other instances.
-func (g *Group) refresh(deadline time.Time) error {
-	l, ok := g.Leader()
-	if !ok {
-		g.cfg.AskPeers()
-		var err error
-		if l, err = g.AwaitLeader(deadline); err != nil {
-			return err
-		}
-	}
-	err := g.Confirm(l, deadline)
-	if err != nil {
-		g.cfg.AskPeers()
-	}
-	return err
-}
-
-// Confirm proves that the server leads the term at a time after the call, and
-// takes a new sample from it. What ran at another server is not proved by it.
-func (g *Group) Confirm(l Leader, deadline time.Time) error {
-	began := g.cfg.Clock.Now()
-	var report exchanger.Report
-	var probeErr error
-	asked := make(chan struct{})
-	go func() {
-		defer close(asked)
-		report, probeErr = g.cfg.Prober.Probe(l.Server, exchanger.Statement{Kind: exchanger.Status}, earlier(deadline, began.Add(probeTimeout)))
-	}()
-	var err error
-	if !g.IsPermitted(l) {
-		err = g.Witness(began, l, deadline)
-	}
-	<-asked
-	if probeErr != nil {
-		return probeErr
-	}
-	if err != nil {
-		return err
-	}
-	if !g.IsLeading(l, report) {
-		return ErrSuperseded
-	}
-	g.AddSample(Sample{At: began, Position: report.Received, Term: l.Term})
-	return nil
-}
-
 // IsLeading reports whether the leader's report shows that it leads the term;
 // if not, the leader is in doubt.
 func (g *Group) IsLeading(l Leader, r exchanger.Report) bool {
@@ -347,10 +146,3 @@
 	g.Suspect(l.Server.ID, "reports role "+r.Role.String())
 	return false
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- /dev/null
+++ b/internal/dispatcher/attempt.go
@@ -0,0 +1,113 @@
+package dispatcher
+
+import (
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/linker"
+	"marigoldhub.example/hub/internal/placer"
+)
+
+// refuse ends a request that was not run, at once and truthfully.
+func (d *Dispatcher) refuse(req Request, code exchanger.Code, reason string, err error) exchanger.Answer {
+	d.count.refusals.Inc(1)
+	d.cfg.Log.WithFields(logrus.Fields{
+		"request": req.Statement.ID, "service": req.Route.Service, "reads": req.Route.Reads.String(), "code": code.String(), "reason": reason,
+		"waited": d.cfg.Clock.Since(req.Received).String(), "cause": text(err),
+	}).Info("dispatcher: request is refused")
+	return exchanger.Refusal(code, exchanger.Idle, reason+"; retry later")
+}
+
+func (d *Dispatcher) noteRetry(req Request, server, reason string, err error) {
+	d.count.retries.Inc(1)
+	d.cfg.Log.WithFields(logrus.Fields{
+		"request": req.Statement.ID, "service": req.Route.Service, "server": server, "reason": reason, "cause": text(err),
+	}).Info("dispatcher: attempt did not run; trying again")
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// attemptRead runs a read at a server where it is not expected to be late.
+func (d *Dispatcher) attemptRead(b *backend, req Request, deadline time.Time, s ...exchanger.Statement) ([]exchanger.Answer, error) {
+	if b.isSilent(d.cfg.Clock.Now()) {
+		return nil, errors.Join(errNotSent, errSilent)
+	}
+	load := b.load()
+	if !load.Admits(req.Received.Add(req.Route.Objective).Sub(d.cfg.Clock.Now())) {
+		return nil, errors.Join(errNotSent, errOverloaded)
+	}
+	if req.Route.Reads == informer.BoundedReads && !load.HasSpare() && d.isLeader(req.Route.Service, b) {
+		return nil, errors.Join(errNotSent, errOverloaded)
+	}
+	return d.attempt(b, req, placer.WaitLimit(req.Received, req.Route.Objective), deadline, s...)
+}
+
+// attempt runs statements at one server. A lost connection that was idle
+// before is no sign that the server is down.
+func (d *Dispatcher) attempt(b *backend, req Request, wait, deadline time.Time, s ...exchanger.Statement) ([]exchanger.Answer, error) {
+	asked := d.cfg.Clock.Now()
+	l, err := b.acquire(req.Route.Priority, wait, req.Context.Values)
+	if errors.Is(err, linker.ErrNoLink) {
+		return nil, errors.Join(errNotSent, errOverloaded, err)
+	}
+	if err != nil {
+		return nil, errors.Join(errNotSent, err)
+	}
+	began := d.cfg.Clock.Now()
+	defer b.exchanges.begin(began)()
+	if req.IsWrite() {
+		defer b.writes.begin(began)()
+	}
+	leader, permitted := d.permittedLeader(req.Route.Service, b)
+	answers, err := l.Run(deadline, req.Context, s...)
+	now := d.cfg.Clock.Now()
+	atRest := err == nil && answers[len(answers)-1].State == exchanger.Idle
+	b.release(l, atRest)
+	d.noteSlow(req, b, began.Sub(asked), now.Sub(began))
+	switch {
+	case err != nil && len(answers) == 0:
+		b.observe(now, 0, exchanger.Success, err)
+		if errors.Is(err, exchanger.ErrNotSent) {
+			return nil, errors.Join(errNotSent, err)
+		}
+		return nil, err
+	case err != nil:
+		return answers, err
+	}
+	b.observe(now, now.Sub(began), answers[0].Code, nil)
+	if permitted && !answers[0].Position.IsZero() {
+		d.Group(req.Route.Service).AddSample(attester.Sample{At: began, Position: answers[0].Position, Term: leader.Term})
+	}
+	d.count.latency.Update(now.Sub(began).Microseconds())
+	return answers, nil
+}
+
+// noteSlow logs where the time of a late attempt went.
+func (d *Dispatcher) noteSlow(req Request, b *backend, waited, took time.Duration) {
+	if waited+took <= req.Route.Objective {
+		return
+	}
+	d.cfg.Log.WithFields(logrus.Fields{
+		"request": req.Statement.ID, "service": req.Route.Service, "server": b.id,
+		"waited_for_connection": waited.String(), "at_server": took.String(),
+	}).Info("dispatcher: attempt was slow")
+}
+
+// errOverloaded means that a request would wait too long for a connection.
+var errOverloaded = errors.New("too many requests wait for the backend server")
+
+// errSilent means that a server has answered nothing for a while.
+var errSilent = errors.New("the backend server does not answer")
+
+// errNotSent marks attempts that never reached a server.
+var errNotSent = errors.New("statement was not sent")
--- /dev/null
+++ b/internal/registrar/registrar_test.go
@@ -0,0 +1,57 @@
+package registrar_test
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/registrar"
+	"marigoldhub.example/hub/internal/storer/storertest"
+)
+
+func start(t *testing.T, store *storertest.Memory, name, zone string) *registrar.Registrar {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return registrar.New(registrar.Config{
+		Store: store, Self: registrar.Instance{Name: name, Address: name, Zone: zone}, Clock: clockwork.NewRealClock(), Log: log,
+	})
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not within 10 s: %s", what)
+}
+
+// Guards against shares of connections that ignore other instances, and against
+// a list that empties because the store is away.
+func TestInstancesKnowEachOther(t *testing.T) {
+	store := storertest.New()
+	store.Put(registrar.Prefix+"odd", []byte("{"))
+	a := start(t, store, "a", "z1")
+	defer a.Close()
+	b := start(t, store, "b", "z2")
+	eventually(t, "a knows b", func() bool { return len(a.Others()) == 1 && a.Others()[0].Name == "b" })
+	if near, far := a.Count("z1"); near != 1 || far != 1 {
+		t.Errorf("a counts %d near and %d far", near, far)
+	}
+	store.SetDown(true)
+	time.Sleep(700 * time.Millisecond)
+	if len(a.Others()) != 1 {
+		t.Error("b was forgotten while the store is away")
+	}
+	store.SetDown(false)
+	// Entries that the store took away come back.
+	store.EndLeases()
+	eventually(t, "both are listed again", func() bool { return len(a.Others()) == 1 && len(b.Others()) == 1 })
+	b.Close()
+	eventually(t, "a knows that b has left", func() bool { return len(a.Others()) == 0 })
+}
--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -258,11 +258,12 @@
 			}
 			err := t.cfg.Promoter.Promote(t.ctx, t.service.Name, id, t.cfg.Name, token)
 			called = err == nil
-			t.log.WithFields(logrus.Fields{"server": id, "term": term, "token": token, "failed": err != nil, "cause": causeText(err)}).
-				Info("replacer: platform was asked to promote a server")
+			log := t.log.WithFields(logrus.Fields{"server": id, "term": term, "token": token})
 			if err != nil {
+				log = log.WithError(err)
 				t.sleep(callPause)
 			}
+			log.Info("replacer: platform was asked to promote a server")
 		}
 		r, err := t.cfg.Fleet.Probe(srv, exchanger.Statement{Kind: exchanger.Status}, t.cfg.Clock.Now().Add(commandTimeout))
 		if err == nil && r.Role == exchanger.Primary && r.Term >= term {
@@ -275,13 +276,6 @@
 	return false
 }
 
-func causeText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // finish tells everyone and lifts pauses that the promotion left.
 func (t *task) finish(l attester.Leader) {
 	t.replaced.Inc(1)
