noder: the collector runs at half of the live heap

Cause: peak memory was 9.3 MB, of which 2.3 MB was garbage; memory at its peak is priced. Ruled out: 30 percent (6.9 MB, no gain over 50). Change: 50 percent.

--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -34,9 +34,9 @@
 	reservedFiles = 600
 	// memoryShare of the limit is where the collector works harder.
 	memoryShare = 0.5
-	// collectorPercent trades processor time for peak memory: the live heap is
-	// a few megabytes, so that the default of 100 costs little memory.
-	collectorPercent = 100
+	// collectorPercent trades processor time for peak memory: 50 instead of 100 takes
+	// 2.3 MB less and 9 % more processor time (formosa-dots quiet-1).
+	collectorPercent = 50
 	// serverListInterval is how often the servers are listed. Draining servers
 	// must be known within seconds; a list from the past costs a tenth.
 	serverListInterval = time.Second
