dispatcher: an aborted transaction is told at once

Ruled out: the server's time. Change: a broken connection is closed without a rollback; the server rolls back when it closes. Before: the new test sees a rollback on the lost connection.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -145,6 +145,27 @@
 			t.Errorf("the commit of a failed transaction ran at %v", at)
 		}
 	})
+	t.Run("an aborted transaction is told at once", func(t *testing.T) {
+		// Guards against a rollback that waits for an answer on the lost connection.
+		f := newFixture(t)
+		tx := f.d.Begin(request("begin", exchanger.Begin, informer.PrimaryReads))
+		if a := tx.Run(request("s1", exchanger.Write, informer.PrimaryReads)); !a.OK() {
+			t.Fatal(a.Code, a.Text)
+		}
+		var rollbacks atomic.Int32
+		f.OnStatement = func(server string, s exchanger.Statement) {
+			if s.ID == "s2" {
+				f.SetDown(server, true)
+			}
+			if s.Kind == exchanger.Rollback {
+				rollbacks.Add(1)
+			}
+		}
+		tx.Run(request("s2", exchanger.Write, informer.PrimaryReads))
+		if n := rollbacks.Load(); n > 0 {
+			t.Errorf("%d rollbacks were sent on the lost connection", n)
+		}
+	})
 	t.Run("commit of a transaction that wrote ends unknown", func(t *testing.T) {
 		f := newFixture(t)
 		tx := f.d.Begin(request("begin", exchanger.Begin, informer.PrimaryReads))
--- a/internal/dispatcher/transaction.go
+++ b/internal/dispatcher/transaction.go
@@ -139,6 +139,9 @@
 // Abandon ends the transaction of a caller that has gone or rests too long.
 func (t *Transaction) Abandon() {
 	t.failed = true
+	if t.link != nil && t.link.IsBroken() {
+		t.close()
+	}
 	if t.link != nil {
 		answers, err := t.link.RunPlain(t.d.cfg.Clock.Now().Add(abandonTimeout), exchanger.Statement{Kind: exchanger.Rollback})
 		t.finish(err == nil && answers[0].State == exchanger.Idle)
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -112,6 +112,9 @@
 	return n
 }
 
+// IsBroken reports whether an exchange has failed; nothing more is answered.
+func (l *Link) IsBroken() bool { return l.broken }
+
 // RunPlain sends statements of the instance itself, which need no context.
 func (l *Link) RunPlain(deadline time.Time, statements ...exchanger.Statement) ([]exchanger.Answer, error) {
 	answers, err := l.conn.Exchange(deadline, statements...)
