dispatcher: a replica that is behind is logged with the floor, its age and what the replica has

Ruled out: floors that are too young, placement. Conclusion: the refusals are the load's; the line stays.

--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -4,6 +4,8 @@
 	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/informer"
 	"marigoldhub.example/hub/internal/placer"
@@ -84,9 +86,10 @@
 			return answers[0]
 		default:
 			if answers[0].Code == exchanger.Behind {
-				b.lacked(d.cfg.Clock.Now(), d.cfg.Clock.Since(f.at))
+				d.noteBehind(req, b, f, answers[0].Position)
+			} else {
+				d.noteRetry(req, b.id, answers[0].Code.String(), nil)
 			}
-			d.noteRetry(req, b.id, answers[0].Code.String(), nil)
 			last = answers[0]
 		}
 		tried[b.id] = true
@@ -100,6 +103,17 @@
 	return d.refuse(req, exchanger.Busy, "no backend server could run the read", nil)
 }
 
+// noteBehind records that a replica did not cover a read's floor.
+func (d *Dispatcher) noteBehind(req Request, b *backend, f floor, has tracker.Position) {
+	age := d.cfg.Clock.Since(f.at)
+	b.lacked(d.cfg.Clock.Now(), age)
+	d.count.retries.Inc(1)
+	d.cfg.Log.WithFields(logrus.Fields{
+		"request": req.Statement.ID, "service": req.Route.Service, "server": b.id, "reason": exchanger.Behind.String(),
+		"floor": f.position.String(), "floor_age": age.String(), "server_has": has.String(),
+	}).Info("dispatcher: attempt did not run; trying again")
+}
+
 func (d *Dispatcher) countReplicaRead(service, server string) {
 	if l, ok := d.Group(service).Leader(); !ok || l.Server.ID != server {
 		d.count.readsAtReplicas.Inc(1)
--- a/internal/dispatcher/transaction_open.go
+++ b/internal/dispatcher/transaction_open.go
@@ -44,10 +44,11 @@
 		if err == nil && a.OK() {
 			return a, true
 		}
-		if a.Code == exchanger.Behind {
-			b.lacked(d.cfg.Clock.Now(), d.cfg.Clock.Since(f.at))
+		if err == nil && a.Code == exchanger.Behind {
+			d.noteBehind(req, b, f, a.Position)
+		} else {
+			d.noteRetry(req, b.id, "transaction did not begin: "+a.Code.String(), err)
 		}
-		d.noteRetry(req, b.id, "transaction did not begin: "+a.Code.String(), err)
 		tried[b.id] = true
 	}
 	return d.refuse(req, exchanger.Busy, "no backend server could begin the transaction", nil), false
