--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -21,6 +21,10 @@
 	// of an instance that lost power count for 3 s against a server's limit:
 	// what is not open then is free for the instances that start again.
 	idleLimit = 1500 * time.Millisecond
+	// scarceIdleLimit is idleLimit while a server has fewer connections than
+	// there are instances. A new connection takes 12 ms of a slot, about as much
+	// as a request, so that one that will be used again soon should stay.
+	scarceIdleLimit = 200 * time.Millisecond
 	// lingerTime is how long a server counts connections whose instance has lost
 	// power, as the servers' protocol says.
 	lingerTime = 3 * time.Second
--- a/internal/dispatcher/fixture_test.go
+++ b/internal/dispatcher/fixture_test.go
@@ -46,7 +46,7 @@
 				return s, json.Unmarshal(value, &s)
 			},
 		},
-		ListInterval: 20 * time.Millisecond, CurrentEvery: 1, GoneAfter: time.Hour,
+		ListInterval: func() time.Duration { return 20 * time.Millisecond }, CurrentEvery: 1, GoneAfter: time.Hour,
 		CheckInterval: func() time.Duration { return time.Hour }, OnNews: func() {},
 	})
 	for _, srv := range f.Servers() {
--- a/internal/dispatcher/fleet.go
+++ b/internal/dispatcher/fleet.go
@@ -46,7 +46,18 @@
 	b.server = srv
 	b.mu.Unlock()
 	b.SetLimit(limit)
-	b.CloseIdle(d.cfg.Clock.Now().Add(-idleLimit), keepOpen)
+	d.closeIdle(state, b)
+}
+
+// closeIdle closes connections that rest.
+func (d *Dispatcher) closeIdle(state *informer.State, b *backend) {
+	now := d.cfg.Clock.Now()
+	near, far := d.cfg.Members(b.server.Zone)
+	if placer.IsScarce(d.connectionLimit(state, b.server.Service), near+far) {
+		b.CloseIdle(now.Add(-scarceIdleLimit), 0)
+		return
+	}
+	b.CloseIdle(now.Add(-idleLimit), keepOpen)
 }
 
 func (d *Dispatcher) newBackend(srv informer.Server, limit int) *backend {
@@ -66,13 +77,19 @@
 	return b
 }
 
-func (d *Dispatcher) share(state *informer.State, srv informer.Server) int {
-	limit := defaultConnections
+// connectionLimit returns the limit of connections to one server of the service
+// from all instances.
+func (d *Dispatcher) connectionLimit(state *informer.State, service string) int {
 	if state.HasConfiguration() {
-		if s, ok := state.Configuration.Services[srv.Service]; ok && s.MaxConnections > 0 {
-			limit = s.MaxConnections
+		if s, ok := state.Configuration.Services[service]; ok && s.MaxConnections > 0 {
+			return s.MaxConnections
 		}
 	}
+	return defaultConnections
+}
+
+func (d *Dispatcher) share(state *informer.State, srv informer.Server) int {
+	limit := d.connectionLimit(state, srv.Service)
 	near, far := d.cfg.Members(srv.Zone)
 	share := placer.Share(limit, near, far, srv.Zone == d.cfg.Zone)
 	if d.cfg.Clock.Since(d.started) < lingerTime {
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -32,8 +32,9 @@
 	// PromiseTime is how long a holder promises at a time that no primary
 	// changes. A new holder waits it out besides the last tenure.
 	PromiseTime = 300 * time.Millisecond
-	// lookInterval is how often others look whether the duty is free.
-	lookInterval = 700 * time.Millisecond
+	// LookInterval is how often each of a few instances looks whether the duty is
+	// free.
+	LookInterval = 700 * time.Millisecond
 	// claimSpread spreads the attempts to take a free duty.
 	claimSpread = 200 * time.Millisecond
 )
@@ -46,8 +47,10 @@
 	// HasEnded asks the last holder whether it has stopped acting under the
 	// token. It returns false when there is no proof.
 	HasEnded func(ctx context.Context, address string, token int64) bool
-	Clock    clockwork.Clock
-	Log      logrus.FieldLogger
+	// LookInterval returns the pause between two looks whether the duty is free.
+	LookInterval func() time.Duration
+	Clock        clockwork.Clock
+	Log          logrus.FieldLogger
 }
 
 // record is the last holder.
@@ -190,7 +193,8 @@
 
 func (h *Holder) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait := lookInterval*3/4 + rand.N(lookInterval/2)
+		interval := h.cfg.LookInterval()
+		wait := interval*3/4 + rand.N(interval/2)
 		if h.IsHolding() {
 			h.renew(ctx)
 			wait = renewInterval
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -20,7 +20,8 @@
 	log.SetOutput(io.Discard)
 	h := holder.New(holder.Config{
 		Store: store, Name: name, Address: name, Clock: clockwork.NewRealClock(), Log: log,
-		HasEnded: func(context.Context, string, int64) bool { return hasEnded() },
+		LookInterval: func() time.Duration { return holder.LookInterval },
+		HasEnded:     func(context.Context, string, int64) bool { return hasEnded() },
 	})
 	return h
 }
--- a/internal/informer/config.go
+++ b/internal/informer/config.go
@@ -28,8 +28,8 @@
 	Schema Schema
 	Clock  clockwork.Clock
 	Log    logrus.FieldLogger
-	// ListInterval is the pause between two lists of the servers.
-	ListInterval time.Duration
+	// ListInterval returns the pause between two lists of the servers.
+	ListInterval func() time.Duration
 	// CurrentEvery makes every n-th list a current one; the others may be old.
 	CurrentEvery int
 	// GoneAfter is how long a server may be missing before it counts as gone.
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -182,7 +182,8 @@
 			i += rand.N(n.cfg.CurrentEvery)
 		}
 		err := n.listServers(ctx, i%n.cfg.CurrentEvery == 0)
-		wait := n.cfg.ListInterval*3/4 + rand.N(n.cfg.ListInterval/2)
+		interval := n.cfg.ListInterval()
+		wait := interval*3/4 + rand.N(interval/2)
 		if err != nil || !n.IsListed() {
 			wait = retryPause/2 + rand.N(retryPause)
 		}
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -62,7 +62,7 @@
 	f := fixture{store: storertest.New(), missed: make(chan struct{}, 8)}
 	cfg := informer.Config{
 		Store: f.store, Schema: schema(), Clock: clockwork.NewRealClock(), Log: quiet(),
-		ListInterval: 10 * time.Millisecond, CurrentEvery: 3, GoneAfter: 80 * time.Millisecond,
+		ListInterval: func() time.Duration { return 10 * time.Millisecond }, CurrentEvery: 3, GoneAfter: 80 * time.Millisecond,
 		CheckInterval: func() time.Duration { return time.Hour },
 		OnNews:        func() { f.missed <- struct{}{} },
 	}
--- a/internal/noder/duties.go
+++ b/internal/noder/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -33,7 +34,7 @@
 	})
 	n.holder = holder.New(holder.Config{
 		Store: n.store, Name: n.settings.Instance, Address: n.settings.Control,
-		HasEnded: n.gossiper.HasEnded, Clock: n.clock, Log: n.log,
+		HasEnded: n.gossiper.HasEnded, LookInterval: func() time.Duration { return n.spread(holder.LookInterval) }, Clock: n.clock, Log: n.log,
 	})
 	n.replacer = replacer.New(replacer.Config{
 		Name: n.settings.Instance, Informer: n.informer, Fleet: n.dispatcher,
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -40,6 +40,10 @@
 	// serverListInterval is how often the servers are listed. Draining servers
 	// must be known within seconds; a list from the past costs a tenth.
 	serverListInterval = time.Second
+	// smallFleet instances call the store at the intervals given here. Larger
+	// fleets call less often each, so that all together call as often: what one
+	// reads, the others hear from it.
+	smallFleet = 16
 	// currentListEvery bounds how old the list can be while stale answers lag. The
 	// instances read at different times and pass newer lists on.
 	currentListEvery = 8
@@ -49,7 +53,7 @@
 	fleetCheckInterval = 500 * time.Millisecond
 	// checkIntervalLimit bounds the interval of one instance, for the case that
 	// the others cannot reach it.
-	checkIntervalLimit = 5 * time.Second
+	checkIntervalLimit = 15 * time.Second
 	// goneAfter is the time in which entries that lapsed while the store was
 	// away return, with a margin for one list.
 	goneAfter = 2500 * time.Millisecond
@@ -105,7 +109,7 @@
 	})
 	n.informer = informer.New(informer.Config{
 		Store: n.store, Schema: platform.Schema(), Clock: n.clock, Log: n.log,
-		ListInterval: serverListInterval, CurrentEvery: currentListEvery, GoneAfter: goneAfter,
+		ListInterval: func() time.Duration { return n.spread(serverListInterval) }, CurrentEvery: currentListEvery, GoneAfter: goneAfter,
 		CheckInterval: n.checkInterval, OnNews: n.tellPeers,
 	})
 	n.dispatcher = dispatcher.New(dispatcher.Config{
@@ -149,10 +153,20 @@
 	return nil
 }
 
+// fleetSize returns how many instances are listed, this one included.
+func (n *Node) fleetSize() int {
+	near, far := n.registrar.Count(n.settings.Zone)
+	return near + far
+}
+
+// spread lengthens an interval with the number of instances.
+func (n *Node) spread(interval time.Duration) time.Duration {
+	return interval * time.Duration(max(n.fleetSize(), smallFleet)) / smallFleet
+}
+
 // checkInterval spreads the reads of the configuration over all instances.
 func (n *Node) checkInterval() time.Duration {
-	near, far := n.registrar.Count(n.settings.Zone)
-	return min(fleetCheckInterval*time.Duration(near+far), checkIntervalLimit)
+	return min(fleetCheckInterval*time.Duration(n.fleetSize()), checkIntervalLimit)
 }
 
 // tellPeers tells all other instances what this one believes.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -30,6 +30,9 @@
 	leaseTime = 6 * time.Second
 	// renewInterval costs a tenth of a read each.
 	renewInterval = 2 * time.Second
+	// listPerInstance lengthens the pause between two lists with the number of
+	// instances, so that all together list as often.
+	listPerInstance = 100 * time.Millisecond
 	// retryInterval follows a failed call.
 	retryInterval = 500 * time.Millisecond
 )
@@ -60,6 +63,7 @@
 	others   []Instance
 	revision int64
 	lease    int64
+	listed   time.Time
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -120,7 +124,7 @@
 func (r *Registrar) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := r.renew(ctx)
-		if err == nil {
+		if err == nil && r.isListDue() {
 			err = r.list(ctx)
 		}
 		wait := renewInterval*3/4 + rand.N(renewInterval/2)
@@ -169,6 +173,12 @@
 	return nil
 }
 
+func (r *Registrar) isListDue() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cfg.Clock.Since(r.listed) >= time.Duration(len(r.others))*listPerInstance
+}
+
 func (r *Registrar) list(ctx context.Context) error {
 	list := r.cfg.Store.List
 	if stale, ok := r.cfg.Store.(storer.StaleLister); ok && len(r.Others()) > 0 {
@@ -188,7 +198,7 @@
 	if revision < r.revision {
 		return
 	}
-	r.revision = revision
+	r.revision, r.listed = revision, r.cfg.Clock.Now()
 	var others []Instance
 	for _, e := range entries {
 		var o Instance
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -121,7 +121,7 @@
 				return s, json.Unmarshal(value, &s)
 			},
 		},
-		ListInterval: 10 * time.Millisecond, CurrentEvery: 1, GoneAfter: 100 * time.Millisecond,
+		ListInterval: func() time.Duration { return 10 * time.Millisecond }, CurrentEvery: 1, GoneAfter: 100 * time.Millisecond,
 		CheckInterval: func() time.Duration { return time.Hour }, OnNews: func() {},
 	})
 	f.group = attester.NewGroup(attester.Config{
