--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -109,7 +109,9 @@
 			return
 		}
 		if addresses := g.cfg.Addresses(); len(addresses) > 0 {
-			g.exchange(ctx, addresses[rand.N(len(addresses))])
+			if err := g.exchange(ctx, addresses[rand.N(len(addresses))]); err != nil {
+				g.cfg.Log.WithError(err).Debug("gossiper: instance is out of reach")
+			}
 		}
 	}
 }
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -275,7 +275,9 @@
 		WithAbsent(liveKey).WithUnchanged(recordKey, last.ModRevision).
 		WithLeasedPut(liveKey, []byte(h.cfg.Name), lease).WithPut(recordKey, value))
 	if err != nil || !result.Succeeded {
-		h.cfg.Store.Revoke(ctx, lease)
+		if err := h.cfg.Store.Revoke(ctx, lease); err != nil {
+			h.cfg.Log.WithError(err).Debug("holder: lease of a failed claim was not ended; it ends by itself")
+		}
 		return err
 	}
 	h.begin(ctx, last, known, lease, result.Revision, began)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -122,6 +122,7 @@
 }
 
 func (r *Registrar) run(ctx context.Context) {
+	var lost time.Time
 	for ctx.Err() == nil {
 		err := r.renew(ctx)
 		if err == nil && r.isListDue() {
@@ -129,9 +130,9 @@
 		}
 		wait := renewInterval*3/4 + rand.N(renewInterval/2)
 		if err != nil {
-			r.cfg.Log.WithError(err).Debug("registrar: store is out of reach")
 			wait = retryInterval
 		}
+		lost = r.noteStore(ctx, err, lost)
 		select {
 		case <-r.cfg.Clock.After(wait):
 		case <-ctx.Done():
@@ -139,6 +140,20 @@
 	}
 }
 
+// noteStore logs when the store is lost and when it is back. It returns since
+// when it has been lost.
+func (r *Registrar) noteStore(ctx context.Context, err error, lost time.Time) time.Time {
+	switch {
+	case err == nil && !lost.IsZero():
+		r.cfg.Log.WithField("after", r.cfg.Clock.Since(lost).String()).Info("registrar: store is back")
+		return time.Time{}
+	case err != nil && lost.IsZero() && ctx.Err() == nil:
+		r.cfg.Log.WithError(err).Warn("registrar: store is out of reach")
+		return r.cfg.Clock.Now()
+	}
+	return lost
+}
+
 // renew keeps the entry, or writes it again when its lease has ended.
 func (r *Registrar) renew(ctx context.Context) error {
 	r.mu.Lock()
