placer: reads leave a primary's scarce connections to what only it can run

Change: while connections are scarce a read goes to a primary only if replicas are behind or as slow as a late answer.

--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -36,6 +36,7 @@
 
 	mu       sync.Mutex
 	server   informer.Server
+	scarce   bool
 	inFlight int
 	latency  time.Duration
 	avoid    time.Time
@@ -124,6 +125,7 @@
 	return placer.Candidate{
 		Near:     b.server.Zone == zone,
 		Leader:   b.id == leader,
+		Scarce:   b.scarce,
 		Avoid:    b.server.Draining || !b.server.MissingSince.IsZero() || now.Before(b.avoid),
 		Behind:   b.id != leader && now.Sub(b.behindAt) < behindMemory && floorAge <= b.behindAge,
 		InFlight: b.inFlight,
--- a/internal/dispatcher/fleet.go
+++ b/internal/dispatcher/fleet.go
@@ -53,7 +53,11 @@
 func (d *Dispatcher) closeIdle(state *informer.State, b *backend) {
 	now := d.cfg.Clock.Now()
 	near, far := d.cfg.Members(b.server.Zone)
-	if placer.IsScarce(d.connectionLimit(state, b.server.Service), near+far) {
+	scarce := placer.IsScarce(d.connectionLimit(state, b.server.Service), near+far)
+	b.mu.Lock()
+	b.scarce = scarce
+	b.mu.Unlock()
+	if scarce {
 		b.CloseIdle(now.Add(-scarceIdleLimit), 0)
 		return
 	}
--- a/internal/placer/read.go
+++ b/internal/placer/read.go
@@ -9,6 +9,10 @@
 	// leaderCost keeps reads off the primary, whose slots commits need, unless
 	// the replicas are farther or busier.
 	leaderCost = 6 * time.Millisecond
+	// scarceLeaderCost is leaderCost while connections are scarce: those to the
+	// primary are kept for what only it can run, unless a replica takes as long
+	// as a late answer.
+	scarceLeaderCost = 150 * time.Millisecond
 	// typicalWork stands for the time of a request at a server that has not
 	// answered yet.
 	typicalWork = 20 * time.Millisecond
@@ -20,6 +24,8 @@
 	Near bool
 	// Leader is true for the primary.
 	Leader bool
+	// Scarce is true if the server has fewer connections than there are instances.
+	Scarce bool
 	// Avoid is true for a server that is draining, lately refused or failed.
 	Avoid bool
 	// Behind is true for a replica that lately lacked a position of this age.
@@ -44,7 +50,10 @@
 	if !c.Near {
 		cost += farCost
 	}
-	if c.Leader {
+	switch {
+	case c.Leader && c.Scarce:
+		cost += scarceLeaderCost
+	case c.Leader:
 		cost += leaderCost
 	}
 	return cost
