replacer: a server that came back under another id is not waited for

Ruled out: the cut servers themselves (they were fenced). Change: a vanished server counts only while fewer servers that stay are listed than when it was last seen.

--- a/internal/replacer/choose_test.go
+++ b/internal/replacer/choose_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
 
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/exchanger"
@@ -70,3 +73,38 @@
 		}
 	}
 }
+
+// Guards against a change that waits for a server which has come back under
+// another id: deploy/days/cut_servers.toml, seed 12 on tapak-boot, waited 3 s.
+func TestVanishedUntilReplaced(t *testing.T) {
+	servers := func(ids ...string) []informer.Server {
+		var out []informer.Server
+		for _, id := range ids {
+			out = append(out, informer.Server{ID: id})
+		}
+		return out
+	}
+	clock := clockwork.NewFakeClock()
+	seen := func(siblings int) map[string]sighting {
+		return map[string]sighting{"x": {at: clock.Now(), siblings: siblings}}
+	}
+	leaving := servers("p", "y", "z")
+	leaving[2].Draining = true
+	for _, tc := range []struct {
+		name   string
+		listed []informer.Server
+		known  map[string]sighting
+		want   int
+	}{
+		{"not replaced", servers("p", "y"), seen(3), 1},
+		{"replaced", servers("p", "y", "z"), seen(3), 0},
+		{"the third one leaves", leaving, seen(3), 1},
+		{"still listed", servers("p", "x"), seen(3), 0},
+		{"long ago", servers("p", "y"), map[string]sighting{"x": {at: clock.Now().Add(-time.Minute), siblings: 3}}, 0},
+	} {
+		r := &task{Replacer: &Replacer{cfg: Config{Clock: clock}}, known: tc.known}
+		if got := r.vanished(tc.listed, map[string]bool{"p": true}); len(got) != tc.want {
+			t.Errorf("%s: %v", tc.name, got)
+		}
+	}
+}
--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -141,20 +141,33 @@
 	return id, err
 }
 
-// vanished returns the replicas that the list lacks although they have not left.
+// sighting is when a server was last listed, and how many servers that stay
+// were listed then, itself included.
+type sighting struct {
+	at       time.Time
+	siblings int
+}
+
+// vanished returns the replicas that the list lacks although they have not left
+// and nothing has taken their place. A server that crashed comes back under
+// another id.
 func (t *task) vanished(listed []informer.Server, leaders map[string]bool) []member {
 	now := t.cfg.Clock.Now()
 	isListed := map[string]bool{}
+	staying := 0
 	for _, srv := range listed {
 		isListed[srv.ID] = true
+		if !srv.Draining {
+			staying++
+		}
 	}
 	var out []member
 	for id, seen := range t.known {
 		switch {
 		case isListed[id]:
-		case now.Sub(seen) > rememberLimit:
+		case now.Sub(seen.at) > rememberLimit:
 			delete(t.known, id)
-		case !leaders[id]:
+		case !leaders[id] && staying < seen.siblings:
 			out = append(out, member{id: id})
 		}
 	}
@@ -164,13 +177,17 @@
 // remember notes which servers are listed now.
 func (t *task) remember() {
 	now := t.cfg.Clock.Now()
+	var staying []informer.Server
 	for _, srv := range t.servers() {
 		if srv.Draining {
 			delete(t.known, srv.ID)
 		} else {
-			t.known[srv.ID] = now
+			staying = append(staying, srv)
 		}
 	}
+	for _, srv := range staying {
+		t.known[srv.ID] = sighting{at: now, siblings: len(staying)}
+	}
 }
 
 // yieldIfStuck leaves the duty to another instance when a change has waited for
--- a/internal/replacer/replacer.go
+++ b/internal/replacer/replacer.go
@@ -114,8 +114,8 @@
 	leaderless time.Time
 	// stuck is since when a change has waited for servers.
 	stuck time.Time
-	// known holds when each server that has not left was last listed.
-	known map[string]time.Time
+	// known holds the servers that have not left.
+	known map[string]sighting
 	done  chan struct{}
 
 	// settledToken is the tenure in which the servers showed no unfinished change.
@@ -130,7 +130,7 @@
 
 func newTask(r *Replacer, service informer.Service) *task {
 	t := &task{
-		Replacer: r, service: service, log: r.cfg.Log.WithField("service", service.Name), known: map[string]time.Time{},
+		Replacer: r, service: service, log: r.cfg.Log.WithField("service", service.Name), known: map[string]sighting{},
 		done: make(chan struct{}),
 	}
 	go func() {
