dispatcher: a statement that failed aborts its transaction

Cause (read through): a failed or timed-out statement inside a transaction was passed on with its code, which promises nothing, although the transaction is rolled back and nothing is kept; its caller could not repeat it. Ruled out: single writes, which may have an effect and keep their code. Change: such a transaction ends as aborted, with the code in the text. Before: the new test got 'failed'. After: 'aborted'.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -145,6 +145,18 @@
 			t.Errorf("the commit of a failed transaction ran at %v", at)
 		}
 	})
+	t.Run("a statement that failed aborts its transaction", func(t *testing.T) {
+		// Guards against a caller that cannot repeat a transaction of which nothing is kept.
+		f := newFixture(t)
+		tx := f.d.Begin(request("begin", exchanger.Begin, informer.PrimaryReads))
+		f.SetFailing("a", true)
+		if a := tx.Run(request("s1", exchanger.Write, informer.PrimaryReads)); a.Code != exchanger.Aborted || a.State != exchanger.FailedTransaction {
+			t.Errorf("code %v, state %v, want aborted", a.Code, a.State)
+		}
+		if a := f.d.Run(request("w", exchanger.Write, informer.PrimaryReads)); a.Code != exchanger.Failed {
+			t.Errorf("a single write that failed: %v, want failed, which promises nothing", a.Code)
+		}
+	})
 	t.Run("an aborted transaction is told at once", func(t *testing.T) {
 		// Guards against a rollback that waits for an answer on the lost connection.
 		f := newFixture(t)
--- a/internal/dispatcher/transaction.go
+++ b/internal/dispatcher/transaction.go
@@ -53,7 +53,7 @@
 	}
 	a := answers[0]
 	if !a.OK() {
-		return t.fail(a)
+		return t.failStatement(a)
 	}
 	if err := t.prove(); err != nil {
 		return t.fail(exchanger.Refusal(exchanger.Aborted, exchanger.FailedTransaction, err.Error()))
@@ -152,6 +152,16 @@
 // connection rolls back as well.
 const abandonTimeout = time.Second
 
+// failStatement fails the transaction because of one of its statements. It is
+// rolled back, so that the caller may be told that nothing is kept, also when
+// the statement itself ran and failed.
+func (t *Transaction) failStatement(a exchanger.Answer) exchanger.Answer {
+	if !a.Code.IsPromise() {
+		a = exchanger.Refusal(exchanger.Aborted, exchanger.FailedTransaction, "a statement failed ("+a.Code.String()+"); nothing is kept")
+	}
+	return t.fail(a)
+}
+
 // fail marks the transaction as failed and frees its connection.
 func (t *Transaction) fail(a exchanger.Answer) exchanger.Answer {
 	t.Abandon()
--- a/internal/exchanger/answer.go
+++ b/internal/exchanger/answer.go
@@ -49,6 +49,10 @@
 // String returns the name that logs and metrics use.
 func (c Code) String() string { return codeNames[c] }
 
+// IsPromise reports whether a caller that gets the code may rely on nothing of
+// its attempt being kept.
+func (c Code) IsPromise() bool { return c.IsNotRun() && c != UnknownPrepared }
+
 // IsNotRun reports whether a server that answers with the code has kept
 // nothing of the statement.
 func (c Code) IsNotRun() bool {
--- a/internal/exchanger/exchangertest/cluster.go
+++ b/internal/exchanger/exchangertest/cluster.go
@@ -30,17 +30,18 @@
 }
 
 type server struct {
-	id     string
-	role   exchanger.Role
-	term   uint64
-	log    tracker.Position
-	paused uint64
-	down   bool
-	deaf   bool
-	full   bool
-	behind bool
-	born   int64
-	busy   bool
+	id      string
+	role    exchanger.Role
+	term    uint64
+	log     tracker.Position
+	paused  uint64
+	down    bool
+	deaf    bool
+	full    bool
+	behind  bool
+	born    int64
+	busy    bool
+	failing bool
 }
 
 // New returns a cluster whose first server leads term 1. All are old enough to
@@ -93,6 +94,11 @@
 // SetBusy makes a server refuse every request.
 func (c *Cluster) SetBusy(id string, busy bool) { c.change(id, func(s *server) { s.busy = busy }) }
 
+// SetFailing makes every read, write and execution of a server fail after its run.
+func (c *Cluster) SetFailing(id string, failing bool) {
+	c.change(id, func(s *server) { s.failing = failing })
+}
+
 // SetBorn sets the start of a server.
 func (c *Cluster) SetBorn(id string, born time.Time) {
 	c.change(id, func(s *server) { s.born = born.UnixMilli() })
--- a/internal/exchanger/exchangertest/conn.go
+++ b/internal/exchanger/exchangertest/conn.go
@@ -92,6 +92,9 @@
 
 func (c *Cluster) executeCaller(k *conn, s *server, st exchanger.Statement) (exchanger.Answer, error) {
 	ok := exchanger.Answer{Signature: s.id}
+	if s.failing && (st.Kind == exchanger.Read || st.Kind == exchanger.Write || st.Kind == exchanger.Execute) {
+		return exchanger.Refusal(exchanger.Failed, k.state, s.id), nil
+	}
 	readOnly := exchanger.Refusal(exchanger.ReadOnly, k.state, s.id)
 	switch st.Kind {
 	case exchanger.Begin, exchanger.BeginRead:
