replacer, holder: two interfaces say only what is used

Cause: Health returned a time that nobody read, and IsHolding repeated Tenure. Change: removed; no behaviour changes.

--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -45,7 +45,6 @@
 	behindAt  time.Time
 	answered  time.Time
 	failures  int
-	failed    time.Time
 }
 
 // acquire takes a link and counts the request.
@@ -76,7 +75,6 @@
 	switch {
 	case err != nil:
 		b.failures++
-		b.failed = now
 		b.avoid = now.Add(avoidAfterFailure)
 		return
 	case code == exchanger.Busy || code == exchanger.TooManyConnections:
@@ -113,10 +111,10 @@
 }
 
 // health returns when the server last answered, and the failures since.
-func (b *backend) health() (answered time.Time, failures int, failed time.Time) {
+func (b *backend) health() (answered time.Time, failures int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.answered, b.failures, b.failed
+	return b.answered, b.failures
 }
 
 func (b *backend) candidate(now time.Time, zone, leader string, floorAge time.Duration) placer.Candidate {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -141,11 +141,11 @@
 
 // Health returns when the server last answered this instance, and how many
 // attempts failed since.
-func (d *Dispatcher) Health(id string) (answered time.Time, failures int, failed time.Time) {
+func (d *Dispatcher) Health(id string) (answered time.Time, failures int) {
 	if b := d.backend(id); b != nil {
 		return b.health()
 	}
-	return time.Time{}, 0, time.Time{}
+	return time.Time{}, 0
 }
 
 // PendingSince returns the start of the oldest write at the server that is not
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -111,11 +111,7 @@
 
 // IsHolding reports whether this instance holds the duty, be it that it may
 // not act yet.
-func (h *Holder) IsHolding() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.token != 0 && h.cfg.Clock.Now().Before(h.until)
-}
+func (h *Holder) IsHolding() bool { return h.Tenure() != 0 }
 
 // Disown ends the tenure with the token, if it lasts, because another instance
 // has the duty, and reports that this instance does not act under it.
--- a/internal/replacer/config.go
+++ b/internal/replacer/config.go
@@ -20,7 +20,7 @@
 	Group(service string) *attester.Group
 	// Health returns when the server last answered, and how many attempts to
 	// reach it failed since.
-	Health(serverID string) (answered time.Time, failures int, failed time.Time)
+	Health(serverID string) (answered time.Time, failures int)
 	// PendingSince returns the start of the oldest write at the server that is
 	// not answered; false if there is none.
 	PendingSince(serverID string) (time.Time, bool)
--- a/internal/replacer/promise.go
+++ b/internal/replacer/promise.go
@@ -41,7 +41,7 @@
 	if !ok {
 		return l, false
 	}
-	answered, failures, _ := t.cfg.Fleet.Health(l.Server.ID)
+	answered, failures := t.cfg.Fleet.Health(l.Server.ID)
 	t.promiseMu.Lock()
 	defer t.promiseMu.Unlock()
 	now := t.cfg.Clock.Now()
--- a/internal/replacer/replacer.go
+++ b/internal/replacer/replacer.go
@@ -220,7 +220,7 @@
 // a report waiting.
 func (t *task) isReachable(l attester.Leader) bool {
 	now := t.cfg.Clock.Now()
-	answered, failures, _ := t.cfg.Fleet.Health(l.Server.ID)
+	answered, failures := t.cfg.Fleet.Health(l.Server.ID)
 	if now.Sub(answered) < quietLimit && failures == 0 {
 		t.failing = time.Time{}
 		return true
@@ -240,7 +240,7 @@
 	if isRefused(err) {
 		limit = refusedLimit
 	}
-	answered, failures, _ = t.cfg.Fleet.Health(l.Server.ID)
+	answered, failures = t.cfg.Fleet.Health(l.Server.ID)
 	silent := t.cfg.Clock.Since(later(answered, t.failing.Add(-quietLimit)))
 	return failures < minFailures || silent < limit
 }
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -60,10 +60,10 @@
 
 func (f *fleet) Group(string) *attester.Group { return f.group }
 
-func (f *fleet) Health(id string) (time.Time, int, time.Time) {
+func (f *fleet) Health(id string) (time.Time, int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.answered[id], f.failures[id], time.Time{}
+	return f.answered[id], f.failures[id]
 }
 
 func (f *fleet) PendingSince(string) (time.Time, bool) {
