--- a/internal/attester/config.go
+++ b/internal/attester/config.go
@@ -24,7 +24,7 @@
 	Servers func() []informer.Server
 	Prober  Prober
 	Clock   clockwork.Clock
-	// AskPeers asks other instances for what they believe and returns when the
+	// AskPeers asks other instances for their views and returns when the
 	// answers have been taken over. It may do nothing if it was called lately.
 	AskPeers func()
 	// TimeOfDay returns the wall-clock time, which may be wrong by seconds.
--- a/internal/attester/group.go
+++ b/internal/attester/group.go
@@ -116,7 +116,7 @@
 		Info("attester: primary is known")
 }
 
-// Suspect withdraws the belief that the server leads, until a report confirms
+// Suspect stops treating the server as the leader until a report confirms
 // a leader.
 func (g *Group) Suspect(serverID string, reason string) {
 	g.mu.Lock()
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -1,4 +1,4 @@
-// Package gossiper exchanges beliefs with the other instances, so that one
+// Package gossiper exchanges views with the other instances, so that one
 // that the store turns away learns the configuration and the primaries in time.
 //
 // Each instance asks one other at random in each interval. A new primary is
@@ -36,12 +36,12 @@
 	askInterval = 50 * time.Millisecond
 )
 
-// Beliefs is what an instance tells others and learns from them.
-type Beliefs interface {
-	// State returns what this instance believes, with the configuration and the
-	// servers if those of the other are older. The other is nil if unknown.
+// View is an instance's view of the system: what it tells others and learns
+// from them.
+type View interface {
+	// State returns this instance's view, with the configuration and the servers if those of the other are older. The other is nil if unknown.
 	State(other *wire.PeerState) *wire.PeerState
-	// Learn takes over what another instance believes. Asked is when this
+	// Learn takes over what is newer in another instance's view. Asked is when this
 	// instance asked for it; zero if it was not asked for, so that the age of
 	// what it says is unknown.
 	Learn(s *wire.PeerState, asked time.Time)
@@ -58,8 +58,8 @@
 
 // Config holds what a [Gossiper] needs.
 type Config struct {
-	Name    string
-	Beliefs Beliefs
+	Name string
+	View View
 	// Addresses returns where the other instances listen.
 	Addresses func() []string
 	Dialer    messenger.Dialer
@@ -67,7 +67,7 @@
 	Log       logrus.FieldLogger
 }
 
-// Gossiper exchanges beliefs until it is closed.
+// Gossiper exchanges views until it is closed.
 type Gossiper struct {
 	cfg Config
 
@@ -124,11 +124,11 @@
 		return err
 	}
 	asked := g.cfg.Clock.Now()
-	state, err := wire.NewDRPCPeersClient(conn).Exchange(ctx, g.cfg.Beliefs.State(nil))
+	state, err := wire.NewDRPCPeersClient(conn).Exchange(ctx, g.cfg.View.State(nil))
 	if err != nil {
 		return errors.Wrap(err, address)
 	}
-	g.cfg.Beliefs.Learn(state, asked)
+	g.cfg.View.Learn(state, asked)
 	return nil
 }
 
@@ -140,11 +140,11 @@
 		case <-ctx.Done():
 			return
 		}
-		address, self := g.cfg.Beliefs.HolderAddress()
+		address, self := g.cfg.View.HolderAddress()
 		asked := g.cfg.Clock.Now()
 		switch {
 		case self:
-			g.cfg.Beliefs.LearnPermits(g.cfg.Beliefs.Permits(), asked)
+			g.cfg.View.LearnPermits(g.cfg.View.Permits(), asked)
 		case address != "":
 			if err := g.askPermit(ctx, address, asked); err != nil {
 				g.cfg.Log.WithError(err).Debug("gossiper: holder of the duty is out of reach")
@@ -164,11 +164,11 @@
 	if err != nil {
 		return errors.Wrap(err, address)
 	}
-	g.cfg.Beliefs.LearnPermits(permits, asked)
+	g.cfg.View.LearnPermits(permits, asked)
 	return nil
 }
 
-// Tell exchanges beliefs with all instances at the same time and returns the
+// Tell exchanges views with all instances at the same time and returns the
 // number that could not be reached.
 func (g *Gossiper) Tell(ctx context.Context) (unreached int) {
 	var wg sync.WaitGroup
@@ -187,7 +187,7 @@
 	return unreached
 }
 
-// Ask exchanges beliefs with a few instances, unless that was done a moment
+// Ask exchanges views with a few instances, unless that was done a moment
 // ago, and returns when the first has answered or all have failed.
 func (g *Gossiper) Ask() {
 	if !g.mayAsk() {
--- a/internal/gossiper/service.go
+++ b/internal/gossiper/service.go
@@ -9,23 +9,23 @@
 
 // Service answers other instances.
 type Service struct {
-	Name    string
-	Beliefs Beliefs
+	Name string
+	View View
 }
 
 // Exchange implements the Peers service.
 func (s Service) Exchange(_ context.Context, in *wire.PeerState) (*wire.PeerState, error) {
-	s.Beliefs.Learn(in, time.Time{})
-	return s.Beliefs.State(in), nil
+	s.View.Learn(in, time.Time{})
+	return s.View.State(in), nil
 }
 
 // EndTenure implements the Peers service.
 func (s Service) EndTenure(_ context.Context, in *wire.EndTenureRequest) (*wire.EndTenureResponse, error) {
-	s.Beliefs.EndTenure(in.GetToken())
+	s.View.EndTenure(in.GetToken())
 	return &wire.EndTenureResponse{Header: in.GetHeader(), Instance: s.Name}, nil
 }
 
 // Permit implements the Peers service.
 func (s Service) Permit(context.Context, *wire.PermitRequest) (*wire.PermitResponse, error) {
-	return s.Beliefs.Permits(), nil
+	return s.View.Permits(), nil
 }
--- a/internal/informer/doc.go
+++ b/internal/informer/doc.go
@@ -1,4 +1,4 @@
-// Package informer keeps what an instance believes of the operator's
+// Package informer keeps an instance's view of the operator's
 // configuration and of the backend servers.
 //
 // A [Configuration] is replaced only by one with a higher version, whoever
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -120,7 +120,7 @@
 	return true
 }
 
-// publish makes the present beliefs visible. The caller holds mu.
+// publish makes the present state visible. The caller holds mu.
 func (n *Informer) publish() {
 	n.state.Store(newState(n.configuration, n.servers))
 	close(n.changed)
--- a/internal/noder/duties.go
+++ b/internal/noder/duties.go
@@ -16,7 +16,7 @@
 
 // replacerPeers joins what package replacer asks of other instances.
 type replacerPeers struct {
-	beliefs
+	view
 	*gossiper.Gossiper
 }
 
@@ -27,10 +27,10 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for instances")
 	}
-	b := beliefs{n}
+	v := view{n}
 	n.peers = messenger.NewPool(messenger.PoolConfig{Registry: n.metrics, Clock: n.clock})
 	n.gossiper = gossiper.New(gossiper.Config{
-		Name: n.settings.Instance, Beliefs: b, Addresses: n.peerAddresses, Dialer: n.peers, Clock: n.clock, Log: n.log,
+		Name: n.settings.Instance, View: v, Addresses: n.peerAddresses, Dialer: n.peers, Clock: n.clock, Log: n.log,
 	})
 	n.holder = holder.New(holder.Config{
 		Store: n.store, Name: n.settings.Instance, Address: n.settings.Control,
@@ -38,11 +38,11 @@
 	})
 	n.replacer = replacer.New(replacer.Config{
 		Name: n.settings.Instance, Informer: n.informer, Fleet: n.dispatcher,
-		Promoter: platform.NewCloud(n.settings.Cloud), Duty: n.holder, Peers: replacerPeers{b, n.gossiper}, PromiseTime: holder.PromiseTime,
+		Promoter: platform.NewCloud(n.settings.Cloud), Duty: n.holder, Peers: replacerPeers{v, n.gossiper}, PromiseTime: holder.PromiseTime,
 		Clock: n.clock, Metrics: n.metrics, Log: n.log,
 	})
 	n.control = messenger.NewServer(messenger.ServerConfig{Listener: l, Registry: n.metrics, Log: n.log})
-	if err := wire.DRPCRegisterPeers(n.control.Mux(), gossiper.Service{Name: n.settings.Instance, Beliefs: b}); err != nil {
+	if err := wire.DRPCRegisterPeers(n.control.Mux(), gossiper.Service{Name: n.settings.Instance, View: v}); err != nil {
 		return errors.Wrap(err, "register the service for instances")
 	}
 	n.control.Start()
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -169,13 +169,13 @@
 	return min(fleetCheckInterval*time.Duration(n.fleetSize()), checkIntervalLimit)
 }
 
-// tellPeers tells all other instances what this one believes.
+// tellPeers exchanges views with all other instances.
 func (n *Node) tellPeers() {
 	<-n.built
 	n.gossiper.Tell(context.Background())
 }
 
-// askPeers asks some other instances for what they believe.
+// askPeers exchanges views with some other instances.
 func (n *Node) askPeers() {
 	<-n.built
 	n.gossiper.Ask()
--- a/internal/noder/permits.go
+++ b/internal/noder/permits.go
@@ -30,21 +30,21 @@
 }
 
 // addDuty tells who holds the duty.
-func (b beliefs) addDuty(s *wire.PeerState) {
-	if token := b.holder.Tenure(); token != 0 {
-		b.duty.learn(b.settings.Instance, token)
+func (v view) addDuty(s *wire.PeerState) {
+	if token := v.holder.Tenure(); token != 0 {
+		v.duty.learn(v.settings.Instance, token)
 	}
-	s.DutyHolder, s.DutyToken = b.duty.get()
+	s.DutyHolder, s.DutyToken = v.duty.get()
 }
 
-// HolderAddress implements [gossiper.Beliefs].
-func (b beliefs) HolderAddress() (address string, self bool) {
-	<-b.built
-	if b.holder.IsHolding() {
+// HolderAddress implements [gossiper.View].
+func (v view) HolderAddress() (address string, self bool) {
+	<-v.built
+	if v.holder.IsHolding() {
 		return "", true
 	}
-	name, _ := b.duty.get()
-	for _, o := range b.registrar.Others() {
+	name, _ := v.duty.get()
+	for _, o := range v.registrar.Others() {
 		if o.Name == name {
 			return o.Address, false
 		}
@@ -52,11 +52,11 @@
 	return "", false
 }
 
-// Permits implements [gossiper.Beliefs].
-func (b beliefs) Permits() *wire.PermitResponse {
-	<-b.built
+// Permits implements [gossiper.View].
+func (v view) Permits() *wire.PermitResponse {
+	<-v.built
 	resp := &wire.PermitResponse{}
-	for _, p := range b.replacer.Promises() {
+	for _, p := range v.replacer.Promises() {
 		resp.Permits = append(resp.Permits, &wire.Permit{
 			Service: p.Service, Primary: p.Leader.Server.ID, Term: p.Leader.Term,
 			ForUs: uint64(holder.PromiseTime.Microseconds()),
@@ -65,9 +65,9 @@
 	return resp
 }
 
-// LearnPermits implements [gossiper.Beliefs].
-func (b beliefs) LearnPermits(resp *wire.PermitResponse, asked time.Time) {
-	state := b.informer.State()
+// LearnPermits implements [gossiper.View].
+func (v view) LearnPermits(resp *wire.PermitResponse, asked time.Time) {
+	state := v.informer.State()
 	if !state.HasConfiguration() {
 		return
 	}
@@ -76,6 +76,6 @@
 			continue
 		}
 		until := asked.Add(time.Duration(p.GetForUs()) * time.Microsecond)
-		b.dispatcher.Group(p.GetService()).Permit(p.GetPrimary(), p.GetTerm(), until)
+		v.dispatcher.Group(p.GetService()).Permit(p.GetPrimary(), p.GetTerm(), until)
 	}
 }
--- a/internal/noder/stop.go
+++ b/internal/noder/stop.go
@@ -49,7 +49,7 @@
 	}()
 }
 
-// close ends the parts that need no farewell.
+// close ends the parts that the store and other instances need not hear of.
 func (n *Node) close() {
 	n.gossiper.Close()
 	n.control.Close()
--- /dev/null
+++ b/internal/noder/view.go
@@ -0,0 +1,110 @@
+package noder
+
+import (
+	"time"
+
+	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/messenger/wire"
+	"marigoldhub.example/hub/internal/storer"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// view is this instance's view of the system, as it is exchanged with others.
+type view struct{ *Node }
+
+// State implements [gossiper.View].
+func (v view) State(other *wire.PeerState) *wire.PeerState {
+	<-v.built
+	s := &wire.PeerState{Header: &wire.Header{Instance: v.settings.Instance}}
+	state := v.informer.State()
+	v.addServers(s, other)
+	v.addDuty(s)
+	if !state.HasConfiguration() {
+		return s
+	}
+	c := state.Configuration
+	s.ConfigurationVersion = c.Version
+	if other != nil && other.GetConfigurationVersion() < c.Version {
+		s.Configuration = c.Raw
+	}
+	for name := range c.Services {
+		g := v.dispatcher.Group(name)
+		sv := &wire.ServiceView{Service: name}
+		if l, ok := g.Leader(); ok {
+			sv.Primary, sv.Term = l.Server.ID, l.Term
+		}
+		p := g.Acknowledged()
+		sv.Acknowledged = &wire.Position{Term: p.Term, Offset: p.Offset}
+		if sample, ok := g.Newest(); ok {
+			sv.Sample = &wire.Position{Term: sample.Position.Term, Offset: sample.Position.Offset}
+			sv.SampleTerm, sv.SampleAgeUs = sample.Term, uint64(v.clock.Since(sample.At).Microseconds())+1
+		}
+		s.Services = append(s.Services, sv)
+	}
+	return s
+}
+
+func (v view) addServers(s, other *wire.PeerState) {
+	list := v.informer.List()
+	s.ServersRevision, s.ServersDigest = list.Revision, list.Digest
+	if other == nil || other.GetServersRevision() >= list.Revision || other.GetServersDigest() == list.Digest {
+		return
+	}
+	for _, e := range list.Entries {
+		s.Servers = append(s.Servers, &wire.ServerEntry{Key: e.Key, Value: e.Value})
+	}
+}
+
+// Learn implements [gossiper.View]. A configuration is checked like one from
+// the store, and replaces only an older one. A sample is at least as young as
+// its age says, counted from when it was asked for.
+func (v view) Learn(s *wire.PeerState, asked time.Time) {
+	<-v.built
+	v.duty.learn(s.GetDutyHolder(), s.GetDutyToken())
+	source := "instance " + s.GetHeader().GetInstance()
+	state := v.informer.State()
+	if len(s.GetConfiguration()) > 0 && (!state.HasConfiguration() || state.Configuration.Version < s.GetConfigurationVersion()) {
+		v.informer.Offer(s.GetConfiguration(), source)
+		state = v.informer.State()
+	}
+	if len(s.GetServers()) > 0 {
+		entries := make([]storer.Entry, 0, len(s.GetServers()))
+		for _, e := range s.GetServers() {
+			entries = append(entries, storer.Entry{Key: e.GetKey(), Value: e.GetValue()})
+		}
+		v.informer.OfferList(informer.List{Revision: s.GetServersRevision(), Entries: entries})
+		state = v.informer.State()
+	}
+	if !state.HasConfiguration() {
+		return
+	}
+	for _, sv := range s.GetServices() {
+		if _, ok := state.Configuration.Services[sv.GetService()]; !ok {
+			continue
+		}
+		g := v.dispatcher.Group(sv.GetService())
+		g.Acknowledge(tracker.Position{Term: sv.GetAcknowledged().GetTerm(), Offset: sv.GetAcknowledged().GetOffset()})
+		if srv, ok := state.Server(sv.GetService(), sv.GetPrimary()); ok && sv.GetTerm() > g.Term() {
+			g.Learn(attester.Leader{Server: srv, Term: sv.GetTerm()}, source)
+		}
+		if sv.GetSample() != nil && !asked.IsZero() {
+			age := time.Duration(sv.GetSampleAgeUs()) * time.Microsecond
+			g.AddSample(attester.Sample{
+				At: asked.Add(-age), Term: sv.GetSampleTerm(),
+				Position: tracker.Position{Term: sv.GetSample().GetTerm(), Offset: sv.GetSample().GetOffset()},
+			})
+		}
+	}
+}
+
+// EndTenure implements [gossiper.View].
+func (v view) EndTenure(token int64) {
+	<-v.built
+	v.holder.Disown(token)
+}
+
+// Acknowledged implements [replacer.Peers].
+func (v view) Acknowledged(service string) tracker.Position {
+	return v.dispatcher.Group(service).Acknowledged()
+}
--- a/internal/placer/share.go
+++ b/internal/placer/share.go
@@ -24,5 +24,6 @@
 func StartShare(share int) int { return max(share/2, 1) }
 
 // IsScarce reports whether a server's limit is below one connection for each
-// instance. Connections then have to go round: none may rest for long.
+// instance. Connections must then be closed soon after use, so that other instances get
+// one.
 func IsScarce(limit, instances int) bool { return limit < instances }
--- a/internal/replacer/config.go
+++ b/internal/replacer/config.go
@@ -42,8 +42,7 @@
 
 // Peers are the other instances.
 type Peers interface {
-	// Tell tells all others what this instance believes and learns what they
-	// do. It returns how many were out of reach.
+	// Tell exchanges views with all other instances. It returns how many were out of reach.
 	Tell(ctx context.Context) (unreached int)
 	// Acknowledged returns the highest position of the service that any
 	// instance is known to have seen acknowledged.
--- a/internal/sessioner/session.go
+++ b/internal/sessioner/session.go
@@ -116,7 +116,7 @@
 // then. The zero time is no limit.
 func (s *session) patience() (deadline time.Time, closing bool) {
 	if s.state == exchanger.Idle && s.isDraining() {
-		return s.Clock.Now().Add(lastWords), true
+		return s.Clock.Now().Add(quietPeriod), true
 	}
 	if limit := s.idleLimit(); s.tx != nil && limit > 0 {
 		return s.Clock.Now().Add(limit), false
@@ -124,10 +124,10 @@
 	return time.Time{}, false
 }
 
-// lastWords is how long a session of a stopping instance must have been quiet
+// quietPeriod is how long a session of a stopping instance must have been quiet
 // before it is closed. A caller in the middle of its work sends its next
 // statement one way to it and back after an answer, some milliseconds.
-const lastWords = 60 * time.Millisecond
+const quietPeriod = 60 * time.Millisecond
 
 func (s *session) idleLimit() time.Duration {
 	if c := s.Informer.State().Configuration; c != nil {
