attester: who leads by the servers' reports is decided in one place

Cause: attester and replacer each had a copy of the rule. Change: NewestLeader, with a table of its own.

--- a/internal/attester/attester_test.go
+++ b/internal/attester/attester_test.go
@@ -193,3 +193,29 @@
 		t.Error("a promise for an old term holds")
 	}
 }
+
+// Guards against a primary of the past that is taken for the leader because only
+// it and paused replicas are in reach.
+func TestNewestLeader(t *testing.T) {
+	report := func(id string, role exchanger.Role, term, paused uint64) attester.ServerReport {
+		return attester.ServerReport{Server: informer.Server{ID: id}, Report: exchanger.Report{Role: role, Term: term, PausedFor: paused}}
+	}
+	p, r := exchanger.Primary, exchanger.Replica
+	for _, tc := range []struct {
+		name    string
+		reports []attester.ServerReport
+		want    string
+	}{
+		{"nobody", nil, ""},
+		{"one primary", []attester.ServerReport{report("a", p, 1, 0), report("b", r, 1, 0)}, "a"},
+		{"two primaries", []attester.ServerReport{report("a", p, 1, 0), report("b", p, 2, 0)}, "b"},
+		{"a replica knows a later term", []attester.ServerReport{report("a", p, 1, 0), report("b", r, 2, 0)}, ""},
+		{"a replica is paused for a later term", []attester.ServerReport{report("a", p, 1, 0), report("b", r, 1, 2)}, ""},
+		{"only replicas", []attester.ServerReport{report("b", r, 1, 0)}, ""},
+	} {
+		l, ok := attester.NewestLeader(tc.reports)
+		if ok != (tc.want != "") || ok && l.Server.ID != tc.want {
+			t.Errorf("%s: %q, %v", tc.name, l.Server.ID, ok)
+		}
+	}
+}
--- a/internal/attester/explore.go
+++ b/internal/attester/explore.go
@@ -45,7 +45,16 @@
 
 // discover asks all servers once and reports whether a leader is known.
 func (g *Group) discover() bool {
-	reports := g.Survey()
+	if l, ok := NewestLeader(g.Survey()); ok {
+		g.Learn(l, "report")
+	}
+	_, ok := g.Leader()
+	return ok
+}
+
+// NewestLeader returns the primary of the highest term, if no server knows or
+// is paused for a later one.
+func NewestLeader(reports []ServerReport) (Leader, bool) {
 	var best Leader
 	var newest uint64
 	for _, r := range reports {
@@ -54,11 +63,7 @@
 			best = Leader{Server: r.Server, Term: r.Report.Term}
 		}
 	}
-	if best.Term > 0 && best.Term >= newest {
-		g.Learn(best, "report")
-	}
-	_, ok := g.Leader()
-	return ok
+	return best, best.Term > 0 && best.Term >= newest
 }
 
 // ServerReport is a report with the server that gave it.
--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -77,7 +77,7 @@
 	for _, r := range reports {
 		newest = max(newest, r.Report.Term)
 	}
-	if l, ok := newestLeader(reports); ok && l.Term >= newest && (l.Server.ID != old.Server.ID || l.Term != old.Term) {
+	if l, ok := attester.NewestLeader(reports); ok && l.Term >= newest && (l.Server.ID != old.Server.ID || l.Term != old.Term) {
 		t.announce(l)
 		return 0, true
 	}
--- a/internal/replacer/replacer.go
+++ b/internal/replacer/replacer.go
@@ -190,7 +190,7 @@
 	if t.leaderless.IsZero() {
 		t.leaderless = now
 	}
-	best, found := newestLeader(t.group().Survey())
+	best, found := attester.NewestLeader(t.group().Survey())
 	if found {
 		t.group().Learn(best, "survey")
 		return
@@ -201,20 +201,6 @@
 	}
 }
 
-// newestLeader returns the primary of the highest term, if no server knows or
-// is paused for a later one.
-func newestLeader(reports []attester.ServerReport) (attester.Leader, bool) {
-	var best attester.Leader
-	var newest uint64
-	for _, r := range reports {
-		newest = max(newest, r.Report.Term, r.Report.PausedFor)
-		if r.Report.Role == exchanger.Primary && r.Report.Term > best.Term {
-			best = attester.Leader{Server: r.Server, Term: r.Report.Term}
-		}
-	}
-	return best, best.Term > 0 && best.Term >= newest
-}
-
 // isReachable asks a primary that has been quiet and reports false when it has
 // answered nothing for long enough. Any answer counts: a busy primary may keep
 // a report waiting.
