dispatcher, informer: how long a request waits for a primary, and the records of tests, stand once

Cause: the same expression stood in five places, and three test files had the same schema. Change: Request.holdUntil, package informertest.

--- a/internal/dispatcher/fixture_test.go
+++ b/internal/dispatcher/fixture_test.go
@@ -14,6 +14,7 @@
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/exchanger/exchangertest"
 	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/informer/informertest"
 	"marigoldhub.example/hub/internal/linker"
 	"marigoldhub.example/hub/internal/storer/storertest"
 )
@@ -35,17 +36,7 @@
 	clock := clockwork.NewRealClock()
 	f.informer = informer.New(informer.Config{
 		Store: store, Clock: clock, Log: log,
-		Schema: informer.Schema{
-			ConfigurationKey: "config/now", ConfigurationPrefix: "config/", ServerPrefix: "servers/",
-			DecodeConfiguration: func(b []byte) (*informer.Configuration, error) {
-				c := &informer.Configuration{}
-				return c, json.Unmarshal(b, c)
-			},
-			DecodeServer: func(key string, value []byte) (informer.Server, error) {
-				s := informer.Server{}
-				return s, json.Unmarshal(value, &s)
-			},
-		},
+		Schema:       informertest.Schema(),
 		ListInterval: func() time.Duration { return 20 * time.Millisecond }, CurrentEvery: 1, GoneAfter: time.Hour,
 		CheckInterval: func() time.Duration { return time.Hour }, OnNews: func() {},
 	})
--- a/internal/dispatcher/leader_read.go
+++ b/internal/dispatcher/leader_read.go
@@ -6,7 +6,6 @@
 
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/exchanger"
-	"marigoldhub.example/hub/internal/placer"
 )
 
 func (d *Dispatcher) isLeader(service string, b *backend) bool {
@@ -27,7 +26,7 @@
 func (d *Dispatcher) readAtLeader(req Request) exchanger.Answer {
 	g := d.Group(req.Route.Service)
 	deadline := req.deadline(req.Received)
-	hold := req.Received.Add(placer.HoldLimit(req.Route.Objective, req.Route.StatementTimeout))
+	hold := req.holdUntil(req.Received)
 	var reason error
 	for range maxAttempts {
 		l, err := g.AwaitLeader(hold)
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -62,7 +62,7 @@
 // among those that cover the floor.
 func (d *Dispatcher) readAnywhere(req Request) exchanger.Answer {
 	deadline := req.deadline(req.Received)
-	hold := req.Received.Add(placer.HoldLimit(req.Route.Objective, req.Route.StatementTimeout))
+	hold := req.holdUntil(req.Received)
 	f, err := d.floorOf(req, hold)
 	if err != nil {
 		return d.refuse(req, exchanger.Busy, "no current position is known", err)
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -6,6 +6,7 @@
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/informer"
 	"marigoldhub.example/hub/internal/linker"
+	"marigoldhub.example/hub/internal/placer"
 	"marigoldhub.example/hub/internal/tracker"
 )
 
@@ -32,3 +33,8 @@
 }
 
 func (r Request) deadline(now time.Time) time.Time { return now.Add(r.Route.StatementTimeout) }
+
+// holdUntil returns until when the request may wait for a primary.
+func (r Request) holdUntil(now time.Time) time.Time {
+	return now.Add(placer.HoldLimit(r.Route.Objective, r.Route.StatementTimeout))
+}
--- a/internal/dispatcher/transaction_open.go
+++ b/internal/dispatcher/transaction_open.go
@@ -30,7 +30,7 @@
 	now := d.cfg.Clock.Now()
 	open := t.begin
 	open.Received = now
-	f, err := d.floorOf(open, now.Add(placer.HoldLimit(open.Route.Objective, open.Route.StatementTimeout)))
+	f, err := d.floorOf(open, open.holdUntil(now))
 	if err != nil {
 		return d.refuse(req, exchanger.Busy, "no current position is known", err), false
 	}
@@ -58,7 +58,7 @@
 	d := t.d
 	g := d.Group(t.begin.Route.Service)
 	began := d.cfg.Clock.Now()
-	hold := began.Add(placer.HoldLimit(t.begin.Route.Objective, t.begin.Route.StatementTimeout))
+	hold := t.begin.holdUntil(began)
 	var reason error
 	for range maxAttempts {
 		l, err := g.AwaitLeader(hold)
--- a/internal/dispatcher/write.go
+++ b/internal/dispatcher/write.go
@@ -16,7 +16,7 @@
 func (d *Dispatcher) runWrite(req Request) exchanger.Answer {
 	g := d.Group(req.Route.Service)
 	deadline := req.deadline(req.Received)
-	hold := req.Received.Add(placer.HoldLimit(req.Route.Objective, req.Route.StatementTimeout))
+	hold := req.holdUntil(req.Received)
 	var reason error
 	for range maxAttempts {
 		l, err := g.AwaitLeader(hold)
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"io"
 	"testing"
 	"time"
@@ -11,31 +10,11 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/informer/informertest"
 	"marigoldhub.example/hub/internal/storer"
 	"marigoldhub.example/hub/internal/storer/storertest"
 )
 
-func decodeServer(key string, value []byte) (informer.Server, error) {
-	var s informer.Server
-	err := json.Unmarshal(value, &s)
-	s.ID = key[len("servers/"):]
-	if err == nil && s.Service == "" {
-		err = errors.New("service is missing")
-	}
-	return s, err
-}
-
-func schema() informer.Schema {
-	return informer.Schema{
-		ConfigurationKey: "config/now", ConfigurationPrefix: "config/", ServerPrefix: "servers/",
-		DecodeConfiguration: func(b []byte) (*informer.Configuration, error) {
-			c := &informer.Configuration{}
-			return c, json.Unmarshal(b, c)
-		},
-		DecodeServer: decodeServer,
-	}
-}
-
 func encode(t *testing.T, v any) []byte {
 	t.Helper()
 	b, err := json.Marshal(v)
@@ -61,7 +40,7 @@
 	t.Helper()
 	f := fixture{store: storertest.New(), missed: make(chan struct{}, 8)}
 	cfg := informer.Config{
-		Store: f.store, Schema: schema(), Clock: clockwork.NewRealClock(), Log: quiet(),
+		Store: f.store, Schema: informertest.Schema(), Clock: clockwork.NewRealClock(), Log: quiet(),
 		ListInterval: func() time.Duration { return 10 * time.Millisecond }, CurrentEvery: 3, GoneAfter: 80 * time.Millisecond,
 		CheckInterval: func() time.Duration { return time.Hour },
 		OnNews:        func() { f.missed <- struct{}{} },
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -18,6 +18,7 @@
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/exchanger/exchangertest"
 	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/informer/informertest"
 	"marigoldhub.example/hub/internal/replacer"
 	"marigoldhub.example/hub/internal/storer/storertest"
 	"marigoldhub.example/hub/internal/tracker"
@@ -110,17 +111,7 @@
 	}
 	inf := informer.New(informer.Config{
 		Store: f.store, Clock: clock, Log: log,
-		Schema: informer.Schema{
-			ConfigurationKey: "config/now", ConfigurationPrefix: "config/", ServerPrefix: "servers/",
-			DecodeConfiguration: func(b []byte) (*informer.Configuration, error) {
-				c := &informer.Configuration{}
-				return c, json.Unmarshal(b, c)
-			},
-			DecodeServer: func(key string, value []byte) (informer.Server, error) {
-				s := informer.Server{}
-				return s, json.Unmarshal(value, &s)
-			},
-		},
+		Schema:       informertest.Schema(),
 		ListInterval: func() time.Duration { return 10 * time.Millisecond }, CurrentEvery: 1, GoneAfter: 100 * time.Millisecond,
 		CheckInterval: func() time.Duration { return time.Hour }, OnNews: func() {},
 	})
