--- a/internal/dispatcher/fixture_test.go
+++ b/internal/dispatcher/fixture_test.go
@@ -45,7 +45,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		store.Put("servers/"+srv.ID, value)
+		store.Put("backend/"+srv.ID, value)
 	}
 	f.d = dispatcher.New(dispatcher.Config{
 		Zone: "zone-b", Informer: f.informer, Dialer: f.Cluster, Members: func(string) (int, int) { return 1, 1 },
@@ -111,6 +111,6 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.store.Put("servers/"+id, value)
+		f.store.Put("backend/"+id, value)
 	}
 }
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -113,19 +113,19 @@
 func TestServersThatLapse(t *testing.T) {
 	f := start(t, func(c *informer.Config) { c.GoneAfter = 300 * time.Millisecond })
 	server := encode(t, informer.Server{Service: "s", Address: "a"})
-	f.store.Put("servers/x", server)
-	f.store.Put("servers/y", server)
+	f.store.Put("backend/x", server)
+	f.store.Put("backend/y", server)
 	eventually(t, "both are listed", func() bool { return len(f.informer.State().ServersOf("s")) == 2 })
 	f.store.SetDown(true)
-	f.store.Delete("servers/x")
-	f.store.Delete("servers/y")
+	f.store.Delete("backend/x")
+	f.store.Delete("backend/y")
 	time.Sleep(50 * time.Millisecond)
 	if n := len(f.informer.State().ServersOf("s")); n != 2 {
 		t.Fatalf("%d servers while the store is down, want 2", n)
 	}
 	f.store.SetDown(false)
 	time.Sleep(50 * time.Millisecond)
-	f.store.Put("servers/x", server)
+	f.store.Put("backend/x", server)
 	eventually(t, "only y is gone", func() bool {
 		list := f.informer.State().ServersOf("s")
 		return len(list) == 1 && list[0].ID == "x" && list[0].MissingSince.IsZero()
@@ -135,9 +135,9 @@
 // Guards against an entry by another writer that hides the others.
 func TestEntryThatCannotBeRead(t *testing.T) {
 	f := start(t, nil)
-	f.store.Put("servers/bad", []byte("\xff"))
-	f.store.Put("servers/empty", []byte("{}"))
-	f.store.Put("servers/good", encode(t, informer.Server{Service: "s", Address: "a"}))
+	f.store.Put("backend/bad", []byte("\xff"))
+	f.store.Put("backend/empty", []byte("{}"))
+	f.store.Put("backend/good", encode(t, informer.Server{Service: "s", Address: "a"}))
 	eventually(t, "the good one is listed", func() bool { return len(f.informer.State().ServersOf("s")) == 1 })
 	if names := f.informer.State().Services(); len(names) != 1 {
 		t.Errorf("services %v, want only s", names)
@@ -156,9 +156,9 @@
 		keys     []string
 		want     int
 	}{
-		{"first list", 50, []string{"servers/x", "servers/y"}, 2},
-		{"older list", 40, []string{"servers/z"}, 2},
-		{"newer list", 60, []string{"servers/x", "servers/y", "servers/z"}, 3},
+		{"first list", 50, []string{"backend/x", "backend/y"}, 2},
+		{"older list", 40, []string{"backend/z"}, 2},
+		{"newer list", 60, []string{"backend/x", "backend/y", "backend/z"}, 3},
 	} {
 		var entries []storer.Entry
 		for _, k := range tc.keys {
@@ -174,13 +174,13 @@
 // Guards against the birth of a restarted server being missed.
 func TestServerThatStartsAgain(t *testing.T) {
 	f := start(t, nil)
-	f.store.Put("servers/x", encode(t, informer.Server{Service: "s", Address: "a", Born: 1, Draining: true}))
+	f.store.Put("backend/x", encode(t, informer.Server{Service: "s", Address: "a", Born: 1, Draining: true}))
 	eventually(t, "draining is noticed", func() bool {
 		s, ok := f.informer.State().Server("s", "x")
 		return ok && !s.DrainingSince.IsZero()
 	})
 	first, _ := f.informer.State().Server("s", "x")
-	f.store.Put("servers/x", encode(t, informer.Server{Service: "s", Address: "a", Born: 2}))
+	f.store.Put("backend/x", encode(t, informer.Server{Service: "s", Address: "a", Born: 2}))
 	eventually(t, "the new incarnation is known", func() bool {
 		s, _ := f.informer.State().Server("s", "x")
 		return s.Born == 2 && s.Since.After(first.Since) && s.DrainingSince.IsZero()
--- a/internal/informer/informertest/schema.go
+++ b/internal/informer/informertest/schema.go
@@ -13,7 +13,7 @@
 // Keys of the records.
 const (
 	ConfigurationKey = "config/now"
-	ServerPrefix     = "servers/"
+	ServerPrefix     = "backend/"
 )
 
 // Schema reads configurations and servers that are encoded as JSON of the
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -146,7 +146,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.store.Put("servers/"+srv.ID, value)
+		f.store.Put("backend/"+srv.ID, value)
 	}
 }
 
@@ -207,8 +207,8 @@
 	time.Sleep(200 * time.Millisecond)
 	f.SetDown("a", true)
 	f.SetDown("c", true)
-	f.store.Delete("servers/a")
-	f.store.Delete("servers/c")
+	f.store.Delete("backend/a")
+	f.store.Delete("backend/c")
 	eventually(t, 10*time.Second, "the duty is left to another instance", f.duty.yielded.Load)
 	if p := f.Promotions(); len(p) > 0 {
 		t.Errorf("%v promoted", p)
