promoter: a planned change whose target died at once does not run again

Ruled out: an ordinary failover to the same server (a trace shows the draining mark of a planned change before it). Change: a monitor that has not heard a majority does not promote; a target out of reach counts as having led if a log has records of its term and nobody else leads it.

--- a/internal/promoter/attempt.go
+++ b/internal/promoter/attempt.go
@@ -45,16 +45,32 @@
 
 // DoneChanges returns the identifiers of planned changes that are known from
 // the servers to have taken effect: those that a promoter called done, and the
-// one for which the established primary was promoted.
+// one for which the established primary, or a target that has led and is out of
+// reach, was promoted.
 func DoneChanges(s tracker.State) []string {
 	var ids []string
 	for _, o := range s.Servers {
 		plan, done := parseAttempt(o.Status.Promoter)
 		ids = append(ids, done...)
-		if plan.ID != "" && s.Primary != "" && plan.To == s.Primary && o.Status.Term == s.Term {
+		if plan.ID == "" {
+			continue
+		}
+		if s.Primary != "" && plan.To == s.Primary && o.Status.Term == s.Term || hasLedUnseen(s, o, plan.To) {
 			ids = append(ids, plan.ID)
 		}
 	}
 	slices.Sort(ids)
 	return slices.Compact(ids)
 }
+
+// hasLedUnseen reports whether the target of the change that the server was
+// fenced for led that term although this instance has not seen it: the server's
+// log has records of the term, the target is out of reach, and no other server
+// leads the term.
+func hasLedUnseen(s tracker.State, o tracker.Observation, target string) bool {
+	if !o.Seen() || o.Status.Term == 0 || o.Status.Log.Term != o.Status.Term || s.Server(target).Reachable() {
+		return false
+	}
+	_, led := s.Leader(o.Status.Term)
+	return !led
+}
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -130,6 +130,10 @@
 
 // replace promotes a server after a failure, and backs off when it could not.
 func (p *Promoter) replace(ctx context.Context, s tracker.State, reason string) {
+	if !p.hasSurveyed(s) {
+		p.sleep(ctx, surveyPause)
+		return
+	}
 	p.record("detected", s.HighestTerm(), "reason", reason, "primary", s.Primary)
 	if err := p.promote(ctx, s, choice{excluded: p.detector.excluded(s, reason)}); err != nil {
 		p.cfg.Log.WithField("group", p.group.Name).WithError(err).Warn("promoter: promotion failed")
@@ -137,6 +141,22 @@
 	}
 }
 
+// surveyPause is the wait for the first statuses, a few round trips.
+const surveyPause = 20 * time.Millisecond
+
+// hasSurveyed reports whether a majority of the servers has been heard at least
+// once. A monitor that has just taken over must know which planned changes the
+// servers call done before its own attempt replaces their names.
+func (p *Promoter) hasSurveyed(s tracker.State) bool {
+	seen := 0
+	for _, o := range s.Servers {
+		if o.Seen() {
+			seen++
+		}
+	}
+	return seen >= p.group.Majority()
+}
+
 // choice limits which server a promotion chooses.
 type choice struct {
 	// plan is the planned change that the promotion is for. Its target is
