--- a/internal/dispatcher/transaction.go
+++ b/internal/dispatcher/transaction.go
@@ -8,7 +8,6 @@
 
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/exchanger"
-	"marigoldhub.example/hub/internal/linker"
 )
 
 // maxCommitAttempts bounds how often a commit is sent to a server that refuses
@@ -24,7 +23,7 @@
 	begin    Request
 
 	backend *backend
-	link    *linker.Link
+	link    link
 	leader  attester.Leader
 	// witness is the proof that reads wait for; nil when none is needed.
 	witness <-chan error
@@ -56,7 +55,7 @@
 		return t.failStatement(a)
 	}
 	if err := t.prove(); err != nil {
-		return t.fail(exchanger.Refusal(exchanger.Aborted, exchanger.FailedTransaction, err.Error()))
+		return t.fail(t.notProved(req, err))
 	}
 	t.wrote = t.wrote || req.IsWrite()
 	a.State = exchanger.InTransaction
@@ -74,13 +73,23 @@
 	}
 	if err := t.prove(); err != nil {
 		t.close()
-		return exchanger.Refusal(exchanger.Aborted, exchanger.Idle, err.Error())
+		a := t.notProved(req, err)
+		a.State = exchanger.Idle
+		return a
 	}
 	a := t.commit(req)
 	a.State = exchanger.Idle
 	return a
 }
 
+// notProved is the answer to a transaction at a server that may have been
+// superseded when the transaction began.
+func (t *Transaction) notProved(req Request, err error) exchanger.Answer {
+	t.d.cfg.Log.WithError(err).WithFields(logrus.Fields{"request": req.Statement.ID, "server": t.backend.id, "term": t.leader.Term}).
+		Info("dispatcher: transaction is aborted, the primary is not proved to lead")
+	return exchanger.Refusal(exchanger.Aborted, exchanger.FailedTransaction, "the primary is not proved to lead; nothing is kept")
+}
+
 func (t *Transaction) commit(req Request) exchanger.Answer {
 	deadline := req.deadline(req.Received)
 	if t.wrote && t.backend.writes.isStalled(t.d.cfg.Clock.Now()) {
@@ -171,7 +180,9 @@
 
 func (t *Transaction) noteLost(err error) {
 	now := t.d.cfg.Clock.Now()
-	t.backend.observe(now, 0, exchanger.Success, err)
+	if !errors.Is(err, errGateway) {
+		t.backend.observe(now, 0, exchanger.Success, err)
+	}
 	if t.leader.Term > 0 {
 		t.d.doubtUnreachable(t.d.Group(t.begin.Route.Service), t.leader)
 	}
