--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -9,8 +9,6 @@
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/informer"
-	"marigoldhub.example/hub/internal/linker"
-	"marigoldhub.example/hub/internal/placer"
 )
 
 // refuse ends a request that was not run, at once and truthfully.
@@ -39,44 +37,28 @@
 
 // attemptRead runs a read at a server where it is not expected to be late.
 func (d *Dispatcher) attemptRead(b *backend, req Request, deadline time.Time, s ...exchanger.Statement) ([]exchanger.Answer, error) {
-	if b.isSilent(d.cfg.Clock.Now()) {
-		return nil, errors.Join(errNotSent, errSilent)
-	}
-	load := b.load()
-	if !load.Admits(req.Received.Add(req.Route.Objective).Sub(d.cfg.Clock.Now())) {
-		return nil, errors.Join(errNotSent, errOverloaded)
-	}
-	if req.Route.Reads == informer.BoundedReads && !load.HasSpare() && d.isLeader(req.Route.Service, b) {
-		return nil, errors.Join(errNotSent, errOverloaded)
-	}
-	return d.attempt(b, req, placer.WaitLimit(req.Received, req.Route.Objective), deadline, s...)
+	n := d.need(req, 1)
+	n.needsSpare = req.Route.Reads == informer.BoundedReads && d.isLeader(req.Route.Service, b)
+	return d.attempt(b, req, n, deadline, s...)
 }
 
 // attempt runs statements at one server. A lost connection that was idle
 // before is no sign that the server is down.
-func (d *Dispatcher) attempt(b *backend, req Request, wait, deadline time.Time, s ...exchanger.Statement) ([]exchanger.Answer, error) {
+func (d *Dispatcher) attempt(b *backend, req Request, n need, deadline time.Time, s ...exchanger.Statement) ([]exchanger.Answer, error) {
 	asked := d.cfg.Clock.Now()
-	l, err := b.acquire(req.Route.Priority, wait, req.Context.Values)
-	if errors.Is(err, linker.ErrNoLink) {
-		return nil, errors.Join(errNotSent, errOverloaded, err)
-	}
+	l, err := d.link(b, n)
 	if err != nil {
 		return nil, errors.Join(errNotSent, err)
 	}
 	began := d.cfg.Clock.Now()
-	defer b.exchanges.begin(began)()
-	if req.IsWrite() {
-		defer b.writes.begin(began)()
-	}
 	leader, permitted := d.permittedLeader(req.Route.Service, b)
-	answers, err := l.Run(deadline, req.Context, s...)
-	now := d.cfg.Clock.Now()
+	answers, err := d.exchange(b, l, n.isWrite, func() ([]exchanger.Answer, error) { return l.Run(deadline, req.Context, s...) })
 	atRest := err == nil && answers[len(answers)-1].State == exchanger.Idle
 	b.release(l, atRest)
+	now := d.cfg.Clock.Now()
 	d.noteSlow(req, b, began.Sub(asked), now.Sub(began))
 	switch {
 	case err != nil && len(answers) == 0:
-		b.observe(now, 0, exchanger.Success, err)
 		if errors.Is(err, exchanger.ErrNotSent) {
 			return nil, errors.Join(errNotSent, err)
 		}
@@ -84,7 +66,6 @@
 	case err != nil:
 		return answers, err
 	}
-	b.observe(now, now.Sub(began), answers[0].Code, nil)
 	if permitted && !answers[0].Position.IsZero() {
 		d.Group(req.Route.Service).AddSample(attester.Sample{At: began, Position: answers[0].Position, Term: leader.Term})
 	}
@@ -92,6 +73,24 @@
 	return answers, nil
 }
 
+// exchange runs something on a link of the server and observes what it shows.
+func (d *Dispatcher) exchange(b *backend, l link, isWrite bool, run func() ([]exchanger.Answer, error)) ([]exchanger.Answer, error) {
+	began := d.cfg.Clock.Now()
+	defer b.exchanges.begin(began)()
+	if isWrite {
+		defer b.writes.begin(began)()
+	}
+	answers, err := run()
+	now := d.cfg.Clock.Now()
+	switch {
+	case err == nil:
+		b.observe(now, now.Sub(began), answers[0].Code, nil)
+	case len(answers) == 0 && !errors.Is(err, errGateway):
+		b.observe(now, 0, exchanger.Success, err)
+	}
+	return answers, err
+}
+
 // noteSlow logs where the time of a late attempt went.
 func (d *Dispatcher) noteSlow(req Request, b *backend, waited, took time.Duration) {
 	if waited+took <= req.Route.Objective {
@@ -106,6 +105,9 @@
 // errOverloaded means that a request would wait too long for a connection.
 var errOverloaded = errors.New("too many requests wait for the backend server")
 
+// errStalled means that the commits of a primary are not acknowledged.
+var errStalled = errors.New("no replica receives the primary's commits")
+
 // errSilent means that a server has answered nothing for a while.
 var errSilent = errors.New("the backend server does not answer")
 
--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -34,12 +34,15 @@
 	// exchanges are the requests that are sent and not answered.
 	exchanges acknowledgements
 
-	mu       sync.Mutex
-	server   informer.Server
-	scarce   bool
-	inFlight int
-	latency  time.Duration
-	avoid    time.Time
+	mu     sync.Mutex
+	server informer.Server
+	// gateways hold the connections to the server while there are too few for
+	// every instance; isGateway is true if this instance is one of them.
+	gateways  []*gateway
+	isGateway bool
+	inFlight  int
+	latency   time.Duration
+	avoid     time.Time
 	// behindAge is the age of the position that the replica lacked.
 	behindAge time.Duration
 	behindAt  time.Time
@@ -47,25 +50,57 @@
 	failures  int
 }
 
-// acquire takes a link and counts the request.
-func (b *backend) acquire(priority int, deadline time.Time, values map[string]string) (*linker.Link, error) {
+// usesGateways reports whether the server's connections belong to other
+// instances.
+func (b *backend) usesGateways() bool {
 	b.mu.Lock()
-	b.inFlight++
-	b.mu.Unlock()
-	l, err := b.Pool.Acquire(priority, deadline, values)
+	defer b.mu.Unlock()
+	return len(b.gateways) > 0 && !b.isGateway
+}
+
+// admit returns why a request should not wait for a connection of this
+// instance.
+func (b *backend) admit(now time.Time, n need) error {
+	load := b.load()
+	switch {
+	case b.isSilent(now):
+		return errSilent
+	case n.isWrite && b.writes.isStalled(now):
+		return errStalled
+	case !load.Admits(n.left), n.needsSpare && !load.HasSpare():
+		return errOverloaded
+	}
+	return nil
+}
+
+// acquire takes a link of this instance's and counts the request.
+func (b *backend) acquire(n need) (*linker.Link, error) {
+	b.count(1)
+	l, err := b.Pool.Acquire(n.priority, n.wait, n.values)
 	if err != nil {
-		b.mu.Lock()
-		b.inFlight--
-		b.mu.Unlock()
+		b.count(-1)
+	}
+	if errors.Is(err, linker.ErrNoLink) {
+		err = errors.Join(errOverloaded, err)
 	}
 	return l, err
 }
 
-func (b *backend) release(l *linker.Link, atRest bool) {
+func (b *backend) count(n int) {
 	b.mu.Lock()
-	b.inFlight--
-	b.mu.Unlock()
-	b.Pool.Release(l, atRest)
+	defer b.mu.Unlock()
+	b.inFlight += n
+}
+
+// release returns a link of any kind.
+func (b *backend) release(l link, atRest bool) {
+	b.count(-1)
+	switch l := l.(type) {
+	case *linker.Link:
+		b.Pool.Release(l, atRest)
+	case *forwardedLink:
+		l.end(atRest)
+	}
 }
 
 // observe takes what an exchange shows of the server.
@@ -123,7 +158,7 @@
 	return placer.Candidate{
 		Near:     b.server.Zone == zone,
 		Leader:   b.id == leader,
-		Scarce:   b.scarce,
+		Scarce:   len(b.gateways) > 0,
 		Avoid:    b.server.Draining || !b.server.MissingSince.IsZero() || now.Before(b.avoid),
 		Behind:   b.id != leader && now.Sub(b.behindAt) < behindMemory && floorAge <= b.behindAge,
 		InFlight: b.inFlight,
--- a/internal/dispatcher/config.go
+++ b/internal/dispatcher/config.go
@@ -8,17 +8,34 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/forwarder"
 	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/placer"
 )
 
+// Forwarder runs a request at the gateway with the address.
+type Forwarder interface {
+	Forward(address string, r forwarder.Request) (forwarder.Reply, error)
+}
+
 // Config holds what a [Dispatcher] needs.
 type Config struct {
 	Zone     string
 	Informer *informer.Informer
 	Dialer   exchanger.Dialer
-	// Members returns how many instances live in the zone and in all others,
-	// this instance included.
-	Members func(zone string) (near, far int)
+	// Instance is the name of this instance.
+	Instance string
+	// Instances returns all listed instances, this one included.
+	Instances func() []placer.Peer
+	// InstancesKnown reports whether the instances have been listed.
+	InstancesKnown func() bool
+	// InstancesChanged returns a channel that is closed when the list changes.
+	InstancesChanged func() <-chan struct{}
+	// Forwarder reaches the instances that hold connections to a server.
+	Forwarder Forwarder
+	// HoldsDuty reports whether this instance watches the primaries. It then asks
+	// the servers over connections of its own.
+	HoldsDuty func() bool
 	// DrainLimit is how long a draining server accepts work at least.
 	DrainLimit time.Duration
 	// AskPeers is as in [attester.Config].
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -21,10 +22,15 @@
 	// of an instance that lost power count for 3 s against a server's limit:
 	// what is not open then is free for the instances that start again.
 	idleLimit = 1500 * time.Millisecond
-	// scarceIdleLimit is idleLimit while a server has fewer connections than
-	// there are instances. A new connection takes 12 ms of a slot, about as much
-	// as a request, so that one that will be used again soon should stay.
-	scarceIdleLimit = 200 * time.Millisecond
+	// probeIdleLimit is idleLimit for a connection to a server with gateways,
+	// which serves reports only. It outlives the pause between two of them.
+	probeIdleLimit = 500 * time.Millisecond
+	// assumedFleet is how many instances share a server's connections as far as an
+	// instance knows that has not yet seen the list.
+	assumedFleet = 16
+	// probeConnections are what an instance that is no gateway may open for
+	// reports, and for callers while it reaches no gateway.
+	probeConnections = 1
 	// lingerTime is how long a server counts connections whose instance has lost
 	// power, as the servers' protocol says.
 	lingerTime = 3 * time.Second
@@ -47,6 +53,12 @@
 	mu       sync.RWMutex
 	backends map[string]*backend
 	groups   map[string]*attester.Group
+	peers    map[string]*gateway
+
+	reserved reservations
+	// turns counts requests to gateways and transactions.
+	turns      atomic.Uint64
+	isStopping atomic.Bool
 
 	stop chan struct{}
 	done chan struct{}
@@ -60,6 +72,7 @@
 		count:    newCounters(cfg.Metrics),
 		backends: map[string]*backend{},
 		groups:   map[string]*attester.Group{},
+		peers:    map[string]*gateway{},
 		stop:     make(chan struct{}),
 		done:     make(chan struct{}),
 	}
@@ -86,10 +99,12 @@
 
 func (d *Dispatcher) follow() {
 	for {
-		changed := d.cfg.Informer.Changed()
+		changed, instances := d.cfg.Informer.Changed(), d.cfg.InstancesChanged()
 		d.reconcile()
+		d.expireReservations()
 		select {
 		case <-changed:
+		case <-instances:
 		case <-d.cfg.Clock.After(reserveInterval):
 		case <-d.stop:
 			return
@@ -119,16 +134,10 @@
 		return exchanger.Report{}, errUnknownServer
 	}
 	d.count.probes.Inc(1)
-	l, err := b.Pool.Acquire(probePriority, deadline, nil)
+	answers, err := d.ask(b, s, deadline)
 	if err != nil {
 		return exchanger.Report{}, err
 	}
-	answers, err := l.RunPlain(deadline, s)
-	b.Pool.Release(l, err == nil && answers[0].State == exchanger.Idle)
-	if err != nil {
-		b.observe(d.cfg.Clock.Now(), 0, exchanger.Success, err)
-		return exchanger.Report{}, err
-	}
 	a := answers[0]
 	if !a.OK() {
 		return exchanger.Report{}, fmt.Errorf("backend server %s refused to report: %s %s", srv.ID, a.Code, a.Text)
@@ -139,6 +148,29 @@
 	return *a.Report, nil
 }
 
+// ask sends a server a statement of the instance itself. Commands and what the
+// watch of the primaries asks go over a connection of this instance's, so that
+// they depend on no other.
+func (d *Dispatcher) ask(b *backend, s exchanger.Statement, deadline time.Time) ([]exchanger.Answer, error) {
+	n := need{priority: probePriority, wait: deadline, left: deadline.Sub(d.cfg.Clock.Now())}
+	if s.Kind == exchanger.Status && b.usesGateways() && !d.cfg.HoldsDuty() {
+		l := d.forwardedLink(b, n)
+		answers, err := l.RunPlain(deadline, s)
+		b.release(l, err == nil && answers[0].State == exchanger.Idle)
+		return answers, err
+	}
+	l, err := b.Pool.Acquire(n.priority, n.wait, nil)
+	if err != nil {
+		return nil, err
+	}
+	answers, err := l.RunPlain(deadline, s)
+	b.Pool.Release(l, err == nil && answers[0].State == exchanger.Idle)
+	if err != nil {
+		b.observe(d.cfg.Clock.Now(), 0, exchanger.Success, err)
+	}
+	return answers, err
+}
+
 // Health returns when the server last answered this instance, and how many
 // attempts failed since.
 func (d *Dispatcher) Health(id string) (answered time.Time, failures int) {
--- a/internal/dispatcher/fixture_test.go
+++ b/internal/dispatcher/fixture_test.go
@@ -16,6 +16,7 @@
 	"marigoldhub.example/hub/internal/informer"
 	"marigoldhub.example/hub/internal/informer/informertest"
 	"marigoldhub.example/hub/internal/linker"
+	"marigoldhub.example/hub/internal/placer"
 	"marigoldhub.example/hub/internal/storer/storertest"
 )
 
@@ -37,7 +38,7 @@
 	f.informer = informer.New(informer.Config{
 		Store: store, Clock: clock, Log: log,
 		Schema:       informertest.Schema(),
-		ListInterval: func() time.Duration { return 20 * time.Millisecond }, CurrentEvery: 1, GoneAfter: time.Hour,
+		ListInterval: func() time.Duration { return 20 * time.Millisecond }, CurrentEvery: func() int { return 1 }, GoneAfter: time.Hour,
 		CheckInterval: func() time.Duration { return time.Hour }, OnNews: func() {},
 	})
 	for _, srv := range f.Servers() {
@@ -48,8 +49,11 @@
 		store.Put("backend/"+srv.ID, value)
 	}
 	f.d = dispatcher.New(dispatcher.Config{
-		Zone: "zone-b", Informer: f.informer, Dialer: f.Cluster, Members: func(string) (int, int) { return 1, 1 },
-		AskPeers: func() {}, DrainLimit: time.Minute, Clock: clock, TimeOfDay: time.Now, Metrics: metrics.NewRegistry(), Log: log,
+		Zone: "zone-b", Informer: f.informer, Dialer: f.Cluster,
+		Instance: "i1", Instances: func() []placer.Peer { return []placer.Peer{{Name: "i1", Zone: "zone-a"}, {Name: "i2", Zone: "zone-b"}} },
+		InstancesKnown: func() bool { return true }, InstancesChanged: func() <-chan struct{} { return nil },
+		HoldsDuty: func() bool { return false },
+		AskPeers:  func() {}, DrainLimit: time.Minute, Clock: clock, TimeOfDay: time.Now, Metrics: metrics.NewRegistry(), Log: log,
 	})
 	t.Cleanup(func() {
 		f.d.Close()
--- a/internal/dispatcher/fleet.go
+++ b/internal/dispatcher/fleet.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,6 +29,7 @@
 			delete(d.backends, id)
 		}
 	}
+	d.dropGateways()
 }
 
 func (d *Dispatcher) reconcileServer(state *informer.State, srv informer.Server) {
@@ -36,32 +38,26 @@
 		b.Close()
 		b = nil
 	}
-	limit := d.share(state, srv)
-	if b == nil {
+	limit, gateways := d.share(state, srv)
+	isNew := b == nil
+	if isNew {
 		b = d.newBackend(srv, limit)
 		d.backends[srv.ID] = b
-		return
 	}
 	b.mu.Lock()
 	b.server = srv
+	b.gateways, b.isGateway = d.others(gateways), slices.ContainsFunc(gateways, d.isSelf)
+	isShared := len(b.gateways) > 0 && !b.isGateway
 	b.mu.Unlock()
+	if isNew {
+		return
+	}
 	b.SetLimit(limit)
-	d.closeIdle(state, b)
-}
-
-// closeIdle closes connections that rest.
-func (d *Dispatcher) closeIdle(state *informer.State, b *backend) {
-	now := d.cfg.Clock.Now()
-	near, far := d.cfg.Members(b.server.Zone)
-	scarce := placer.IsScarce(d.connectionLimit(state, b.server.Service), near+far)
-	b.mu.Lock()
-	b.scarce = scarce
-	b.mu.Unlock()
-	if scarce {
-		b.CloseIdle(now.Add(-scarceIdleLimit), 0)
+	if isShared {
+		b.CloseIdle(d.cfg.Clock.Now().Add(-probeIdleLimit), 0)
 		return
 	}
-	b.CloseIdle(now.Add(-idleLimit), keepOpen)
+	b.CloseIdle(d.cfg.Clock.Now().Add(-idleLimit), keepOpen)
 }
 
 func (d *Dispatcher) newBackend(srv informer.Server, limit int) *backend {
@@ -92,16 +88,36 @@
 	return defaultConnections
 }
 
-func (d *Dispatcher) share(state *informer.State, srv informer.Server) int {
-	limit := d.connectionLimit(state, srv.Service)
-	near, far := d.cfg.Members(srv.Zone)
-	share := placer.Share(limit, near, far, srv.Zone == d.cfg.Zone)
+// share returns how many connections to the server this instance may hold, and
+// the server's gateways if there are too few for every instance.
+func (d *Dispatcher) share(state *informer.State, srv informer.Server) (limit int, gateways []placer.Peer) {
+	all := d.connectionLimit(state, srv.Service)
+	if !d.cfg.InstancesKnown() {
+		return max(all/assumedFleet, 1), nil
+	}
+	peers := d.cfg.Instances()
+	near := 0
+	for _, p := range peers {
+		if p.Zone == srv.Zone {
+			near++
+		}
+	}
+	limit = placer.Share(all, near, len(peers)-near, srv.Zone == d.cfg.Zone)
+	if n := placer.GatewayCount(all, len(peers)); n > 0 {
+		gateways = placer.Gateways(srv.ID, srv.Zone, peers, n)
+		limit = probeConnections
+		if slices.ContainsFunc(gateways, d.isSelf) {
+			limit = placer.GatewayShare(all, n)
+		}
+	}
 	if d.cfg.Clock.Since(d.started) < lingerTime {
-		return placer.StartShare(share)
+		limit = placer.StartShare(limit)
 	}
-	return share
+	return limit, gateways
 }
 
+func (d *Dispatcher) isSelf(p placer.Peer) bool { return p.Name == d.cfg.Instance }
+
 func (d *Dispatcher) backend(id string) *backend {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
--- /dev/null
+++ b/internal/dispatcher/gateway.go
@@ -0,0 +1,214 @@
+package dispatcher
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"marigoldhub.example/hub/internal/forwarder"
+	"marigoldhub.example/hub/internal/placer"
+)
+
+const (
+	// revivePause is the first pause until a lost gateway is asked again; it
+	// doubles up to revivePauseLimit, about the time in which the list of
+	// instances shows that one is gone.
+	revivePause      = 250 * time.Millisecond
+	revivePauseLimit = 4 * time.Second
+	// reviveTimeout limits such a question.
+	reviveTimeout = 300 * time.Millisecond
+	// avoidFormerGateway spares an instance that is no gateway, or is stopping,
+	// until the list of instances shows it.
+	avoidFormerGateway = 3 * time.Second
+	// avoidFullGateway spares a gateway whose connections were all taken for
+	// about the time of a request.
+	avoidFullGateway = 30 * time.Millisecond
+)
+
+// errGateway marks failures that show nothing of the backend server.
+var errGateway = errors.New("gateway did not run the statement")
+
+// gateway is another instance that holds connections to servers.
+type gateway struct {
+	peer placer.Peer
+	// exchanges are the requests that it has not answered.
+	exchanges acknowledgements
+
+	mu       sync.Mutex
+	inFlight int
+	used     uint64
+	avoid    time.Time
+	answered time.Time
+	// lost is set from a failure to reach the gateway until it answers again;
+	// unlisted when it is no gateway any more.
+	lost, unlisted bool
+}
+
+// begin notes a request that is sent. The returned function notes its end.
+func (g *gateway) begin(now time.Time, turn uint64) (end func()) {
+	g.mu.Lock()
+	g.inFlight++
+	g.used = turn
+	g.mu.Unlock()
+	ended := g.exchanges.begin(now)
+	return func() {
+		ended()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.inFlight--
+	}
+}
+
+func (g *gateway) spare(until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if until.After(g.avoid) {
+		g.avoid = until
+	}
+}
+
+func (g *gateway) noteAnswer(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.answered = now
+}
+
+// lose marks the gateway as lost and reports whether it was not before.
+func (g *gateway) lose() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.lost {
+		return false
+	}
+	g.lost = true
+	return true
+}
+
+// find marks the gateway as reachable.
+func (g *gateway) find() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lost = false
+}
+
+func (g *gateway) isUnlisted() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.unlisted
+}
+
+func (g *gateway) unlist() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unlisted = true
+}
+
+// standing is what the choice of a gateway depends on.
+type standing struct {
+	avoid    bool
+	inFlight int
+	used     uint64
+}
+
+// standing reports how well the gateway does. One that leaves requests
+// unanswered for a while is avoided: its machine may be frozen or cut off.
+func (g *gateway) standing(now time.Time) standing {
+	stalled := g.exchanges.isStalled(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	silent := stalled && now.Sub(g.answered) > stallAfter
+	return standing{avoid: silent || g.lost || now.Before(g.avoid), inFlight: g.inFlight, used: g.used}
+}
+
+func (s standing) less(o standing) bool {
+	switch {
+	case s.avoid != o.avoid:
+		return o.avoid
+	case s.inFlight != o.inFlight:
+		return s.inFlight < o.inFlight
+	}
+	return s.used < o.used
+}
+
+// chooseGateway returns the gateway of the server that should answer first, or
+// nil if all have been tried. Those with the fewest requests of this instance
+// go first, then the one that was used longest ago.
+func (b *backend) chooseGateway(now time.Time, tried []*gateway) *gateway {
+	b.mu.Lock()
+	gateways := b.gateways
+	b.mu.Unlock()
+	var best *gateway
+	var bestStanding standing
+	for _, g := range gateways {
+		if slices.Contains(tried, g) {
+			continue
+		}
+		if s := g.standing(now); best == nil || s.less(bestStanding) {
+			best, bestStanding = g, s
+		}
+	}
+	return best
+}
+
+// loseGateway keeps callers' requests off a gateway that could not be reached
+// and asks it in the background until it answers.
+func (d *Dispatcher) loseGateway(g *gateway, cause error) {
+	if !g.lose() {
+		return
+	}
+	log := d.cfg.Log.WithField("gateway", g.peer.Name)
+	log.WithError(cause).Info("dispatcher: gateway is lost")
+	go func() {
+		for pause := revivePause; !g.isUnlisted(); pause = min(2*pause, revivePauseLimit) {
+			select {
+			case <-d.cfg.Clock.After(pause):
+			case <-d.stop:
+				return
+			}
+			if _, err := d.cfg.Forwarder.Forward(g.peer.Address, forwarder.Request{Timeout: reviveTimeout}); err == nil {
+				g.find()
+				log.Info("dispatcher: gateway is back")
+				return
+			}
+		}
+	}()
+}
+
+// dropGateways forgets the gateways that no server has any more. The caller
+// holds mu.
+func (d *Dispatcher) dropGateways() {
+	used := map[*gateway]bool{}
+	for _, b := range d.backends {
+		for _, g := range b.gateways {
+			used[g] = true
+		}
+	}
+	for address, g := range d.peers {
+		if !used[g] {
+			g.unlist()
+			delete(d.peers, address)
+		}
+	}
+}
+
+// others returns the gateways that are not this instance. The caller holds mu.
+func (d *Dispatcher) others(peers []placer.Peer) []*gateway {
+	var out []*gateway
+	for _, p := range peers {
+		if d.isSelf(p) {
+			continue
+		}
+		g := d.peers[p.Address]
+		if g != nil && g.peer != p {
+			g.unlist()
+			g = nil
+		}
+		if g == nil {
+			g = &gateway{peer: p}
+			d.peers[p.Address] = g
+		}
+		out = append(out, g)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/dispatcher/link.go
@@ -0,0 +1,62 @@
+package dispatcher
+
+import (
+	"time"
+
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/linker"
+	"marigoldhub.example/hub/internal/placer"
+)
+
+// link carries statements to one backend server: a connection of this instance's,
+// or one of a gateway's.
+type link interface {
+	Run(deadline time.Time, c linker.Context, statements ...exchanger.Statement) ([]exchanger.Answer, error)
+	RunPlain(deadline time.Time, statements ...exchanger.Statement) ([]exchanger.Answer, error)
+	IsBroken() bool
+}
+
+// need is what a request needs of the connections to a server.
+type need struct {
+	priority int
+	// wait is until when the request may wait for a connection.
+	wait time.Time
+	// left is the time until it is late.
+	left time.Duration
+	// needsSpare is set if it may only use a server with many free connections.
+	needsSpare bool
+	// isWrite is set if it waits for an acknowledged commit.
+	isWrite bool
+	values  map[string]string
+}
+
+// need returns what the request needs if its caller is ready to wait for some
+// objectives.
+func (d *Dispatcher) need(req Request, objectives time.Duration) need {
+	patience := objectives * req.Route.Objective
+	return need{
+		priority: req.Route.Priority, wait: placer.WaitLimit(req.Received, patience),
+		left: req.Received.Add(patience).Sub(d.cfg.Clock.Now()), values: req.Context.Values,
+	}
+}
+
+// link returns a link to the server, or why a request should not wait for one.
+// Through a gateway the request waits there.
+func (d *Dispatcher) link(b *backend, n need) (link, error) {
+	if b.usesGateways() {
+		return d.forwardedLink(b, n), nil
+	}
+	if err := b.admit(d.cfg.Clock.Now(), n); err != nil {
+		return nil, err
+	}
+	l, err := b.acquire(n)
+	if err != nil {
+		return nil, err
+	}
+	return l, nil
+}
+
+func (d *Dispatcher) forwardedLink(b *backend, n need) *forwardedLink {
+	b.count(1)
+	return &forwardedLink{d: d, b: b, need: n, asked: d.cfg.Clock.Now()}
+}
--- a/internal/dispatcher/transaction_open.go
+++ b/internal/dispatcher/transaction_open.go
@@ -7,8 +7,6 @@
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/informer"
-	"marigoldhub.example/hub/internal/linker"
-	"marigoldhub.example/hub/internal/placer"
 )
 
 // open begins the transaction at a server, trying others while nothing ran.
@@ -81,7 +79,7 @@
 			t.startProof(g, l, began)
 			return a, true
 		}
-		if errors.Is(err, errSilent) || errors.Is(err, errOverloaded) || errors.Is(err, linker.ErrNoLink) {
+		if errors.Is(err, errSilent) || errors.Is(err, errOverloaded) {
 			d.doubtUnreachable(g, l)
 			return d.refuse(req, exchanger.Busy, "the primary could not begin the transaction", err), false
 		}
@@ -134,22 +132,14 @@
 func (t *Transaction) beginAt(b *backend, req Request, begin exchanger.Statement) (exchanger.Answer, error) {
 	now := t.d.cfg.Clock.Now()
 	deadline := now.Add(t.begin.Route.StatementTimeout)
-	if b.isSilent(now) {
-		return exchanger.Answer{}, errSilent
-	}
-	if !b.load().Admits(writePatience * t.begin.Route.Objective) {
-		return exchanger.Answer{}, errOverloaded
-	}
-	wait := placer.WaitLimit(now, writePatience*t.begin.Route.Objective)
-	l, err := b.acquire(t.begin.Route.Priority, wait, req.Context.Values)
+	open := t.begin
+	open.Received, open.Context = now, req.Context
+	l, err := t.d.link(b, t.d.need(open, writePatience))
 	if err != nil {
 		return exchanger.Answer{}, err
 	}
-	ended := b.exchanges.begin(now)
-	answers, err := l.Run(deadline, req.Context, begin)
-	ended()
+	answers, err := t.d.exchange(b, l, false, func() ([]exchanger.Answer, error) { return l.Run(deadline, req.Context, begin) })
 	if err != nil {
-		b.observe(t.d.cfg.Clock.Now(), 0, exchanger.Success, err)
 		b.release(l, false)
 		return exchanger.Answer{}, err
 	}
--- a/internal/dispatcher/write.go
+++ b/internal/dispatcher/write.go
@@ -8,7 +8,6 @@
 
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/exchanger"
-	"marigoldhub.example/hub/internal/placer"
 )
 
 // runWrite runs a single write at the primary. It is sent again only when
@@ -30,11 +29,10 @@
 			continue
 		}
 		began := d.cfg.Clock.Now()
-		if b.writes.isStalled(began) {
-			return d.refuse(req, exchanger.Busy, "no replica receives the primary's commits", reason)
-		}
 		answers, err := d.attemptWrite(b, req, deadline)
 		switch {
+		case errors.Is(err, errStalled):
+			return d.refuse(req, exchanger.Busy, errStalled.Error(), reason)
 		case errors.Is(err, errOverloaded):
 			return d.refuse(req, exchanger.Busy, "too many requests wait for the primary", err)
 		case errors.Is(err, errSilent):
@@ -65,13 +63,9 @@
 
 // attemptWrite sends a write once a connection is free.
 func (d *Dispatcher) attemptWrite(b *backend, req Request, deadline time.Time) ([]exchanger.Answer, error) {
-	if b.isSilent(d.cfg.Clock.Now()) {
-		return nil, errors.Join(errNotSent, errSilent)
-	}
-	if !b.load().Admits(writePatience * req.Route.Objective) {
-		return nil, errors.Join(errNotSent, errOverloaded)
-	}
-	return d.attempt(b, req, placer.WaitLimit(req.Received, writePatience*req.Route.Objective), deadline, req.Statement)
+	n := d.need(req, writePatience)
+	n.isWrite = true
+	return d.attempt(b, req, n, deadline, req.Statement)
 }
 
 // writePatience is how many objectives a write may wait. A late write is worth
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -9,6 +9,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -43,8 +44,9 @@
 	State(other *wire.PeerState) *wire.PeerState
 	// Learn takes over what is newer in another instance's view. Asked is when this
 	// instance asked for it; zero if it was not asked for, so that the age of
-	// what it says is unknown.
-	Learn(s *wire.PeerState, asked time.Time)
+	// what it says is unknown. It reports whether the other instance has newer
+	// records that the view does not contain.
+	Learn(s *wire.PeerState, asked time.Time) (lacks bool)
 	// EndTenure stops acting under the token.
 	EndTenure(token int64)
 	// Permits returns the promises that this instance gives as the duty's holder.
@@ -62,6 +64,8 @@
 	View View
 	// Addresses returns where the other instances listen.
 	Addresses func() []string
+	// AddressOf returns where the named instance listens; empty if it is unknown.
+	AddressOf func(name string) string
 	Dialer    messenger.Dialer
 	Clock     clockwork.Clock
 	Log       logrus.FieldLogger
@@ -71,9 +75,11 @@
 type Gossiper struct {
 	cfg Config
 
-	mu    sync.Mutex
-	asked time.Time
+	mu      sync.Mutex
+	asked   time.Time
+	pulling atomic.Bool
 
+	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -81,7 +87,7 @@
 // New starts exchanging.
 func New(cfg Config) *Gossiper {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Gossiper{cfg: cfg, cancel: cancel, done: make(chan struct{})}
+	g := &Gossiper{cfg: cfg, ctx: ctx, cancel: cancel, done: make(chan struct{})}
 	var wg sync.WaitGroup
 	wg.Go(func() { g.run(ctx) })
 	wg.Go(func() { g.askPermits(ctx) })
@@ -132,6 +138,21 @@
 	return nil
 }
 
+// Pull fetches the records that the named instance told of, unless that is being
+// done.
+func (g *Gossiper) Pull(name string) {
+	address := g.cfg.AddressOf(name)
+	if address == "" || !g.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer g.pulling.Store(false)
+		if err := g.exchange(g.ctx, address); err != nil {
+			g.cfg.Log.WithError(err).Debug("gossiper: instance that has news is out of reach")
+		}
+	}()
+}
+
 // askPermits asks the holder of the duty for promises again and again.
 func (g *Gossiper) askPermits(ctx context.Context) {
 	for {
--- a/internal/gossiper/service.go
+++ b/internal/gossiper/service.go
@@ -9,13 +9,16 @@
 
 // Service answers other instances.
 type Service struct {
-	Name string
-	View View
+	Name     string
+	View     View
+	Gossiper *Gossiper
 }
 
 // Exchange implements the Peers service.
 func (s Service) Exchange(_ context.Context, in *wire.PeerState) (*wire.PeerState, error) {
-	s.View.Learn(in, time.Time{})
+	if s.View.Learn(in, time.Time{}) {
+		s.Gossiper.Pull(in.GetHeader().GetInstance())
+	}
 	return s.View.State(in), nil
 }
 
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -16,8 +16,9 @@
 
 // Keys of the store.
 const (
-	liveKey   = "marigold/duty/live"
-	recordKey = "marigold/duty/record"
+	keyPrefix = "marigold/duty/"
+	liveKey   = keyPrefix + "live"
+	recordKey = keyPrefix + "record"
 )
 
 const (
@@ -251,9 +252,28 @@
 	return len(entries) == 0, err
 }
 
-func (h *Holder) claim(ctx context.Context) error {
-	last, known, err := h.cfg.Store.Get(ctx, recordKey)
+// read returns the record of the last holder and whether the duty is free now.
+// Of many instances that saw it free a moment ago only the first ones go on.
+func (h *Holder) read(ctx context.Context) (last storer.Entry, known, free bool, err error) {
+	entries, _, err := h.cfg.Store.List(ctx, keyPrefix)
 	if err != nil {
+		return last, false, false, err
+	}
+	free = true
+	for _, e := range entries {
+		switch e.Key {
+		case liveKey:
+			free = false
+		case recordKey:
+			last, known = e, true
+		}
+	}
+	return last, known, free, nil
+}
+
+func (h *Holder) claim(ctx context.Context) error {
+	last, known, free, err := h.read(ctx)
+	if err != nil || !free {
 		return err
 	}
 	began := h.cfg.Clock.Now()
--- a/internal/informer/config.go
+++ b/internal/informer/config.go
@@ -28,10 +28,20 @@
 	Schema Schema
 	Clock  clockwork.Clock
 	Log    logrus.FieldLogger
+	// IsReader reports whether this instance reads current values for the others.
+	// One that does not reads values of the past now and then, in case it hears
+	// of nothing. Nil means that it does.
+	IsReader func() bool
+	// LazyInterval is the pause between two such reads of the configuration.
+	LazyInterval time.Duration
+	// RetryPause returns the mean pause after a failed call to the store. Nil
+	// means a constant one.
+	RetryPause func() time.Duration
 	// ListInterval returns the pause between two lists of the servers.
 	ListInterval func() time.Duration
-	// CurrentEvery makes every n-th list a current one; the others may be old.
-	CurrentEvery int
+	// CurrentEvery returns n if every n-th list is a current one; the others may
+	// be old.
+	CurrentEvery func() int
 	// GoneAfter is how long a server may be missing before it counts as gone.
 	GoneAfter time.Duration
 	// CheckInterval returns the pause until the configuration is read again
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -14,7 +14,7 @@
 	"marigoldhub.example/hub/internal/storer"
 )
 
-// retryPause is the mean pause after a failed call to the store; it is
+// retryPause is the usual mean pause after a failed call to the store. Pauses are
 // randomized by half so that instances do not return together.
 const retryPause = 300 * time.Millisecond
 
@@ -37,6 +37,12 @@
 
 // New starts following the store.
 func New(cfg Config) *Informer {
+	if cfg.IsReader == nil {
+		cfg.IsReader = func() bool { return true }
+	}
+	if cfg.RetryPause == nil {
+		cfg.RetryPause = func() time.Duration { return retryPause }
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Informer{
 		cfg:      cfg,
@@ -129,9 +135,13 @@
 
 func (n *Informer) followConfiguration(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := n.watchConfiguration(ctx); err != nil && ctx.Err() == nil {
+		follow := n.watchConfiguration
+		if !n.cfg.IsReader() && n.State().HasConfiguration() {
+			follow = n.pollConfiguration
+		}
+		if err := follow(ctx); err != nil && ctx.Err() == nil {
 			n.cfg.Log.WithError(err).Debug("informer: watch of the configuration ended")
-			n.pause(ctx, retryPause/2+rand.N(retryPause))
+			n.pauseRetry(ctx)
 		}
 	}
 }
@@ -152,19 +162,51 @@
 	for batch := range w.Batches() {
 		for _, c := range batch.Changes {
 			if !c.Deleted && c.Entry.Key == n.cfg.Schema.ConfigurationKey {
-				n.Offer(c.Entry.Value, "watch")
+				if n.Offer(c.Entry.Value, "watch") && n.cfg.IsReader() && ctx.Err() == nil {
+					go n.cfg.OnNews()
+				}
 			}
 		}
+		if !n.cfg.IsReader() {
+			return nil
+		}
 	}
 	return w.Err()
 }
 
+// pollConfiguration reads the configuration as it was a moment ago, which the
+// store charges least for. Readers tell of changes sooner.
+func (n *Informer) pollConfiguration(ctx context.Context) error {
+	n.pause(ctx, n.cfg.LazyInterval*3/4+rand.N(n.cfg.LazyInterval/2))
+	entries, _, err := n.past(true)(ctx, n.cfg.Schema.ConfigurationKey)
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		if e.Key == n.cfg.Schema.ConfigurationKey {
+			n.Offer(e.Value, "poll")
+		}
+	}
+	return nil
+}
+
+// past returns the store's list call, for values of the past if wanted.
+func (n *Informer) past(wanted bool) func(context.Context, string) ([]storer.Entry, int64, error) {
+	if stale, ok := n.cfg.Store.(storer.StaleLister); ok && wanted {
+		return stale.ListStale
+	}
+	return n.cfg.Store.List
+}
+
 // checkConfiguration reads the configuration now and then. The store may drop
 // its history, and a watch then stays silent about what was changed before.
 func (n *Informer) checkConfiguration(ctx context.Context) {
 	for ctx.Err() == nil {
 		interval := n.cfg.CheckInterval()
 		n.pause(ctx, interval*3/4+rand.N(interval/2))
+		if !n.cfg.IsReader() {
+			continue
+		}
 		e, ok, err := n.cfg.Store.Get(ctx, n.cfg.Schema.ConfigurationKey)
 		if err != nil || !ok {
 			continue
@@ -179,24 +221,20 @@
 	// The first list is a current one; later ones are spread over instances.
 	for i := 0; ctx.Err() == nil; i++ {
 		if i == 1 {
-			i += rand.N(n.cfg.CurrentEvery)
+			i += rand.N(n.cfg.CurrentEvery())
 		}
-		err := n.listServers(ctx, i%n.cfg.CurrentEvery == 0)
-		interval := n.cfg.ListInterval()
-		wait := interval*3/4 + rand.N(interval/2)
+		err := n.listServers(ctx, i == 0 || i%n.cfg.CurrentEvery() == 0 && n.cfg.IsReader())
 		if err != nil || !n.IsListed() {
-			wait = retryPause/2 + rand.N(retryPause)
+			n.pauseRetry(ctx)
+			continue
 		}
-		n.pause(ctx, wait)
+		interval := n.cfg.ListInterval()
+		n.pause(ctx, interval*3/4+rand.N(interval/2))
 	}
 }
 
 func (n *Informer) listServers(ctx context.Context, current bool) error {
-	list := n.cfg.Store.List
-	if stale, ok := n.cfg.Store.(storer.StaleLister); ok && !current {
-		list = stale.ListStale
-	}
-	entries, revision, err := list(ctx, n.cfg.Schema.ServerPrefix)
+	entries, revision, err := n.past(!current)(ctx, n.cfg.Schema.ServerPrefix)
 	if err != nil {
 		return errors.Wrap(err, "list servers")
 	}
@@ -291,6 +329,11 @@
 // maxRejected bounds the entries remembered to log each only once.
 const maxRejected = 64
 
+func (n *Informer) pauseRetry(ctx context.Context) {
+	mean := n.cfg.RetryPause()
+	n.pause(ctx, mean/2+rand.N(mean))
+}
+
 func (n *Informer) pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-n.cfg.Clock.After(d):
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -41,7 +41,7 @@
 	f := fixture{store: storertest.New(), missed: make(chan struct{}, 8)}
 	cfg := informer.Config{
 		Store: f.store, Schema: informertest.Schema(), Clock: clockwork.NewRealClock(), Log: quiet(),
-		ListInterval: func() time.Duration { return 10 * time.Millisecond }, CurrentEvery: 3, GoneAfter: 80 * time.Millisecond,
+		ListInterval: func() time.Duration { return 10 * time.Millisecond }, CurrentEvery: func() int { return 3 }, GoneAfter: 80 * time.Millisecond,
 		CheckInterval: func() time.Duration { return time.Hour },
 		OnNews:        func() { f.missed <- struct{}{} },
 	}
@@ -108,6 +108,34 @@
 	}
 }
 
+// Guards against a large fleet that reads the store once for each instance: one
+// that is no reader watches nothing, hears of changes from others, and looks at
+// values of the past in case it hears of none.
+func TestInstanceThatIsNoReader(t *testing.T) {
+	f := start(t, func(c *informer.Config) {
+		c.IsReader = func() bool { return false }
+		c.LazyInterval = 200 * time.Millisecond
+		c.CheckInterval = func() time.Duration { return time.Millisecond }
+	})
+	f.store.Put("config/now", encode(t, informer.Configuration{Version: 1}))
+	eventually(t, "version 1 is in force", func() bool { return f.version() == 1 })
+	time.Sleep(20 * time.Millisecond)
+	before := f.store.Calls("watch") + f.store.Calls("get")
+	f.informer.Offer(encode(t, informer.Configuration{Version: 2}), "instance i2")
+	f.store.Put("config/now", encode(t, informer.Configuration{Version: 3}))
+	time.Sleep(50 * time.Millisecond)
+	if v := f.version(); v != 2 {
+		t.Errorf("version %d is in force, want the one that another instance told", v)
+	}
+	eventually(t, "version 3 is in force", func() bool { return f.version() == 3 })
+	if n := f.store.Calls("watch") + f.store.Calls("get") - before; n > 0 {
+		t.Errorf("%d watches and reads of current values", n)
+	}
+	if len(f.missed) > 0 {
+		t.Error("other instances were told of what all can read")
+	}
+}
+
 // Guards against servers that vanish because the store was away: their entries
 // lapse and come back.
 func TestServersThatLapse(t *testing.T) {
--- a/internal/linker/pool.go
+++ b/internal/linker/pool.go
@@ -225,6 +225,9 @@
 	return p.open, len(p.idle), len(p.waiters)
 }
 
+// Target returns the server that the links lead to.
+func (p *Pool) Target() exchanger.Target { return p.cfg.Target }
+
 // Limit returns how many links may be open.
 func (p *Pool) Limit() int {
 	p.mu.Lock()
--- a/internal/messenger/peerconn.go
+++ b/internal/messenger/peerconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
@@ -73,7 +74,7 @@
 	defer context.AfterFunc(c.pool.ctx, cancel)()
 	pr, err := c.pool.enter(ctx, c.address)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: %w", ErrNotConnected, err)
 	}
 	conn, err := c.invoke(ctx, pr, rpc, enc, in, out)
 	c.pool.leave(pr, conn)
@@ -85,7 +86,7 @@
 func (c *peerConn) invoke(ctx context.Context, pr *peer, rpc string, enc drpc.Encoding, in, out drpc.Message) (*drpcconn.Conn, error) {
 	conn, err := c.pool.take(ctx, pr, c.address)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", ErrNotConnected, err)
 	}
 	if err := conn.Invoke(ctx, rpc, enc, in, out); err != nil {
 		// Closing may wait for a write to a frozen peer.
--- a/internal/messenger/pool.go
+++ b/internal/messenger/pool.go
@@ -26,6 +26,10 @@
 // ErrClosed is returned by calls on a closed [Pool].
 var ErrClosed = errors.New("messenger is closed")
 
+// ErrNotConnected means that a call ended without a connection: the receiver
+// got nothing of it.
+var ErrNotConnected = errors.New("no connection to the instance")
+
 // PoolConfig configures a [Pool].
 type PoolConfig struct {
 	// LocalIP is the source address of outgoing connections. Nil lets the
@@ -40,6 +44,9 @@
 	// IdleTimeout is the time after which an unused connection is closed and
 	// an unused address forgotten. 0 means DefaultIdleTimeout.
 	IdleTimeout time.Duration
+	// UserTimeout is how long sent data may stay unacknowledged before a
+	// connection is closed. 0 leaves it to the system, which waits for minutes.
+	UserTimeout time.Duration
 	// MaxPerAddress bounds the connections, and so the concurrent calls, to
 	// one address. Further calls wait. 0 means DefaultMaxPerAddress.
 	MaxPerAddress int
@@ -234,7 +241,7 @@
 func (p *Pool) open(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
 	defer cancel()
-	d := net.Dialer{KeepAlive: -1}
+	d := net.Dialer{KeepAlive: -1, ControlContext: p.cfg.setUserTimeout}
 	if p.cfg.LocalIP != nil {
 		d.LocalAddr = &net.TCPAddr{IP: p.cfg.LocalIP}
 	}
--- a/internal/noder/duties.go
+++ b/internal/noder/duties.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"marigoldhub.example/hub/internal/forwarder"
 	"marigoldhub.example/hub/internal/gossiper"
 	"marigoldhub.example/hub/internal/holder"
 	"marigoldhub.example/hub/internal/messenger"
@@ -28,9 +29,8 @@
 		return errors.Wrap(err, "listen for instances")
 	}
 	v := view{n}
-	n.peers = messenger.NewPool(messenger.PoolConfig{Registry: n.metrics, Clock: n.clock})
 	n.gossiper = gossiper.New(gossiper.Config{
-		Name: n.settings.Instance, View: v, Addresses: n.peerAddresses, Dialer: n.peers, Clock: n.clock, Log: n.log,
+		Name: n.settings.Instance, View: v, Addresses: n.peerAddresses, AddressOf: n.addressOf, Dialer: n.peers, Clock: n.clock, Log: n.log,
 	})
 	n.holder = holder.New(holder.Config{
 		Store: n.store, Name: n.settings.Instance, Address: n.settings.Control,
@@ -42,13 +42,26 @@
 		Clock: n.clock, Metrics: n.metrics, Log: n.log,
 	})
 	n.control = messenger.NewServer(messenger.ServerConfig{Listener: l, Registry: n.metrics, Log: n.log})
-	if err := wire.DRPCRegisterPeers(n.control.Mux(), gossiper.Service{Name: n.settings.Instance, View: v}); err != nil {
+	if err := wire.DRPCRegisterPeers(n.control.Mux(), gossiper.Service{Name: n.settings.Instance, View: v, Gossiper: n.gossiper}); err != nil {
 		return errors.Wrap(err, "register the service for instances")
 	}
+	if err := wire.DRPCRegisterGateways(n.control.Mux(), forwarder.Service{Runner: n.dispatcher}); err != nil {
+		return errors.Wrap(err, "register the service for statements of other instances")
+	}
 	n.control.Start()
 	return nil
 }
 
+// addressOf returns where the named instance listens.
+func (n *Node) addressOf(name string) string {
+	for _, o := range n.registrar.Others() {
+		if o.Name == name {
+			return o.Address
+		}
+	}
+	return ""
+}
+
 // peerAddresses returns the listed instances, or the seeds before any is known.
 func (n *Node) peerAddresses() []string {
 	var addresses []string
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,10 +17,12 @@
 
 	"marigoldhub.example/hub/internal/clocker"
 	"marigoldhub.example/hub/internal/dispatcher"
+	"marigoldhub.example/hub/internal/forwarder"
 	"marigoldhub.example/hub/internal/gossiper"
 	"marigoldhub.example/hub/internal/holder"
 	"marigoldhub.example/hub/internal/informer"
 	"marigoldhub.example/hub/internal/messenger"
+	"marigoldhub.example/hub/internal/placer"
 	"marigoldhub.example/hub/internal/printer"
 	"marigoldhub.example/hub/internal/registrar"
 	"marigoldhub.example/hub/internal/replacer"
@@ -40,20 +43,38 @@
 	// serverListInterval is how often the servers are listed. Draining servers
 	// must be known within seconds; a list from the past costs a tenth.
 	serverListInterval = time.Second
-	// smallFleet instances call the store at the intervals given here. Larger
-	// fleets call less often each, so that all together call as often: what one
-	// reads, the others hear from it.
-	smallFleet = 16
 	// currentListEvery bounds how old the list can be while stale answers lag. The
 	// instances read at different times and pass newer lists on.
 	currentListEvery = 8
+	// smallFleet instances all read current values from the store. In larger
+	// fleets a few readers do and tell the others.
+	smallFleet = 16
+	// readers outlive the loss of power of half of the fleet: the chance that all
+	// are among it is 1 in 256.
+	readers = 8
+	// readerListInterval is how often any reader lists the servers, every second
+	// time with current values.
+	readerListInterval = 500 * time.Millisecond
+	readerCurrentEvery = 2
+	// lazyListInterval is how often an instance that is no reader lists the
+	// servers itself.
+	lazyListInterval = 8 * time.Second
+	// lazyCheckInterval is the same for the configuration. It must be in force
+	// within 5 s.
+	lazyCheckInterval = 4 * time.Second
 	// fleetCheckInterval is how often any instance reads the configuration
 	// without a sign of a change. With one way to the others it must stay well
 	// within the 3 s in which a configuration must be in force.
 	fleetCheckInterval = 500 * time.Millisecond
-	// checkIntervalLimit bounds the interval of one instance, for the case that
-	// the others cannot reach it.
-	checkIntervalLimit = 15 * time.Second
+	// retryPause is the mean pause after a failed call to the store in a small
+	// fleet; refused calls are priced, too.
+	retryPause = 300 * time.Millisecond
+	// peerDialTimeout covers two ways between zones and an instance whose
+	// processor share is used up for a tenth of a second.
+	peerDialTimeout = 150 * time.Millisecond
+	// peerUserTimeout is how long a peer's machine may not acknowledge what it was
+	// sent. A lost packet is sent again after 200 ms.
+	peerUserTimeout = 400 * time.Millisecond
 	// goneAfter is the time in which entries that lapsed while the store was
 	// away return, with a margin for one list.
 	goneAfter = 2500 * time.Millisecond
@@ -109,12 +130,16 @@
 	})
 	n.informer = informer.New(informer.Config{
 		Store: n.store, Schema: platform.Schema(), Clock: n.clock, Log: n.log,
-		ListInterval: func() time.Duration { return n.spread(serverListInterval) }, CurrentEvery: currentListEvery, GoneAfter: goneAfter,
-		CheckInterval: n.checkInterval, OnNews: n.tellPeers,
+		ListInterval: n.listInterval, CurrentEvery: n.currentEvery, GoneAfter: goneAfter,
+		CheckInterval: n.checkInterval, IsReader: n.isReader, LazyInterval: lazyCheckInterval,
+		RetryPause: func() time.Duration { return n.spread(retryPause) }, OnNews: n.tellPeers,
 	})
+	n.peers = messenger.NewPool(messenger.PoolConfig{Registry: n.metrics, DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout, Clock: n.clock})
 	n.dispatcher = dispatcher.New(dispatcher.Config{
 		Zone: settings.Zone, Informer: n.informer, Dialer: platform.ServerDialer{Caller: settings.Instance, Clock: n.clock},
-		Members:    n.registrar.Count,
+		Instance: settings.Instance, Instances: n.instances, InstancesKnown: n.registrar.IsKnown, InstancesChanged: n.registrar.Changed,
+		Forwarder:  forwarder.Client{Dialer: n.peers},
+		HoldsDuty:  n.holdsDuty,
 		AskPeers:   n.askPeers,
 		DrainLimit: settings.DrainLimit, Clock: n.clock, TimeOfDay: time.Now, Metrics: n.metrics, Log: n.log,
 	})
@@ -159,14 +184,66 @@
 	return near + far
 }
 
-// spread lengthens an interval with the number of instances.
+// instances returns all listed instances, this one included.
+func (n *Node) instances() []placer.Peer {
+	peers := []placer.Peer{{Name: n.settings.Instance, Zone: n.settings.Zone, Address: n.settings.Control}}
+	for _, o := range n.registrar.Others() {
+		peers = append(peers, placer.Peer{Name: o.Name, Zone: o.Zone, Address: o.Address})
+	}
+	return peers
+}
+
+// holdsDuty reports whether this instance watches the primaries.
+func (n *Node) holdsDuty() bool {
+	select {
+	case <-n.built:
+		return n.holder.IsHolding()
+	default:
+		return false
+	}
+}
+
+// spread lengthens an interval with the number of instances, so that large fleets
+// call the store as often as small ones.
 func (n *Node) spread(interval time.Duration) time.Duration {
 	return interval * time.Duration(max(n.fleetSize(), smallFleet)) / smallFleet
 }
 
-// checkInterval spreads the reads of the configuration over all instances.
+// isReader reports whether this instance reads the store for the fleet.
+func (n *Node) isReader() bool {
+	if n.fleetSize() <= smallFleet {
+		return true
+	}
+	return slices.ContainsFunc(placer.Rendezvous("store", n.instances(), readers), func(p placer.Peer) bool {
+		return p.Name == n.settings.Instance
+	})
+}
+
+// listInterval returns the pause between two lists of the servers.
+func (n *Node) listInterval() time.Duration {
+	switch {
+	case n.fleetSize() <= smallFleet:
+		return serverListInterval
+	case n.isReader():
+		return readers * readerListInterval
+	}
+	return lazyListInterval
+}
+
+// currentEvery returns which share of the lists is a current one.
+func (n *Node) currentEvery() int {
+	if n.fleetSize() <= smallFleet {
+		return currentListEvery
+	}
+	return readerCurrentEvery
+}
+
+// checkInterval spreads the reads of the configuration over the readers.
 func (n *Node) checkInterval() time.Duration {
-	return min(fleetCheckInterval*time.Duration(n.fleetSize()), checkIntervalLimit)
+	if size := n.fleetSize(); size <= smallFleet {
+		return fleetCheckInterval * time.Duration(size)
+	}
+	return readers * fleetCheckInterval
 }
 
 // tellPeers exchanges views with all other instances.
--- a/internal/noder/permits.go
+++ b/internal/noder/permits.go
@@ -44,12 +44,7 @@
 		return "", true
 	}
 	name, _ := v.duty.get()
-	for _, o := range v.registrar.Others() {
-		if o.Name == name {
-			return o.Address, false
-		}
-	}
-	return "", false
+	return v.addressOf(name), false
 }
 
 // Permits implements [gossiper.View].
--- a/internal/noder/view.go
+++ b/internal/noder/view.go
@@ -59,7 +59,7 @@
 // Learn implements [gossiper.View]. A configuration is checked like one from
 // the store, and replaces only an older one. A sample is at least as young as
 // its age says, counted from when it was asked for.
-func (v view) Learn(s *wire.PeerState, asked time.Time) {
+func (v view) Learn(s *wire.PeerState, asked time.Time) (lacks bool) {
 	<-v.built
 	v.duty.learn(s.GetDutyHolder(), s.GetDutyToken())
 	source := "instance " + s.GetHeader().GetInstance()
@@ -76,9 +76,12 @@
 		v.informer.OfferList(informer.List{Revision: s.GetServersRevision(), Entries: entries})
 		state = v.informer.State()
 	}
+	list := v.informer.List()
+	lacks = s.GetServersRevision() > list.Revision && s.GetServersDigest() != list.Digest
 	if !state.HasConfiguration() {
-		return
+		return lacks || s.GetConfigurationVersion() > 0
 	}
+	lacks = lacks || s.GetConfigurationVersion() > state.Configuration.Version
 	for _, sv := range s.GetServices() {
 		if _, ok := state.Configuration.Services[sv.GetService()]; !ok {
 			continue
@@ -96,6 +99,7 @@
 			})
 		}
 	}
+	return lacks
 }
 
 // EndTenure implements [gossiper.View].
--- /dev/null
+++ b/internal/placer/gateway_test.go
@@ -0,0 +1,141 @@
+package placer_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"marigoldhub.example/hub/internal/placer"
+)
+
+func peers(zones ...string) []placer.Peer {
+	var out []placer.Peer
+	for i, z := range zones {
+		out = append(out, placer.Peer{Name: fmt.Sprint("i", i), Zone: z, Address: fmt.Sprint("a", i)})
+	}
+	return out
+}
+
+// Guards against gateways that together exceed a server's limit, and against
+// small fleets that take a way through another instance without need.
+func TestGatewayShares(t *testing.T) {
+	for _, tc := range []struct {
+		name                   string
+		limit, instances, want int
+		share                  int
+	}{
+		{"cooperative", 23, 8, 0, 0},
+		{"council unit", 41, 7, 0, 0},
+		{"grown cooperative", 34, 71, 4, 8},
+		{"far larger fleet", 34, 5600, 4, 8},
+		{"few connections", 5, 40, 3, 1},
+		{"fewer instances than gateways", 3, 2, 2, 1},
+	} {
+		n := placer.GatewayCount(tc.limit, tc.instances)
+		if n != tc.want {
+			t.Errorf("%s: %d gateways, want %d", tc.name, n, tc.want)
+		}
+		if n == 0 {
+			continue
+		}
+		if share := placer.GatewayShare(tc.limit, n); share != tc.share || n*share > tc.limit {
+			t.Errorf("%s: share %d, want %d within the limit of %d", tc.name, share, tc.share, tc.limit)
+		}
+	}
+}
+
+// Guards against instances that disagree on a server's gateways, and against
+// a loss that moves more than what was lost.
+func TestGatewaysAgree(t *testing.T) {
+	all := peers("z1", "z1", "z1", "z1", "z1", "z1", "z2", "z2", "z2", "z3")
+	for s := range 50 {
+		server := fmt.Sprint("server-", s)
+		first := placer.Gateways(server, "z1", all, 4)
+		reversed := slices.Clone(all)
+		slices.Reverse(reversed)
+		if got := placer.Gateways(server, "z1", reversed, 4); !slices.Equal(got, first) {
+			t.Fatalf("%s: %v and %v by the order of the list", server, first, got)
+		}
+		for _, g := range first {
+			if g.Zone != "z1" {
+				t.Errorf("%s: gateway %v is in another zone", server, g)
+			}
+		}
+		rest := slices.DeleteFunc(slices.Clone(all), func(p placer.Peer) bool { return p == first[0] })
+		if got := placer.Gateways(server, "z1", rest, 4); !slices.Equal(got[:3], first[1:]) {
+			t.Errorf("%s: without %s: %v, before %v", server, first[0].Name, got, first)
+		}
+		if got := placer.Gateways(server, "z2", all, 5); len(got) != 5 || got[2].Zone != "z2" || got[3].Zone == "z2" {
+			t.Errorf("%s: near ones do not come first: %v", server, got)
+		}
+	}
+}
+
+// Plays the load that gateways answer: 71 instances send 81 requests of 18 ms a
+// second to a server with three slots and 34 connections, and a handshake takes
+// 12 ms of a slot. With a connection for each instance that needs one, handshakes
+// take the slots and callers are refused; gateways keep theirs open.
+func TestGatewaysUnderLoad(t *testing.T) {
+	const (
+		instances = 71
+		limit     = 34
+		work      = 18 * time.Millisecond
+		handshake = 12 * time.Millisecond
+		objective = 250 * time.Millisecond
+		rate      = 120
+		requests  = 20 * rate
+	)
+	type conn struct{ free time.Duration }
+	// play sends the requests to holders, each with some connections of its own
+	// that close after a time at rest, and returns how many were in time.
+	play := func(holders, share int, rest time.Duration) (inTime, handshakes int) {
+		var slots [3]time.Duration
+		conns := make([][]conn, holders)
+		for i := range requests {
+			now := time.Duration(i) * time.Second / rate
+			h := (i * 37) % holders
+			open := 0
+			for k := range conns {
+				conns[k] = slices.DeleteFunc(conns[k], func(c conn) bool { return c.free+rest < now })
+				open += len(conns[k])
+			}
+			need := work
+			best := -1
+			for k, c := range conns[h] {
+				if best < 0 || c.free < conns[h][best].free {
+					best = k
+				}
+			}
+			if best < 0 || conns[h][best].free > now && len(conns[h]) < share {
+				if open < limit {
+					conns[h] = append(conns[h], conn{now})
+					best = len(conns[h]) - 1
+					need += handshake
+					handshakes++
+				} else if best < 0 {
+					continue
+				}
+			}
+			s := 0
+			for k := range slots {
+				if slots[k] < slots[s] {
+					s = k
+				}
+			}
+			end := max(now, slots[s], conns[h][best].free) + need
+			slots[s], conns[h][best].free = end, end
+			if end-now <= objective {
+				inTime++
+			}
+		}
+		return inTime, handshakes
+	}
+	n := placer.GatewayCount(limit, instances)
+	direct, directHandshakes := play(instances, 1, 200*time.Millisecond)
+	shared, sharedHandshakes := play(n, placer.GatewayShare(limit, n), 1500*time.Millisecond)
+	t.Logf("direct: %d of %d in time, %d handshakes; gateways: %d in time, %d handshakes", direct, requests, directHandshakes, shared, sharedHandshakes)
+	if shared < requests*98/100 || direct > requests*9/10 || sharedHandshakes > directHandshakes/10 {
+		t.Errorf("gateways: %d in time and %d handshakes; direct: %d and %d", shared, sharedHandshakes, direct, directHandshakes)
+	}
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -33,8 +34,10 @@
 	// listPerInstance lengthens the pause between two lists with the number of
 	// instances, so that all together list as often.
 	listPerInstance = 100 * time.Millisecond
-	// retryInterval follows a failed call.
-	retryInterval = 500 * time.Millisecond
+	// retryInterval follows a failed call. In large fleets retryPerInstance for
+	// each instance follows, because refused calls are priced, too.
+	retryInterval    = 500 * time.Millisecond
+	retryPerInstance = 25 * time.Millisecond
 )
 
 // Instance is a listed instance.
@@ -64,6 +67,7 @@
 	revision int64
 	lease    int64
 	listed   time.Time
+	changed  chan struct{}
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -72,7 +76,7 @@
 // New starts to list the instance.
 func New(cfg Config) *Registrar {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Registrar{cfg: cfg, cancel: cancel, done: make(chan struct{})}
+	r := &Registrar{cfg: cfg, changed: make(chan struct{}), cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(r.done)
 		r.run(ctx)
@@ -87,6 +91,20 @@
 	return r.others
 }
 
+// IsKnown reports whether the instances have been listed at least once.
+func (r *Registrar) IsKnown() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.listed.IsZero()
+}
+
+// Changed returns a channel that is closed at the next change of the list.
+func (r *Registrar) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
 // Count returns how many instances live in the zone and elsewhere, this one
 // included.
 func (r *Registrar) Count(zone string) (near, far int) {
@@ -130,7 +148,7 @@
 		}
 		wait := renewInterval*3/4 + rand.N(renewInterval/2)
 		if err != nil {
-			wait = retryInterval
+			wait = max(retryInterval, time.Duration(len(r.Others()))*retryPerInstance)
 		}
 		lost = r.noteStore(ctx, err, lost)
 		select {
@@ -213,6 +231,7 @@
 	if revision < r.revision {
 		return
 	}
+	isFirst := r.listed.IsZero()
 	r.revision, r.listed = revision, r.cfg.Clock.Now()
 	var others []Instance
 	for _, e := range entries {
@@ -229,5 +248,9 @@
 	if len(others) != len(r.others) {
 		r.cfg.Log.WithFields(logrus.Fields{"others": len(others), "revision": revision}).Info("registrar: list of instances changed")
 	}
+	if isFirst || !slices.Equal(others, r.others) {
+		close(r.changed)
+		r.changed = make(chan struct{})
+	}
 	r.others = others
 }
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -38,8 +38,16 @@
 	store.Put(registrar.Prefix+"odd", []byte("{"))
 	a := start(t, store, "a", "z1")
 	defer a.Close()
+	eventually(t, "a knows the list", a.IsKnown)
+	changed := a.Changed()
 	b := start(t, store, "b", "z2")
 	eventually(t, "a knows b", func() bool { return len(a.Others()) == 1 && a.Others()[0].Name == "b" })
+	// Shares of connections follow the list at once.
+	select {
+	case <-changed:
+	default:
+		t.Error("the change of the list was not told")
+	}
 	if near, far := a.Count("z1"); near != 1 || far != 1 {
 		t.Errorf("a counts %d near and %d far", near, far)
 	}
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -112,7 +112,7 @@
 	inf := informer.New(informer.Config{
 		Store: f.store, Clock: clock, Log: log,
 		Schema:       informertest.Schema(),
-		ListInterval: func() time.Duration { return 10 * time.Millisecond }, CurrentEvery: 1, GoneAfter: 100 * time.Millisecond,
+		ListInterval: func() time.Duration { return 10 * time.Millisecond }, CurrentEvery: func() int { return 1 }, GoneAfter: 100 * time.Millisecond,
 		CheckInterval: func() time.Duration { return time.Hour }, OnNews: func() {},
 	})
 	f.group = attester.NewGroup(attester.Config{
