gossiper: the holder of the duty tells who has fallen silent

Ruled out: the list of instances (a lease of 6 s); shorter time-outs (a lost packet is sent again after 200 ms). Change: every instance asks the holder for promises nine times a second. The answer names those who have stopped asking for 350 ms; they are avoided until they answer, and reads that wait for them run elsewhere.

--- a/internal/dispatcher/config.go
+++ b/internal/dispatcher/config.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -15,7 +16,7 @@
 
 // Forwarder runs a request at the gateway with the address.
 type Forwarder interface {
-	Forward(address string, r forwarder.Request) (forwarder.Reply, error)
+	Forward(ctx context.Context, address string, r forwarder.Request) (forwarder.Reply, error)
 }
 
 // Config holds what a [Dispatcher] needs.
--- a/internal/dispatcher/forwarded_link.go
+++ b/internal/dispatcher/forwarded_link.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"strconv"
@@ -120,7 +121,13 @@
 	// The objective passes while other gateways are asked.
 	r.Left = l.need.left - now.Sub(l.asked)
 	defer g.begin(now, l.d.turns.Add(1))()
-	reply, err := l.d.cfg.Forwarder.Forward(g.peer.Address, r)
+	// What may run again is not kept waiting for a gateway that is lost.
+	ctx, cancel := context.Background(), context.CancelFunc(func() {})
+	if l.gateway == nil && !r.IsWrite {
+		ctx, cancel = g.whileAlive()
+	}
+	defer cancel()
+	reply, err := l.d.cfg.Forwarder.Forward(ctx, g.peer.Address, r)
 	if err == nil {
 		g.noteAnswer(l.d.cfg.Clock.Now())
 	}
@@ -204,7 +211,7 @@
 		Service: l.b.Target().Service, Server: l.b.id, Transaction: l.transaction, Discard: true, Timeout: abandonTimeout,
 	}
 	go func() {
-		if _, err := l.d.cfg.Forwarder.Forward(g.peer.Address, r); err != nil {
+		if _, err := l.d.cfg.Forwarder.Forward(context.Background(), g.peer.Address, r); err != nil {
 			l.d.cfg.Log.WithError(err).WithField("gateway", g.peer.Name).Info("dispatcher: transaction at a gateway was not ended; it lapses by itself")
 		}
 	}()
--- a/internal/dispatcher/gateway.go
+++ b/internal/dispatcher/gateway.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"sync"
@@ -43,6 +44,26 @@
 	// lost is set from a failure to reach the gateway until it answers again;
 	// unlisted when it is no gateway any more.
 	lost, unlisted bool
+	// life is closed when the gateway is lost, and made anew when it is back.
+	life chan struct{}
+}
+
+func newGateway(p placer.Peer) *gateway { return &gateway{peer: p, life: make(chan struct{})} }
+
+// whileAlive returns a context that ends when the gateway is lost.
+func (g *gateway) whileAlive() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.mu.Lock()
+	life := g.life
+	g.mu.Unlock()
+	go func() {
+		select {
+		case <-life:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
 }
 
 // begin notes a request that is sent. The returned function notes its end.
@@ -82,6 +103,7 @@
 		return false
 	}
 	g.lost = true
+	close(g.life)
 	return true
 }
 
@@ -89,7 +111,9 @@
 func (g *gateway) find() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lost = false
+	if g.lost {
+		g.lost, g.life = false, make(chan struct{})
+	}
 }
 
 func (g *gateway) isUnlisted() bool {
@@ -166,7 +190,7 @@
 			case <-d.stop:
 				return
 			}
-			if _, err := d.cfg.Forwarder.Forward(g.peer.Address, forwarder.Request{Timeout: reviveTimeout}); err == nil {
+			if _, err := d.cfg.Forwarder.Forward(context.Background(), g.peer.Address, forwarder.Request{Timeout: reviveTimeout}); err == nil {
 				g.find()
 				log.Info("dispatcher: gateway is back")
 				return
@@ -175,6 +199,28 @@
 	}()
 }
 
+// errQuiet means that an instance has stopped asking for promises.
+var errQuiet = errors.New("instance has fallen silent")
+
+// LoseInstances keeps requests off the named instances until they answer, and
+// gives reads up that wait for them.
+func (d *Dispatcher) LoseInstances(names []string) {
+	if len(names) == 0 {
+		return
+	}
+	var quiet []*gateway
+	d.mu.RLock()
+	for _, g := range d.peers {
+		if slices.Contains(names, g.peer.Name) {
+			quiet = append(quiet, g)
+		}
+	}
+	d.mu.RUnlock()
+	for _, g := range quiet {
+		d.loseGateway(g, errQuiet)
+	}
+}
+
 // dropGateways forgets the gateways that no server has any more. The caller
 // holds mu.
 func (d *Dispatcher) dropGateways() {
@@ -205,7 +251,7 @@
 			g = nil
 		}
 		if g == nil {
-			g = &gateway{peer: p}
+			g = newGateway(p)
 			d.peers[p.Address] = g
 		}
 		out = append(out, g)
--- a/internal/dispatcher/gateway_test.go
+++ b/internal/dispatcher/gateway_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"context"
 	"errors"
 	"io"
 	"slices"
@@ -32,7 +33,7 @@
 	forwarded atomic.Int32
 }
 
-func (n *network) Forward(address string, r forwarder.Request) (forwarder.Reply, error) {
+func (n *network) Forward(ctx context.Context, address string, r forwarder.Request) (forwarder.Reply, error) {
 	n.forwarded.Add(1)
 	n.mu.Lock()
 	runner, hook := n.runners[address], n.onForward
@@ -41,6 +42,13 @@
 	if hook != nil {
 		before, after = hook(address, r)
 	}
+	if errors.Is(before, errDark) {
+		// Nobody answers; the caller waits until it gives up.
+		ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+		defer cancel()
+		<-ctx.Done()
+		return forwarder.Reply{}, ctx.Err()
+	}
 	if before != nil {
 		return forwarder.Reply{}, before
 	}
@@ -60,6 +68,9 @@
 	n.onForward = f
 }
 
+// errDark makes a request wait without an answer.
+var errDark = errors.New("machine has no power")
+
 // countingDialer counts the connections that one instance opens.
 type countingDialer struct {
 	exchanger.Dialer
@@ -237,6 +248,37 @@
 	}
 }
 
+// Guards against a read that waits out its time at a gateway without power
+// although another one could run it.
+func TestReadsLeaveAGatewayThatIsLost(t *testing.T) {
+	f := newFleet(t)
+	if a := f.caller.Run(request("warm", exchanger.Read, informer.BoundedReads)); !a.OK() {
+		t.Fatal(a.Code, a.Text)
+	}
+	dark := make(chan string, 1)
+	f.net.setHook(func(address string, r forwarder.Request) (before, after error) {
+		if len(r.Statements) > 0 && r.Statements[0].ID == "x" {
+			select {
+			case dark <- address:
+				return errDark, nil
+			default:
+			}
+		}
+		return nil, nil
+	})
+	go func() {
+		address := <-dark
+		dark <- address
+		time.Sleep(50 * time.Millisecond)
+		f.caller.LoseInstances([]string{address})
+	}()
+	began := time.Now()
+	a := f.caller.Run(request("x", exchanger.Read, informer.BoundedReads))
+	if took := time.Since(began); !a.OK() || took > 300*time.Millisecond {
+		t.Errorf("%v %s after %v", a.Code, a.Text, took)
+	}
+}
+
 // Guards against a transaction that goes on, or commits, although its gateway
 // was lost.
 func TestGatewayIsLostInsideATransaction(t *testing.T) {
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -20,9 +20,10 @@
 // Client sends requests to gateways.
 type Client struct{ Dialer messenger.Dialer }
 
-// Forward runs the request at the gateway with the address.
-func (c Client) Forward(address string, r Request) (Reply, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), r.Timeout+replyMargin)
+// Forward runs the request at the gateway with the address. Nothing is known of a
+// request whose context ends first.
+func (c Client) Forward(ctx context.Context, address string, r Request) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.Timeout+replyMargin)
 	defer cancel()
 	conn, err := c.Dialer.Dial(ctx, address)
 	if err != nil {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -104,7 +104,7 @@
 		{"no answer in time", l.Addr().String(), "slow", false, false},
 	} {
 		began := time.Now()
-		reply, err := c.Forward(tc.address, Request{Server: tc.server, Timeout: 100 * time.Millisecond, Statements: []exchanger.Statement{{ID: "r"}}})
+		reply, err := c.Forward(t.Context(), tc.address, Request{Server: tc.server, Timeout: 100 * time.Millisecond, Statements: []exchanger.Statement{{ID: "r"}}})
 		if (err == nil) != tc.ok || errors.Is(err, ErrNotSent) != tc.notSent {
 			t.Errorf("%s: %v", tc.name, err)
 		}
--- a/internal/gossiper/service.go
+++ b/internal/gossiper/service.go
@@ -12,6 +12,8 @@
 	Name     string
 	View     View
 	Gossiper *Gossiper
+	// Attendance notes who asks for promises.
+	Attendance *Attendance
 }
 
 // Exchange implements the Peers service.
@@ -29,6 +31,11 @@
 }
 
 // Permit implements the Peers service.
-func (s Service) Permit(context.Context, *wire.PermitRequest) (*wire.PermitResponse, error) {
-	return s.View.Permits(), nil
+func (s Service) Permit(_ context.Context, in *wire.PermitRequest) (*wire.PermitResponse, error) {
+	s.Attendance.Note(in.GetInstance())
+	resp := s.View.Permits()
+	if len(resp.GetPermits()) > 0 {
+		resp.Quiet = s.Attendance.Quiet()
+	}
+	return resp, nil
 }
--- a/internal/noder/permits.go
+++ b/internal/noder/permits.go
@@ -62,6 +62,7 @@
 
 // LearnPermits implements [gossiper.View].
 func (v view) LearnPermits(resp *wire.PermitResponse, asked time.Time) {
+	v.dispatcher.LoseInstances(resp.GetQuiet())
 	state := v.informer.State()
 	if !state.HasConfiguration() {
 		return
