dispatcher: reads spill to other servers, the least urgent request gives up at once

Change: a request is admitted only if its turn is expected while it may wait; a full queue refuses its least urgent request at once; a read waits an eighth of its objective while other servers are left, then for the one that named the shortest wait.

--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -38,7 +38,8 @@
 // waiter is a request that waits for its turn.
 type waiter struct {
 	Urgency
-	turn chan struct{}
+	// turn gets nil when the turn has come, or why it will not.
+	turn chan error
 }
 
 // Gate lets a limited number of requests pass at a time.
@@ -47,19 +48,22 @@
 
 	mu      sync.Mutex
 	limit   int
+	room    int
 	active  int
 	waiters *queuer.Queue[*waiter]
 }
 
-// New returns a gate with the limit.
-func New(limit int, clock clockwork.Clock) *Gate {
+// New returns a gate that lets limit requests pass at a time while room others
+// may wait.
+func New(limit, room int, clock clockwork.Clock) *Gate {
 	return &Gate{
-		clock: clock, limit: max(limit, 1),
+		clock: clock, limit: max(limit, 1), room: max(room, 1),
 		waiters: queuer.New(func(a, b *waiter) bool { return a.Before(b.Urgency) }),
 	}
 }
 
-// Enter waits for the request's turn until the deadline. Each successful call
+// Enter waits for the request's turn until the deadline. When there is no more
+// room to wait, the least urgent request gives up at once. Each successful call
 // is followed by one call of Leave.
 func (g *Gate) Enter(u Urgency, deadline time.Time) error {
 	g.mu.Lock()
@@ -68,15 +72,16 @@
 		g.mu.Unlock()
 		return nil
 	}
-	w := &waiter{Urgency: u, turn: make(chan struct{})}
+	w := &waiter{Urgency: u, turn: make(chan error, 1)}
 	e := g.waiters.Push(w)
+	g.evict()
 	g.mu.Unlock()
 
 	timer := g.clock.NewTimer(deadline.Sub(g.clock.Now()))
 	defer timer.Stop()
 	select {
-	case <-w.turn:
-		return nil
+	case err := <-w.turn:
+		return err
 	case <-timer.Chan():
 	}
 	g.mu.Lock()
@@ -84,7 +89,17 @@
 	if g.waiters.Remove(e) {
 		return ErrFull
 	}
-	return nil
+	return <-w.turn
+}
+
+// evict lets the least urgent waiters give up while there are too many. The
+// caller holds mu.
+func (g *Gate) evict() {
+	for g.waiters.Len() > g.room {
+		last := g.waiters.Last()
+		g.waiters.Remove(last)
+		last.Value.turn <- ErrFull
+	}
 }
 
 // Leave ends a turn.
@@ -95,12 +110,13 @@
 	g.admit()
 }
 
-// SetLimit changes how many requests may pass at a time.
-func (g *Gate) SetLimit(n int) {
+// SetLimits changes how many requests may pass at a time and how many may wait.
+func (g *Gate) SetLimits(limit, room int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.limit = max(n, 1)
+	g.limit, g.room = max(limit, 1), max(room, 1)
 	g.admit()
+	g.evict()
 }
 
 // admit gives free turns to waiters. The caller holds mu.
@@ -111,7 +127,7 @@
 			return
 		}
 		g.active++
-		close(w.turn)
+		w.turn <- nil
 	}
 }
 
--- a/internal/admitter/gate_test.go
+++ b/internal/admitter/gate_test.go
@@ -14,7 +14,7 @@
 // up, or is lost.
 func TestTurns(t *testing.T) {
 	clock := clockwork.NewRealClock()
-	g := admitter.New(1, clock)
+	g := admitter.New(1, 8, clock)
 	now := clock.Now()
 	if err := g.Enter(admitter.Urgency{Priority: 2, Due: now}, now); err != nil {
 		t.Fatal(err)
@@ -65,6 +65,43 @@
 	}
 }
 
+// Guards against requests that wait although they will be refused: when there is
+// no more room, the least urgent one is told at once.
+func TestLeastUrgentGivesUp(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	g := admitter.New(1, 2, clock)
+	now := clock.Now()
+	if err := g.Enter(admitter.Urgency{}, now); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan int, 8)
+	enter := func(priority int) {
+		if g.Enter(admitter.Urgency{Priority: priority, Due: now}, clock.Now().Add(5*time.Second)) != nil {
+			ended <- priority
+		}
+	}
+	for i, p := range []int{2, 3} {
+		go enter(p)
+		for g.Stats(admitter.Urgency{Priority: 9}).Before <= i {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	for _, tc := range []struct{ priority, givesUp int }{{1, 3}, {4, 4}, {1, 2}} {
+		go enter(tc.priority)
+		select {
+		case got := <-ended:
+			if got != tc.givesUp {
+				t.Errorf("priority %d came, %d gave up, want %d", tc.priority, got, tc.givesUp)
+			}
+		case <-time.After(time.Second):
+			t.Fatalf("priority %d came, nobody gave up", tc.priority)
+		}
+	}
+	g.Leave()
+	g.Leave()
+	g.Leave()
+}
+
 // Plays the load that turns answer: a primary with three slots gets short
 // writes, reads of one's own work and reads of old data, half as much again as it
 // can run. Its own queue serves them as they come; with turns, what is worth more
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -9,6 +9,7 @@
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/placer"
 )
 
 // refuse ends a request that was not run, at once and truthfully.
@@ -35,13 +36,24 @@
 	return err.Error()
 }
 
-// attemptRead runs a read at a server where it is not expected to be late.
-func (d *Dispatcher) attemptRead(b *backend, req Request, deadline time.Time, s ...exchanger.Statement) ([]exchanger.Answer, error) {
+// attemptRead runs a read at a server where it is not expected to be late. One
+// that may spill does not wait long there: other servers are left.
+func (d *Dispatcher) attemptRead(b *backend, req Request, maySpill bool, deadline time.Time, s ...exchanger.Statement) ([]exchanger.Answer, error) {
 	n := d.need(req, 1)
+	if maySpill {
+		n.wait = earliest(n.wait, placer.SpillLimit(d.cfg.Clock.Now(), req.Route.Objective))
+	}
 	n.needsSpare = req.Route.Reads == informer.BoundedReads && d.isLeader(req.Route.Service, b)
 	return d.attempt(b, req, n, deadline, s...)
 }
 
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // attempt runs statements at one server. A lost connection that was idle
 // before is no sign that the server is down.
 func (d *Dispatcher) attempt(b *backend, req Request, n need, deadline time.Time, s ...exchanger.Statement) ([]exchanger.Answer, error) {
@@ -106,6 +118,15 @@
 // errOverloaded means that a request would wait too long for a connection.
 var errOverloaded = errors.New("too many requests wait for the backend server")
 
+// overload is errOverloaded with the wait that was expected.
+type overload struct{ wait time.Duration }
+
+// Error implements error.
+func (o overload) Error() string { return errOverloaded.Error() + ", expected wait " + o.wait.String() }
+
+// Is makes an overload equal to errOverloaded.
+func (o overload) Is(target error) bool { return target == errOverloaded }
+
 // errStalled means that the commits of a primary are not acknowledged.
 var errStalled = errors.New("no replica receives the primary's commits")
 
--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -69,8 +69,8 @@
 		return errSilent
 	case n.isWrite && b.writes.isStalled(now):
 		return errStalled
-	case !load.Admits(n.left), n.needsSpare && !load.HasSpare():
-		return errOverloaded
+	case !load.Admits(n.left, n.wait.Sub(now)), n.needsSpare && !load.HasSpare():
+		return overload{max(load.Wait(), time.Microsecond)}
 	}
 	return nil
 }
@@ -179,6 +179,12 @@
 	}
 }
 
+func (b *backend) meanLatency() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.latency
+}
+
 // load returns how busy the connections to the server are.
 func (b *backend) load(n need) placer.Load {
 	open, idle, waiting := b.Stats()
--- a/internal/dispatcher/fleet.go
+++ b/internal/dispatcher/fleet.go
@@ -54,7 +54,7 @@
 		return
 	}
 	b.SetLimit(limit)
-	b.gate.SetLimit(turns(srv))
+	b.gate.SetLimits(turns(srv), placer.QueueLimit(turns(srv), b.meanLatency()))
 	if isShared {
 		b.CloseIdle(d.cfg.Clock.Now().Add(-probeIdleLimit), 0)
 		return
@@ -63,7 +63,7 @@
 }
 
 func (d *Dispatcher) newBackend(srv informer.Server, limit int) *backend {
-	b := &backend{id: srv.ID, server: srv, gate: admitter.New(turns(srv), d.cfg.Clock)}
+	b := &backend{id: srv.ID, server: srv, gate: admitter.New(turns(srv), placer.QueueLimit(turns(srv), 0), d.cfg.Clock)}
 	b.Pool = linker.NewPool(linker.Config{
 		Dialer: d.cfg.Dialer, Target: srv.Target(), Limit: limit, Clock: d.cfg.Clock,
 		OnDial: func(err error, started time.Time) {
--- a/internal/dispatcher/forwarded.go
+++ b/internal/dispatcher/forwarded.go
@@ -102,7 +102,10 @@
 
 func failureReply(err error) forwarder.Reply {
 	var refused *exchanger.RefusedError
+	var o overload
 	switch {
+	case errors.As(err, &o):
+		return forwarder.Reply{Failure: forwarder.Overloaded, Wait: o.wait}
 	case errors.Is(err, errOverloaded):
 		return forwarder.Reply{Failure: forwarder.Overloaded}
 	case errors.Is(err, errSilent):
--- a/internal/dispatcher/forwarded_link.go
+++ b/internal/dispatcher/forwarded_link.go
@@ -14,8 +14,13 @@
 	"marigoldhub.example/hub/internal/linker"
 )
 
-// maxGatewayAttempts bounds how many gateways a request is offered to.
-const maxGatewayAttempts = 3
+const (
+	// maxGatewayAttempts bounds how many gateways a request is offered to.
+	maxGatewayAttempts = 3
+	// maxFullGateways bounds how many of them may be overloaded: it is the server
+	// then that has more requests than it can run.
+	maxFullGateways = 2
+)
 
 // forwardedLink is a link of a gateway's. The gateway is chosen by the first
 // statement; while a transaction is open it stays the same. If no gateway can be
@@ -69,8 +74,8 @@
 func (l *forwardedLink) offer(deadline time.Time, r forwarder.Request) ([]exchanger.Answer, error) {
 	var tried []*gateway
 	last := fmt.Errorf("%w: %w", errGateway, errNoGateway)
-	reached := false
-	for len(tried) < maxGatewayAttempts {
+	reached, full := false, 0
+	for len(tried) < maxGatewayAttempts && full < maxFullGateways {
 		now := l.d.cfg.Clock.Now()
 		g := l.b.chooseGateway(now, tried)
 		if g == nil || !now.Before(deadline) {
@@ -83,6 +88,9 @@
 			return answers, err
 		}
 		last = err
+		if reply.Failure == forwarder.Overloaded {
+			full++
+		}
 		reached = reached || reply.Failure != forwarder.None && reply.Failure != forwarder.NotGateway
 		l.d.cfg.Log.WithError(err).WithFields(logrus.Fields{
 			"request": r.Statements[0].ID, "server": l.b.id, "gateway": g.peer.Name,
@@ -175,7 +183,7 @@
 	text := errors.New("gateway: " + reply.Failure.String() + " " + reply.Text)
 	switch reply.Failure {
 	case forwarder.Overloaded:
-		return errors.Join(errGateway, errOverloaded, text)
+		return errors.Join(errGateway, overload{reply.Wait}, text)
 	case forwarder.Silent:
 		return errors.Join(errGateway, errSilent, text)
 	case forwarder.Stalled:
--- a/internal/dispatcher/leader_read.go
+++ b/internal/dispatcher/leader_read.go
@@ -61,7 +61,7 @@
 	began := d.cfg.Clock.Now()
 	witness := make(chan error, 1)
 	go func() { witness <- g.Witness(req.Received, l, deadline) }()
-	answers, err := d.attemptRead(b, req, deadline, req.Statement, exchanger.Statement{Kind: exchanger.Status})
+	answers, err := d.attemptRead(b, req, false, deadline, req.Statement, exchanger.Statement{Kind: exchanger.Status})
 	if err := d.checkLeaderRead(g, l, answers, err); err != nil {
 		return exchanger.Answer{}, err
 	}
@@ -81,7 +81,7 @@
 
 // permittedRead runs a read that is already proved.
 func (d *Dispatcher) permittedRead(g *attester.Group, l attester.Leader, b *backend, req Request, deadline time.Time) (exchanger.Answer, error) {
-	answers, err := d.attemptRead(b, req, deadline, req.Statement)
+	answers, err := d.attemptRead(b, req, false, deadline, req.Statement)
 	if err := d.checkLeaderRead(g, l, answers, err); err != nil {
 		return exchanger.Answer{}, err
 	}
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -69,15 +69,27 @@
 	}
 	tried := map[string]bool{}
 	last := exchanger.Answer{Code: exchanger.Busy}
+	var least *backend
+	var leastWait time.Duration
 	for range maxAttempts {
 		b := d.chooseRead(req, f, tried)
+		maySpill := b != nil
 		if b == nil {
-			break
+			// Every server was asked: the least loaded one is worth a wait.
+			if b = least; b == nil {
+				break
+			}
+			least = nil
 		}
-		answers, err := d.attemptRead(b, req, deadline, req.Statement.WithFloor(f.position))
+		tried[b.id] = true
+		answers, err := d.attemptRead(b, req, maySpill, deadline, req.Statement.WithFloor(f.position))
+		var o overload
 		switch {
 		case errors.Is(err, errNotSent):
 			d.noteRetry(req, b.id, "not sent", err)
+			if errors.As(err, &o) && maySpill && (least == nil || o.wait < leastWait) {
+				least, leastWait = b, o.wait
+			}
 		case err != nil:
 			d.noteRetry(req, b.id, "no answer", err)
 			last = exchanger.Answer{Code: exchanger.Failed, Text: "the answer was lost"}
@@ -92,7 +104,6 @@
 			}
 			last = answers[0]
 		}
-		tried[b.id] = true
 		if !d.cfg.Clock.Now().Before(deadline) {
 			break
 		}
--- a/internal/forwarder/codec.go
+++ b/internal/forwarder/codec.go
@@ -53,7 +53,7 @@
 }
 
 func encodeReply(r Reply) *wire.ForwardResponse {
-	out := &wire.ForwardResponse{Failure: uint32(r.Failure), Code: uint32(r.Code), Text: r.Text}
+	out := &wire.ForwardResponse{Failure: uint32(r.Failure), Code: uint32(r.Code), WaitUs: r.Wait.Microseconds(), Text: r.Text}
 	for _, a := range r.Answers {
 		out.Answers = append(out.Answers, encodeAnswer(a))
 	}
@@ -77,7 +77,7 @@
 }
 
 func decodeReply(in *wire.ForwardResponse) Reply {
-	r := Reply{Failure: Failure(in.GetFailure()), Code: decodeCode(in.GetCode()), Text: in.GetText()}
+	r := Reply{Failure: Failure(in.GetFailure()), Code: decodeCode(in.GetCode()), Wait: microseconds(in.GetWaitUs()), Text: in.GetText()}
 	for _, a := range in.GetAnswers() {
 		r.Answers = append(r.Answers, decodeAnswer(a))
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -36,7 +36,7 @@
 		return reflect.DeepEqual(decodeRequest(encodeRequest(r)), r)
 	}, text, text, text, gen.UInt64(), gen.UInt64(), gen.Int64Range(-1<<40, 1<<40)))
 	properties.Property("reply", prop.ForAll(func(a, b string, term uint64, code int) bool {
-		r := Reply{Failure: Lost, Text: "x", Code: exchanger.TooManyConnections, Answers: []exchanger.Answer{
+		r := Reply{Failure: Lost, Text: "x", Code: exchanger.TooManyConnections, Wait: 3 * time.Millisecond, Answers: []exchanger.Answer{
 			{Rows: []string{a, b}, Signature: b, Position: tracker.Position{Term: term, Offset: 7}},
 			{Code: exchanger.Code(code), Text: a, State: exchanger.FailedTransaction, Report: &exchanger.Report{
 				Role: exchanger.Replica, Term: term, Received: tracker.Position{Term: 1, Offset: 2}, PausedFor: 3, Lag: time.Second, Busy: 2, Connections: 9,
--- a/internal/forwarder/reply.go
+++ b/internal/forwarder/reply.go
@@ -1,6 +1,10 @@
 package forwarder
 
-import "marigoldhub.example/hub/internal/exchanger"
+import (
+	"time"
+
+	"marigoldhub.example/hub/internal/exchanger"
+)
 
 // Failure is why a gateway has no or not all answers.
 type Failure int
@@ -49,5 +53,7 @@
 	Failure Failure
 	// Code is the server's refusal of the connection.
 	Code exchanger.Code
+	// Wait is how long the request would have waited, after Overloaded.
+	Wait time.Duration
 	Text string
 }
--- a/internal/placer/admit.go
+++ b/internal/placer/admit.go
@@ -15,8 +15,8 @@
 	Latency time.Duration
 }
 
-// wait estimates how long a new request waits until it is sent.
-func (l Load) wait() time.Duration { return max(l.connectionWait(), l.turnWait()) }
+// Wait estimates how long a new request waits until it is sent.
+func (l Load) Wait() time.Duration { return max(l.connectionWait(), l.turnWait()) }
 
 func (l Load) turnWait() time.Duration {
 	if l.Active < l.Turns || l.Turns == 0 {
@@ -32,13 +32,13 @@
 	return l.Latency * time.Duration(l.Waiting+1) / time.Duration(l.Open)
 }
 
-// Admits reports whether a request that has the time left may wait at the
-// server. It answers an overload of one server, such as a primary whose
-// replicas are all behind: requests that would be late anyway are refused at
-// once, and the others are in time.
-func (l Load) Admits(left time.Duration) bool {
-	w := l.wait()
-	return w == 0 || w+l.Latency <= left
+// Admits reports whether a request that has the time left, and may wait for part
+// of it, may wait at the server. It answers an overload of one server, such as a
+// primary whose replicas are all behind: requests that would be late or give up
+// anyway are refused at once, and the others are in time.
+func (l Load) Admits(left, patience time.Duration) bool {
+	w := l.Wait()
+	return w == 0 || w <= patience && w+l.Latency <= left
 }
 
 // HasSpare reports whether at least half of the connections and turns are free. Reads that
--- a/internal/placer/hold.go
+++ b/internal/placer/hold.go
@@ -15,3 +15,23 @@
 func WaitLimit(received time.Time, objective time.Duration) time.Time {
 	return received.Add(objective / 2)
 }
+
+// SpillLimit returns until when a read may wait at one server while others are
+// left that it could run at. Servers' loads differ more than instances know:
+// each sends a server of a large fleet about one request a second.
+func SpillLimit(now time.Time, objective time.Duration) time.Time {
+	return now.Add(objective / 8)
+}
+
+// QueueLimit returns how many requests may wait for a turn at a server whose
+// requests take the latency: as many as have their turn within maxQueueTime.
+func QueueLimit(turns int, latency time.Duration) int {
+	if latency <= 0 {
+		latency = typicalWork
+	}
+	return max(int(maxQueueTime*time.Duration(turns)/latency), turns)
+}
+
+// maxQueueTime is about half of the longest objective of reads. A request that
+// would wait longer makes room for more urgent ones.
+const maxQueueTime = 250 * time.Millisecond
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -70,6 +70,26 @@
 	}
 }
 
+// Guards against a request that is kept although its turn cannot come while it
+// may wait: its caller could have asked elsewhere meanwhile.
+func TestAdmitsWithinPatience(t *testing.T) {
+	ms := time.Millisecond
+	load := placer.Load{Open: 8, Idle: 8, Turns: 3, Active: 3, Before: 4, Latency: 60 * ms}
+	for _, tc := range []struct {
+		name           string
+		left, patience time.Duration
+		want           bool
+	}{
+		{"wait within patience", 250 * ms, 125 * ms, true},
+		{"other servers are left to ask", 250 * ms, 30 * ms, false},
+		{"patient, but late", 150 * ms, 125 * ms, false},
+	} {
+		if got := load.Admits(tc.left, tc.patience); got != tc.want {
+			t.Errorf("%s: %v, expected wait %v", tc.name, got, load.Wait())
+		}
+	}
+}
+
 func TestAdmits(t *testing.T) {
 	ms := time.Millisecond
 	for _, tc := range []struct {
@@ -87,7 +107,7 @@
 		{"many before it", placer.Load{Open: 3, Idle: 1, Turns: 3, Active: 3, Before: 14, Latency: 50 * ms}, 250 * ms, false},
 		{"late already", placer.Load{Open: 2, Latency: 50 * ms}, 10 * ms, false},
 	} {
-		if got := tc.load.Admits(tc.left); got != tc.want {
+		if got := tc.load.Admits(tc.left, tc.left); got != tc.want {
 			t.Errorf("%s: %v", tc.name, got)
 		}
 	}
@@ -122,7 +142,7 @@
 			if wait == 0 {
 				load.Idle = 1
 			}
-			if admit && !load.Admits(objective) {
+			if admit && !load.Admits(objective, objective) {
 				refused++
 				continue
 			}
--- a/internal/queuer/queue.go
+++ b/internal/queuer/queue.go
@@ -52,6 +52,17 @@
 	return true
 }
 
+// Last returns the entry that would leave last; nil if none waits.
+func (q *Queue[T]) Last() *Entry[T] {
+	var last *Entry[T]
+	for i, e := range q.entries.list {
+		if last == nil || q.entries.Less(last.index, i) {
+			last = e
+		}
+	}
+	return last
+}
+
 // CountBefore returns how many waiting values come before the value.
 func (q *Queue[T]) CountBefore(v T) int {
 	n := 0
