--- a/internal/exchanger/exchangertest/cluster.go
+++ b/internal/exchanger/exchangertest/cluster.go
@@ -25,12 +25,27 @@
 	// PromoteDelay is the time until a promotion takes effect.
 	PromoteDelay time.Duration
 	promotions   []string
+	// OnRun is told of each read, write and commit that runs, with the log of the
+	// server right after it. It is called with the cluster locked.
+	OnRun func(Run)
 	// OnStatement runs before each statement, without the lock.
 	OnStatement func(server string, s exchanger.Statement)
 }
 
+// Run is a caller's statement that ran.
+type Run struct {
+	Server string
+	// Connection tells connections to servers apart.
+	Connection any
+	Statement  exchanger.Statement
+	// Entries are the identifiers of the commits in the server's log; they must
+	// not be changed.
+	Entries []string
+}
+
 type server struct {
 	id      string
+	entries []string
 	role    exchanger.Role
 	term    uint64
 	log     tracker.Position
@@ -163,6 +178,49 @@
 	return append([]string(nil), c.ran...)
 }
 
+// Settle lets servers that run follow the primary of the highest term, as they do
+// by themselves some time after they reach it: an old primary becomes a replica,
+// and replicas receive what they missed.
+func (c *Cluster) Settle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var lead *server
+	for _, s := range c.servers {
+		if s.role == exchanger.Primary && (lead == nil || s.term > lead.term) {
+			lead = s
+		}
+	}
+	if lead == nil || lead.down {
+		return
+	}
+	for _, s := range c.servers {
+		if s == lead || s.down || s.deaf || s.paused > lead.term || s.term > lead.term {
+			continue
+		}
+		s.role, s.term = exchanger.Replica, lead.term
+		if s.paused == 0 {
+			s.log, s.entries = lead.log, lead.entries
+		}
+	}
+}
+
+// Entries returns the identifiers of the commits in the log of the primary with
+// the highest term.
+func (c *Cluster) Entries() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var best *server
+	for _, s := range c.servers {
+		if s.role == exchanger.Primary && (best == nil || s.term > best.term) {
+			best = s
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.entries
+}
+
 // Log returns the end of a server's log.
 func (c *Cluster) Log(id string) tracker.Position {
 	c.mu.Lock()
--- a/internal/exchanger/exchangertest/conn.go
+++ b/internal/exchanger/exchangertest/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"marigoldhub.example/hub/internal/exchanger"
@@ -107,36 +108,48 @@
 	case exchanger.Commit:
 		k.state = exchanger.Idle
 		if k.wrote {
-			return c.commit(s, st, ok, readOnly)
+			return c.commit(k, s, st, ok, readOnly)
 		}
-		c.ran = append(c.ran, s.id+" "+st.ID)
+		c.note(k, s, st)
 	case exchanger.Read, exchanger.Execute:
-		c.ran = append(c.ran, s.id+" "+st.ID)
+		c.note(k, s, st)
 	case exchanger.Write:
 		if s.role != exchanger.Primary {
 			return readOnly, nil
 		}
 		if k.state == exchanger.InTransaction {
 			k.wrote = true
+			if c.OnRun != nil {
+				c.OnRun(Run{s.id, k, st, s.entries})
+			}
 			return ok, nil
 		}
-		return c.commit(s, st, ok, readOnly)
+		return c.commit(k, s, st, ok, readOnly)
 	}
 	return ok, nil
 }
 
+// note records that a statement ran.
+func (c *Cluster) note(k *conn, s *server, st exchanger.Statement) {
+	c.ran = append(c.ran, s.id+" "+st.ID)
+	if c.OnRun != nil {
+		c.OnRun(Run{s.id, k, st, s.entries})
+	}
+}
+
 // commit acknowledges a commit once a replica has it. Without one the answer
 // is lost.
-func (c *Cluster) commit(s *server, st exchanger.Statement, ok, readOnly exchanger.Answer) (exchanger.Answer, error) {
+func (c *Cluster) commit(k *conn, s *server, st exchanger.Statement, ok, readOnly exchanger.Answer) (exchanger.Answer, error) {
 	if s.role != exchanger.Primary {
 		return readOnly, nil
 	}
 	s.log = tracker.Position{Term: s.term, Offset: s.log.Offset + 1}
-	c.ran = append(c.ran, s.id+" "+st.ID)
+	s.entries = append(slices.Clip(s.entries), st.ID)
+	c.note(k, s, st)
 	received := false
 	for _, r := range c.servers {
 		if r.role == exchanger.Replica && !r.down && !r.deaf && r.paused == 0 && r.term == s.term {
-			r.log, received = s.log, true
+			r.log, r.entries, received = s.log, s.entries, true
 		}
 	}
 	if !received {
