gossiper: promises through relays; instances that stop asking are asked themselves

Change: one that stops asking is asked itself, and is lost only without an answer. In fleets of more than 32, one instance in sixteen of a zone passes on what is left of the promises, so that the holder answers some tens of questions a second instead of 640.

--- a/internal/attester/permit.go
+++ b/internal/attester/permit.go
@@ -20,6 +20,15 @@
 	}
 }
 
+// PermitLeft returns the leader that is promised to stay and for how long yet;
+// false if there is no promise. What is left of a promise may be passed on.
+func (g *Group) PermitLeft() (server string, term uint64, left time.Duration, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	left = g.permit.until.Sub(g.cfg.Clock.Now())
+	return g.permit.server, g.permit.term, left, left > 0 && g.permit.term == g.highest
+}
+
 // IsPermitted reports whether the leader is promised to lead right now. It
 // proves everything that began at the leader or arrived from a caller before
 // the call, as a witness does, without a question to the servers.
--- a/internal/dispatcher/gateway.go
+++ b/internal/dispatcher/gateway.go
@@ -199,8 +199,8 @@
 	}()
 }
 
-// errQuiet means that an instance has stopped asking for promises.
-var errQuiet = errors.New("instance has fallen silent")
+// errLost means that another instance found that one does not answer.
+var errLost = errors.New("instance does not answer")
 
 // LoseInstances keeps requests off the named instances until they answer, and
 // gives reads up that wait for them.
@@ -208,16 +208,16 @@
 	if len(names) == 0 {
 		return
 	}
-	var quiet []*gateway
+	var lost []*gateway
 	d.mu.RLock()
 	for _, g := range d.peers {
 		if slices.Contains(names, g.peer.Name) {
-			quiet = append(quiet, g)
+			lost = append(lost, g)
 		}
 	}
 	d.mu.RUnlock()
-	for _, g := range quiet {
-		d.loseGateway(g, errQuiet)
+	for _, g := range lost {
+		d.loseGateway(g, errLost)
 	}
 }
 
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -29,8 +29,16 @@
 	// permitInterval keeps promises of 300 ms from lapsing when one answer is
 	// late. A question and its answer take about 200 bytes.
 	permitInterval = 110 * time.Millisecond
+	// checkInterval is how often missing instances are looked for.
+	checkInterval = 100 * time.Millisecond
+	// relayInterval is the same for an instance that passes promises on: what is
+	// left of them must outlast the others' interval.
+	relayInterval = 60 * time.Millisecond
 	// permitTimeout is how long an answer is of use.
 	permitTimeout = 200 * time.Millisecond
+	// directTime is how long the giver of promises is asked after an instance that
+	// passes them on had none.
+	directTime = time.Second
 	// askCount instances are asked at a time; some may know no more.
 	askCount = 3
 	// askInterval bounds how often an instance asks while it lacks knowledge.
@@ -49,13 +57,15 @@
 	Learn(s *wire.PeerState, asked time.Time) (lacks bool)
 	// EndTenure stops acting under the token.
 	EndTenure(token int64)
-	// Permits returns the promises that this instance gives as the duty's holder.
+	// Permits returns the promises that this instance gives as the duty's holder, or
+	// what is left of those that it got.
 	Permits() *wire.PermitResponse
 	// LearnPermits takes over promises that were asked for at the time.
 	LearnPermits(p *wire.PermitResponse, asked time.Time)
-	// HolderAddress returns where the holder of the duty is asked: empty if it
-	// is unknown, and self if it is this instance.
-	HolderAddress() (address string, self bool)
+	// PromiseAddress returns where promises are asked for: empty if that is
+	// unknown, and self if this instance gives them. Direct asks for the address of
+	// their giver instead of an instance that passes them on.
+	PromiseAddress(direct bool) (address string, self bool)
 }
 
 // Config holds what a [Gossiper] needs.
@@ -78,6 +88,8 @@
 	mu      sync.Mutex
 	asked   time.Time
 	pulling atomic.Bool
+	// attendance notes who asks this instance for promises.
+	attendance *Attendance
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -87,10 +99,11 @@
 // New starts exchanging.
 func New(cfg Config) *Gossiper {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Gossiper{cfg: cfg, ctx: ctx, cancel: cancel, done: make(chan struct{})}
+	g := &Gossiper{cfg: cfg, attendance: NewAttendance(cfg.Clock), ctx: ctx, cancel: cancel, done: make(chan struct{})}
 	var wg sync.WaitGroup
 	wg.Go(func() { g.run(ctx) })
 	wg.Go(func() { g.askPermits(ctx) })
+	wg.Go(func() { g.checkAttendance(ctx) })
 	go func() {
 		defer close(g.done)
 		wg.Wait()
@@ -155,20 +168,26 @@
 
 // askPermits asks the holder of the duty for promises again and again.
 func (g *Gossiper) askPermits(ctx context.Context) {
+	var direct time.Time
 	for {
+		interval := permitInterval
+		if g.attendance.IsAsked() {
+			interval = relayInterval
+		}
 		select {
-		case <-g.cfg.Clock.After(permitInterval):
+		case <-g.cfg.Clock.After(interval):
 		case <-ctx.Done():
 			return
 		}
-		address, self := g.cfg.View.HolderAddress()
+		address, self := g.cfg.View.PromiseAddress(g.cfg.Clock.Now().Before(direct))
 		asked := g.cfg.Clock.Now()
 		switch {
 		case self:
 			g.cfg.View.LearnPermits(g.cfg.View.Permits(), asked)
 		case address != "":
 			if err := g.askPermit(ctx, address, asked); err != nil {
-				g.cfg.Log.WithError(err).Debug("gossiper: holder of the duty is out of reach")
+				g.cfg.Log.WithError(err).Debug("gossiper: no promises")
+				direct = g.cfg.Clock.Now().Add(directTime)
 			}
 		}
 	}
@@ -181,14 +200,53 @@
 	if err != nil {
 		return err
 	}
-	permits, err := wire.NewDRPCPeersClient(conn).Permit(ctx, &wire.PermitRequest{Instance: g.cfg.Name})
+	permits, err := wire.NewDRPCPeersClient(conn).Permit(ctx, &wire.PermitRequest{Instance: g.cfg.Name, Lost: g.attendance.Found()})
 	if err != nil {
 		return errors.Wrap(err, address)
 	}
+	g.attendance.Hear(permits.GetLost())
 	g.cfg.View.LearnPermits(permits, asked)
+	if len(permits.GetPermits()) == 0 {
+		return errNoPromises
+	}
 	return nil
 }
 
+// errNoPromises means that an instance neither gives nor has promises.
+var errNoPromises = errors.New("instance has no promises")
+
+// checkAttendance asks instances that have stopped asking this one whether they
+// live.
+func (g *Gossiper) checkAttendance(ctx context.Context) {
+	for {
+		select {
+		case <-g.cfg.Clock.After(checkInterval):
+		case <-ctx.Done():
+			return
+		}
+		for _, name := range g.attendance.Missing() {
+			go func() { g.attendance.Checked(name, g.lives(ctx, name)) }()
+		}
+	}
+}
+
+// lives reports whether the named instance answers.
+func (g *Gossiper) lives(ctx context.Context, name string) bool {
+	address := g.cfg.AddressOf(name)
+	if address == "" {
+		// It is not listed any more, so that nobody uses it.
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	conn, err := g.cfg.Dialer.Dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	_, err = wire.NewDRPCPeersClient(conn).Permit(ctx, &wire.PermitRequest{})
+	return err == nil
+}
+
 // Tell exchanges views with all instances at the same time and returns the
 // number that could not be reached.
 func (g *Gossiper) Tell(ctx context.Context) (unreached int) {
--- a/internal/gossiper/service.go
+++ b/internal/gossiper/service.go
@@ -12,8 +12,6 @@
 	Name     string
 	View     View
 	Gossiper *Gossiper
-	// Attendance notes who asks for promises.
-	Attendance *Attendance
 }
 
 // Exchange implements the Peers service.
@@ -32,10 +30,16 @@
 
 // Permit implements the Peers service.
 func (s Service) Permit(_ context.Context, in *wire.PermitRequest) (*wire.PermitResponse, error) {
-	s.Attendance.Note(in.GetInstance())
+	attendance := s.Gossiper.attendance
+	if in.GetInstance() == "" {
+		// The question is whether this instance lives.
+		return &wire.PermitResponse{}, nil
+	}
+	attendance.Note(in.GetInstance())
+	attendance.Hear(in.GetLost())
 	resp := s.View.Permits()
 	if len(resp.GetPermits()) > 0 {
-		resp.Quiet = s.Attendance.Quiet()
+		resp.Lost = attendance.Lost()
 	}
 	return resp, nil
 }
--- a/internal/noder/duties.go
+++ b/internal/noder/duties.go
@@ -42,7 +42,7 @@
 		Clock: n.clock, Metrics: n.metrics, Log: n.log,
 	})
 	n.control = messenger.NewServer(messenger.ServerConfig{Listener: l, Registry: n.metrics, Log: n.log})
-	if err := wire.DRPCRegisterPeers(n.control.Mux(), gossiper.Service{Name: n.settings.Instance, View: v, Gossiper: n.gossiper, Attendance: gossiper.NewAttendance(n.clock)}); err != nil {
+	if err := wire.DRPCRegisterPeers(n.control.Mux(), gossiper.Service{Name: n.settings.Instance, View: v, Gossiper: n.gossiper}); err != nil {
 		return errors.Wrap(err, "register the service for instances")
 	}
 	if err := wire.DRPCRegisterGateways(n.control.Mux(), forwarder.Service{Runner: n.dispatcher}); err != nil {
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -186,13 +186,17 @@
 
 // instances returns all listed instances, this one included.
 func (n *Node) instances() []placer.Peer {
-	peers := []placer.Peer{{Name: n.settings.Instance, Zone: n.settings.Zone, Address: n.settings.Control}}
+	peers := []placer.Peer{n.self()}
 	for _, o := range n.registrar.Others() {
 		peers = append(peers, placer.Peer{Name: o.Name, Zone: o.Zone, Address: o.Address})
 	}
 	return peers
 }
 
+func (n *Node) self() placer.Peer {
+	return placer.Peer{Name: n.settings.Instance, Zone: n.settings.Zone, Address: n.settings.Control}
+}
+
 // holdsDuty reports whether this instance watches the primaries.
 func (n *Node) holdsDuty() bool {
 	select {
--- a/internal/noder/permits.go
+++ b/internal/noder/permits.go
@@ -6,6 +6,7 @@
 
 	"marigoldhub.example/hub/internal/holder"
 	"marigoldhub.example/hub/internal/messenger/wire"
+	"marigoldhub.example/hub/internal/placer"
 )
 
 // knownDuty is the holder of the duty with the highest token that is known.
@@ -37,12 +38,15 @@
 	s.DutyHolder, s.DutyToken = v.duty.get()
 }
 
-// HolderAddress implements [gossiper.View].
-func (v view) HolderAddress() (address string, self bool) {
+// PromiseAddress implements [gossiper.View].
+func (v view) PromiseAddress(direct bool) (address string, self bool) {
 	<-v.built
 	if v.holder.IsHolding() {
 		return "", true
 	}
+	if relay, ok := placer.PromiseRelay(v.self(), v.instances()); ok && !direct {
+		return relay.Address, false
+	}
 	name, _ := v.duty.get()
 	return v.addressOf(name), false
 }
@@ -51,6 +55,10 @@
 func (v view) Permits() *wire.PermitResponse {
 	<-v.built
 	resp := &wire.PermitResponse{}
+	if !v.holder.IsHolding() {
+		v.passOn(resp)
+		return resp
+	}
 	for _, p := range v.replacer.Promises() {
 		resp.Permits = append(resp.Permits, &wire.Permit{
 			Service: p.Service, Primary: p.Leader.Server.ID, Term: p.Leader.Term,
@@ -60,9 +68,22 @@
 	return resp
 }
 
+// passOn adds what is left of the promises that this instance has.
+func (v view) passOn(resp *wire.PermitResponse) {
+	state := v.informer.State()
+	if !state.HasConfiguration() {
+		return
+	}
+	for name := range state.Configuration.Services {
+		if server, term, left, ok := v.dispatcher.Group(name).PermitLeft(); ok {
+			resp.Permits = append(resp.Permits, &wire.Permit{Service: name, Primary: server, Term: term, ForUs: uint64(left.Microseconds())})
+		}
+	}
+}
+
 // LearnPermits implements [gossiper.View].
 func (v view) LearnPermits(resp *wire.PermitResponse, asked time.Time) {
-	v.dispatcher.LoseInstances(resp.GetQuiet())
+	v.dispatcher.LoseInstances(resp.GetLost())
 	state := v.informer.State()
 	if !state.HasConfiguration() {
 		return
--- a/internal/placer/gateway_test.go
+++ b/internal/placer/gateway_test.go
@@ -74,6 +74,41 @@
 	}
 }
 
+// Guards against a holder of the duty that every instance of a large fleet asks,
+// and against instances that ask each other in a circle.
+func TestPromiseRelay(t *testing.T) {
+	for _, tc := range []struct{ instances, most int }{{8, 8}, {32, 32}, {71, 6}, {300, 21}, {1000, 70}} {
+		var zones []string
+		for i := range tc.instances {
+			zones = append(zones, fmt.Sprint("z", i%3))
+		}
+		all := peers(zones...)
+		asksHolder, asked := 0, map[string]int{}
+		for _, self := range all[:min(len(all), 100)] {
+			relay, ok := placer.PromiseRelay(self, all)
+			if !ok {
+				asksHolder++
+				continue
+			}
+			if relay.Zone != self.Zone {
+				t.Errorf("%s asks in another zone", self.Name)
+			}
+			if _, ok := placer.PromiseRelay(relay, all); ok {
+				t.Errorf("%d instances: the relay of %s asks a relay itself", tc.instances, self.Name)
+			}
+			asked[relay.Name]++
+		}
+		if asksHolder > tc.most {
+			t.Errorf("%d instances: %d ask the holder, want %d at most", tc.instances, asksHolder, tc.most)
+		}
+		for name, n := range asked {
+			if n > 60 {
+				t.Errorf("%d instances: %d ask %s", tc.instances, n, name)
+			}
+		}
+	}
+}
+
 // Plays the load that gateways answer: 71 instances send 81 requests of 18 ms a
 // second to a server with three slots and 34 connections, and a handshake takes
 // 12 ms of a slot. With a connection for each instance that needs one, handshakes
