dispatcher: the choice of gateways is kept while the list of instances stays

Cause (benchmark): choosing the gateways of a server takes 19 us at 71 instances and 86 us at 300, and was done for every server twice a second. Figures: go test -bench Gateways ./internal/placer: 5, 19, 86, 1,744 us at 8, 71, 300, 5,600 instances.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -54,6 +54,7 @@
 	backends map[string]*backend
 	groups   map[string]*attester.Group
 	peers    map[string]*gateway
+	plan     gatewayPlan
 
 	reserved reservations
 	// turns counts requests to gateways and transactions.
--- a/internal/dispatcher/fleet.go
+++ b/internal/dispatcher/fleet.go
@@ -17,11 +17,12 @@
 	state := d.cfg.Informer.State()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	peers := d.cfg.Instances()
 	listed := map[string]bool{}
 	for _, service := range state.Services() {
 		for _, srv := range state.ServersOf(service) {
 			listed[srv.ID] = true
-			d.reconcileServer(state, srv)
+			d.reconcileServer(state, srv, peers)
 		}
 	}
 	for id, b := range d.backends {
@@ -30,16 +31,17 @@
 			delete(d.backends, id)
 		}
 	}
+	d.plan.forget(listed)
 	d.dropGateways()
 }
 
-func (d *Dispatcher) reconcileServer(state *informer.State, srv informer.Server) {
+func (d *Dispatcher) reconcileServer(state *informer.State, srv informer.Server, peers []placer.Peer) {
 	b := d.backends[srv.ID]
 	if b != nil && (b.server.Born != srv.Born || b.server.Address != srv.Address) {
 		b.Close()
 		b = nil
 	}
-	limit, gateways := d.share(state, srv)
+	limit, gateways := d.share(state, srv, peers)
 	isNew := b == nil
 	if isNew {
 		b = d.newBackend(srv, limit)
@@ -105,12 +107,11 @@
 
 // share returns how many connections to the server this instance may hold, and
 // the server's gateways if there are too few for every instance.
-func (d *Dispatcher) share(state *informer.State, srv informer.Server) (limit int, gateways []placer.Peer) {
+func (d *Dispatcher) share(state *informer.State, srv informer.Server, peers []placer.Peer) (limit int, gateways []placer.Peer) {
 	all := d.connectionLimit(state, srv.Service)
 	if !d.cfg.InstancesKnown() {
 		return max(all/assumedFleet, 1), nil
 	}
-	peers := d.cfg.Instances()
 	near := 0
 	for _, p := range peers {
 		if p.Zone == srv.Zone {
@@ -119,7 +120,7 @@
 	}
 	limit = placer.Share(all, near, len(peers)-near, srv.Zone == d.cfg.Zone)
 	if n := placer.GatewayCount(all, len(peers)); n > 0 {
-		gateways = placer.Gateways(srv.ID, srv.Zone, peers, n)
+		gateways = d.plan.of(srv, peers, n)
 		limit = probeConnections
 		if slices.ContainsFunc(gateways, d.isSelf) {
 			limit = placer.GatewayShare(all, n)
--- a/internal/placer/gateway_test.go
+++ b/internal/placer/gateway_test.go
@@ -176,3 +176,19 @@
 		t.Errorf("gateways: %d in time and %d handshakes; direct: %d and %d", shared, sharedHandshakes, direct, directHandshakes)
 	}
 }
+
+// Measures the choice of gateways for docs/CAPACITY.md.
+func BenchmarkGateways(b *testing.B) {
+	for _, n := range []int{8, 71, 300, 5600} {
+		var zones []string
+		for i := range n {
+			zones = append(zones, fmt.Sprint("z", i%4))
+		}
+		all := peers(zones...)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				placer.Gateways("server-1", "z1", all, 4)
+			}
+		})
+	}
+}
