--- a/internal/placer/gateway_test.go
+++ b/internal/placer/gateway_test.go
@@ -31,6 +31,7 @@
 		{"grown cooperative", 34, 71, 4, 8},
 		{"grown council unit", 185, 87, 22, 8},
 		{"far larger fleet", 34, 5600, 4, 8},
+		{"one each", 8, 8, 0, 0},
 		{"few connections", 5, 40, 3, 1},
 		{"fewer connections than gateways", 2, 3, 2, 1},
 	} {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -185,23 +185,3 @@
 		}
 	}
 }
-
-// Guards against connections that rest with some instances while others get
-// none: on the grown cooperative, 71 instances before servers with 34
-// connections, a fifth of the requests were refused.
-func TestIsScarce(t *testing.T) {
-	for _, tc := range []struct {
-		name             string
-		limit, instances int
-		want             bool
-	}{
-		{"cooperative", 23, 8, false},
-		{"grown cooperative", 34, 71, true},
-		{"grown council unit", 185, 87, false},
-		{"one each", 8, 8, false},
-	} {
-		if got := placer.IsScarce(tc.limit, tc.instances); got != tc.want {
-			t.Errorf("%s: %v", tc.name, got)
-		}
-	}
-}
--- a/internal/placer/read.go
+++ b/internal/placer/read.go
@@ -24,7 +24,7 @@
 	Near bool
 	// Leader is true for the primary.
 	Leader bool
-	// Scarce is true if the server has fewer connections than there are instances.
+	// Scarce is true if the server has too few connections for all instances.
 	Scarce bool
 	// Avoid is true for a server that is draining, lately refused or failed.
 	Avoid bool
--- a/internal/placer/share.go
+++ b/internal/placer/share.go
@@ -22,8 +22,3 @@
 // loss of power the servers still count the connections of before; instances
 // that return together must leave each other at least one.
 func StartShare(share int) int { return max(share/2, 1) }
-
-// IsScarce reports whether a server's limit is below one connection for each
-// instance. Connections must then be closed soon after use, so that other instances get
-// one.
-func IsScarce(limit, instances int) bool { return limit < instances }
