dispatcher: one gateway orders a server's work at every size of fleet

Cause: eight instances each ran as many requests at a server as it has slots and queued the rest by themselves, so the server's own queue decided. Statements of transactions, about half of the work, took no turn at all. Each statement takes a turn, those of open transactions at once. A turn ends by itself after eight times the usual latency. Reads at the primary wait by urgency instead of needing a half free server. A read that is not answered for half of its objective is run at another server as well. Replies of a gateway with missing answers, or a failure that this version does not know, end as an unknown outcome; the former stopped the process (test failed first).

--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -63,14 +63,14 @@
 }
 
 // Enter waits for the request's turn until the deadline. When there is no more
-// room to wait, the least urgent request gives up at once. Each successful call
-// is followed by one call of Leave.
-func (g *Gate) Enter(u Urgency, deadline time.Time) error {
+// room to wait, the least urgent request gives up at once. Leave ends the turn;
+// a turn that lasts longer than the limit ends by itself.
+func (g *Gate) Enter(u Urgency, deadline time.Time, limit time.Duration) (leave func(), err error) {
 	g.mu.Lock()
 	if g.active < g.limit && g.waiters.Len() == 0 {
 		g.active++
 		g.mu.Unlock()
-		return nil
+		return g.turn(limit), nil
 	}
 	w := &waiter{Urgency: u, turn: make(chan error, 1)}
 	e := g.waiters.Push(w)
@@ -80,16 +80,43 @@
 	timer := g.clock.NewTimer(deadline.Sub(g.clock.Now()))
 	defer timer.Stop()
 	select {
-	case err := <-w.turn:
-		return err
+	case err = <-w.turn:
 	case <-timer.Chan():
+		g.mu.Lock()
+		waiting := g.waiters.Remove(e)
+		g.mu.Unlock()
+		if waiting {
+			return nil, ErrFull
+		}
+		err = <-w.turn
+	}
+	if err != nil {
+		return nil, err
 	}
+	return g.turn(limit), nil
+}
+
+// Join starts a turn at once, also beyond the number that may run: for the next
+// statement of a transaction, whose work so far would be lost and whose
+// connection nobody else can use.
+func (g *Gate) Join(limit time.Duration) (leave func()) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.waiters.Remove(e) {
-		return ErrFull
+	g.active++
+	g.mu.Unlock()
+	return g.turn(limit)
+}
+
+// turn returns what ends a turn that has begun. A server whose answers get lost
+// is free again long before they are given up; without a limit, a few lost
+// answers would keep all others waiting.
+func (g *Gate) turn(limit time.Duration) (leave func()) {
+	var once sync.Once
+	end := func() { once.Do(g.leave) }
+	timer := g.clock.AfterFunc(limit, end)
+	return func() {
+		timer.Stop()
+		end()
 	}
-	return <-w.turn
 }
 
 // evict lets the least urgent waiters give up while there are too many. The
@@ -102,8 +129,7 @@
 	}
 }
 
-// Leave ends a turn.
-func (g *Gate) Leave() {
+func (g *Gate) leave() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.active--
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -8,7 +8,6 @@
 
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/exchanger"
-	"marigoldhub.example/hub/internal/informer"
 	"marigoldhub.example/hub/internal/placer"
 )
 
@@ -43,7 +42,6 @@
 	if maySpill {
 		n.wait = earliest(n.wait, placer.SpillLimit(d.cfg.Clock.Now(), req.Route.Objective))
 	}
-	n.needsSpare = req.Route.Reads == informer.BoundedReads && d.isLeader(req.Route.Service, b)
 	return d.attempt(b, req, n, deadline, s...)
 }
 
@@ -95,6 +93,9 @@
 	}
 	answers, err := run()
 	now := d.cfg.Clock.Now()
+	if f, ok := l.(*forwardedLink); ok {
+		began = began.Add(f.queued)
+	}
 	switch {
 	case err == nil:
 		b.observe(now, now.Sub(began), answers[0].Code, nil)
--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -38,13 +38,13 @@
 
 	mu     sync.Mutex
 	server informer.Server
-	// gateways hold the connections to the server while there are too few for
-	// every instance; isGateway is true if this instance is one of them.
-	gateways  []*gateway
-	isGateway bool
-	inFlight  int
-	latency   time.Duration
-	avoid     time.Time
+	// gateways hold the connections to the server, in the order in which they
+	// are used; rank is the place of this instance among them, -1 if it is none.
+	gateways []*gateway
+	rank     int
+	inFlight int
+	latency  time.Duration
+	avoid    time.Time
 	// behindAge is the age of the position that the replica lacked.
 	behindAge time.Duration
 	behindAt  time.Time
@@ -52,12 +52,19 @@
 	failures  int
 }
 
-// usesGateways reports whether the server's connections belong to other
-// instances.
+// usesGateways reports whether work for the server goes through its gateways,
+// of which this instance may be one.
 func (b *backend) usesGateways() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.gateways) > 0 && !b.isGateway
+	return len(b.gateways) > 0
+}
+
+// isGateway reports whether this instance is a gateway of the server.
+func (b *backend) isGateway() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rank >= 0
 }
 
 // admit returns why a request should not wait for a connection of this
@@ -69,34 +76,42 @@
 		return errSilent
 	case n.isWrite && b.writes.isStalled(now):
 		return errStalled
-	case !load.Admits(n.left, n.wait.Sub(now)), n.needsSpare && !load.HasSpare():
+	case !load.Admits(n.left, n.wait.Sub(now)):
 		return overload{max(load.Wait(), time.Microsecond)}
 	}
 	return nil
 }
 
-// acquire waits for the request's turn and takes a link of this instance's. The
-// turn is given back by [backend.leave].
-func (b *backend) acquire(n need) (*linker.Link, error) {
-	b.count(1)
-	err := b.gate.Enter(n.urgency(), n.wait)
-	if err != nil {
-		b.count(-1)
-		return nil, errors.Join(errOverloaded, err)
+// enter waits for the request's turn and takes a link of this instance's, or
+// returns why the request should not wait. Leave ends the turn.
+func (b *backend) enter(now time.Time, n need) (l *linker.Link, leave func(), err error) {
+	if err := b.admit(now, n); err != nil {
+		return nil, nil, err
 	}
-	l, err := b.Pool.Acquire(n.priority, n.wait, n.values)
+	leave, err = b.gate.Enter(n.urgency(), n.wait, placer.TurnLimit(b.meanLatency()))
 	if err != nil {
-		b.leave()
-		b.count(-1)
+		return nil, nil, errors.Join(errOverloaded, err)
+	}
+	l, err = b.Pool.Acquire(n.priority, n.wait, n.values)
+	if err == nil {
+		return l, leave, nil
 	}
+	leave()
 	if errors.Is(err, linker.ErrNoLink) {
 		err = errors.Join(errOverloaded, err)
 	}
-	return l, err
+	return nil, nil, err
 }
 
-// leave ends a request's turn.
-func (b *backend) leave() { b.gate.Leave() }
+// join starts the turn of an open transaction's next statement.
+func (b *backend) join() (leave func()) { return b.gate.Join(placer.TurnLimit(b.meanLatency())) }
+
+// inTurn runs the next statement of an open transaction on a link of this
+// instance's.
+func (b *backend) inTurn(run func() ([]exchanger.Answer, error)) ([]exchanger.Answer, error) {
+	defer b.join()()
+	return run()
+}
 
 func (b *backend) count(n int) {
 	b.mu.Lock()
--- a/internal/dispatcher/counters.go
+++ b/internal/dispatcher/counters.go
@@ -4,8 +4,8 @@
 
 // counters count what the dispatcher does.
 type counters struct {
-	dials, probes, reads, readsAtReplicas, writes, retries, refusals, unknown, forwarded, forwardsRefused metrics.Counter
-	latency                                                                                               metrics.Histogram
+	dials, probes, reads, readsAtReplicas, writes, retries, hedges, refusals, unknown, forwarded, forwardsRefused metrics.Counter
+	latency                                                                                                       metrics.Histogram
 }
 
 // latencySamples bounds the memory of the latency histogram.
@@ -15,7 +15,7 @@
 	c := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("dispatcher."+name, r) }
 	return counters{
 		dials: c("dials"), probes: c("probes"), reads: c("reads"), readsAtReplicas: c("reads_at_replicas"),
-		writes: c("writes"), retries: c("retries"), refusals: c("refusals"), unknown: c("unknown_outcomes"),
+		writes: c("writes"), retries: c("retries"), hedges: c("hedged_reads"), refusals: c("refusals"), unknown: c("unknown_outcomes"),
 		forwarded: c("forwarded"), forwardsRefused: c("forwards_refused"),
 		latency: metrics.GetOrRegisterHistogram("dispatcher.server_latency_us", r, metrics.NewExpDecaySample(latencySamples, 0.015)),
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -22,8 +22,9 @@
 	// of an instance that lost power count for 3 s against a server's limit:
 	// what is not open then is free for the instances that start again.
 	idleLimit = 1500 * time.Millisecond
-	// probeIdleLimit is idleLimit for a connection to a server with gateways,
-	// which serves reports only. It outlives the pause between two of them.
+	// probeIdleLimit is idleLimit for an instance that is no gateway of the
+	// server: its connections serve reports only. It outlives the pause between
+	// two of them.
 	probeIdleLimit = 500 * time.Millisecond
 	// assumedFleet is how many instances share a server's connections as far as an
 	// instance knows that has not yet seen the list.
@@ -54,7 +55,9 @@
 	backends map[string]*backend
 	groups   map[string]*attester.Group
 	peers    map[string]*gateway
-	plan     gatewayPlan
+	// self stands for this instance among the gateways of a server.
+	self *gateway
+	plan gatewayPlan
 
 	reserved reservations
 	// turns counts requests to gateways and transactions.
@@ -74,6 +77,7 @@
 		backends: map[string]*backend{},
 		groups:   map[string]*attester.Group{},
 		peers:    map[string]*gateway{},
+		self:     &gateway{isSelf: true, life: make(chan struct{})},
 		stop:     make(chan struct{}),
 		done:     make(chan struct{}),
 	}
@@ -154,7 +158,7 @@
 // they depend on no other.
 func (d *Dispatcher) ask(b *backend, s exchanger.Statement, deadline time.Time) ([]exchanger.Answer, error) {
 	n := need{priority: probePriority, wait: deadline, left: deadline.Sub(d.cfg.Clock.Now())}
-	if s.Kind == exchanger.Status && b.usesGateways() && !d.cfg.HoldsDuty() {
+	if s.Kind == exchanger.Status && b.usesGateways() && !b.isGateway() && !d.cfg.HoldsDuty() {
 		l := d.forwardedLink(b, n)
 		answers, err := l.RunPlain(deadline, s)
 		b.release(l, err == nil && answers[0].State == exchanger.Idle)
--- a/internal/dispatcher/fleet.go
+++ b/internal/dispatcher/fleet.go
@@ -41,7 +41,7 @@
 		b.Close()
 		b = nil
 	}
-	limit, gateways := d.share(state, srv, peers)
+	limit, gateways, rank := d.share(state, srv, peers)
 	isNew := b == nil
 	if isNew {
 		b = d.newBackend(srv, limit)
@@ -49,8 +49,8 @@
 	}
 	b.mu.Lock()
 	b.server = srv
-	b.gateways, b.isGateway = d.others(gateways), slices.ContainsFunc(gateways, d.isSelf)
-	isShared := len(b.gateways) > 0 && !b.isGateway
+	b.gateways, b.rank = d.gatewaysAt(gateways), rank
+	isShared := len(b.gateways) > 0 && rank < 0
 	b.mu.Unlock()
 	if isNew {
 		return
@@ -105,31 +105,26 @@
 	return defaultConnections
 }
 
-// share returns how many connections to the server this instance may hold, and
-// the server's gateways if there are too few for every instance.
-func (d *Dispatcher) share(state *informer.State, srv informer.Server, peers []placer.Peer) (limit int, gateways []placer.Peer) {
+// share returns how many connections to the server this instance may hold, the
+// server's gateways, and the rank of this instance among them.
+func (d *Dispatcher) share(state *informer.State, srv informer.Server, peers []placer.Peer) (limit int, gateways []placer.Peer, rank int) {
 	all := d.connectionLimit(state, srv.Service)
 	if !d.cfg.InstancesKnown() {
-		return max(all/assumedFleet, 1), nil
+		return max(all/assumedFleet, 1), nil, -1
 	}
-	near := 0
-	for _, p := range peers {
-		if p.Zone == srv.Zone {
-			near++
-		}
-	}
-	limit = placer.Share(all, near, len(peers)-near, srv.Zone == d.cfg.Zone)
+	limit, rank = all, -1
 	if n := placer.GatewayCount(all, len(peers)); n > 0 {
 		gateways = d.plan.of(srv, peers, n)
+		rank = slices.IndexFunc(gateways, d.isSelf)
 		limit = probeConnections
-		if slices.ContainsFunc(gateways, d.isSelf) {
-			limit = placer.GatewayShare(all, n)
+		if rank >= 0 {
+			limit = placer.GatewayShare(all, len(gateways), rank)
 		}
 	}
 	if d.cfg.Clock.Since(d.started) < lingerTime {
 		limit = placer.StartShare(limit)
 	}
-	return limit, gateways
+	return limit, gateways, rank
 }
 
 func (d *Dispatcher) isSelf(p placer.Peer) bool { return p.Name == d.cfg.Instance }
--- a/internal/dispatcher/forwarded.go
+++ b/internal/dispatcher/forwarded.go
@@ -34,9 +34,7 @@
 		}
 		return v.link.Run(deadline, r.Context, r.Statements...)
 	})
-	if !isInside(r) {
-		v.backend.leave()
-	}
+	v.leave()
 	d.keepOrRelease(r, v, answers, err)
 	d.count.forwarded.Inc(1)
 	reply = forwarder.Reply{Answers: answers}
@@ -54,26 +52,26 @@
 func (d *Dispatcher) reservation(r forwarder.Request) (*reservation, forwarder.Reply) {
 	if isInside(r) {
 		if v := d.reserved.take(r.Transaction); v != nil {
+			v.leave = v.backend.join()
 			return v, forwarder.Reply{}
 		}
 		return nil, forwarder.Reply{Failure: forwarder.NoTransaction}
 	}
 	now := d.cfg.Clock.Now()
 	b := d.backend(r.Server)
-	if b == nil || !d.isGateway(b, now) {
+	if b == nil || !d.takesForwarded(b, now) {
 		return nil, forwarder.Reply{Failure: forwarder.NotGateway}
 	}
 	n := need{
-		priority: r.Priority, wait: now.Add(r.Wait), left: r.Left, due: now.Add(r.Left), needsSpare: r.NeedsSpare, isWrite: r.IsWrite, values: r.Context.Values,
-	}
-	if err := b.admit(now, n); err != nil {
-		return nil, failureReply(err)
+		priority: r.Priority, wait: now.Add(r.Wait), left: r.Left, due: now.Add(r.Left), isWrite: r.IsWrite, values: r.Context.Values,
 	}
-	l, err := b.acquire(n)
+	b.count(1)
+	l, leave, err := b.enter(now, n)
 	if err != nil {
+		b.count(-1)
 		return nil, failureReply(err)
 	}
-	return &reservation{backend: b, link: l, busy: true}, forwarder.Reply{}
+	return &reservation{backend: b, link: l, busy: true, leave: leave}, forwarder.Reply{}
 }
 
 // isInside reports whether the request continues a transaction.
@@ -82,11 +80,12 @@
 	return r.Transaction != "" && k != exchanger.Begin && k != exchanger.BeginRead
 }
 
-// isGateway reports whether this instance runs statements of others at the server.
-func (d *Dispatcher) isGateway(b *backend, now time.Time) bool {
+// takesForwarded reports whether this instance runs statements of others at the
+// server.
+func (d *Dispatcher) takesForwarded(b *backend, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.isGateway && !d.isStopping.Load() && d.accepts(b.server, now)
+	return b.rank >= 0 && !d.isStopping.Load() && d.accepts(b.server, now)
 }
 
 // keepOrRelease keeps the link while a transaction is open on it.
@@ -127,7 +126,10 @@
 
 // StopForwarding makes other instances use other gateways from now on. Open
 // transactions may end.
-func (d *Dispatcher) StopForwarding() { d.isStopping.Store(true) }
+func (d *Dispatcher) StopForwarding() {
+	d.isStopping.Store(true)
+	d.self.lose()
+}
 
 // drainPause separates two looks whether transactions of others have ended.
 const drainPause = 20 * time.Millisecond
--- a/internal/dispatcher/gateway.go
+++ b/internal/dispatcher/gateway.go
@@ -22,23 +22,20 @@
 	// avoidFormerGateway spares an instance that is no gateway, or is stopping,
 	// until the list of instances shows it.
 	avoidFormerGateway = 3 * time.Second
-	// avoidFullGateway spares a gateway whose connections were all taken for
-	// about the time of a request.
-	avoidFullGateway = 30 * time.Millisecond
 )
 
 // errGateway marks failures that show nothing of the backend server.
 var errGateway = errors.New("gateway did not run the statement")
 
-// gateway is another instance that holds connections to servers.
+// gateway is an instance that holds connections to servers.
 type gateway struct {
 	peer placer.Peer
+	// isSelf is set for this instance.
+	isSelf bool
 	// exchanges are the requests that it has not answered.
 	exchanges acknowledgements
 
 	mu       sync.Mutex
-	inFlight int
-	used     uint64
 	avoid    time.Time
 	answered time.Time
 	// lost is set from a failure to reach the gateway until it answers again;
@@ -66,21 +63,6 @@
 	return ctx, cancel
 }
 
-// begin notes a request that is sent. The returned function notes its end.
-func (g *gateway) begin(now time.Time, turn uint64) (end func()) {
-	g.mu.Lock()
-	g.inFlight++
-	g.used = turn
-	g.mu.Unlock()
-	ended := g.exchanges.begin(now)
-	return func() {
-		ended()
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.inFlight--
-	}
-}
-
 func (g *gateway) spare(until time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -128,51 +110,36 @@
 	g.unlisted = true
 }
 
-// standing is what the choice of a gateway depends on.
-type standing struct {
-	avoid    bool
-	inFlight int
-	used     uint64
-}
-
-// standing reports how well the gateway does. One that leaves requests
-// unanswered for a while is avoided: its machine may be frozen or cut off.
-func (g *gateway) standing(now time.Time) standing {
+// isAvoided reports whether another gateway should be used. One that leaves
+// requests unanswered for a while is avoided: its machine may be frozen or cut off.
+func (g *gateway) isAvoided(now time.Time) bool {
 	stalled := g.exchanges.isStalled(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	silent := stalled && now.Sub(g.answered) > stallAfter
-	return standing{avoid: silent || g.lost || now.Before(g.avoid), inFlight: g.inFlight, used: g.used}
+	return silent || g.lost || now.Before(g.avoid)
 }
 
-func (s standing) less(o standing) bool {
-	switch {
-	case s.avoid != o.avoid:
-		return o.avoid
-	case s.inFlight != o.inFlight:
-		return s.inFlight < o.inFlight
-	}
-	return s.used < o.used
-}
-
-// chooseGateway returns the gateway of the server that should answer first, or
-// nil if all have been tried. Those with the fewest requests of this instance
-// go first, then the one that was used longest ago.
+// chooseGateway returns the first gateway of the server in order that has not
+// been tried and need not be avoided, or else the first one that has not been
+// tried; nil if all have been.
 func (b *backend) chooseGateway(now time.Time, tried []*gateway) *gateway {
 	b.mu.Lock()
 	gateways := b.gateways
 	b.mu.Unlock()
-	var best *gateway
-	var bestStanding standing
+	var first *gateway
 	for _, g := range gateways {
 		if slices.Contains(tried, g) {
 			continue
 		}
-		if s := g.standing(now); best == nil || s.less(bestStanding) {
-			best, bestStanding = g, s
+		if !g.isAvoided(now) {
+			return g
+		}
+		if first == nil {
+			first = g
 		}
 	}
-	return best
+	return first
 }
 
 // loseGateway keeps callers' requests off a gateway that could not be reached
@@ -238,11 +205,12 @@
 	}
 }
 
-// others returns the gateways that are not this instance. The caller holds mu.
-func (d *Dispatcher) others(peers []placer.Peer) []*gateway {
+// gatewaysAt returns the gateways that the peers are. The caller holds mu.
+func (d *Dispatcher) gatewaysAt(peers []placer.Peer) []*gateway {
 	var out []*gateway
 	for _, p := range peers {
 		if d.isSelf(p) {
+			out = append(out, d.self)
 			continue
 		}
 		g := d.peers[p.Address]
--- a/internal/dispatcher/leader_read.go
+++ b/internal/dispatcher/leader_read.go
@@ -8,11 +8,6 @@
 	"marigoldhub.example/hub/internal/exchanger"
 )
 
-func (d *Dispatcher) isLeader(service string, b *backend) bool {
-	l, ok := d.Group(service).Leader()
-	return ok && l.Server.ID == b.id
-}
-
 // permittedLeader returns the leader if it is this server and is promised to
 // lead now. Every answer of such a server tells a proved position.
 func (d *Dispatcher) permittedLeader(service string, b *backend) (attester.Leader, bool) {
--- a/internal/dispatcher/link.go
+++ b/internal/dispatcher/link.go
@@ -22,12 +22,10 @@
 	priority int
 	// wait is until when the request may wait for a connection.
 	wait time.Time
-	// due is when it is late.
+	// due is when its caller has no more use for the answer.
 	due time.Time
-	// left is the time until it is late.
+	// left is the time until its caller has no more use for the answer.
 	left time.Duration
-	// needsSpare is set if it may only use a server with many free connections.
-	needsSpare bool
 	// isWrite is set if it waits for an acknowledged commit.
 	isWrite bool
 	values  map[string]string
@@ -37,9 +35,10 @@
 // objectives.
 func (d *Dispatcher) need(req Request, objectives time.Duration) need {
 	patience := objectives * req.Route.Objective
+	due := req.Received.Add(patience)
 	return need{
 		priority: req.Route.Priority, wait: placer.WaitLimit(req.Received, patience),
-		left: req.Received.Add(patience).Sub(d.cfg.Clock.Now()), due: req.Received.Add(req.Route.Objective), values: req.Context.Values,
+		left: due.Sub(d.cfg.Clock.Now()), due: due, values: req.Context.Values,
 	}
 }
 
@@ -52,14 +51,13 @@
 	if b.usesGateways() {
 		return d.forwardedLink(b, n), func() {}, nil
 	}
-	if err := b.admit(d.cfg.Clock.Now(), n); err != nil {
-		return nil, nil, err
-	}
-	own, err := b.acquire(n)
+	b.count(1)
+	own, leave, err := b.enter(d.cfg.Clock.Now(), n)
 	if err != nil {
+		b.count(-1)
 		return nil, nil, err
 	}
-	return own, b.leave, nil
+	return own, leave, nil
 }
 
 func (d *Dispatcher) forwardedLink(b *backend, n need) *forwardedLink {
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -59,59 +58,16 @@
 }
 
 // readAnywhere runs a read at the server that is expected to answer first
-// among those that cover the floor.
+// among those that cover the floor. While it does not answer, another one is
+// asked as well.
 func (d *Dispatcher) readAnywhere(req Request) exchanger.Answer {
 	deadline := req.deadline(req.Received)
-	hold := req.holdUntil(req.Received)
-	f, err := d.floorOf(req, hold)
+	f, err := d.floorOf(req, req.holdUntil(req.Received))
 	if err != nil {
 		return d.refuse(req, exchanger.Busy, "no current position is known", err)
 	}
-	tried := map[string]bool{}
-	last := exchanger.Answer{Code: exchanger.Busy}
-	var least *backend
-	var leastWait time.Duration
-	for range maxAttempts {
-		b := d.chooseRead(req, f, tried)
-		maySpill := b != nil
-		if b == nil {
-			// Every server was asked: the least loaded one is worth a wait.
-			if b = least; b == nil {
-				break
-			}
-			least = nil
-		}
-		tried[b.id] = true
-		answers, err := d.attemptRead(b, req, maySpill, deadline, req.Statement.WithFloor(f.position))
-		var o overload
-		switch {
-		case errors.Is(err, errNotSent):
-			d.noteRetry(req, b.id, "not sent", err)
-			if errors.As(err, &o) && maySpill && (least == nil || o.wait < leastWait) {
-				least, leastWait = b, o.wait
-			}
-		case err != nil:
-			d.noteRetry(req, b.id, "no answer", err)
-			last = exchanger.Answer{Code: exchanger.Failed, Text: "the answer was lost"}
-		case answers[0].OK() || answers[0].Code == exchanger.Timeout:
-			d.countReplicaRead(req.Route.Service, b.id)
-			return answers[0]
-		default:
-			if answers[0].Code == exchanger.Behind {
-				d.noteBehind(req, b, f, answers[0].Position)
-			} else {
-				d.noteRetry(req, b.id, answers[0].Code.String(), nil)
-			}
-			last = answers[0]
-		}
-		if !d.cfg.Clock.Now().Before(deadline) {
-			break
-		}
-	}
-	if last.Code == exchanger.Failed {
-		return last
-	}
-	return d.refuse(req, exchanger.Busy, "no backend server could run the read", nil)
+	r := &hedgedRead{d: d, req: req, floor: f, deadline: deadline, tried: map[string]bool{}, results: make(chan readResult, maxAttempts)}
+	return r.run()
 }
 
 // noteBehind records that a replica did not cover a read's floor.
--- a/internal/dispatcher/reservation.go
+++ b/internal/dispatcher/reservation.go
@@ -24,6 +24,8 @@
 	link    *linker.Link
 	used    time.Time
 	busy    bool
+	// leave ends the turn of the statement that runs.
+	leave func()
 	// discarded is set when the transaction was given up while a statement ran.
 	discarded bool
 }
--- a/internal/dispatcher/transaction.go
+++ b/internal/dispatcher/transaction.go
@@ -8,6 +8,7 @@
 
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/linker"
 )
 
 // maxCommitAttempts bounds how often a commit is sent to a server that refuses
@@ -43,7 +44,7 @@
 	if a, ok := t.open(req); !ok {
 		return t.fail(a)
 	}
-	answers, err := t.link.Run(req.deadline(req.Received), req.Context, req.Statement)
+	answers, err := t.run(req, req.deadline(req.Received))
 	if err != nil {
 		t.d.cfg.Log.WithError(err).WithFields(logrus.Fields{"request": req.Statement.ID, "server": t.backend.id}).
 			Warn("dispatcher: transaction is aborted, its connection is lost")
@@ -133,7 +134,15 @@
 	if t.wrote {
 		defer t.backend.writes.begin(began)()
 	}
-	return t.link.Run(deadline, req.Context, req.Statement)
+	return t.run(req, deadline)
+}
+
+// run sends the next statement. A link of a gateway's has its turn there.
+func (t *Transaction) run(req Request, deadline time.Time) ([]exchanger.Answer, error) {
+	if _, ok := t.link.(*linker.Link); !ok {
+		return t.link.Run(deadline, req.Context, req.Statement)
+	}
+	return t.backend.inTurn(func() ([]exchanger.Answer, error) { return t.link.Run(deadline, req.Context, req.Statement) })
 }
 
 // Rollback ends the transaction without effect.
--- a/internal/forwarder/reply.go
+++ b/internal/forwarder/reply.go
@@ -46,6 +46,10 @@
 	return failureNames[f]
 }
 
+// IsNotRun reports whether the statements have certainly not run. A failure that
+// only a newer version knows promises nothing.
+func (f Failure) IsNotRun() bool { return f > None && f < Lost }
+
 // Reply is a gateway's answer.
 type Reply struct {
 	// Answers are the server's, in order; after Lost, those that arrived.
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -21,11 +21,9 @@
 	Priority int
 	// Wait is how long the request may wait for a connection.
 	Wait time.Duration
-	// Left is the time until the caller's objective has passed.
+	// Left is the time until the caller has no more use for the answer. It orders
+	// requests that wait.
 	Left time.Duration
-	// NeedsSpare is set for a request that may use a connection only while half
-	// of them are free.
-	NeedsSpare bool
 	// IsWrite is set for a single write or for the commit of a transaction that wrote.
 	IsWrite bool
 	// Timeout limits the whole exchange.
--- a/internal/placer/admit.go
+++ b/internal/placer/admit.go
@@ -40,13 +40,3 @@
 	w := l.Wait()
 	return w == 0 || w <= patience && w+l.Latency <= left
 }
-
-// HasSpare reports whether at least half of the connections and turns are free. Reads that
-// accept old data run at a primary only then: while all replicas are too far
-// behind for them, submissions and reads of one's own work come first.
-func (l Load) HasSpare() bool {
-	if l.Turns > 0 && 2*l.Active >= max(l.Turns, 2) {
-		return false
-	}
-	return l.Waiting == 0 && 2*(l.Open-l.Idle) < max(l.Limit, 2)
-}
--- a/internal/placer/hold.go
+++ b/internal/placer/hold.go
@@ -35,3 +35,26 @@
 // maxQueueTime is about half of the longest objective of reads. A request that
 // would wait longer makes room for more urgent ones.
 const maxQueueTime = 250 * time.Millisecond
+
+const (
+	// turnFactor covers requests whose work is far above the mean.
+	turnFactor = 8
+	// minTurn is kept for servers whose requests are short: a delay on the way
+	// must not look like a lost answer.
+	minTurn = 100 * time.Millisecond
+)
+
+// TurnLimit returns how long a request may keep its turn at a server whose
+// requests take the latency. After it, the answer is taken to be lost or far
+// slower than others, and the next request has its turn.
+func TurnLimit(latency time.Duration) time.Duration {
+	if latency <= 0 {
+		latency = typicalWork
+	}
+	return max(turnFactor*latency, minTurn)
+}
+
+// HedgeDelay returns how long a read waits for the answer of one server before
+// another is asked as well. The answer that comes first counts. It answers
+// servers that are slow or lose answers, and instances that are frozen or cut off.
+func HedgeDelay(objective time.Duration) time.Duration { return objective / 2 }
--- a/internal/sessioner/session.go
+++ b/internal/sessioner/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"os"
 	"time"
 
@@ -246,6 +247,8 @@
 		if _, known := s.values[st.Name]; !known && len(s.values) >= maxNames {
 			return exchanger.Refusal(exchanger.TooLarge, s.state, "the session has too many values"), true
 		}
+		// Attempts of an earlier read may still use the values of before.
+		s.values = maps.Clone(s.values)
 		s.values[st.Name] = st.Value
 	case exchanger.Prepare:
 		if _, known := s.prepared[st.Name]; !known && len(s.prepared) >= maxNames {
