replacer: a change of primary relieves a service whose replicas are far behind

Cause: replicas that apply their log late block behind their latest entry, for 30 to 40 s after a trouble of 6 s. Besides, the first gateway of a server on an instance with 0.192 cores was short of processor time: requests were refused while one slot of three was in use. Ruled out: floors that are too young (they were 1.3 to 2.5 s old), transactions left open (the lag that servers report counts down in real time). Change: while reads find all replicas behind, the holder of the duty looks at them; after 5 s with all of them later than any read accepts and a primary at work, it hands over to the replica with the longest log, by the steps of a planned change, at most each 15 s, doubling. Gateways are chosen among the instances of the server's availability zone with at least half of the processor share of the strongest. Tests: TestCongestedPrimaryHandsOver failed without the change; TestCongestion, TestCongestionPauses, TestStrongGatewaysComeFirst.

--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -172,6 +172,12 @@
 	b.behindAge, b.behindAt = age, now
 }
 
+func (b *backend) lackedAt() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.behindAt
+}
+
 // health returns when the server last answered, and the failures since.
 func (b *backend) health() (answered time.Time, failures int) {
 	b.mu.Lock()
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -185,6 +185,15 @@
 	return time.Time{}, 0
 }
 
+// LackedAt returns when the server last refused a read, of any instance that
+// reads through this one, because its log did not cover the read's position.
+func (d *Dispatcher) LackedAt(id string) time.Time {
+	if b := d.backend(id); b != nil {
+		return b.lackedAt()
+	}
+	return time.Time{}
+}
+
 // PendingSince returns the start of the oldest write at the server that is not
 // answered.
 func (d *Dispatcher) PendingSince(id string) (time.Time, bool) {
--- a/internal/exchanger/exchangertest/cluster.go
+++ b/internal/exchanger/exchangertest/cluster.go
@@ -57,6 +57,8 @@
 	born    int64
 	busy    bool
 	failing bool
+	lag     time.Duration
+	load    int
 }
 
 // New returns a cluster whose first server leads term 1. All are old enough to
@@ -106,6 +108,15 @@
 	c.change(id, func(s *server) { s.behind = behind })
 }
 
+// SetLag makes a replica report that it applies its log so much later. A
+// promotion ends it.
+func (c *Cluster) SetLag(id string, lag time.Duration) {
+	c.change(id, func(s *server) { s.lag = lag })
+}
+
+// SetLoad makes a server report that it runs so many requests.
+func (c *Cluster) SetLoad(id string, load int) { c.change(id, func(s *server) { s.load = load }) }
+
 // SetBusy makes a server refuse every request.
 func (c *Cluster) SetBusy(id string, busy bool) { c.change(id, func(s *server) { s.busy = busy }) }
 
--- a/internal/exchanger/exchangertest/conn.go
+++ b/internal/exchanger/exchangertest/conn.go
@@ -160,6 +160,6 @@
 
 func (s *server) report() exchanger.Answer {
 	return exchanger.Answer{Signature: s.id, Report: &exchanger.Report{
-		Role: s.role, Term: s.term, Received: s.log, PausedFor: s.paused, Busy: 1, Connections: 1,
+		Role: s.role, Term: s.term, Received: s.log, PausedFor: s.paused, Lag: s.lag, Busy: 1 + s.load, Connections: 1,
 	}}
 }
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -125,7 +125,7 @@
 	n.registrar = registrar.New(registrar.Config{
 		Store: n.store, Clock: n.clock, Log: n.log,
 		Self: registrar.Instance{
-			Name: settings.Instance, Address: settings.Control, Zone: settings.Zone, Incarnation: time.Now().UnixNano(),
+			Name: settings.Instance, Address: settings.Control, Zone: settings.Zone, Processor: settings.Processor, Incarnation: time.Now().UnixNano(),
 		},
 	})
 	n.informer = informer.New(informer.Config{
@@ -188,13 +188,13 @@
 func (n *Node) instances() []placer.Peer {
 	peers := []placer.Peer{n.self()}
 	for _, o := range n.registrar.Others() {
-		peers = append(peers, placer.Peer{Name: o.Name, Zone: o.Zone, Address: o.Address})
+		peers = append(peers, placer.Peer{Name: o.Name, Zone: o.Zone, Address: o.Address, Processor: o.Processor})
 	}
 	return peers
 }
 
 func (n *Node) self() placer.Peer {
-	return placer.Peer{Name: n.settings.Instance, Zone: n.settings.Zone, Address: n.settings.Control}
+	return placer.Peer{Name: n.settings.Instance, Zone: n.settings.Zone, Address: n.settings.Control, Processor: n.settings.Processor}
 }
 
 // holdsDuty reports whether this instance watches the primaries.
--- a/internal/placer/gateway.go
+++ b/internal/placer/gateway.go
@@ -43,13 +43,21 @@
 
 // Gateways returns the n peers that hold connections to the server, in order.
 // Peers of the server's availability zone come first, because a gateway opens
-// connections and sets them up without a way between zones.
+// connections and sets them up without a way between zones; among them those with
+// at least half of the processor share of the strongest, because the first gateway
+// runs all statements of the server.
 func Gateways(server, zone string, peers []Peer, n int) []Peer {
-	near := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.Zone != zone })
-	chosen := Rendezvous(server, near, n)
-	if len(chosen) == n {
-		return chosen
+	var chosen []Peer
+	for _, isNear := range []bool{true, false} {
+		in := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return (p.Zone == zone) != isNear })
+		strongest := 0
+		for _, p := range in {
+			strongest = max(strongest, p.Processor)
+		}
+		for _, isStrong := range []bool{true, false} {
+			group := slices.DeleteFunc(slices.Clone(in), func(p Peer) bool { return (2*p.Processor >= strongest) != isStrong })
+			chosen = append(chosen, Rendezvous(server, group, n-len(chosen))...)
+		}
 	}
-	far := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.Zone == zone })
-	return append(chosen, Rendezvous(server, far, n-len(chosen))...)
+	return chosen
 }
--- a/internal/placer/gateway_test.go
+++ b/internal/placer/gateway_test.go
@@ -78,6 +78,27 @@
 	}
 }
 
+// Guards against a weak instance that runs all statements of a server while a
+// strong one is near: it has processor time for some hundred a second.
+func TestStrongGatewaysComeFirst(t *testing.T) {
+	all := peers("z1", "z1", "z1", "z1", "z1", "z1", "z1", "z1", "z2", "z2")
+	for i := range all {
+		all[i].Processor = 192
+	}
+	all[2].Processor, all[5].Processor, all[9].Processor = 800, 600, 800
+	for s := range 20 {
+		server := fmt.Sprint("server-", s)
+		got := placer.Gateways(server, "z1", all, 3)
+		if got[0].Processor < 600 || got[1].Processor < 600 || got[2].Zone != "z1" {
+			t.Errorf("%s: %v", server, got)
+		}
+	}
+	unknown := peers("z1", "z1", "z1")
+	if got := placer.Gateways("server", "z1", unknown, 3); len(got) != 3 {
+		t.Errorf("%d gateways among instances of unknown strength", len(got))
+	}
+}
+
 // Guards against a holder of the duty that every instance of a large fleet asks,
 // and against instances that ask each other in a circle.
 func TestPromiseRelay(t *testing.T) {
--- a/internal/placer/rendezvous.go
+++ b/internal/placer/rendezvous.go
@@ -10,6 +10,9 @@
 // Peer is an instance as the others know it.
 type Peer struct {
 	Name, Zone, Address string
+	// Processor is the instance's share of processors, in thousandths of a core; 0
+	// when it is not known.
+	Processor int
 }
 
 // Rendezvous returns the n peers that a job falls to, by rendezvous hashing: all
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -46,6 +46,9 @@
 	// Address is where other instances reach it.
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
+	// Processor is its share of processors in thousandths of a core; 0 when it
+	// is not known.
+	Processor int `json:"processor_millicores,omitempty"`
 	// Incarnation differs for each start of the process.
 	Incarnation int64 `json:"incarnation"`
 }
--- a/internal/replacer/config.go
+++ b/internal/replacer/config.go
@@ -24,6 +24,9 @@
 	// PendingSince returns the start of the oldest write at the server that is
 	// not answered; false if there is none.
 	PendingSince(serverID string) (time.Time, bool)
+	// LackedAt returns when the server last refused a read because its log did not
+	// cover the read's position.
+	LackedAt(serverID string) time.Time
 }
 
 // Promoter makes the platform promote a server.
--- a/internal/replacer/doc.go
+++ b/internal/replacer/doc.go
@@ -1,5 +1,6 @@
 // Package replacer changes the primary of a service: after a failure, when it
-// is about to leave, or when its commits are not acknowledged.
+// is about to leave, when its commits are not acknowledged, or when all its replicas
+// are so far behind that they serve no reads.
 //
 // A commit is acknowledged when the primary and one replica have it. So one of
 // these fences meets every set that can still acknowledge:
--- a/internal/replacer/hand_over.go
+++ b/internal/replacer/hand_over.go
@@ -14,27 +14,27 @@
 // handOver changes the primary while the present one goes on. All replicas but
 // the next primary are paused first: from then on every acknowledged commit is
 // in the next primary's log.
-func (t *task) handOver(old attester.Leader) {
+func (t *task) handOver(old attester.Leader, reason string) {
 	reports := t.group().Survey()
 	next, others, ok := t.successor(old, reports)
 	if !ok {
 		return
 	}
 	if len(t.vanished(t.servers(), map[string]bool{old.Server.ID: true})) > 0 {
-		t.replace(old, "leaving, and a replica that may acknowledge commits is not listed")
+		t.replace(old, "handing over, and a replica that may acknowledge commits is not listed")
 		return
 	}
 	t.beginChange()
 	defer t.endChange()
 	term := old.Term + 1
-	t.log.WithFields(logrus.Fields{"server": old.Server.ID, "next": next.ID, "term": term}).Info("replacer: primary is leaving and hands over")
+	t.log.WithFields(logrus.Fields{"server": old.Server.ID, "next": next.ID, "term": term, "reason": reason}).Info("replacer: primary hands over")
 	paused := t.command(others, func(informer.Server) exchanger.Statement {
 		return exchanger.Statement{Kind: exchanger.Pause, Term: term}
 	}, everyServer)
 	longest := tracker.Position{}
 	for _, r := range paused {
 		if r == nil || r.PausedFor < term {
-			t.replace(old, "leaving, and a replica was not paused")
+			t.replace(old, "handing over, and a replica was not paused")
 			return
 		}
 		if r.Received.Compare(longest) > 0 {
@@ -42,11 +42,11 @@
 		}
 	}
 	if !t.awaitReceived(next, longest) {
-		t.replace(old, "leaving, and the next primary does not receive its log")
+		t.replace(old, "handing over, and the next primary does not receive its log")
 		return
 	}
 	if !t.promote(next.ID, term) {
-		t.replace(old, "leaving, and the next primary did not lead in time")
+		t.replace(old, "handing over, and the next primary did not lead in time")
 		return
 	}
 	t.command([]informer.Server{old.Server}, func(informer.Server) exchanger.Statement {
--- a/internal/replacer/replacer.go
+++ b/internal/replacer/replacer.go
@@ -114,6 +114,10 @@
 	leaderless time.Time
 	// stuck is since when a change has waited for servers.
 	stuck time.Time
+	// congestion is what was seen of replicas that are behind; nextLook is when
+	// they may be looked at again.
+	congestion congestion
+	nextLook   time.Time
 	// known holds the servers that have not left.
 	known map[string]sighting
 	done  chan struct{}
@@ -181,7 +185,9 @@
 	case t.isStalled(l):
 		t.replace(l, "commits are not acknowledged")
 	case listed && srv.Draining:
-		t.handOver(l)
+		t.handOver(l, "the primary leaves")
+	default:
+		t.relieve(l)
 	}
 }
 
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -33,6 +33,7 @@
 	answered map[string]time.Time
 	failures map[string]int
 	pending  time.Time
+	lacked   time.Time
 }
 
 func (f *fleet) Probe(srv informer.Server, s exchanger.Statement, deadline time.Time) (exchanger.Report, error) {
@@ -67,6 +68,12 @@
 	return f.answered[id], f.failures[id]
 }
 
+func (f *fleet) LackedAt(string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lacked
+}
+
 func (f *fleet) PendingSince(string) (time.Time, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -122,6 +129,8 @@
 	f.putServers(t)
 	config, err := json.Marshal(informer.Configuration{Version: 1, Services: map[string]informer.Service{
 		exchangertest.Service: {Name: exchangertest.Service, SyncReplicas: 1},
+	}, Routes: map[string]informer.Route{
+		"d": {Name: "r", Database: "d", Service: exchangertest.Service, Reads: informer.BoundedReads, MaxStaleness: time.Second},
 	}})
 	if err != nil {
 		t.Fatal(err)
@@ -361,3 +370,56 @@
 		}
 	}
 }
+
+// Guards against a service whose primary carries all reads while both replicas
+// have received everything and apply it half a minute later (hv-embalses-grown
+// scale-1: a twelfth of all requests refused).
+func TestCongestedPrimaryHandsOver(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name string
+		lags map[string]time.Duration
+		load int
+		next string
+	}{
+		{"both replicas are behind", map[string]time.Duration{"b": 30 * time.Second, "c": 40 * time.Second}, 2, "c"},
+		{"one replica serves reads", map[string]time.Duration{"b": 30 * time.Second}, 2, "a"},
+		{"the primary has nothing to do", map[string]time.Duration{"b": 30 * time.Second, "c": 40 * time.Second}, 0, "a"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, pos(0))
+			f.SetLog("a", pos(9))
+			f.SetLog("b", pos(8))
+			f.SetLog("c", pos(9))
+			f.SetLoad("a", tc.load)
+			for id, lag := range tc.lags {
+				f.SetLag(id, lag)
+			}
+			f.duty.token.Store(3)
+			eventually(t, 5*time.Second, "a leads", f.leads("a"))
+			stop := make(chan struct{})
+			go func() {
+				for {
+					f.mu.Lock()
+					f.lacked = time.Now()
+					f.mu.Unlock()
+					select {
+					case <-stop:
+						return
+					case <-time.After(50 * time.Millisecond):
+					}
+				}
+			}()
+			defer close(stop)
+			if tc.next != "a" {
+				eventually(t, 15*time.Second, tc.next+" leads", f.leads(tc.next))
+				return
+			}
+			time.Sleep(8 * time.Second)
+			if p := f.Promotions(); len(p) > 0 {
+				t.Errorf("%v promoted", p)
+			}
+		})
+	}
+}
