sessioner: a session that rests ends with an error that answers what is on its way

Cause: a stopping instance closed sessions after 60 ms of quiet. A statement that crossed the close was reset without an answer; so was one that had arrived while the instance waited for its processor share, because a read after its deadline fails even if bytes are there. Sessions that were quiet for a moment were closed at once when the drain time ended. Ruled out: longer quiet periods (the crossing remains), reading on after the close (the answer can't be sent any more). At the end of the drain time idle sessions still get their quiet period.

--- a/internal/sessioner/conn.go
+++ b/internal/sessioner/conn.go
@@ -21,6 +21,8 @@
 	// ReadStatement returns io.EOF when the caller ended the session.
 	ReadStatement() (exchanger.Statement, error)
 	WriteAnswer(a exchanger.Answer) error
+	// End tells a caller whose session rests why it ends and closes the connection.
+	End(code exchanger.Code, text string) error
 	// Interrupt ends a pending Wait. It may be called at any time.
 	Interrupt()
 	Close() error
--- a/internal/sessioner/session.go
+++ b/internal/sessioner/session.go
@@ -103,7 +103,10 @@
 		switch {
 		case err == nil:
 			return true
-		case !errors.Is(err, os.ErrDeadlineExceeded), s.isEnding(), closing && passed:
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return false
+		case closing && passed, s.isEnding() && s.state != exchanger.Idle:
+			s.conn.End(exchanger.Busy, "the instance is stopping and ran nothing after its last answer; connect again")
 			return false
 		case passed:
 			s.Log.WithField("database", s.database).Info("sessioner: transaction rested too long and is rolled back")
