guarder: a panic in the work for one caller or peer no longer ends the process

Cause: an unexpected error in a session's task or in a call of another instance ended the process with the sessions of all callers; a reply without answers did (see the test of malformed replies), a forwarded report without its row would have. Ruled out: checks alone; the next unexpected message is not known. Change: the task of a session and the connection of a peer recover, log the error with its stack and close; what they hold is released by deferred calls. A report that is missing is an error. A promise that is longer than any holder gives is cut. Tests: TestPanicEndsOneSession, TestPanicEndsOneCall; both ended the test process before.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -144,7 +144,7 @@
 		return exchanger.Report{}, err
 	}
 	a := answers[0]
-	if !a.OK() {
+	if !a.OK() || a.Report == nil {
 		return exchanger.Report{}, fmt.Errorf("backend server %s refused to report: %s %s", srv.ID, a.Code, a.Text)
 	}
 	b.mu.Lock()
--- a/internal/dispatcher/leader_read.go
+++ b/internal/dispatcher/leader_read.go
@@ -61,7 +61,7 @@
 		return exchanger.Answer{}, err
 	}
 	a, report := answers[0], answers[1]
-	if !report.OK() {
+	if !report.OK() || report.Report == nil {
 		return a, g.Confirm(l, deadline)
 	}
 	if !g.IsLeading(l, *report.Report) {
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -204,6 +204,29 @@
 }
 
 // Guards against a pool whose calls outlive Close.
+// Guards against one message that ends the whole process.
+func TestPanicEndsOneCall(t *testing.T) {
+	impl := &panicking{}
+	address := startServer(t, impl, ServerConfig{})
+	p := newPool(t, PoolConfig{Clock: clockwork.NewRealClock()})
+	if _, err := call(p, address, time.Second, &wire.CancelRequest{SecretKey: []byte("ab")}); err == nil {
+		t.Error("a call that ended unexpectedly succeeded")
+	}
+	if _, err := call(p, address, time.Second, &wire.CancelRequest{SecretKey: []byte("abc")}); err != nil {
+		t.Errorf("the next call: %v", err)
+	}
+}
+
+// panicking does not expect keys of two bytes.
+type panicking struct{ sessions }
+
+func (p *panicking) Cancel(ctx context.Context, req *wire.CancelRequest) (*wire.CancelResponse, error) {
+	if len(req.GetSecretKey()) == 2 {
+		panic("unexpected key")
+	}
+	return p.sessions.Cancel(ctx, req)
+}
+
 func TestCloseEndsCalls(t *testing.T) {
 	address := startServer(t, &sessions{gate: make(chan struct{})}, ServerConfig{})
 	p := newPool(t, PoolConfig{})
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -15,6 +15,8 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
+
+	"marigoldhub.example/hub/internal/guarder"
 )
 
 // Defaults of [ServerConfig].
@@ -146,6 +148,7 @@
 	defer func() { <-s.slots }()
 	conn = s.counter.wrap(conn)
 	defer func() { _ = conn.Close() }()
+	defer guarder.Recover(s.cfg.Log, "calls of another instance")
 	// A handshake or a read that blocks ends when the server closes.
 	stop := context.AfterFunc(s.ctx, func() { _ = conn.Close() })
 	defer stop()
--- a/internal/noder/permits.go
+++ b/internal/noder/permits.go
@@ -92,7 +92,9 @@
 		if _, ok := state.Configuration.Services[p.GetService()]; !ok {
 			continue
 		}
-		until := asked.Add(time.Duration(p.GetForUs()) * time.Microsecond)
+		// No holder promises more; a longer time is an error on the way.
+		left := min(p.GetForUs(), uint64(holder.PromiseTime.Microseconds()))
+		until := asked.Add(time.Duration(left) * time.Microsecond)
 		v.dispatcher.Group(p.GetService()).Permit(p.GetPrimary(), p.GetTerm(), until)
 	}
 }
--- a/internal/sessioner/server.go
+++ b/internal/sessioner/server.go
@@ -11,6 +11,7 @@
 
 	"marigoldhub.example/hub/internal/dispatcher"
 	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/guarder"
 	"marigoldhub.example/hub/internal/informer"
 )
 
@@ -96,13 +97,18 @@
 	s.count.opened.Inc(1)
 	go func() {
 		defer s.wg.Done()
+		defer s.forget(ss)
+		defer guarder.Recover(s.Log, "session")
 		ss.serve()
-		s.mu.Lock()
-		delete(s.sessions, ss)
-		s.mu.Unlock()
 	}()
 }
 
+func (s *Server) forget(ss *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, ss)
+}
+
 func (s *Server) isDraining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/sessioner/server_test.go
@@ -0,0 +1,85 @@
+package sessioner_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/sessioner"
+)
+
+// conn is a caller that sends what the codec does not expect.
+type conn struct {
+	net.Conn
+	panics bool
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (c *conn) ReadStart(time.Time) (string, error) {
+	if c.panics {
+		panic("unexpected message")
+	}
+	return "", io.EOF
+}
+func (c *conn) WriteReady() error                           { return nil }
+func (c *conn) RefuseStart(exchanger.Code, string) error    { return nil }
+func (c *conn) Wait(time.Time) error                        { return io.EOF }
+func (c *conn) ReadStatement() (exchanger.Statement, error) { return exchanger.Statement{}, io.EOF }
+func (c *conn) WriteAnswer(exchanger.Answer) error          { return nil }
+func (c *conn) End(exchanger.Code, string) error            { return c.Close() }
+func (c *conn) Interrupt()                                  {}
+func (c *conn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// Guards against one malformed message that ends the process with the sessions
+// of all callers, and against a session that counts after it.
+func TestPanicEndsOneSession(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	conns := make(chan *conn, 2)
+	accepted := 0
+	s := sessioner.NewServer(sessioner.Config{
+		Listener: l, NewConn: func(c net.Conn) sessioner.Conn {
+			accepted++
+			sc := &conn{Conn: c, panics: accepted == 1, closed: make(chan struct{})}
+			conns <- sc
+			return sc
+		},
+		MaxSessions: 1, Clock: clockwork.NewRealClock(), Metrics: metrics.NewRegistry(), Log: log,
+	})
+	for range 2 {
+		c, err := net.Dial("tcp4", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		select {
+		case <-(<-conns).closed:
+		case <-time.After(5 * time.Second):
+			t.Fatal("the session was not closed")
+		}
+	}
+	if !s.Stop(5 * time.Second) {
+		t.Error("a session did not end")
+	}
+	if !strings.Contains(out.String(), "unexpected message") {
+		t.Error("the panic was not logged")
+	}
+}
