printer: lines of single requests have a budget of their own

Cause: a refused request wrote two lines with the same facts; under thousands of refusals they used up the 100 lines a second, and those of changes of primary, configuration and duty were lost with them. Ruled out: a higher rate (the load grows with it), sampling alone (a line of a change of primary may not be lost at all). Change: lines with a request's id below warning have one budget, all others another; others are written first; the count comes once a second. A refusal is logged once, where it is decided.

--- a/internal/printer/printer.go
+++ b/internal/printer/printer.go
@@ -1,8 +1,13 @@
 // Package printer writes log lines without ever blocking the writer. Lines
 // beyond the buffer or the rate are dropped and counted.
+//
+// Lines about single requests have a budget of their own. They come by the
+// thousand when much fails at once, which is when the others, about what the
+// process believes and does, must not be lost.
 package printer
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -13,33 +18,83 @@
 )
 
 const (
-	// bufferedLines absorbs a burst while the reader of the output is slow.
+	// bufferedLines absorbs a burst of one kind while the reader of the output is slow.
 	bufferedLines = 1024
-	// LinesPerSecond bounds the lasting volume: about 20 KB a second.
+	// LinesPerSecond bounds the lasting volume of each kind: about 20 KB a second.
 	LinesPerSecond = 100
-	// burstLines may follow each other before the rate applies.
+	// burstLines of one kind may follow each other before the rate applies.
 	burstLines = 400
+	// summaryInterval separates two lines that tell how many were dropped.
+	summaryInterval = time.Second
 )
 
-// Printer is an [io.Writer] in front of a slow one.
-type Printer struct {
-	w       io.Writer
-	clock   clockwork.Clock
-	lines   chan []byte
-	dropped metrics.Counter
+// kind is what a line is about.
+type kind int
+
+const (
+	// belief lines tell what the process believes and does, and which requests
+	// ended with an unknown outcome.
+	belief kind = iota
+	// request lines tell how a single request ended.
+	request
+	kinds
+)
+
+// requestField marks the lines of requests; within a value the quotes would be escaped.
+var (
+	requestField = []byte(`"request":`)
+	warning      = []byte(`"level":"warning"`)
+	failure      = []byte(`"level":"error"`)
+)
+
+func kindOf(line []byte) kind {
+	if bytes.Contains(line, requestField) && !bytes.Contains(line, warning) && !bytes.Contains(line, failure) {
+		return request
+	}
+	return belief
+}
 
-	mu       sync.Mutex
+// budget bounds the lines of one kind.
+type budget struct {
+	lines    chan []byte
 	tokens   float64
 	refilled time.Time
-	closed   bool
-	done     chan struct{}
+	dropped  metrics.Counter
+	reported int64
+}
+
+// admit takes a token.
+func (b *budget) admit(now time.Time) bool {
+	b.tokens = min(b.tokens+now.Sub(b.refilled).Seconds()*LinesPerSecond, burstLines)
+	b.refilled = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Printer is an [io.Writer] in front of a slow one.
+type Printer struct {
+	w     io.Writer
+	clock clockwork.Clock
+
+	mu      sync.Mutex
+	budgets [kinds]*budget
+	closed  bool
+	// summed is when dropped lines were last told of.
+	summed time.Time
+	done   chan struct{}
 }
 
-// New starts a printer. Dropped lines are counted as "log.dropped".
+// New starts a printer. Dropped lines are counted as "log.dropped" and, of
+// requests, as "log.dropped_requests".
 func New(w io.Writer, clock clockwork.Clock, r metrics.Registry) *Printer {
-	p := &Printer{
-		w: w, clock: clock, lines: make(chan []byte, bufferedLines), tokens: burstLines, refilled: clock.Now(),
-		dropped: metrics.GetOrRegisterCounter("log.dropped", r), done: make(chan struct{}),
+	p := &Printer{w: w, clock: clock, done: make(chan struct{})}
+	for k, name := range [kinds]string{belief: "log.dropped", request: "log.dropped_requests"} {
+		p.budgets[k] = &budget{
+			lines: make(chan []byte, bufferedLines), tokens: burstLines, refilled: clock.Now(), dropped: metrics.GetOrRegisterCounter(name, r),
+		}
 	}
 	go func() {
 		defer close(p.done)
@@ -52,40 +107,63 @@
 func (p *Printer) Write(line []byte) (int, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || !p.admit() {
-		p.dropped.Inc(1)
+	b := p.budgets[kindOf(line)]
+	if p.closed || !b.admit(p.clock.Now()) {
+		b.dropped.Inc(1)
 		return len(line), nil
 	}
 	select {
-	case p.lines <- append([]byte(nil), line...):
+	case b.lines <- append([]byte(nil), line...):
 	default:
-		p.dropped.Inc(1)
+		b.dropped.Inc(1)
 	}
 	return len(line), nil
 }
 
-// admit takes a token. The caller holds mu.
-func (p *Printer) admit() bool {
-	now := p.clock.Now()
-	p.tokens = min(p.tokens+now.Sub(p.refilled).Seconds()*LinesPerSecond, burstLines)
-	p.refilled = now
-	if p.tokens < 1 {
-		return false
+// print writes lines until both kinds are closed, those of beliefs first.
+func (p *Printer) print() {
+	beliefs, requests := p.budgets[belief].lines, p.budgets[request].lines
+	for beliefs != nil || requests != nil {
+		var line []byte
+		var ok bool
+		select {
+		case line, ok = <-beliefs:
+			if !ok {
+				beliefs = nil
+			}
+		default:
+			select {
+			case line, ok = <-beliefs:
+				if !ok {
+					beliefs = nil
+				}
+			case line, ok = <-requests:
+				if !ok {
+					requests = nil
+				}
+			}
+		}
+		if ok {
+			p.w.Write(line)
+		}
+		p.summarize(!ok)
 	}
-	p.tokens--
-	return true
 }
 
-// print writes lines and, after a gap, how many were dropped in it.
-func (p *Printer) print() {
-	reported := int64(0)
-	for line := range p.lines {
-		p.w.Write(line)
-		if n := p.dropped.Count(); n != reported && len(p.lines) == 0 {
-			fmt.Fprintf(p.w, "{\"level\":\"warning\",\"msg\":\"printer: log lines were dropped\",\"lines\":%d}\n", n-reported)
-			reported = n
-		}
+// summarize tells how many lines were dropped since it last did.
+func (p *Printer) summarize(isEnd bool) {
+	now := p.clock.Now()
+	if !isEnd && now.Sub(p.summed) < summaryInterval {
+		return
 	}
+	b, r := p.budgets[belief], p.budgets[request]
+	beliefs, requests := b.dropped.Count(), r.dropped.Count()
+	if beliefs == b.reported && requests == r.reported {
+		return
+	}
+	fmt.Fprintf(p.w, "{\"level\":\"warning\",\"msg\":\"printer: log lines were dropped\",\"lines\":%d,\"lines_of_requests\":%d,\"time\":%q}\n",
+		beliefs-b.reported, requests-r.reported, time.Now().UTC().Format(time.RFC3339Nano))
+	b.reported, r.reported, p.summed = beliefs, requests, now
 }
 
 // Done returns a channel that is closed when everything has been written.
@@ -95,8 +173,11 @@
 func (p *Printer) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.closed {
-		p.closed = true
-		close(p.lines)
+	if p.closed {
+		return
+	}
+	p.closed = true
+	for _, b := range p.budgets {
+		close(b.lines)
 	}
 }
--- a/internal/printer/printer_test.go
+++ b/internal/printer/printer_test.go
@@ -81,3 +81,41 @@
 		t.Errorf("%d lines in %d s", n, seconds)
 	}
 }
+
+// Guards against the lines of thousands of refused requests that push out those
+// which explain them (a change of primary while the store is away).
+func TestRequestsLeaveRoomForBeliefs(t *testing.T) {
+	var buf bytes.Buffer
+	clock := clockwork.NewFakeClock()
+	r := metrics.NewRegistry()
+	p := printer.New(&buf, clock, r)
+	const seconds, refusals = 5, 10000
+	want := 0
+	for range seconds {
+		for i := range refusals {
+			fmt.Fprintf(p, "{\"level\":\"info\",\"msg\":\"request is refused\",\"request\":\"r%d\"}\n", i)
+			clock.Advance(time.Second / refusals)
+			if i%(refusals/20) == 0 {
+				want++
+				fmt.Fprintf(p, "{\"level\":\"info\",\"msg\":\"command was confirmed\",\"text\":\"\\\"request\\\":\"}\n")
+				fmt.Fprintf(p, "{\"level\":\"warning\",\"msg\":\"outcome is unknown\",\"request\":\"u%d\"}\n", i)
+			}
+		}
+	}
+	p.Close()
+	<-p.Done()
+	out := buf.String()
+	if n := strings.Count(out, "command was confirmed"); n != want {
+		t.Errorf("%d of %d lines of a change of primary were written", n, want)
+	}
+	if n := strings.Count(out, "outcome is unknown"); n != want {
+		t.Errorf("%d of %d requests with an unknown outcome were written", n, want)
+	}
+	written, dropped := int64(strings.Count(out, "request is refused")), metrics.GetOrRegisterCounter("log.dropped_requests", r).Count()
+	if written+dropped != seconds*refusals || written > 400+(seconds+1)*printer.LinesPerSecond {
+		t.Errorf("%d lines of requests written, %d counted as dropped", written, dropped)
+	}
+	if n := strings.Count(out, "log lines were dropped"); n < 1 || n > seconds+2 {
+		t.Errorf("%d lines tell of dropped ones", n)
+	}
+}
--- a/internal/sessioner/server.go
+++ b/internal/sessioner/server.go
@@ -188,13 +188,14 @@
 	return c
 }
 
-// note counts an answer and logs one that was late or not a success.
+// note counts an answer and logs one that was late or not a success. A refusal
+// is logged where it is decided, with what decided it.
 func (s *session) note(st exchanger.Statement, a exchanger.Answer, began time.Time) {
 	took := s.Clock.Since(began)
 	s.count.answers[a.Code].Inc(1)
 	s.count.duration.Update(took.Microseconds())
 	late := s.route.Objective > 0 && took > s.route.Objective
-	if a.OK() && !late {
+	if a.Code == exchanger.Busy || a.OK() && !late {
 		return
 	}
 	s.Log.WithFields(logrus.Fields{
