noder, gossiper, informer: large fleets call the store less and keep views in the zone

Change: three of four exchanges stay in the zone where it has at least four others; eight candidates look for the duty each 1.4 s, the others four times less often than before; an instance that does not know the fleet, or is no reader, waits for its first configuration by reads of the past.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -24,6 +24,12 @@
 	// exchangeInterval keeps the way of a configuration through a fleet of some
 	// tens of instances within the 3 s in which it must be in force.
 	exchangeInterval = 700 * time.Millisecond
+	// farEvery is one in how many exchanges goes to any instance; the others stay
+	// in the availability zone. A view takes some kilobytes in a large fleet, and bytes
+	// between zones are dear.
+	farEvery = 4
+	// minNear other instances in the zone are enough for news to pass among them.
+	minNear = 4
 	// exchangeTimeout covers two ways between zones and a busy instance.
 	exchangeTimeout = 400 * time.Millisecond
 	// permitInterval keeps promises of 300 ms from lapsing when one answer is
@@ -72,8 +78,9 @@
 type Config struct {
 	Name string
 	View View
-	// Addresses returns where the other instances listen.
-	Addresses func() []string
+	// Addresses returns where the other instances listen; Near those of them in
+	// the same availability zone.
+	Addresses, Near func() []string
 	// AddressOf returns where the named instance listens; empty if it is unknown.
 	AddressOf func(name string) string
 	Dialer    messenger.Dialer
@@ -127,14 +134,26 @@
 		case <-ctx.Done():
 			return
 		}
-		if addresses := g.cfg.Addresses(); len(addresses) > 0 {
-			if err := g.exchange(ctx, addresses[rand.N(len(addresses))]); err != nil {
+		if address := g.choose(); address != "" {
+			if err := g.exchange(ctx, address); err != nil {
 				g.cfg.Log.WithError(err).Debug("gossiper: instance is out of reach")
 			}
 		}
 	}
 }
 
+// choose returns the next instance to exchange views with; empty if none is known.
+func (g *Gossiper) choose() string {
+	addresses := g.cfg.Addresses()
+	if near := g.cfg.Near(); len(near) >= minNear && rand.N(farEvery) > 0 {
+		addresses = near
+	}
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[rand.N(len(addresses))]
+}
+
 func (g *Gossiper) exchange(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -154,8 +154,8 @@
 	if ok {
 		n.Offer(e.Value, "store")
 	}
-	if !n.cfg.IsReader() && n.State().HasConfiguration() {
-		return nil
+	if !n.cfg.IsReader() {
+		return n.awaitConfiguration(ctx)
 	}
 	w, err := n.cfg.Store.Watch(ctx, n.cfg.Schema.ConfigurationPrefix, e.ModRevision+1)
 	if err != nil {
@@ -177,10 +177,29 @@
 	return w.Err()
 }
 
+// firstPoll is the pause between two reads of an instance that has no configuration
+// yet and is no reader. A read of the past costs a tenth of a watch.
+const firstPoll = 700 * time.Millisecond
+
+// awaitConfiguration reads until a configuration is known, from the store or from
+// another instance, or until this instance is a reader.
+func (n *Informer) awaitConfiguration(ctx context.Context) error {
+	for ctx.Err() == nil && !n.State().HasConfiguration() && !n.cfg.IsReader() {
+		if err := n.poll(ctx, firstPoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // pollConfiguration reads the configuration as it was a moment ago, which the
 // store charges least for. Readers tell of changes sooner.
 func (n *Informer) pollConfiguration(ctx context.Context) error {
-	n.pause(ctx, n.cfg.LazyInterval*3/4+rand.N(n.cfg.LazyInterval/2))
+	return n.poll(ctx, n.cfg.LazyInterval)
+}
+
+func (n *Informer) poll(ctx context.Context, interval time.Duration) error {
+	n.pause(ctx, interval*3/4+rand.N(interval/2))
 	entries, _, err := n.past(true)(ctx, n.cfg.Schema.ConfigurationKey)
 	if err != nil {
 		return err
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -120,6 +120,9 @@
 	f.store.Put("config/now", encode(t, informer.Configuration{Version: 1}))
 	eventually(t, "version 1 is in force", func() bool { return f.version() == 1 })
 	time.Sleep(20 * time.Millisecond)
+	if n := f.store.Calls("watch"); n > 0 {
+		t.Errorf("%d watches before a configuration was known", n)
+	}
 	before := f.store.Calls("watch") + f.store.Calls("get")
 	f.informer.Offer(encode(t, informer.Configuration{Version: 2}), "instance i2")
 	f.store.Put("config/now", encode(t, informer.Configuration{Version: 3}))
--- a/internal/noder/duties.go
+++ b/internal/noder/duties.go
@@ -30,11 +30,11 @@
 	}
 	v := view{n}
 	n.gossiper = gossiper.New(gossiper.Config{
-		Name: n.settings.Instance, View: v, Addresses: n.peerAddresses, AddressOf: n.addressOf, Dialer: n.peers, Clock: n.clock, Log: n.log,
+		Name: n.settings.Instance, View: v, Addresses: n.peerAddresses, Near: n.nearAddresses, AddressOf: n.addressOf, Dialer: n.peers, Clock: n.clock, Log: n.log,
 	})
 	n.holder = holder.New(holder.Config{
 		Store: n.store, Name: n.settings.Instance, Address: n.settings.Control,
-		HasEnded: n.gossiper.HasEnded, LookInterval: func() time.Duration { return n.spread(holder.LookInterval) }, Clock: n.clock, Log: n.log,
+		HasEnded: n.gossiper.HasEnded, LookInterval: n.lookInterval, Clock: n.clock, Log: n.log,
 	})
 	n.replacer = replacer.New(replacer.Config{
 		Name: n.settings.Instance, Informer: n.informer, Fleet: n.dispatcher,
@@ -62,6 +62,39 @@
 	return ""
 }
 
+const (
+	// dutyCandidates look often whether the duty is free in a large fleet, the others
+	// only in case all of them are lost.
+	dutyCandidates = 8
+	// candidateLooks lengthens a candidate's interval: together they still look each
+	// 0.2 s.
+	candidateLooks = 2
+	// otherLooks lengthens the interval of the others.
+	otherLooks = 4
+)
+
+// lookInterval returns the pause between two looks whether the duty is free.
+func (n *Node) lookInterval() time.Duration {
+	switch {
+	case n.fleetSize() <= smallFleet:
+		return n.spread(holder.LookInterval)
+	case n.isAmong("duty", dutyCandidates):
+		return candidateLooks * holder.LookInterval
+	}
+	return otherLooks * n.spread(holder.LookInterval)
+}
+
+// nearAddresses returns the listed instances of the same availability zone.
+func (n *Node) nearAddresses() []string {
+	var addresses []string
+	for _, o := range n.registrar.Others() {
+		if o.Zone == n.settings.Zone {
+			addresses = append(addresses, o.Address)
+		}
+	}
+	return addresses
+}
+
 // peerAddresses returns the listed instances, or the seeds before any is known.
 func (n *Node) peerAddresses() []string {
 	var addresses []string
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -213,12 +213,21 @@
 	return interval * time.Duration(max(n.fleetSize(), smallFleet)) / smallFleet
 }
 
-// isReader reports whether this instance reads the store for the fleet.
+// isReader reports whether this instance reads the store for the fleet. One that
+// does not know the fleet may be one of hundreds.
 func (n *Node) isReader() bool {
+	if !n.registrar.IsKnown() {
+		return false
+	}
 	if n.fleetSize() <= smallFleet {
 		return true
 	}
-	return slices.ContainsFunc(placer.Rendezvous("store", n.instances(), readers), func(p placer.Peer) bool {
+	return n.isAmong("store", readers)
+}
+
+// isAmong reports whether this instance is one of the count that a job falls to.
+func (n *Node) isAmong(job string, count int) bool {
+	return slices.ContainsFunc(placer.Rendezvous(job, n.instances(), count), func(p placer.Peer) bool {
 		return p.Name == n.settings.Instance
 	})
 }
