informer: a server that leaves when it is first seen gets no new work

Cause: an instance gave a leaving server new work for two seconds from when it saw the sign, which an instance that has just started sees late: the server may have been leaving for as long as it serves. Ruled out: taking the time from the entry (it holds none). Change: a server that is leaving when it is first seen is taken to have been so for long. Test: TestServerThatLeavesWhenFirstSeen, failed first.

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -299,6 +299,11 @@
 	return leaving
 }
 
+// unseenDraining is how long a server that is leaving when it is first seen is taken
+// to have been leaving: longer than it serves. An instance that starts does not know
+// when the server began.
+const unseenDraining = time.Hour
+
 // merge takes over what a server says of itself and reports whether it differs.
 func (n *Informer) merge(srv Server, now time.Time) bool {
 	old, known := n.servers[srv.ID]
@@ -308,6 +313,9 @@
 	}
 	if srv.Draining && srv.DrainingSince.IsZero() {
 		srv.DrainingSince = now
+		if !known {
+			srv.DrainingSince = now.Add(-unseenDraining)
+		}
 	}
 	if known && old == srv {
 		return false
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -217,3 +217,24 @@
 		return s.Born == 2 && s.Since.After(first.Since) && s.DrainingSince.IsZero()
 	})
 }
+
+// Guards against an instance that starts and sends work to a server that began to
+// leave long before: only those that saw it begin know how long it still serves.
+func TestServerThatLeavesWhenFirstSeen(t *testing.T) {
+	f := start(t, nil)
+	f.store.Put("backend/old", encode(t, informer.Server{Service: "s", Address: "a", Draining: true}))
+	f.store.Put("backend/new", encode(t, informer.Server{Service: "s", Address: "b"}))
+	server := func(id string) informer.Server {
+		srv, _ := f.informer.State().Server("s", id)
+		return srv
+	}
+	eventually(t, "both are listed", func() bool { return len(f.informer.State().ServersOf("s")) == 2 })
+	if since := server("old").DrainingSince; time.Since(since) < time.Minute {
+		t.Errorf("first seen leaving, taken to leave since %v", since)
+	}
+	f.store.Put("backend/new", encode(t, informer.Server{Service: "s", Address: "b", Draining: true}))
+	eventually(t, "the other leaves, too", func() bool { return server("new").Draining })
+	if since := server("new").DrainingSince; time.Since(since) > time.Minute {
+		t.Errorf("seen to begin, taken to leave since %v", since)
+	}
+}
