--- a/internal/dispatcher/hedged_read.go
+++ b/internal/dispatcher/hedged_read.go
@@ -64,7 +64,7 @@
 	return r.d.refuse(r.req, exchanger.Busy, "no backend server could run the read", nil)
 }
 
-// hedge asks another server if there is one that is not worse.
+// hedge asks another server while the first has not answered.
 func (r *hedgedRead) hedge(clock clockwork.Clock) {
 	if r.pending != 1 || !clock.Now().Before(r.deadline) {
 		return
