placer: a candidate is shared, not scarce, when its work passes a gateway

Cause: since every fleet uses gateways the flag no longer says that connections are few. Change: names and comments; the decision is the same.

--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -191,7 +191,7 @@
 	return placer.Candidate{
 		Near:     b.server.Zone == zone,
 		Leader:   b.id == leader,
-		Scarce:   len(b.gateways) > 0,
+		Shared:   len(b.gateways) > 0,
 		Avoid:    b.server.Draining || !b.server.MissingSince.IsZero() || now.Before(b.avoid),
 		Behind:   b.id != leader && now.Sub(b.behindAt) < behindMemory && floorAge <= b.behindAge,
 		InFlight: b.inFlight,
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -23,7 +23,7 @@
 		{"far replica before a near one with a queue", []placer.Candidate{far, with(near, func(c *placer.Candidate) { c.InFlight = 6 })}, 0},
 		{"replica before the primary at the same distance", []placer.Candidate{with(near, func(c *placer.Candidate) { c.Leader = true }), near}, 1},
 		{"near primary before a far replica while it is idle", []placer.Candidate{far, with(near, func(c *placer.Candidate) { c.Leader = true })}, 1},
-		{"far replica before a near primary while connections are scarce", []placer.Candidate{far, with(near, func(c *placer.Candidate) { c.Leader, c.Scarce = true, true })}, 0},
+		{"far replica before a near primary whose work passes a gateway", []placer.Candidate{far, with(near, func(c *placer.Candidate) { c.Leader, c.Shared = true, true })}, 0},
 		{"what is behind comes after all others", []placer.Candidate{with(near, func(c *placer.Candidate) { c.Behind = true }), with(far, func(c *placer.Candidate) { c.Leader, c.InFlight = true, 9 })}, 1},
 		{"what is avoided comes last", []placer.Candidate{with(near, func(c *placer.Candidate) { c.Avoid = true }), with(far, func(c *placer.Candidate) { c.Behind = true })}, 1},
 		{"unknown latency counts as usual", []placer.Candidate{with(near, func(c *placer.Candidate) { c.Latency = 0 }), far}, 0},
--- a/internal/placer/read.go
+++ b/internal/placer/read.go
@@ -9,10 +9,10 @@
 	// leaderCost keeps reads off the primary, whose slots commits need, unless
 	// the replicas are farther or busier.
 	leaderCost = 6 * time.Millisecond
-	// scarceLeaderCost is leaderCost while connections are scarce: those to the
-	// primary are kept for what only it can run, unless a replica takes as long
-	// as a late answer.
-	scarceLeaderCost = 150 * time.Millisecond
+	// sharedLeaderCost is leaderCost where a gateway orders the primary's work for
+	// the whole fleet: its turns are kept for what only it can run, unless a replica
+	// takes as long as a late answer.
+	sharedLeaderCost = 150 * time.Millisecond
 	// typicalWork stands for the time of a request at a server that has not
 	// answered yet.
 	typicalWork = 20 * time.Millisecond
@@ -24,8 +24,9 @@
 	Near bool
 	// Leader is true for the primary.
 	Leader bool
-	// Scarce is true if the server has too few connections for all instances.
-	Scarce bool
+	// Shared is true if the server's work passes a gateway, which orders that of
+	// all instances.
+	Shared bool
 	// Avoid is true for a server that is draining, lately refused or failed.
 	Avoid bool
 	// Behind is true for a replica that lately lacked a position of this age.
@@ -51,8 +52,8 @@
 		cost += farCost
 	}
 	switch {
-	case c.Leader && c.Scarce:
-		cost += scarceLeaderCost
+	case c.Leader && c.Shared:
+		cost += sharedLeaderCost
 	case c.Leader:
 		cost += leaderCost
 	}
