storer, platform: log restores of the store and lists that are rejected

Cause: a restored store left no trace in the logs. Lists that are older than the last one were dropped without a line, and nothing read Store-Era. Change: the store's epoch is logged when it rises and served as the gauge store.epoch; ListOrder takes the comparison of revisions that informer and registrar each had, and logs when lists have been rejected for 5 s. No list is accepted or rejected that was not before. Tests: platform, informer, registrar, holder, storer pass.

--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -327,7 +327,8 @@
 	h.mu.Unlock()
 	ended := !known || h.hasLastTenureEnded(ctx, last)
 	acquired = h.cfg.Clock.Now()
-	h.cfg.Log.WithFields(logrus.Fields{"token": token, "last_has_ended": ended}).Info("holder: instance holds the duty")
+	h.cfg.Log.WithFields(logrus.Fields{"token": token, "last_has_ended": ended, "last_record_revision": last.ModRevision, "lease": lease}).
+		Info("holder: instance holds the duty")
 	if ended {
 		h.mu.Lock()
 		h.actFrom = acquired.Add(PrimaryLeaseTTL)
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -29,6 +29,7 @@
 	// rejected holds the values of entries that were logged as unusable.
 	rejected map[string][]byte
 	list     List
+	order    *storer.ListOrder
 	listed   bool
 	changed  chan struct{}
 
@@ -49,6 +50,7 @@
 		cfg:      cfg,
 		servers:  map[string]Server{},
 		rejected: map[string][]byte{},
+		order:    storer.NewListOrder(cfg.Schema.ServerPrefix, cfg.Clock, cfg.Log),
 		changed:  make(chan struct{}),
 		cancel:   cancel,
 		done:     make(chan struct{}),
@@ -279,7 +281,7 @@
 func (n *Informer) apply(entries []storer.Entry, revision int64) (leaving bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if revision < n.list.Revision || len(entries) == 0 && !n.listed {
+	if len(entries) == 0 && !n.listed || !n.order.Accept(revision) {
 		return false
 	}
 	n.list = newList(entries, revision)
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -126,7 +126,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
-	n.store = platform.NewStore(settings.StoreAddress, n.metrics)
+	n.store = platform.NewStore(settings.StoreAddress, n.metrics, n.log)
 	n.registrar = registrar.New(registrar.Config{
 		Store: n.store, Clock: n.clock, Log: n.log,
 		Self: registrar.Instance{
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -68,10 +68,10 @@
 type Registrar struct {
 	cfg Config
 
-	mu       sync.Mutex
-	others   []Instance
-	revision int64
-	lease    int64
+	mu     sync.Mutex
+	others []Instance
+	order  *storer.ListOrder
+	lease  int64
 	// listed is when the instances were last listed.
 	listed  time.Time
 	changed chan struct{}
@@ -83,7 +83,7 @@
 // New starts a registrar.
 func New(cfg Config) *Registrar {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Registrar{cfg: cfg, changed: make(chan struct{}), cancel: cancel, done: make(chan struct{})}
+	r := &Registrar{cfg: cfg, order: storer.NewListOrder(Prefix, cfg.Clock, cfg.Log), changed: make(chan struct{}), cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(r.done)
 		r.run(ctx)
@@ -239,11 +239,11 @@
 func (r *Registrar) apply(entries []storer.Entry, revision int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if revision < r.revision {
+	if !r.order.Accept(revision) {
 		return
 	}
 	isFirst := r.listed.IsZero()
-	r.revision, r.listed = revision, r.cfg.Clock.Now()
+	r.listed = r.cfg.Clock.Now()
 	var others []Instance
 	for _, e := range entries {
 		var o Instance
