platform: failing tests for a store that is restored from an older copy

The stand-in of the store can be restored from a copy of itself: revisions and numbers of leases go back and are given out again, and Store-Era rises. Change: tests and test stand-ins only.

--- a/internal/storer/storertest/memory.go
+++ b/internal/storer/storertest/memory.go
@@ -1,6 +1,6 @@
 // Package storertest provides a store in memory, for tests of the packages that
-// use [storer.Store]. It can be unavailable, lose responses, expire leases early
-// and stop reporting changes to watches.
+// use [storer.Store]. It can be unavailable, lose responses, expire leases early,
+// stop reporting changes to watches, and be restored from an older copy of itself.
 package storertest
 
 import (
@@ -22,9 +22,11 @@
 	leases    map[int64]time.Time
 	revision  int64
 	lastLease int64
-	changed   chan struct{}
-	history   []storer.Change
-	down      bool
+	// epoch counts the restores from a copy, from 1.
+	epoch   int64
+	changed chan struct{}
+	history []storer.Change
+	down    bool
 	// loseResponses makes writes take effect and fail with an unknown outcome.
 	loseResponses bool
 	// silentWatch makes watches report no changes.
@@ -35,7 +37,7 @@
 // New returns an empty store.
 func New() *Memory {
 	return &Memory{
-		entries: map[string]storer.Entry{}, leases: map[int64]time.Time{}, revision: 1,
+		entries: map[string]storer.Entry{}, leases: map[int64]time.Time{}, revision: 1, epoch: 1,
 		changed: make(chan struct{}), calls: map[string]int{},
 	}
 }
@@ -59,6 +61,38 @@
 	})
 }
 
+// Copy is the data of a store at one moment.
+type Copy struct {
+	entries             map[string]storer.Entry
+	leases              map[int64]time.Time
+	history             []storer.Change
+	revision, lastLease int64
+}
+
+// Copy returns a copy of the present data.
+func (m *Memory) Copy() Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Copy{maps.Clone(m.entries), maps.Clone(m.leases), slices.Clone(m.history), m.revision, m.lastLease}
+}
+
+// Restore replaces the data by those of the copy and begins a new epoch. Revisions and
+// numbers of leases go back and are given out again, and watches end.
+func (m *Memory) Restore(c Copy) {
+	m.update(func() {
+		m.entries, m.leases, m.history = maps.Clone(c.entries), maps.Clone(c.leases), slices.Clone(c.history)
+		m.revision, m.lastLease = c.revision, c.lastLease
+		m.epoch++
+	})
+}
+
+// Epoch returns the number of the present epoch. It rises with each Restore.
+func (m *Memory) Epoch() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.epoch
+}
+
 // Calls returns how often a method was called: "get", "list", "list_stale",
 // "commit", "grant", "keep" or "revoke".
 func (m *Memory) Calls(method string) int {
@@ -237,10 +271,14 @@
 // Watch implements [storer.Store].
 func (m *Memory) Watch(ctx context.Context, prefix string, from int64) (*storer.Watch, error) {
 	return storer.NewWatch(ctx, func(ctx context.Context, send func(storer.Batch) error) error {
-		sent := from - 1
+		sent, epoch := from-1, m.Epoch()
 		for {
 			m.mu.Lock()
 			changed, down := m.changed, m.down
+			if sent > m.revision || epoch != m.epoch {
+				m.mu.Unlock()
+				return &storer.CompactedError{Revision: from}
+			}
 			b := storer.Batch{Revision: m.revision}
 			for _, c := range m.history {
 				if c.Entry.ModRevision > sent && strings.HasPrefix(c.Entry.Key, prefix) && !m.silentWatch {
