platform: order the store's revisions across restores from a copy

A new coordinator's fencing token could be lower than the last one's. Cause: the store's revision was taken for a counter that only rises. Lists with lower revisions were dropped until the store had given the lost numbers out again; conditions and watches could refer to numbers that meant something else by then. Class: an epoch that an outside system announces was not part of the order of its numbers. The request to end a tenure covers earlier tokens, since the record's revision is higher after a restore.

--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -122,13 +122,14 @@
 // not act yet.
 func (h *Holder) IsCoordinator() bool { return h.Tenure() != 0 }
 
-// EndTenure ends the tenure with the token, if it is the present one, because
-// another instance has become the coordinator. This instance does not act under
-// the token any more.
+// EndTenure ends the present tenure unless its token is higher, because another
+// instance has become the coordinator. This instance does not act under the token or
+// an earlier one any more. The other instance knows the token by the record of the
+// last coordinator, whose revision is higher if the store was restored since.
 func (h *Holder) EndTenure(token int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.token == token {
+	if h.token <= token {
 		h.token = 0
 	}
 }
@@ -327,7 +328,7 @@
 	h.mu.Unlock()
 	ended := !known || h.hasLastTenureEnded(ctx, last)
 	acquired = h.cfg.Clock.Now()
-	h.cfg.Log.WithFields(logrus.Fields{"token": token, "last_has_ended": ended, "last_record_revision": last.ModRevision, "lease": lease}).
+	h.cfg.Log.WithFields(logrus.Fields{"token": token, "last_has_ended": ended, "last_record_revision": storer.FormatRevision(last.ModRevision), "lease": lease}).
 		Info("holder: instance holds the duty")
 	if ended {
 		h.mu.Lock()
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -333,7 +333,7 @@
 	n.servers[srv.ID] = srv
 	n.cfg.Log.WithFields(logrus.Fields{
 		"server": srv.ID, "service": srv.Service, "draining": srv.Draining, "role": srv.Role.String(), "born": srv.Born,
-		"revision": n.list.Revision,
+		"revision": storer.FormatRevision(n.list.Revision),
 	}).Info("informer: backend server changed")
 	return true
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -257,7 +257,7 @@
 	}
 	sort.Slice(others, func(i, j int) bool { return others[i].Name < others[j].Name })
 	if len(others) != len(r.others) {
-		r.cfg.Log.WithFields(logrus.Fields{"others": len(others), "revision": revision}).Info("registrar: list of instances changed")
+		r.cfg.Log.WithFields(logrus.Fields{"others": len(others), "revision": storer.FormatRevision(revision)}).Info("registrar: list of instances changed")
 	}
 	if isFirst || !slices.Equal(others, r.others) {
 		close(r.changed)
--- a/internal/storer/doc.go
+++ b/internal/storer/doc.go
@@ -5,7 +5,7 @@
 // over the etcd v3 JSON gateway; packages platform and storertest have other
 // implementations.
 //
-// Every change increases the revision of the store. A [Transaction] runs its
+// Every change increases the revision of the store, see [NewRevision]. A [Transaction] runs its
 // operations only if all its compares hold, for example that a key was not
 // modified since a revision. A lease ends unless it is renewed in time, and the
 // keys attached to it are deleted with it. A [Watch] reports the changes since a
--- a/internal/storer/list_order.go
+++ b/internal/storer/list_order.go
@@ -34,7 +34,7 @@
 func (o *ListOrder) Accept(revision int64) bool {
 	if revision >= o.last {
 		if o.logged {
-			o.log.WithFields(logrus.Fields{"revision": revision, "last_revision": o.last, "rejected_for": o.clock.Since(o.olderSince).String()}).
+			o.log.WithFields(logrus.Fields{"revision": FormatRevision(revision), "last_revision": FormatRevision(o.last), "rejected_for": o.clock.Since(o.olderSince).String()}).
 				Info("storer: lists are accepted again")
 		}
 		o.last, o.olderSince, o.logged = revision, time.Time{}, false
@@ -45,7 +45,7 @@
 	}
 	if !o.logged && o.clock.Since(o.olderSince) >= olderListsLogAfter {
 		o.logged = true
-		o.log.WithFields(logrus.Fields{"revision": revision, "last_revision": o.last}).
+		o.log.WithFields(logrus.Fields{"revision": FormatRevision(revision), "last_revision": FormatRevision(o.last)}).
 			Warn("storer: lists are rejected because they are older than the last one")
 	}
 	return false
