--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -192,7 +192,7 @@
 	if err != nil {
 		return err
 	}
-	if !ok || live.Lease != lease {
+	if !ok || live.Lease != lease || string(live.Value) != h.cfg.Name {
 		return nil
 	}
 	_, err = h.cfg.Store.Commit(ctx, storer.Transaction{}.
