informer: entries of a restored copy neither change a server nor bring one back

Cause: the newest list was taken for the newest knowledge of each server in it. After a restore it is not: entries in it may be older than known ones. Change: an entry carries its server's own order, start and sequence number (born, seq). In a list of a later epoch an entry that is no newer than the known one leaves a present server as it is and does not bring a gone one back. A server that renews its entry for longer than the store keeps unrenewed ones counts in any case.

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -26,6 +26,8 @@
 	mu            sync.Mutex
 	configuration *Configuration
 	servers       map[string]Server
+	// versions has the newest known entry of each server, removed ones included.
+	versions map[string]entryVersion
 	// rejected holds the values of entries that were logged as unusable.
 	rejected map[string][]byte
 	list     List
@@ -49,6 +51,7 @@
 	n := &Informer{
 		cfg:      cfg,
 		servers:  map[string]Server{},
+		versions: map[string]entryVersion{},
 		rejected: map[string][]byte{},
 		order:    storer.NewListOrder(cfg.Schema.ServerPrefix, cfg.Clock, cfg.Log),
 		changed:  make(chan struct{}),
@@ -275,9 +278,10 @@
 	return nil
 }
 
-// apply merges a list. It ignores a list of an older revision than the last one,
-// and an empty first list. It reports whether a known server has begun to drain,
-// which other instances must learn.
+// apply merges a list. It ignores a list of an older revision than the last one, and
+// an empty first list. An outdated entry of a store that was restored from a copy
+// neither changes a server nor brings back one that had gone. It reports whether a
+// known server has begun to drain, which other instances must learn.
 func (n *Informer) apply(entries []storer.Entry, revision int64) (leaving bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -295,6 +299,10 @@
 			n.reject(e, err)
 			continue
 		}
+		if n.isOutdated(srv, storer.Epoch(revision), now) {
+			seen[srv.ID] = n.isPresent(srv.ID)
+			continue
+		}
 		seen[srv.ID] = true
 		old, known := n.servers[srv.ID]
 		leaving = leaving || known && srv.Draining && !old.Draining
@@ -327,10 +335,10 @@
 			srv.DrainingSince = now.Add(-drainingBeforeSeen)
 		}
 	}
-	if known && old == srv {
+	n.servers[srv.ID] = srv
+	if old.Sequence = srv.Sequence; known && old == srv {
 		return false
 	}
-	n.servers[srv.ID] = srv
 	n.cfg.Log.WithFields(logrus.Fields{
 		"server": srv.ID, "service": srv.Service, "draining": srv.Draining, "role": srv.Role.String(), "born": srv.Born,
 		"revision": storer.FormatRevision(n.list.Revision),
@@ -350,6 +358,7 @@
 		return false
 	}
 	delete(n.servers, srv.ID)
+	n.recordRemoved(srv.ID, now)
 	n.cfg.Log.WithFields(logrus.Fields{"server": srv.ID, "service": srv.Service, "missing": now.Sub(srv.MissingSince).String()}).
 		Info("informer: backend server is gone")
 	return true
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -240,3 +240,64 @@
 		t.Errorf("draining since it was seen, taken to drain since %v", since)
 	}
 }
+
+// Guards against entries of a restored store that stay ignored although their servers renew
+// them, and against entries that count before.
+func TestOutdatedEntries(t *testing.T) {
+	const epoch1, epoch2 = 1, 2
+	entry := func(born, sequence int64, draining bool) informer.Server {
+		return informer.Server{Service: "s", Address: "a", Born: born, Sequence: sequence, Draining: draining}
+	}
+	for _, tc := range []struct {
+		name string
+		// known is listed in the first epoch, and is not listed any more before the restore
+		// if gone is true. The copy's entry is listed in the second one.
+		known, copied informer.Server
+		gone          bool
+		// listed and draining are expected right after the restore, laterListed and
+		// laterDraining after the lifetime of entries.
+		listed, draining, laterListed, laterDraining bool
+	}{
+		{"the same", entry(5, 3, false), entry(5, 3, false), false, true, false, true, false},
+		{"older, draining since", entry(5, 3, true), entry(5, 2, false), false, true, true, true, false},
+		{"newer", entry(5, 3, false), entry(5, 4, true), false, true, true, true, true},
+		{"older incarnation", entry(5, 1, true), entry(4, 9, false), false, true, true, true, false},
+		{"newer incarnation", entry(5, 9, true), entry(6, 1, false), false, true, false, true, false},
+		{"the same, gone", entry(5, 3, false), entry(5, 3, false), true, false, false, true, false},
+		{"older, gone", entry(5, 3, false), entry(5, 2, false), true, false, false, true, false},
+		{"newer, gone", entry(5, 3, false), entry(5, 4, false), true, true, false, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			const ttl = 200 * time.Millisecond
+			f := start(t, func(c *informer.Config) { c.EntryTTL, c.RemoveAfter = ttl, time.Millisecond })
+			f.store.SetDown(true)
+			number := int64(0)
+			offer := func(epoch int64, servers ...informer.Server) {
+				number++
+				entries := []storer.Entry{{Key: "backend/other", Value: encode(t, entry(1, 1, false))}}
+				for _, srv := range servers {
+					entries = append(entries, storer.Entry{Key: "backend/x", Value: encode(t, srv)})
+				}
+				f.informer.OfferList(informer.List{Revision: storer.NewRevision(epoch, number), Entries: entries})
+			}
+			check := func(when string, listed, draining bool) {
+				t.Helper()
+				srv, ok := f.informer.State().Server("s", "x")
+				if ok != listed || srv.Draining != draining {
+					t.Errorf("%s: listed %v, draining %v, want %v, %v", when, ok, srv.Draining, listed, draining)
+				}
+			}
+			offer(epoch1, tc.known)
+			if tc.gone {
+				offer(epoch1)
+				time.Sleep(2 * time.Millisecond)
+				offer(epoch1)
+			}
+			offer(epoch2, tc.copied)
+			check("after the restore", tc.listed, tc.draining)
+			time.Sleep(ttl + 10*time.Millisecond)
+			offer(epoch2, tc.copied)
+			check("after the lifetime of entries", tc.laterListed, tc.laterDraining)
+		})
+	}
+}
--- a/internal/informer/server.go
+++ b/internal/informer/server.go
@@ -20,6 +20,8 @@
 	// Born identifies an incarnation of the server: the start of its process, by its
 	// own clock, in milliseconds of Unix time.
 	Born int64
+	// Sequence rises with each entry that this incarnation writes.
+	Sequence int64
 	// DrainingSince is when this instance first saw the server draining; zero
 	// while it is not.
 	DrainingSince time.Time
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -83,6 +83,10 @@
 	// removeServerAfter is the time in which entries return that expired while the
 	// store was down, with a margin for one list.
 	removeServerAfter = 2500 * time.Millisecond
+	// entryTTLHeartbeats is the number of heartbeat intervals after which the entry of a
+	// silent server is not listed any more: the store removes it after three, and a list
+	// may lag.
+	entryTTLHeartbeats = 4
 )
 
 // Node is a running instance.
@@ -135,7 +139,7 @@
 	})
 	n.informer = informer.New(informer.Config{
 		Store: n.store, Schema: platform.Schema(), Clock: n.clock, Log: n.log,
-		ListInterval: n.listInterval, LinearizableEvery: n.linearizableEvery, RemoveAfter: removeServerAfter,
+		ListInterval: n.listInterval, LinearizableEvery: n.linearizableEvery, RemoveAfter: removeServerAfter, EntryTTL: entryTTLHeartbeats * settings.ServerHeartbeatInterval,
 		CheckInterval: n.checkInterval, IsReader: n.isReader, StaleInterval: nonReaderCheckInterval,
 		RetryPause: func() time.Duration { return n.scaleInterval(retryPause) }, OnChange: n.broadcast,
 	})
