replacer: a server that came back at its address under another id is not waited for

Cause: a server that crashes comes back under another id at its address, and the old entry stays listed until it expires, some seconds longer. While both were listed, the old id counted as a replica that must be fenced, and the count of listed servers included it; when it was removed the count fell, which was taken for a replica that had vanished without a replacement, for 30 s. It depended on which of the two changes a list showed first. TestReplicaThatCameBackIsNotWaitedFor failed before in both cases (no leader within 5 s). Change: the replacer drops a server whose address one with a later start has. What may be chosen behind which fence is as before; the position that instances saw acknowledged still guards commits that only the lost process had.

--- a/internal/replacer/replacer.go
+++ b/internal/replacer/replacer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -163,8 +164,21 @@
 
 func (t *task) group() *attester.Group { return t.cfg.Backends.Group(t.service.Name) }
 
+// servers returns the listed servers of the service without those that have been
+// replaced at their addresses.
 func (t *task) servers() []informer.Server {
-	return t.cfg.Informer.State().ServersOf(t.service.Name)
+	return withoutReplaced(t.cfg.Informer.State().ServersOf(t.service.Name))
+}
+
+// withoutReplaced returns the servers without those whose address a later one has: a
+// server that crashed comes back under another id, and its old entry stays listed
+// until it expires.
+func withoutReplaced(servers []informer.Server) []informer.Server {
+	newest := map[string]int64{}
+	for _, srv := range servers {
+		newest[srv.Address] = max(newest[srv.Address], srv.Born)
+	}
+	return slices.DeleteFunc(slices.Clone(servers), func(srv informer.Server) bool { return srv.Born < newest[srv.Address] })
 }
 
 // check checks the service once and changes its primary if necessary.
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -227,6 +227,47 @@
 	}
 }
 
+// Guards against a failover that waits for a server which has come back at its address under
+// another id, while its old entry is listed and after that.
+func TestReplicaThatCameBackIsNotWaitedFor(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// expired is true if the old entry is not listed any more.
+		expired bool
+	}{{"old entry is listed", false}, {"old entry has expired", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, pos(0))
+			f.putEntryAtAddressOf(t, "c", "old")
+			f.election.token.Store(3)
+			eventually(t, 5*time.Second, "a leads", f.leads("a"))
+			time.Sleep(200 * time.Millisecond)
+			if tc.expired {
+				f.store.Delete("backend/old")
+				time.Sleep(300 * time.Millisecond)
+			}
+			f.SetDown("a", true)
+			eventually(t, 5*time.Second, "a replica leads", func() bool { return f.leads("b")() || f.leads("c")() })
+		})
+	}
+}
+
+// putEntryAtAddressOf lists an earlier server at the address of another.
+func (f *fixture) putEntryAtAddressOf(t *testing.T, id, earlier string) {
+	t.Helper()
+	for _, srv := range f.Servers() {
+		if srv.ID != id {
+			continue
+		}
+		srv.ID, srv.Born = earlier, srv.Born-1
+		value, err := json.Marshal(srv)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.store.Put("backend/"+earlier, value)
+	}
+}
+
 // Guards against a promotion of replicas that lack a commit which another
 // instance saw acknowledged.
 func TestKnownCommitIsWaitedFor(t *testing.T) {
