holder: the record of the last coordinator counts only in the store's present epoch

After a restore, a new coordinator took an earlier coordinator that had resigned, or none, for the last one and acted after 300 ms, while the real last one, whose record was lost, acted to the end of its lease: two instances that change primaries, with primary leases that hold at different servers. Cause: the record was taken for the last one that was written. A restored store has lost the later ones. Class: a fact that is derived from the absence of a newer record. Change: the record carries the epoch of its acquisition. Without one of the present epoch the last coordinator is unknown. It was renewed for the last time before the epoch began, so a new one acts 1.8 s after it first saw the epoch, or at once if that is over. A record without an epoch, of an earlier build, is waited for in full. At the first start of a system the coordinator acts 1.8 s after its start instead of 0.3 s.

--- a/internal/holder/doc.go
+++ b/internal/holder/doc.go
@@ -16,7 +16,8 @@
 //   - The store may end a lease while its owner cannot hear of it. A new
 //     coordinator therefore waits for the length of such a lease (leaseTTL) before
 //     it acts, unless the last one resigned, confirms that its tenure has ended, or
-//     its process is gone.
+//     its process is gone. If the record is of an earlier epoch of the store, the last
+//     coordinator is unknown; it renewed its lease before the present epoch began.
 //
 // The coordinator also grants the other instances primary leases of
 // [PrimaryLeaseTTL]: guarantees that no primary changes. A new coordinator waits
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -64,6 +64,8 @@
 	Address string `json:"address"`
 	// Resigned is true when the coordinator gave the role up.
 	Resigned bool `json:"resigned"`
+	// Epoch is the epoch of the store in which the role was acquired.
+	Epoch int64 `json:"store_epoch,omitempty"`
 }
 
 // Holder competes for the coordinator role and keeps it while it can renew the
@@ -80,6 +82,10 @@
 	until time.Time
 	// actFrom is when any earlier coordinator has surely stopped acting.
 	actFrom time.Time
+	// epoch is the latest epoch of the store that a list has shown, and epochSince is when
+	// it was first shown.
+	epoch      int64
+	epochSince time.Time
 	// yieldUntil is until when this instance does not compete.
 	yieldUntil time.Time
 
@@ -150,7 +156,7 @@
 		return
 	}
 	h.cfg.Log.WithField("token", token).Warn("holder: coordinator role is left to another instance")
-	if err := h.resign(lease); err != nil {
+	if err := h.resign(lease, token); err != nil {
 		h.cfg.Log.WithError(err).Info("holder: coordinator lease was not deleted; it expires by itself")
 	}
 }
@@ -175,16 +181,16 @@
 	if token == 0 {
 		return
 	}
-	if err := h.resign(lease); err != nil {
+	if err := h.resign(lease, token); err != nil {
 		h.cfg.Log.WithError(err).Info("holder: coordinator lease was not deleted; it expires by itself")
 	}
 }
 
 // resign records that this instance gave the role up and deletes the key of the
 // lease, if it still has it.
-func (h *Holder) resign(lease int64) error {
+func (h *Holder) resign(lease, token int64) error {
 	ctx := context.Background()
-	value, err := json.Marshal(record{Holder: h.cfg.Name, Address: h.cfg.Address, Resigned: true})
+	value, err := json.Marshal(record{Holder: h.cfg.Name, Address: h.cfg.Address, Resigned: true, Epoch: storer.Epoch(token)})
 	if err != nil {
 		return err
 	}
@@ -263,33 +269,46 @@
 	if stale, ok := h.cfg.Store.(storer.StaleLister); ok {
 		list = stale.ListStale
 	}
-	entries, _, err := list(ctx, liveKey)
+	entries, revision, err := list(ctx, liveKey)
+	if err == nil {
+		h.recordEpoch(storer.Epoch(revision))
+	}
 	return len(entries) == 0, err
 }
 
-// readKeys returns the record of the last coordinator and whether the role is free
-// now. Of many instances that saw it free by a stale read, only the first ones
-// still find it free here and go on.
-func (h *Holder) readKeys(ctx context.Context) (last storer.Entry, known, free bool, err error) {
-	entries, _, err := h.cfg.Store.List(ctx, keyPrefix)
+// recordEpoch records that a list has shown the epoch.
+func (h *Holder) recordEpoch(epoch int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.epochSince.IsZero() || epoch > h.epoch {
+		h.epoch, h.epochSince = epoch, h.cfg.Clock.Now()
+	}
+}
+
+// readKeys returns the record of the last coordinator, empty if there is none, the
+// epoch of the store, and whether the role is free now. Of many instances that saw it
+// free by a stale read, only the first ones still find it free here and go on.
+func (h *Holder) readKeys(ctx context.Context) (last storer.Entry, epoch int64, free bool, err error) {
+	entries, revision, err := h.cfg.Store.List(ctx, keyPrefix)
 	if err != nil {
-		return last, false, false, err
+		return last, 0, false, err
 	}
+	h.recordEpoch(storer.Epoch(revision))
 	free = true
 	for _, e := range entries {
 		switch e.Key {
 		case liveKey:
 			free = false
 		case recordKey:
-			last, known = e, true
+			last = e
 		}
 	}
-	return last, known, free, nil
+	return last, storer.Epoch(revision), free, nil
 }
 
 // tryAcquire acquires the coordinator role if it is still free.
 func (h *Holder) tryAcquire(ctx context.Context) error {
-	last, known, free, err := h.readKeys(ctx)
+	last, epoch, free, err := h.readKeys(ctx)
 	if err != nil || !free {
 		return err
 	}
@@ -298,7 +317,7 @@
 	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(record{Holder: h.cfg.Name, Address: h.cfg.Address})
+	value, err := json.Marshal(record{Holder: h.cfg.Name, Address: h.cfg.Address, Epoch: epoch})
 	if err != nil {
 		return err
 	}
@@ -313,37 +332,60 @@
 		}
 		return err
 	}
-	h.beginTenure(ctx, last, known, lease, result.Revision, began)
+	h.beginTenure(ctx, last, lease, result.Revision, began)
 	return nil
 }
 
 // beginTenure starts a tenure, in which this instance acts only when the last
 // tenure has surely ended and the primary leases granted in it have expired.
-func (h *Holder) beginTenure(ctx context.Context, last storer.Entry, known bool, lease, token int64, began time.Time) {
-	acquired := h.cfg.Clock.Now()
+func (h *Holder) beginTenure(ctx context.Context, last storer.Entry, lease, token int64, began time.Time) {
 	h.mu.Lock()
 	h.token, h.lease = token, lease
 	h.until = began.Add(leaseTTL - leaseMargin)
-	h.actFrom = acquired.Add(leaseTTL + PrimaryLeaseTTL)
+	h.actFrom = h.cfg.Clock.Now().Add(leaseTTL + PrimaryLeaseTTL)
 	h.mu.Unlock()
-	ended := !known || h.hasLastTenureEnded(ctx, last)
-	acquired = h.cfg.Clock.Now()
-	h.cfg.Log.WithFields(logrus.Fields{"token": token, "last_has_ended": ended, "last_record_revision": storer.FormatRevision(last.ModRevision), "lease": lease}).
-		Info("holder: instance holds the duty")
-	if ended {
-		h.mu.Lock()
-		h.actFrom = acquired.Add(PrimaryLeaseTTL)
-		h.mu.Unlock()
+	ended, known := h.hasLastTenureEnded(ctx, last, storer.Epoch(token))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch now := h.cfg.Clock.Now(); {
+	case ended:
+		h.actFrom = now.Add(PrimaryLeaseTTL)
+	case !known:
+		// The last tenure was renewed for the last time before the present epoch began.
+		h.actFrom = later(now, h.epochSince.Add(leaseTTL+PrimaryLeaseTTL))
 	}
+	h.cfg.Log.WithFields(logrus.Fields{
+		"token": token, "lease": lease, "last_has_ended": ended, "last_is_known": known,
+		"last_record_revision": storer.FormatRevision(last.ModRevision), "acts_in": h.actFrom.Sub(h.cfg.Clock.Now()).String(),
+	}).Info("holder: instance holds the duty")
 }
 
-// hasLastTenureEnded reports whether the last coordinator surely does not act.
-func (h *Holder) hasLastTenureEnded(ctx context.Context, last storer.Entry) bool {
+// hasLastTenureEnded reports whether the last coordinator surely does not act. Known is
+// false without a record of the store's present epoch: a store that was restored from a
+// copy has lost the later records, and the last tenure is of an earlier epoch.
+func (h *Holder) hasLastTenureEnded(ctx context.Context, last storer.Entry, epoch int64) (ended, known bool) {
+	if last.Key == "" {
+		return false, false
+	}
 	var r record
 	if err := json.Unmarshal(last.Value, &r); err != nil {
 		h.cfg.Log.WithError(err).Warn("holder: record of the last coordinator cannot be decoded")
-		return false
+		return false, true
+	}
+	switch {
+	case r.Epoch == 0 && epoch != 0:
+		// An instance of an earlier version of the program wrote it, in any epoch.
+		return false, true
+	case r.Epoch != epoch:
+		return false, false
 	}
 	// An earlier tenure of this instance has ended: its process begins the next one.
-	return r.Resigned || r.Holder == h.cfg.Name || h.cfg.EndTenure(ctx, r.Address, last.ModRevision)
+	return r.Resigned || r.Holder == h.cfg.Name || h.cfg.EndTenure(ctx, r.Address, last.ModRevision), true
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -138,6 +138,13 @@
 	if got, ok := a.Token(); ok && got == token {
 		t.Error("the tenure lasts")
 	}
+	store.ExpireLeases()
+	eventually(t, 8*time.Second, "a may act again", mayAct(a))
+	token, _ = a.Token()
+	a.EndTenure(token + 1)
+	if got, ok := a.Token(); ok && got == token {
+		t.Error("the tenure lasts though a later one is known")
+	}
 }
 
 // Guards against a claim whose response is lost blocking the role for longer than
