registrar: instances that a restored copy lacks stay listed until they register again

An instance that had registered since the copy was taken vanished from the others' list for up to 2.5 s: no gateway, no relay of primary leases and, as the coordinator, no source of them; the others took its connections to servers. Cause: an entry that is missing from a list was taken for an instance that has gone. A restored store has lost entries of instances that run. Class: a fact that is derived from absence, as for the coordinator's record. Change: instances of before a later epoch stay listed until a list shows them or an entry's lifetime (6 s) has passed; an entry of an earlier start does not replace a known instance meanwhile. Cost: an instance that failed in the lost seconds is listed for 6 s more; requests to it fail over as they do until its lease ends.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -4,6 +4,8 @@
 // The entry of an instance has a store lease that the instance renews, so that it
 // expires when the instance fails. While the store is down, the last list stays,
 // because an unreachable store does not mean that the other instances have failed.
+// When the store was restored from an older copy, instances that the copy lacks stay
+// listed for the lifetime of an entry.
 package registrar
 
 import (
@@ -71,6 +73,7 @@
 	mu     sync.Mutex
 	others []Instance
 	order  *storer.ListOrder
+	carry  carryOver
 	lease  int64
 	// listed is when the instances were last listed.
 	listed  time.Time
@@ -243,7 +246,9 @@
 		return
 	}
 	isFirst := r.listed.IsZero()
-	r.listed = r.cfg.Clock.Now()
+	now := r.cfg.Clock.Now()
+	r.listed = now
+	r.carry.begin(revision, r.others, now)
 	var others []Instance
 	for _, e := range entries {
 		var o Instance
@@ -255,6 +260,7 @@
 			others = append(others, o)
 		}
 	}
+	others = r.carry.merge(others, now)
 	sort.Slice(others, func(i, j int) bool { return others[i].Name < others[j].Name })
 	if len(others) != len(r.others) {
 		r.cfg.Log.WithFields(logrus.Fields{"others": len(others), "revision": storer.FormatRevision(revision)}).Info("registrar: list of instances changed")
