informer: a second restore does not bring a server back that has gone

Cause: the time in which an outdated entry does not count was begun by the first restore and never again, so that the entry counted at once after the second one. Evidence: TestOutdatedEntryAfterTwoRestores failed before (2 servers, want 1). Change: the time begins with each epoch.

--- a/internal/informer/config.go
+++ b/internal/informer/config.go
@@ -47,8 +47,7 @@
 	// RemoveAfter is how long a server may be missing from the lists before it is
 	// removed from the view.
 	RemoveAfter time.Duration
-	// EntryTTL is how long the store keeps a server's entry that the server does not
-	// renew.
+	// EntryTTL is how long an entry may be listed that its server does not renew.
 	EntryTTL time.Duration
 	// CheckInterval returns the mean pause between two reads of the configuration by
 	// a reader whose watch shows no change: a watch may miss one.
--- a/internal/informer/entry_version.go
+++ b/internal/informer/entry_version.go
@@ -12,9 +12,10 @@
 	born, sequence int64
 	// epoch is that of the list that showed the entry.
 	epoch int64
-	// outdatedSince is when a list of a later epoch first showed an entry that is no newer;
-	// zero if none did.
+	// outdatedSince is when a list of outdatedEpoch, a later one, first showed an entry that
+	// is no newer; zero if none did.
 	outdatedSince time.Time
+	outdatedEpoch int64
 	// removed is when the server was removed from the view; zero if it is in it.
 	removed time.Time
 }
@@ -25,13 +26,13 @@
 
 // isOutdated reports whether the entry, from a list of the epoch, may be one of before
 // the store was restored that is no newer than the known one. It records the entry
-// otherwise. An entry that is listed for longer than [Config.EntryTTL] is renewed by
-// its server and so valid.
+// otherwise. An entry that is listed for longer than [Config.EntryTTL] in an epoch is
+// renewed by its server and so valid.
 func (n *Informer) isOutdated(srv Server, epoch int64, now time.Time) bool {
 	v, known := n.versions[srv.ID]
 	if known && epoch > v.epoch && !v.isNewer(srv) {
-		if v.outdatedSince.IsZero() {
-			v.outdatedSince = now
+		if epoch > v.outdatedEpoch {
+			v.outdatedSince, v.outdatedEpoch = now, epoch
 			n.versions[srv.ID] = v
 		}
 		if now.Sub(v.outdatedSince) < n.cfg.EntryTTL {
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -241,6 +241,34 @@
 	}
 }
 
+// Guards against a second restore that brings a server back which has gone: the time in which an
+// outdated entry does not count begins with each restore.
+func TestOutdatedEntryAfterTwoRestores(t *testing.T) {
+	const ttl = 50 * time.Millisecond
+	f := start(t, func(c *informer.Config) { c.EntryTTL, c.RemoveAfter = ttl, time.Millisecond })
+	f.store.SetDown(true)
+	other := storer.Entry{Key: "backend/other", Value: encode(t, informer.Server{Service: "s", Address: "a"})}
+	gone := storer.Entry{Key: "backend/x", Value: encode(t, informer.Server{Service: "s", Address: "b", Born: 5, Sequence: 3})}
+	for i, l := range []struct {
+		epoch   int64
+		entries []storer.Entry
+		want    int
+	}{
+		{1, []storer.Entry{other, gone}, 2},
+		{1, []storer.Entry{other}, 2},
+		{1, []storer.Entry{other}, 1},
+		{2, []storer.Entry{other, gone}, 1},
+		{2, []storer.Entry{other}, 1},
+		{3, []storer.Entry{other, gone}, 1},
+	} {
+		f.informer.OfferList(informer.List{Revision: storer.NewRevision(l.epoch, int64(i)+1), Entries: l.entries})
+		if n := len(f.informer.State().ServersOf("s")); n != l.want {
+			t.Errorf("list %d: %d servers, want %d", i, n, l.want)
+		}
+		time.Sleep(ttl + 5*time.Millisecond)
+	}
+}
+
 // Guards against entries of a restored store that stay ignored although their servers renew
 // them, and against entries that count before.
 func TestOutdatedEntries(t *testing.T) {
--- a/internal/storer/revision.go
+++ b/internal/storer/revision.go
@@ -11,6 +11,9 @@
 // a second.
 const numberBits = 40
 
+// MaxEpoch is the highest epoch that a revision can have.
+const MaxEpoch = 1<<(63-numberBits) - 1
+
 // NewRevision returns the revision with the number in the epoch.
 func NewRevision(epoch, number int64) int64 { return epoch<<numberBits | number }
 
