storertest: a renewed lease ends in its lifetime

Cause: the simulated store extended a renewed lease by a minute, whatever its lifetime. Change: the stand-in extends a lease by its lifetime, as the platform's page says, which is stricter on its owners.

--- a/internal/storer/storertest/memory.go
+++ b/internal/storer/storertest/memory.go
@@ -17,9 +17,11 @@
 
 // Memory implements [storer.Store] and [storer.StaleLister].
 type Memory struct {
-	mu        sync.Mutex
-	entries   map[string]storer.Entry
-	leases    map[int64]time.Time
+	mu      sync.Mutex
+	entries map[string]storer.Entry
+	leases  map[int64]time.Time
+	// ttls has the lifetime of each lease that was granted.
+	ttls      map[int64]time.Duration
 	revision  int64
 	lastLease int64
 	// epoch counts the restores from a copy, from 1.
@@ -37,7 +39,7 @@
 // New returns an empty store.
 func New() *Memory {
 	return &Memory{
-		entries: map[string]storer.Entry{}, leases: map[int64]time.Time{}, revision: 1, epoch: 1,
+		entries: map[string]storer.Entry{}, leases: map[int64]time.Time{}, ttls: map[int64]time.Duration{}, revision: 1, epoch: 1,
 		changed: make(chan struct{}), calls: map[string]int{},
 	}
 }
@@ -238,12 +240,11 @@
 		return 0, err
 	}
 	m.lastLease++
-	m.leases[m.lastLease] = time.Now().Add(ttl)
+	m.leases[m.lastLease], m.ttls[m.lastLease] = time.Now().Add(ttl), ttl
 	return m.lastLease, m.endWrite()
 }
 
-// KeepAlive implements [storer.Store]. It extends the lease by a minute, whatever
-// its TTL.
+// KeepAlive implements [storer.Store].
 func (m *Memory) KeepAlive(_ context.Context, lease int64) (time.Duration, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -253,8 +254,8 @@
 	if _, ok := m.leases[lease]; !ok {
 		return 0, storer.ErrLeaseNotFound
 	}
-	m.leases[lease] = time.Now().Add(time.Minute)
-	return time.Minute, m.endWrite()
+	m.leases[lease] = time.Now().Add(m.ttls[lease])
+	return m.ttls[lease], m.endWrite()
 }
 
 // Revoke implements [storer.Store].
