porttest: addresses that no other test gets

Cause: the fixture reserved a port by listening and closing, within the range from which the system assigns ports to others, and listened on it later and again after a restart of its server.

--- a/internal/overseer/cluster_test.go
+++ b/internal/overseer/cluster_test.go
@@ -22,6 +22,7 @@
 	"marigoldhub.example/hub/internal/messenger"
 	"marigoldhub.example/hub/internal/messenger/wire"
 	"marigoldhub.example/hub/internal/overseer"
+	"marigoldhub.example/hub/internal/porttest"
 	"marigoldhub.example/hub/internal/prober"
 	"marigoldhub.example/hub/internal/recorder"
 	"marigoldhub.example/hub/internal/tracker"
@@ -193,23 +194,14 @@
 	return c
 }
 
-func freeAddress(t *testing.T) string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer lis.Close()
-	return lis.Addr().String()
-}
-
 func (c *cluster) startServers() {
 	g := checker.Group{Name: groupName, Database: "catalogue"}
 	peers := make(map[string]string)
 	for n := range 3 {
 		name := fmt.Sprintf("s%d", n+1)
-		peers[name] = freeAddress(c.t)
+		peers[name] = porttest.FreeAddress(c.t)
 		cfg := server.Config{
-			Name: name, Listen: freeAddress(c.t), ReplicationListen: peers[name], Peers: peers,
+			Name: name, Listen: porttest.FreeAddress(c.t), ReplicationListen: peers[name], Peers: peers,
 			Dir: filepath.Join(c.dir, name), ConnectionLimit: 20, Password: password,
 			InitialPrimary: n == 0, Follow: peers["s1"], Log: c.log,
 		}
