distributor: TestForgedStoreValue writes once the instances watch

Cause: the test waited until the instances had the first revision, which they may have from their initial read. The values that it wrote before the watcher had made its own read were replaced in the store by later ones, so that nothing could refuse them. The product did nothing wrong: only what an instance reads can be refused. Change: the test waits until both zones' watches are open. What it checks is the same; a watch that is open shows each value.

--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -143,6 +143,9 @@
 	e := c.activate("a", content("a", "a", 30))
 	c.start("z1", "z2")
 	c.wait("ready", func(n *node) bool { return n.revision("a") == e.Revision })
+	// An instance may be ready by its first read, and sees only the last of the values that
+	// are written before it watches.
+	c.wait("watches", func(*node) bool { return c.platform.Counts().OpenWatches == 2 })
 	replay := old
 	replay.Revision = 99
 	forged := e
