pooler: a new group asks for grants once it has its servers

What callers saw: at the start of an entry instance, or with a new database group, the pool could stay for up to a second at the connections that an instance without a grant may open. Cause: the goroutine that asks for grants was started before the catalog's servers were applied to the group. A grant for a server that the group did not have was dropped, and the next request follows a second later; the test's clock stands still. Change: the goroutine starts after the servers are applied.

--- a/internal/pooler/maintain.go
+++ b/internal/pooler/maintain.go
@@ -61,12 +61,15 @@
 			g = newGroup(p, tracked.Name)
 			g.hasGauges = p.hasRoomForGauges()
 			p.groups[tracked.Name] = g
-			p.tasks.Go(g.requestGrants)
 		}
 		g.mu.Lock()
 		g.applyCatalogEntry(entry)
 		g.markLeaving(p.cfg.Clock.Now())
 		g.mu.Unlock()
+		if !ok {
+			// A grant for a server that the group does not have yet would be lost.
+			p.tasks.Go(g.requestGrants)
+		}
 	}
 	for name, g := range p.groups {
 		if named[name] {
