relayer: tests read what pgconn has read ahead

Cause: the tests take over a connection that pgconn has opened and read it with a frontend of their own. When a write of the handshake takes more than 15 ms, pgconn reads in the background, and the read that is under way when the handshake ends gets the first bytes of the answer. The relayer had sent them. Change: the tests read with the frontend that pgconn hands over. What they check is the same.

--- a/internal/relayer/protocol_test.go
+++ b/internal/relayer/protocol_test.go
@@ -37,7 +37,8 @@
 	conn := hijacked.Conn
 	t.Cleanup(func() { _ = conn.Close() })
 	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
-	return &raw{t: t, conn: conn, fe: pgproto3.NewFrontend(conn, conn)}
+	// pgconn may have begun to read ahead in the background; its frontend has those bytes.
+	return &raw{t: t, conn: conn, fe: hijacked.Frontend}
 }
 
 func (r *raw) send(msgs ...pgproto3.FrontendMessage) {
