distributor: zone watchers write revisions back that the store has lost

Cause: the number of a revision is given out by a counter in the store, which goes back with it. Class: the same as of the platform's revisions, a number without its epoch. Change: when a zone watcher reads the store and has a verified revision that is later than the stored one, it writes it back as the active one, with the counter, under the condition that nothing changed. Envelopes carry both signatures, so that no instance has to be trusted for this. Then operators get the next number.

--- a/internal/distributor/config.go
+++ b/internal/distributor/config.go
@@ -46,15 +46,15 @@
 	// Genesis are the co-owners' keys from settings, with which the owners
 	// chain begins.
 	Genesis []approver.Owner
-	// Store is read and, by zone watchers, watched. If it is nil, only peers
-	// are asked.
+	// Store is read and, by zone watchers, watched. They write revisions back that it
+	// has lost. If it is nil, only peers are asked.
 	Store storer.Store
 	// Directory lists the members and names the watcher of each zone.
 	Directory enroller.Directory
 	// Dialer connects to peers.
 	Dialer messenger.Dialer
 	// Recorder receives the events manifest_in_force, envelope_refused,
-	// manifest_conflict and manifest_out_of_force. Nil records nothing.
+	// manifest_conflict, manifest_out_of_force and manifest_reinstated. Nil records nothing.
 	Recorder *recorder.Recorder
 	// Clock is the real clock by default.
 	Clock clockwork.Clock
--- a/internal/distributor/doc.go
+++ b/internal/distributor/doc.go
@@ -26,5 +26,9 @@
 //   - Initial sync: a started instance reads the store directly and compares
 //     digests until it has taken in everything that the store or one peer holds.
 //
+// A store that was restored from a copy has lost later revisions. The zone watchers
+// write them back when they read the store, before operators get the numbers of these
+// revisions again.
+//
 // Nothing is written to disk.
 package distributor
--- a/internal/distributor/watch.go
+++ b/internal/distributor/watch.go
@@ -161,7 +161,7 @@
 }
 
 // readStore applies everything that the store holds and returns the store's
-// revision.
+// revision. A watcher writes back what the store has lost.
 func (d *Distributor) readStore(ctx context.Context) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -176,6 +176,9 @@
 	if d.hasConfiguration() {
 		d.markSynced()
 	}
+	if d.isWatcher() {
+		d.reinstateLost(ctx, entries)
+	}
 	return revision, nil
 }
 
