--- a/internal/porttest/porttest.go
+++ b/internal/porttest/porttest.go
@@ -15,12 +15,15 @@
 const (
 	firstPort = 20000
 	lastPort  = 31999
+	// processStride is the number of ports between the first ones of two processes with
+	// successive ids, which often run at the same time.
+	processStride = 64
 )
 
 var next = struct {
 	mu   sync.Mutex
 	port int
-}{port: firstPort + os.Getpid()*64%(lastPort-firstPort)}
+}{port: firstPort + os.Getpid()*processStride%(lastPort-firstPort)}
 
 // FreeAddress returns a loopback address that no other test gets until the test ends,
 // also in other processes: a UDP socket of the same number marks the port as taken.
