review: case 2, a replica that restarted empty is promoted

Seen: the primary crashes; the replica that was chosen crashes before the platform is asked, and starts again under its id with nothing. The coordinator repeats the refused call until the platform promotes the empty server, though the other replica has every commit. Cause: package replacer keeps its choice for 3 s and does not check the server's start or log again.

--- a/review/standin/caller_test.go
+++ b/review/standin/caller_test.go
@@ -10,9 +10,6 @@
 	"time"
 )
 
-// promises are the codes that promise that nothing of the attempt is kept.
-var promises = map[string]bool{"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "WRONGNODE": true, "MAXCONN": true}
-
 // caller is one session at an instance.
 type caller struct {
 	w      *world
@@ -50,15 +47,6 @@
 
 func (r result) ok() bool { return strings.HasPrefix(r.end, "COMPLETE") }
 
-// code returns the code of an error.
-func (r result) code() string {
-	f := strings.Fields(r.end)
-	if len(f) < 2 || f[0] != "ERROR" {
-		return ""
-	}
-	return f[1]
-}
-
 // send sends a statement and waits for its answer.
 func (c *caller) send(text string) result {
 	c.serial++
--- a/review/standin/server_conn_test.go
+++ b/review/standin/server_conn_test.go
@@ -256,6 +256,9 @@
 	case "PAUSE":
 		if !c.primary && term > newest {
 			c.paused = term
+			if c.onPause != nil {
+				go c.onPause()
+			}
 		}
 	case "RESUME":
 		c.paused = 0
--- a/review/standin/server_test.go
+++ b/review/standin/server_test.go
@@ -52,6 +52,7 @@
 	zone    string
 	addr    string
 	id      string
+	l       net.Listener
 	born    int64
 	seq     int64
 	running bool
@@ -62,6 +63,8 @@
 	paused   uint64
 	log      []entry
 	conns    map[*serverConn]bool
+	// onPause is called when the server was paused.
+	onPause func()
 	// cut are the instances that cannot reach the server.
 	cut map[string]bool
 	// waiting are closed when a replica has received the entry with the index.
@@ -73,18 +76,20 @@
 func newGroup(w *world, service string) (*group, error) {
 	g := &group{w: w, service: service, acked: map[string]time.Time{}}
 	for i, zone := range []string{"shah-alam", "petaling", "klang"} {
-		l, err := listen()
+		address, err := freeAddress()
 		if err != nil {
 			return nil, err
 		}
 		s := &server{
-			g: g, zone: zone, addr: l.Addr().String(), running: true, primary: i == 0, term: 1, log: []entry{{position{1, 1}, "first"}},
+			g: g, zone: zone, addr: address, running: true, primary: i == 0, term: 1, log: []entry{{position{1, 1}, "first"}},
 			conns: map[*serverConn]bool{}, cut: map[string]bool{}, waiting: map[int]chan struct{}{}, runs: map[string]int{},
 		}
 		// The servers have run for an hour when the instances start.
 		s.begin(time.Now().Add(-time.Hour))
 		g.servers = append(g.servers, s)
-		go s.accept(l)
+		if err := s.listen(); err != nil {
+			return nil, err
+		}
 		go s.beat()
 	}
 	return g, nil
@@ -128,18 +133,36 @@
 	}
 }
 
+// listen opens the server's port.
+func (s *server) listen() error {
+	l, err := net.Listen("tcp4", s.addr)
+	if err != nil {
+		return err
+	}
+	s.l = l
+	go s.accept(l)
+	return nil
+}
+
 // crash ends the server's process. Its log stays.
 func (s *server) crash() {
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
 	s.g.w.note("server %s of %s crashes", s.id, s.g.service)
 	s.running = false
+	s.l.Close()
 	for c := range s.conns {
 		c.conn.Close()
 	}
 	s.waiting = map[int]chan struct{}{}
-	id := s.id
-	time.AfterFunc(entryLifetime, func() { s.g.w.store.Delete("servers/" + id) })
+	id, born := s.id, s.born
+	time.AfterFunc(entryLifetime, func() {
+		s.g.mu.Lock()
+		defer s.g.mu.Unlock()
+		if s.id != id || s.born == born {
+			s.g.w.store.Delete("servers/" + id)
+		}
+	})
 }
 
 // restart starts the server again under another id, with its log. It is a replica if it was
@@ -152,6 +175,7 @@
 	if p := g.leader(); s.primary && p != s {
 		s.primary = false
 	}
+	s.open()
 	s.begin(time.Now())
 	g.w.note("server %s of %s starts at the address of before, primary %v, log to %v", s.id, g.service, s.primary, s.end())
 	for _, p := range g.servers {
@@ -161,6 +185,32 @@
 	}
 }
 
+// open opens the port after a crash.
+func (s *server) open() {
+	if err := s.listen(); err != nil {
+		s.g.w.note("server %s cannot listen again: %v", s.id, err)
+		s.running = false
+	}
+}
+
+// restartEmpty starts the server again under the id that it had. It then holds and knows
+// nothing of before.
+func (s *server) restartEmpty() {
+	g := s.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s.running, s.primary, s.paused, s.term, s.log = true, false, 0, 0, []entry{{}}
+	s.open()
+	s.born, s.seq = time.Now().UnixMilli(), 0
+	s.report()
+	g.w.note("server %s of %s starts under the id of before and holds nothing", s.id, g.service)
+	for _, p := range g.servers {
+		if p != s && p.running && p.primary {
+			s.receiveLater(p)
+		}
+	}
+}
+
 // leader returns the running primary of the highest term; nil if none runs.
 func (g *group) leader() *server {
 	var best *server
@@ -335,15 +385,6 @@
 		if err != nil {
 			return
 		}
-		s.g.mu.Lock()
-		running := s.running
-		s.g.mu.Unlock()
-		if !running {
-			// A port without a listener resets the connection.
-			conn.(*net.TCPConn).SetLinger(0)
-			conn.Close()
-			continue
-		}
 		go s.serve(conn)
 	}
 }
