--- a/review/standin/world_test.go
+++ b/review/standin/world_test.go
@@ -52,6 +52,9 @@
 	// onPromote is called when a promote call was accepted.
 	onPromote func(g *group, id string, by *node)
 	version   int
+	// token is the highest fencing token that the promote call has seen, holder who sent it.
+	token  int64
+	holder string
 }
 
 // node is one instance. It reaches the store and the promote call at an address of its own.
@@ -61,6 +64,7 @@
 	front, ready, control, boot string
 	platform, cloud             *http.Server
 	platformAddr, cloudAddr     string
+	storeLink, cloudLink        *platformLink
 
 	mu    sync.Mutex
 	cmd   *exec.Cmd
@@ -168,6 +172,12 @@
 	if n.cloud, n.cloudAddr, err = serve(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.promoteCall(rw, r, n) })); err != nil {
 		return nil, err
 	}
+	if n.storeLink, n.platformAddr, err = newLink(n.platformAddr); err != nil {
+		return nil, err
+	}
+	if n.cloudLink, n.cloudAddr, err = newLink(n.cloudAddr); err != nil {
+		return nil, err
+	}
 	w.nodes = append(w.nodes, n)
 	return n, nil
 }
@@ -392,6 +402,7 @@
 		return
 	}
 	holder, token := r.Header.Get("Duty-Holder"), r.Header.Get("Fence-Token")
+	w.checkToken(holder, token)
 	for _, g := range w.groups {
 		if g.service != body.Service {
 			continue
@@ -412,3 +423,17 @@
 	}
 	rw.WriteHeader(http.StatusConflict)
 }
+
+// checkToken checks that fencing tokens never fall and that each has one holder.
+func (w *world) checkToken(holder, text string) {
+	token, err := strconv.ParseInt(text, 10, 64)
+	w.mu.Lock()
+	seen, by := w.token, w.holder
+	if token > w.token {
+		w.token, w.holder = token, holder
+	}
+	w.mu.Unlock()
+	if err != nil || token < seen || token == seen && holder != by {
+		w.found("ONE: %s sends the fencing token %s; %s has sent %d before", holder, text, by, seen)
+	}
+}
