--- a/review/standin/case2_test.go
+++ b/review/standin/case2_test.go
@@ -8,15 +8,20 @@
 	"time"
 )
 
-func init() { cases[2] = coordinatorLosesNewPrimary }
+func init() { cases[2] = chosenReplicaRestartsEmpty }
 
-// callToCut is the time from the promote call to the cut. A promotion takes 600 ms.
-const callToCut = 100 * time.Millisecond
+const (
+	// pauseToCrash is the time from the pause of the replica to its crash.
+	pauseToCrash = 50 * time.Millisecond
+	// emptyAfter is how long the replica is down.
+	emptyAfter = 500 * time.Millisecond
+	// primaryDown is how long the primary is down.
+	primaryDown = 6 * time.Second
+)
 
-// coordinatorLosesNewPrimary lets the primaries of three services leave, one after the other,
-// and cuts each server that takes over off the one instance that changes primaries, while the
-// promotion is under way.
-func coordinatorLosesNewPrimary(w *world, trouble bool) error {
+// chosenReplicaRestartsEmpty crashes a primary and, during the failover, the replica that is
+// first in the order of ids. The replica starts again under its id and holds nothing.
+func chosenReplicaRestartsEmpty(w *world, trouble bool) error {
 	if err := w.begin("pasar-a", "pasar-b", "pasar-c"); err != nil {
 		return err
 	}
@@ -24,61 +29,35 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer close(stop)
-	// The share of callers of an instance is uneven: all are at one.
-	busy := w.other(w.coordinator())
-	for i := range 12 {
+	for i := range writers {
 		database := w.groups[i%len(w.groups)].service + "-primary"
-		running.Go(func() { w.write(busy, database, fmt.Sprintf("w%d", i), 250*time.Millisecond, stop) })
+		running.Go(func() { w.write(w.nodes[i%len(w.nodes)], database, fmt.Sprintf("w%d", i), writePause, stop) })
+	}
+	time.Sleep(5 * time.Second)
+	if !trouble {
+		time.Sleep(primaryDown + 3*time.Second)
+		return nil
 	}
-	time.Sleep(6 * time.Second)
-	for _, g := range w.groups {
-		if err := w.replaceAndCut(g, trouble); err != nil {
-			return err
+	g := w.groups[0]
+	var first *server
+	g.mu.Lock()
+	primary := g.leader()
+	for _, s := range g.servers {
+		if s != primary && (first == nil || s.id < first.id) {
+			first = s
 		}
 	}
-	return nil
-}
-
-// replaceAndCut lets the primary of one service leave. The server that takes over is cut off
-// the instance that asked for its promotion.
-func (w *world) replaceAndCut(g *group, trouble bool) error {
-	promoted := make(chan struct{})
 	var once sync.Once
-	w.mu.Lock()
-	w.onPromote = func(of *group, id string, by *node) {
-		if of != g {
-			return
-		}
+	first.onPause = func() {
 		once.Do(func() {
-			close(promoted)
-			for _, s := range g.servers {
-				if s.id == id && trouble {
-					time.AfterFunc(callToCut, func() { s.setCut(by, true) })
-					time.AfterFunc(callToCut+cutTime, func() { s.setCut(by, false) })
-				}
-			}
+			time.AfterFunc(pauseToCrash, first.crash)
+			time.AfterFunc(pauseToCrash+emptyAfter, first.restartEmpty)
 		})
 	}
-	w.mu.Unlock()
-	g.mu.Lock()
-	primary := g.leader()
 	g.mu.Unlock()
-	primary.drain()
-	select {
-	case <-promoted:
-	case <-time.After(10 * time.Second):
-		return fmt.Errorf("the primary that leaves was not replaced")
-	}
-	time.Sleep(callToCut + cutTime + 4*time.Second)
-	return nil
-}
-
-// other returns an instance that is not the given one.
-func (w *world) other(n *node) *node {
-	for _, o := range w.nodes {
-		if o != n {
-			return o
-		}
-	}
+	primary.crash()
+	time.Sleep(primaryDown)
+	primary.restart()
+	time.Sleep(3 * time.Second)
 	return nil
 }
--- a/review/standin/case3_test.go
+++ b/review/standin/case3_test.go
@@ -8,126 +8,76 @@
 	"time"
 )
 
-func init() { cases[3] = replicaRestartsDuringFailover }
+func init() { cases[3] = coordinatorLosesNewPrimary }
 
-const (
-	// cutTime is how long the primary is cut off the coordinator.
-	cutTime = 5 * time.Second
-	// downTime is how long the replica is down.
-	downTime = 100 * time.Millisecond
-	// writers is the number of sessions that write, writePause the pause after each write.
-	writers    = 18
-	writePause = 50 * time.Millisecond
-)
+// callToCut is the time from the promote call to the cut. A promotion takes 600 ms.
+const callToCut = 100 * time.Millisecond
 
-// replicaRestartsDuringFailover cuts a primary off the one instance that changes primaries,
-// and crashes a replica for a moment after the platform was asked to promote the other one.
-func replicaRestartsDuringFailover(w *world, trouble bool) error {
+// coordinatorLosesNewPrimary lets the primaries of three services leave, one after the other,
+// and cuts each server that takes over off the one instance that changes primaries, while the
+// promotion is under way.
+func coordinatorLosesNewPrimary(w *world, trouble bool) error {
 	if err := w.begin("pasar-a", "pasar-b", "pasar-c"); err != nil {
 		return err
 	}
-	coordinator := w.coordinator()
 	stop := make(chan struct{})
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer close(stop)
-	for i := range writers {
-		// The share of callers of an instance is uneven: the coordinator has none.
-		n := w.nodes[i%len(w.nodes)]
-		if n == coordinator {
-			n = w.nodes[(i+1)%len(w.nodes)]
-		}
+	// The share of callers of an instance is uneven: all are at one.
+	busy := w.other(w.coordinator())
+	for i := range 12 {
 		database := w.groups[i%len(w.groups)].service + "-primary"
-		running.Go(func() { w.write(n, database, fmt.Sprintf("w%d", i), writePause, stop) })
+		running.Go(func() { w.write(busy, database, fmt.Sprintf("w%d", i), 250*time.Millisecond, stop) })
 	}
 	time.Sleep(6 * time.Second)
-	g, primary, err := w.reachedByOthers(coordinator)
-	if err != nil {
-		return err
-	}
-	if !trouble {
-		time.Sleep(cutTime + 4*time.Second)
-		return nil
-	}
-	promoted := false
-	w.mu.Lock()
-	w.onPromote = func(of *group, id string, _ *node) {
-		if of != g || promoted {
-			return
-		}
-		promoted = true
-		for _, s := range g.servers {
-			if s != primary && s.id != id {
-				time.AfterFunc(50*time.Millisecond, s.crash)
-				time.AfterFunc(50*time.Millisecond+downTime, s.restart)
-			}
-		}
-	}
-	w.mu.Unlock()
-	primary.setCut(coordinator, true)
-	time.Sleep(cutTime)
-	primary.setCut(coordinator, false)
-	time.Sleep(4 * time.Second)
-	if !promoted {
-		return fmt.Errorf("the primary that was cut off was not replaced")
-	}
-	return nil
-}
-
-// reachedByOthers returns a service whose primary gets its statements from another instance
-// than the given one, and the primary.
-func (w *world) reachedByOthers(n *node) (*group, *server, error) {
 	for _, g := range w.groups {
-		g.mu.Lock()
-		p := g.leader()
-		g.mu.Unlock()
-		if p != nil && p.mainCaller() != n.name {
-			return g, p, nil
+		if err := w.replaceAndCut(g, trouble); err != nil {
+			return err
 		}
 	}
-	return nil, nil, fmt.Errorf("all primaries get their statements from %s", n.name)
+	return nil
 }
 
-// write writes in one session after the other until stop is closed.
-func (w *world) write(n *node, database, name string, pause time.Duration, stop chan struct{}) {
-	for session := 0; ; session++ {
-		c, err := w.connect(n, database, fmt.Sprintf("%s-s%d", name, session))
-		for err == nil {
-			r := c.send("PUT item1 " + name)
-			if r.ok() {
-				w.groupOf(database).recordAcked(r.id)
-			}
-			if r.end == "closed" {
-				break
-			}
-			if isClosed(stop, pause) {
-				break
-			}
-		}
-		if c != nil {
-			c.close()
-		}
-		if isClosed(stop, 50*time.Millisecond) {
+// replaceAndCut lets the primary of one service leave. The server that takes over is cut off
+// the instance that asked for its promotion.
+func (w *world) replaceAndCut(g *group, trouble bool) error {
+	promoted := make(chan struct{})
+	var once sync.Once
+	w.mu.Lock()
+	w.onPromote = func(of *group, id string, by *node) {
+		if of != g {
 			return
 		}
+		once.Do(func() {
+			close(promoted)
+			for _, s := range g.servers {
+				if s.id == id && trouble {
+					time.AfterFunc(callToCut, func() { s.setCut(by, true) })
+					time.AfterFunc(callToCut+cutTime, func() { s.setCut(by, false) })
+				}
+			}
+		})
 	}
-}
-
-// isClosed waits for the time and reports whether stop was closed.
-func isClosed(stop chan struct{}, wait time.Duration) bool {
+	w.mu.Unlock()
+	g.mu.Lock()
+	primary := g.leader()
+	g.mu.Unlock()
+	primary.drain()
 	select {
-	case <-stop:
-		return true
-	case <-time.After(wait):
-		return false
+	case <-promoted:
+	case <-time.After(10 * time.Second):
+		return fmt.Errorf("the primary that leaves was not replaced")
 	}
+	time.Sleep(callToCut + cutTime + 4*time.Second)
+	return nil
 }
 
-// groupOf returns the service of a database.
-func (w *world) groupOf(database string) *group {
-	for _, g := range w.groups {
-		if database[:len(g.service)] == g.service {
-			return g
+// other returns an instance that is not the given one.
+func (w *world) other(n *node) *node {
+	for _, o := range w.nodes {
+		if o != n {
+			return o
 		}
 	}
 	return nil
