--- a/review/standin/world_test.go
+++ b/review/standin/world_test.go
@@ -64,6 +64,7 @@
 	front, ready, control, boot string
 	platform, cloud             *http.Server
 	platformAddr, cloudAddr     string
+	storeLink, cloudLink        *platformLink
 
 	mu    sync.Mutex
 	cmd   *exec.Cmd
@@ -171,6 +172,12 @@
 	if n.cloud, n.cloudAddr, err = serve(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.promoteCall(rw, r, n) })); err != nil {
 		return nil, err
 	}
+	if n.storeLink, n.platformAddr, err = newLink(n.platformAddr); err != nil {
+		return nil, err
+	}
+	if n.cloudLink, n.cloudAddr, err = newLink(n.cloudAddr); err != nil {
+		return nil, err
+	}
 	w.nodes = append(w.nodes, n)
 	return n, nil
 }
