replacer: do not take a replica of an unseen primary for the fenced one

Cause: a failover kept the leader that it had begun with. When the promotion of the next primary took effect unseen, the former primary became its replica, reported that role, and was counted as the primary that had stepped down. With that fence no other server needed one, so a second server was promoted while the unseen primary went on acknowledging commits.

Change: a fence names the primary of the newest known term. A stepped down server counts as the fence only if it led that term; a report of the fence's term or a later one shows an unseen primary and stops the choice. A primary of an earlier term steps down and is then paused like a replica. A failover ends, and a promotion is complete, when another instance tells of the later primary. The log line of a command has the term that the server knows, which tells this cause from a fence that was lost later.

Ruled out: the term in the report of a server that has stepped down.

--- a/internal/replacer/choose.go
+++ b/internal/replacer/choose.go
@@ -11,7 +11,7 @@
 type member struct {
 	id       string
 	draining bool
-	// isOldPrimary is true for a primary that is replaced.
+	// isOldPrimary is true for the primary of the newest known term.
 	isOldPrimary bool
 	// fenced is true if the server reported that it stepped down or is paused.
 	fenced   bool
--- /dev/null
+++ b/internal/replacer/fence.go
@@ -0,0 +1,119 @@
+package replacer
+
+import (
+	"fmt"
+
+	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/informer"
+)
+
+// fence describes which servers must be kept from acknowledging commits before a
+// server is promoted to lead the term.
+type fence struct {
+	term uint64
+	// leader is the primary of the newest known term; empty if a later primary than
+	// the known one has led and it is not known which server that is.
+	leader string
+	// stale are servers that report to lead an earlier term.
+	stale map[string]bool
+}
+
+// newFence returns the fence for the replacement of the primary, by the terms that
+// this instance and the servers know.
+func (t *task) newFence(old attester.Leader, reports []attester.ServerReport) fence {
+	// The known leader may be suspected, but no other can have led its term.
+	if l, _ := t.group().Leader(); l.Term > old.Term {
+		old = l
+	}
+	newest := old
+	for _, r := range reports {
+		if r.Report.Term > newest.Term {
+			newest = attester.Leader{Term: r.Report.Term}
+		}
+	}
+	for _, r := range reports {
+		if r.Report.Role == exchanger.Primary && r.Report.Term == newest.Term {
+			newest.Server = r.Server
+		}
+	}
+	f := fence{term: newest.Term + 1, leader: newest.Server.ID, stale: map[string]bool{}}
+	for _, r := range reports {
+		if r.Report.Role == exchanger.Primary && r.Server.ID != f.leader {
+			f.stale[r.Server.ID] = true
+		}
+	}
+	return f
+}
+
+// commands returns what the server is told in order to fence it. A stale primary
+// becomes a replica by stepping down and then must be paused like one.
+func (f fence) commands(srv informer.Server) []exchanger.Statement {
+	stepDown := exchanger.Statement{Kind: exchanger.StepDown, Term: f.term}
+	pause := exchanger.Statement{Kind: exchanger.Pause, Term: f.term}
+	switch {
+	case srv.ID == f.leader:
+		return []exchanger.Statement{stepDown}
+	case f.stale[srv.ID]:
+		return []exchanger.Statement{stepDown, pause}
+	}
+	return []exchanger.Statement{pause}
+}
+
+// isNeeded reports whether the fence is worth waiting for the server. The leader has
+// usually failed.
+func (f fence) isNeeded(srv informer.Server) bool { return srv.ID != f.leader }
+
+// member returns the server as its report shows it; nil if it did not report.
+func (f fence) member(srv informer.Server, r *exchanger.Report) member {
+	m := member{id: srv.ID, draining: srv.Draining, isOldPrimary: srv.ID == f.leader}
+	if r != nil {
+		m.received = r.Received
+		m.fenced = isReplica(*r) && (m.isOldPrimary || r.PausedTerm >= f.term)
+	}
+	return m
+}
+
+// checkTerm returns an error if the report shows that a primary of the fence's term
+// or a later one leads or has led. Then the former leader is one of its replicas by
+// now, and that it gave up its role fences nothing.
+func (f fence) checkTerm(srv informer.Server, r *exchanger.Report) error {
+	if r == nil || max(r.Term, r.Received.Term) < f.term {
+		return nil
+	}
+	return fmt.Errorf("server %s knows term %d: a later primary leads or has led", srv.ID, max(r.Term, r.Received.Term))
+}
+
+// fenceAndChoose fences all servers that it can reach and chooses the next primary.
+func (t *task) fenceAndChoose(f fence) (string, error) {
+	servers := t.servers()
+	exchanged := make(chan struct{})
+	go func() {
+		defer close(exchanged)
+		t.cfg.Peers.Broadcast(t.ctx)
+	}()
+	reports := t.command(servers, f.commands, f.isNeeded)
+	select {
+	case <-exchanged:
+	case <-t.cfg.Clock.After(peersTimeout):
+	}
+	id, err := t.chooseFenced(f, servers, reports)
+	if err != nil {
+		t.yieldIfBlocked()
+	}
+	return id, err
+}
+
+// chooseFenced returns the server that may lead next by the reports of the fenced
+// servers.
+func (t *task) chooseFenced(f fence, servers []informer.Server, reports []*exchanger.Report) (string, error) {
+	members := make([]member, len(servers))
+	for i, srv := range servers {
+		if err := f.checkTerm(srv, reports[i]); err != nil {
+			return "", err
+		}
+		members[i] = f.member(srv, reports[i])
+	}
+	members = append(members, t.vanished(servers, map[string]bool{f.leader: true})...)
+	return choose(members, t.cfg.Peers.Acknowledged(t.service.Name))
+}
--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -38,6 +38,9 @@
 	// pollInterval separates two checks whether a promotion has taken effect or a log
 	// has reached a position.
 	pollInterval = 30 * time.Millisecond
+	// pollTimeout limits one such check, so that a promotion is also noticed when this
+	// instance cannot reach the server and others tell of it.
+	pollTimeout = 200 * time.Millisecond
 	// promoteRetryInterval is the pause after a failed call to the platform.
 	promoteRetryInterval = 100 * time.Millisecond
 )
@@ -48,6 +51,7 @@
 	t.log.WithFields(logrus.Fields{"server": old.Server.ID, "term": old.Term, "reason": reason}).Warn("replacer: primary must be replaced")
 	t.beginChange()
 	defer t.endChange()
+	defer func() { t.unreachableSince, t.leaderlessSince, t.blockedSince = time.Time{}, time.Time{}, time.Time{} }()
 	// The first attempt uses the known term: a survey would wait for the server that
 	// has failed.
 	var reports []attester.ServerReport
@@ -55,35 +59,35 @@
 		if !first || old.Server.ID == "" {
 			reports = t.group().Survey()
 		}
-		term, found := t.nextTerm(old, reports)
-		if found {
-			t.blockedSince = time.Time{}
+		if t.hasLaterLeader(old, reports) {
 			return
 		}
-		id, err := t.fenceAndChoose(leadersOf(old, reports), term)
-		if err == nil && t.promote(id, term) {
-			t.blockedSince = time.Time{}
+		f := t.newFence(old, reports)
+		id, err := t.fenceAndChoose(f)
+		if err == nil && t.promote(id, f.term) {
 			return
 		}
 		if err != nil {
-			t.log.WithError(err).WithFields(logrus.Fields{"term": term}).Warn("replacer: no server may lead yet")
+			t.log.WithError(err).WithFields(logrus.Fields{"term": f.term}).Warn("replacer: no server may lead yet")
 		}
 		t.sleep(fenceRetryInterval)
 	}
 }
 
-// nextTerm returns the term for a new primary. It returns true if a later server
-// leads already: an earlier promotion took effect, or another primary is back.
-func (t *task) nextTerm(old attester.Leader, reports []attester.ServerReport) (uint64, bool) {
+// hasLaterLeader reports whether a server leads a later term than the replaced
+// primary: an earlier promotion took effect, or another primary is back. This
+// instance may know it only from others, when it cannot reach that server.
+func (t *task) hasLaterLeader(old attester.Leader, reports []attester.ServerReport) bool {
 	newest := max(t.group().Term(), old.Term)
 	for _, r := range reports {
 		newest = max(newest, r.Report.Term)
 	}
 	if l, ok := attester.NewestLeader(reports); ok && l.Term >= newest && (l.Server.ID != old.Server.ID || l.Term != old.Term) {
 		t.announce(l)
-		return 0, true
+		return true
 	}
-	return newest + 1, false
+	l, ok := t.group().Leader()
+	return ok && l.Term > old.Term
 }
 
 // announce adopts the leader and tells all other instances of it.
@@ -94,56 +98,6 @@
 	}
 }
 
-// leadersOf returns the servers that lead or have led and so must step down.
-func leadersOf(old attester.Leader, reports []attester.ServerReport) map[string]bool {
-	leaders := map[string]bool{}
-	if old.Server.ID != "" {
-		leaders[old.Server.ID] = true
-	}
-	for _, r := range reports {
-		if r.Report.Role == exchanger.Primary {
-			leaders[r.Server.ID] = true
-		}
-	}
-	return leaders
-}
-
-// fenceAndChoose fences all servers that it can reach and chooses the next primary.
-func (t *task) fenceAndChoose(leaders map[string]bool, term uint64) (string, error) {
-	servers := t.servers()
-	exchanged := make(chan struct{})
-	go func() {
-		defer close(exchanged)
-		t.cfg.Peers.Broadcast(t.ctx)
-	}()
-	reports := t.command(servers, func(srv informer.Server) exchanger.Statement {
-		if leaders[srv.ID] {
-			return exchanger.Statement{Kind: exchanger.StepDown, Term: term}
-		}
-		return exchanger.Statement{Kind: exchanger.Pause, Term: term}
-	}, func(srv informer.Server) bool { return !leaders[srv.ID] })
-	select {
-	case <-exchanged:
-	case <-t.cfg.Clock.After(peersTimeout):
-	}
-	members := make([]member, len(servers))
-	for i, srv := range servers {
-		m := member{id: srv.ID, draining: srv.Draining, isOldPrimary: leaders[srv.ID]}
-		if r := reports[i]; r != nil {
-			m.received = r.Received
-			m.fenced = isReplica(*r) && (m.isOldPrimary || r.PausedTerm >= term)
-		}
-		members[i] = m
-	}
-	least := t.cfg.Peers.Acknowledged(t.service.Name)
-	members = append(members, t.vanished(servers, leaders)...)
-	id, err := choose(members, least)
-	if err != nil {
-		t.yieldIfBlocked()
-	}
-	return id, err
-}
-
 // listing is when a server was last listed, and how many servers that were not
 // draining were listed then, itself included.
 type listing struct {
@@ -207,10 +161,10 @@
 	}
 }
 
-// command sends each server its statement and returns the reports that arrived. It
+// command sends each server its statements and returns the last reports that arrived. It
 // waits up to commandTimeout for the needed servers, and then up to
 // oldPrimaryTimeout for the others.
-func (t *task) command(servers []informer.Server, s func(informer.Server) exchanger.Statement, needed func(informer.Server) bool) []*exchanger.Report {
+func (t *task) command(servers []informer.Server, s func(informer.Server) []exchanger.Statement, needed func(informer.Server) bool) []*exchanger.Report {
 	deadline := t.cfg.Clock.Now().Add(commandTimeout)
 	var mu sync.Mutex
 	reports := make([]*exchanger.Report, len(servers))
@@ -222,7 +176,12 @@
 		}
 		go func() {
 			defer all.Done()
-			r := t.commandOne(srv, s(srv), deadline)
+			var r *exchanger.Report
+			for _, st := range s(srv) {
+				if r = t.commandOne(srv, st, deadline); r == nil {
+					break
+				}
+			}
 			mu.Lock()
 			reports[i] = r
 			mu.Unlock()
@@ -253,11 +212,16 @@
 		t.log.WithError(err).WithFields(fields).Info("replacer: command was not confirmed")
 		return nil
 	}
-	fields["role"], fields["received"], fields["paused_for"] = r.Role.String(), r.Received.String(), r.PausedTerm
+	fields["role"], fields["knows_term"], fields["received"], fields["paused_for"] = r.Role.String(), r.Term, r.Received.String(), r.PausedTerm
 	t.log.WithFields(fields).Info("replacer: command was confirmed")
 	return &r
 }
 
+// everyServerRuns returns the same statement for all servers.
+func everyServerRuns(s exchanger.Statement) func(informer.Server) []exchanger.Statement {
+	return func(informer.Server) []exchanger.Statement { return []exchanger.Statement{s} }
+}
+
 // everyServer makes a command wait for all servers.
 func everyServer(informer.Server) bool { return true }
 
@@ -287,11 +251,16 @@
 			}
 			log.Info("replacer: platform was asked to promote a server")
 		}
-		r, err := t.cfg.Backends.Probe(srv, exchanger.Statement{Kind: exchanger.Status}, t.cfg.Clock.Now().Add(commandTimeout))
+		r, err := t.cfg.Backends.Probe(srv, exchanger.Statement{Kind: exchanger.Status}, t.cfg.Clock.Now().Add(pollTimeout))
 		if err == nil && r.Role == exchanger.Primary && r.Term >= term {
 			t.completePromotion(attester.Leader{Server: srv, Term: r.Term})
 			return true
 		}
+		// Other instances may reach the server when this one does not.
+		if l, ok := t.group().Leader(); ok && l.Term >= term {
+			t.completePromotion(l)
+			return true
+		}
 		t.sleep(pollInterval)
 	}
 	t.log.WithFields(logrus.Fields{"server": id, "term": term}).Warn("replacer: promotion has not taken effect in time")
@@ -311,5 +280,5 @@
 			others = append(others, r.Server)
 		}
 	}
-	t.command(others, func(informer.Server) exchanger.Statement { return exchanger.Statement{Kind: exchanger.Resume} }, everyServer)
+	t.command(others, everyServerRuns(exchanger.Statement{Kind: exchanger.Resume}), everyServer)
 }
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -34,6 +37,8 @@
 	failures map[string]int
 	pending  time.Time
 	behind   time.Time
+	// cut are the servers that only this instance cannot reach.
+	cut map[string]bool
 }
 
 func (f *backends) Probe(srv informer.Server, s exchanger.Statement, deadline time.Time) (exchanger.Report, error) {
@@ -49,6 +54,10 @@
 }
 
 func (f *backends) probe(srv informer.Server, s exchanger.Statement, deadline time.Time) (exchanger.Report, error) {
+	if f.isCut(srv.ID) {
+		time.Sleep(time.Until(deadline))
+		return exchanger.Report{}, os.ErrDeadlineExceeded
+	}
 	conn, err := f.Dial(srv.Target(), deadline)
 	if err != nil {
 		return exchanger.Report{}, err
@@ -60,6 +69,19 @@
 	return *answers[0].Report, nil
 }
 
+func (f *backends) isCut(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut[id]
+}
+
+// setCut cuts this instance off the server, or ends the cut.
+func (f *backends) setCut(id string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[id] = cut
+}
+
 func (f *backends) Group(string) *attester.Group { return f.group }
 
 func (f *backends) Health(id string) (time.Time, int) {
@@ -116,7 +138,7 @@
 	log.SetOutput(io.Discard)
 	clock := clockwork.NewRealClock()
 	f := &fixture{
-		backends: &backends{Cluster: c, answered: map[string]time.Time{}, failures: map[string]int{}},
+		backends: &backends{Cluster: c, answered: map[string]time.Time{}, failures: map[string]int{}, cut: map[string]bool{}},
 		election: &election{}, store: storertest.New(), draining: map[string]bool{},
 	}
 	inf := informer.New(informer.Config{
@@ -468,3 +490,66 @@
 		})
 	}
 }
+
+// Guards against a promotion without the commits of a primary that the coordinator cannot
+// reach: the primary before it is its replica by then, and was taken for the fenced one
+// (review/3).
+func TestUnseenPrimaryIsNotReplacedWithoutItsCommits(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// told is true if another instance tells the coordinator of the new primary.
+		told bool
+	}{{"nobody tells of it", false}, {"another instance tells of it", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, pos(0))
+			f.PromoteDelay = 300 * time.Millisecond
+			f.election.token.Store(3)
+			eventually(t, 5*time.Second, "a leads", f.leads("a"))
+			f.draining["a"] = true
+			f.putServers(t)
+			eventually(t, 5*time.Second, "the platform is asked", func() bool { return len(f.Promotions()) > 0 })
+			next := f.Promotions()[0]
+			f.setCut(next, true)
+			var acked []string
+			eventually(t, 5*time.Second, "the new primary acknowledges commits", func() bool {
+				return f.write(next, "first") == nil
+			})
+			acked = append(acked, "first")
+			if tc.told {
+				for _, srv := range f.Servers() {
+					if srv.ID == next {
+						f.group.Learn(attester.Leader{Server: srv, Term: 2}, "another instance")
+					}
+				}
+			}
+			for deadline := time.Now().Add(7 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+				id := fmt.Sprintf("w%d", len(acked))
+				if f.write(next, id) == nil {
+					acked = append(acked, id)
+				}
+			}
+			f.setCut(next, false)
+			time.Sleep(3 * time.Second)
+			for _, id := range acked {
+				if !slices.Contains(f.Entries(), id) {
+					t.Fatalf("commit %s of %d acknowledged ones is not in the log of the primary; promoted: %v", id, len(acked), f.Promotions())
+				}
+			}
+		})
+	}
+}
+
+// write commits a single write at the server, as another instance does.
+func (f *fixture) write(server, id string) error {
+	deadline := time.Now().Add(time.Second)
+	conn, err := f.Dial(exchanger.Target{ServerID: server}, deadline)
+	if err != nil {
+		return err
+	}
+	answers, err := conn.Exchange(deadline, exchanger.Statement{ID: id, Kind: exchanger.Write})
+	if err == nil && !answers[0].OK() {
+		return errors.New(answers[0].Code.String())
+	}
+	return err
+}
--- a/internal/replacer/switchover.go
+++ b/internal/replacer/switchover.go
@@ -28,9 +28,7 @@
 	defer t.endChange()
 	term := old.Term + 1
 	t.log.WithFields(logrus.Fields{"server": old.Server.ID, "next": next.ID, "term": term, "reason": reason}).Info("replacer: primary hands over")
-	paused := t.command(others, func(informer.Server) exchanger.Statement {
-		return exchanger.Statement{Kind: exchanger.Pause, Term: term}
-	}, everyServer)
+	paused := t.command(others, everyServerRuns(exchanger.Statement{Kind: exchanger.Pause, Term: term}), everyServer)
 	longest := tracker.Position{}
 	for _, r := range paused {
 		if r == nil || r.PausedTerm < term {
@@ -49,9 +47,7 @@
 		t.failover(old, "switchover: the next primary did not lead in time")
 		return
 	}
-	t.command([]informer.Server{old.Server}, func(informer.Server) exchanger.Statement {
-		return exchanger.Statement{Kind: exchanger.StepDown, Term: term}
-	}, everyServer)
+	t.command([]informer.Server{old.Server}, everyServerRuns(exchanger.Statement{Kind: exchanger.StepDown, Term: term}), everyServer)
 }
 
 // catchUpTimeout is how long the next primary may take to receive what the paused
