attester, dispatcher, replacer: prove commits before callers hear of them

Cause: the fence is a fact of one moment, the promotion takes effect 0.3 to 0.6 s later, up to 3 s while the call fails. A replica that restarts forgets its pause, a replica that joins never had one, and the old primary, which other instances still reach, acknowledges commits with it. No call takes a promotion back, so the coordinator cannot repair this after its call, and instances that were not told went on reporting success.

Change: an instance tells its caller of the success of a commit only if one of three proofs holds after the answer has arrived: a primary lease; an established replica that has the commit and is not paused; during a switchover, the next primary named by a switchover lease has the commit. Otherwise the outcome is unknown. The coordinator chooses the next primary by logs read after the last lease has ended. Switchover leases travel in a new field of the lease response, which earlier builds ignore. Rounds of requests are a generic type now. New counters: dispatcher.commits_confirmed, commits_not_proved.

Why it works: a commit acknowledged under a lease is in a log that the fence reads afterwards. A replica that is not paused when it is asked is paused or read later, with the commit in its log. The next primary of a switchover is the only server that may lead while the lease holds.

Ruled out: refusing writes during every change (a switchover would cost its whole duration), and pausing again until the effect (a late PAUSE could outlast the promotion, and it narrows the window only).

--- a/internal/attester/attester_test.go
+++ b/internal/attester/attester_test.go
@@ -220,3 +220,77 @@
 		}
 	}
 }
+
+// Guards against a success for a commit that the next primary lacks: it was acknowledged
+// with a replica that had forgotten its pause in a restart (review/4).
+func TestConfirmCommit(t *testing.T) {
+	at := func(offset uint64) tracker.Position { return tracker.Position{Term: 1, Offset: offset} }
+	for _, tc := range []struct {
+		name   string
+		change func(c *exchangertest.Cluster, g *attester.Group)
+		want   error
+	}{
+		{"no change of the primary", func(*exchangertest.Cluster, *attester.Group) {}, nil},
+		{"one replica has not received it, the other has", func(c *exchangertest.Cluster, _ *attester.Group) { c.SetLog("b", at(6)) }, nil},
+		{"no replica has received it", func(c *exchangertest.Cluster, _ *attester.Group) {
+			c.SetLog("b", at(6))
+			c.SetLog("c", at(6))
+		}, attester.ErrNotConfirmed},
+		{"no replica can be reached", func(c *exchangertest.Cluster, _ *attester.Group) { c.SetDown("b", true); c.SetDown("c", true) }, attester.ErrNotConfirmed},
+		{"a primary lease holds", func(c *exchangertest.Cluster, g *attester.Group) {
+			c.SetDown("b", true)
+			c.SetDown("c", true)
+			g.ExtendLease("a", 1, time.Now().Add(time.Minute))
+		}, nil},
+		{"one replica is paused, the other has restarted", func(c *exchangertest.Cluster, _ *attester.Group) {
+			pause(c, "b", 2)
+			c.SetBorn("c", time.Now())
+		}, attester.ErrSuperseded},
+		{"both replicas are paused", func(c *exchangertest.Cluster, _ *attester.Group) {
+			pause(c, "b", 2)
+			pause(c, "c", 2)
+		}, attester.ErrSuperseded},
+		{"another server leads", func(c *exchangertest.Cluster, _ *attester.Group) { c.MakePrimary("b", 2, true) }, attester.ErrSuperseded},
+		{"all replicas have restarted and know no later term", func(c *exchangertest.Cluster, _ *attester.Group) {
+			c.SetBorn("b", time.Now())
+			c.SetBorn("c", time.Now())
+		}, nil},
+		{"one of the restarted replicas is paused", func(c *exchangertest.Cluster, _ *attester.Group) {
+			c.SetBorn("b", time.Now())
+			c.SetBorn("c", time.Now())
+			pause(c, "b", 2)
+		}, attester.ErrSuperseded},
+		{"switchover, the next primary has it", func(c *exchangertest.Cluster, g *attester.Group) {
+			pause(c, "b", 2)
+			c.SetBorn("c", time.Now())
+			g.ExtendSwitchover("a", "c", 1, time.Now().Add(time.Minute))
+		}, nil},
+		{"switchover, the next primary has not received it", func(c *exchangertest.Cluster, g *attester.Group) {
+			c.SetLog("c", at(6))
+			g.ExtendSwitchover("a", "c", 1, time.Now().Add(time.Minute))
+		}, attester.ErrNotConfirmed},
+		{"switchover, the next primary leads with later commits", func(c *exchangertest.Cluster, g *attester.Group) {
+			c.MakePrimary("c", 2, true)
+			c.SetLog("c", tracker.Position{Term: 2, Offset: 8})
+			g.ExtendSwitchover("a", "c", 1, time.Now().Add(time.Minute))
+		}, attester.ErrNotConfirmed},
+		{"the switchover lease has ended", func(c *exchangertest.Cluster, g *attester.Group) {
+			pause(c, "b", 2)
+			c.SetBorn("c", time.Now())
+			g.ExtendSwitchover("a", "c", 1, time.Now().Add(-time.Millisecond))
+		}, attester.ErrSuperseded},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := exchangertest.New("a", "b", "c")
+			for _, id := range []string{"a", "b", "c"} {
+				c.SetLog(id, at(7))
+			}
+			g := newGroup(c)
+			l := leaderOf(t, g)
+			tc.change(c, g)
+			if err := g.ConfirmCommit(l, at(7), time.Now().Add(500*time.Millisecond)); !errors.Is(err, tc.want) {
+				t.Errorf("got %v, want %v", err, tc.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/attester/commit.go
@@ -0,0 +1,104 @@
+package attester
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// commitRetryInterval separates two rounds while no replica that counts has received
+// a commit. A replica receives it milliseconds after another one.
+const commitRetryInterval = 10 * time.Millisecond
+
+// ConfirmCommit returns nil if every server that may be promoted has the commit at
+// the position, which the leader has just acknowledged. That a replica received it is
+// no proof by itself: a replica that forgot its pause in a restart, or one that joined
+// after the fence, receives commits that the next primary lacks.
+//
+// There are three proofs:
+//
+//   - A primary lease holds. The coordinator reads the logs from which it chooses the
+//     next primary only after the end of all leases.
+//   - A switchover lease holds, and its next primary has the commit.
+//   - An established replica has the commit and knows no later term. It is not paused
+//     then, so the log that it reports when it is has the commit too.
+//
+// If no replica is established, all of them must know no later term.
+func (g *Group) ConfirmCommit(l Leader, p tracker.Position, deadline time.Time) error {
+	after := g.cfg.Clock.Now()
+	for {
+		if g.HasLease(l) {
+			return nil
+		}
+		received, err := g.receivedByReplica(l, after, deadline)
+		if err == nil && received.Compare(p) >= 0 {
+			return nil
+		}
+		if err == nil {
+			err = ErrNotConfirmed
+		}
+		after = g.cfg.Clock.Now()
+		if errors.Is(err, ErrSuperseded) || !after.Add(commitRetryInterval).Before(deadline) {
+			return err
+		}
+		g.cfg.Clock.Sleep(commitRetryInterval)
+	}
+}
+
+// receivedByReplica returns up to which position of the leader's log the commits are
+// in the log of every server that may be promoted, as far as one round shows.
+func (g *Group) receivedByReplica(l Leader, after, deadline time.Time) (tracker.Position, error) {
+	if next, ok := g.switchoverNext(l); ok {
+		received, err := g.logsOfNext.await(next, after, deadline, func() (tracker.Position, error) { return g.logOf(next) })
+		if now, ok := g.switchoverNext(l); err == nil && ok && now == next && received.Term == l.Term {
+			return received, nil
+		}
+		return tracker.Position{}, ErrNotConfirmed
+	}
+	return g.logsOfReplicas.await(keyOf(l), after, deadline, func() (tracker.Position, error) { return g.logOfReplicas(l) })
+}
+
+// logOf returns the end of a server's log.
+func (g *Group) logOf(id string) (tracker.Position, error) {
+	for _, srv := range g.cfg.Servers() {
+		if srv.ID != id {
+			continue
+		}
+		if reports := g.query([]informer.Server{srv}, exchanger.Statement{Kind: exchanger.Status}); len(reports) > 0 {
+			return reports[0].Report.Received, nil
+		}
+	}
+	return tracker.Position{}, ErrNotConfirmed
+}
+
+// logOfReplicas returns the end of the longest log of the replicas that count and know
+// no later term.
+func (g *Group) logOfReplicas(l Leader) (tracker.Position, error) {
+	established, others := g.replicas(l.Server.ID)
+	asked := established
+	if len(established) == 0 {
+		asked = others
+	}
+	reports := g.query(asked, exchanger.Statement{Kind: exchanger.Status})
+	longest, confirmed := tracker.Position{}, 0
+	for _, r := range reports {
+		if !confirms(r.Report, l.Term) {
+			continue
+		}
+		confirmed++
+		if r.Report.Received.Compare(longest) > 0 {
+			longest = r.Report.Received
+		}
+	}
+	switch {
+	case len(established) > 0 && confirmed > 0, len(established) == 0 && confirmed > 0 && confirmed == len(others):
+		return longest, nil
+	case len(reports) > confirmed:
+		return longest, g.suspectIfSuperseded(l, ErrSuperseded)
+	}
+	return longest, ErrNotConfirmed
+}
--- a/internal/attester/confirmation.go
+++ b/internal/attester/confirmation.go
@@ -9,59 +9,19 @@
 	"marigoldhub.example/hub/internal/informer"
 )
 
-// ConfirmByReplica returns nil if a replica that was asked after the time knew no
-// later term than the leader's. Concurrent calls share one round of requests.
-func (g *Group) ConfirmByReplica(after time.Time, l Leader, deadline time.Time) error {
-	g.mu.Lock()
-	r := g.roundAfter(after, l)
-	g.mu.Unlock()
-	timer := g.cfg.Clock.NewTimer(deadline.Sub(g.cfg.Clock.Now()))
-	defer timer.Stop()
-	select {
-	case <-r.done:
-		return r.err
-	case <-timer.Chan():
-		return ErrNotConfirmed
-	}
+// leaderKey identifies a leader among rounds.
+type leaderKey struct {
+	server string
+	term   uint64
 }
 
-// roundAfter returns the running round if it began after the time, or the next
-// one. The caller holds mu.
-func (g *Group) roundAfter(after time.Time, l Leader) *round {
-	if w := g.running; w != nil && w.isOf(l) && !w.began.Before(after) {
-		return w
-	}
-	if g.running == nil {
-		r := newRound(l)
-		g.startRound(r)
-		return r
-	}
-	if old := g.nextRound; old != nil && !old.isOf(l) {
-		old.err = ErrSuperseded
-		close(old.done)
-		g.nextRound = nil
-	}
-	if g.nextRound == nil {
-		g.nextRound = newRound(l)
-	}
-	return g.nextRound
-}
+func keyOf(l Leader) leaderKey { return leaderKey{l.Server.ID, l.Term} }
 
-// startRound queries the replicas in the background. The caller holds mu.
-func (g *Group) startRound(r *round) {
-	r.began = g.cfg.Clock.Now()
-	g.running = r
-	go func() {
-		r.err = g.queryReplicas(r.leader)
-		g.mu.Lock()
-		g.running = nil
-		if next := g.nextRound; next != nil {
-			g.nextRound = nil
-			g.startRound(next)
-		}
-		g.mu.Unlock()
-		close(r.done)
-	}()
+// ConfirmByReplica returns nil if a replica that was asked after the time knew no
+// later term than the leader's. Concurrent calls share one round of requests.
+func (g *Group) ConfirmByReplica(after time.Time, l Leader, deadline time.Time) error {
+	_, err := g.confirmations.await(keyOf(l), after, deadline, func() (struct{}, error) { return struct{}{}, g.queryReplicas(l) })
+	return err
 }
 
 // queryReplicas asks established replicas, near ones first, until one confirms
@@ -103,13 +63,18 @@
 // that was replaced.
 func checkReports(reports []ServerReport, term uint64) error {
 	for _, r := range reports {
-		if r.Report.Role != exchanger.Replica || r.Report.Term > term || r.Report.PausedTerm > term {
+		if !confirms(r.Report, term) {
 			return ErrSuperseded
 		}
 	}
 	return nil
 }
 
+// confirms reports whether the report is that of a replica that knows no later term.
+func confirms(r exchanger.Report, term uint64) bool {
+	return r.Role == exchanger.Replica && r.Term <= term && r.PausedTerm <= term
+}
+
 // replicas returns the established replicas, those in this zone first, and the
 // others.
 func (g *Group) replicas(leader string) (established, others []informer.Server) {
--- a/internal/attester/doc.go
+++ b/internal/attester/doc.go
@@ -28,6 +28,13 @@
 // later primary had acknowledged anything. A read that arrived before they were
 // asked, and ran at the leader, shows every commit that was acknowledged before it.
 //
+// A commit needs a proof of its own ([Group.ConfirmCommit]) before its caller is told of
+// the success. The leader acknowledges a commit that one replica has received, but the
+// next primary may be chosen already, and the replica may be one that a restart freed
+// from its pause. During a switchover the coordinator grants switchover leases
+// ([Group.ExtendSwitchover]) in place of primary leases: they name the next primary, and
+// a commit that this one has is safe.
+//
 // A replica that restarted forgets that it was paused. A replica is established,
 // and may confirm alone, if this instance has known it long enough for a restart
 // to show in the server list (establishedAfter), or if it says that it started so
--- a/internal/attester/group.go
+++ b/internal/attester/group.go
@@ -57,14 +57,23 @@
 	changed     chan struct{}
 	discovering bool
 	lastCheck   time.Time
-	// running and nextRound are the confirmation rounds that readers wait for.
-	running   *round
-	nextRound *round
-	lease     lease
+	lease       lease
+	switchover  switchoverLease
+
+	// confirmations are rounds of ConfirmByReplica; logsOfReplicas and logsOfNext are
+	// those of ConfirmCommit.
+	confirmations  *rounds[leaderKey, struct{}]
+	logsOfReplicas *rounds[leaderKey, tracker.Position]
+	logsOfNext     *rounds[string, tracker.Position]
 }
 
 // NewGroup returns a group whose leader is not known yet.
-func NewGroup(cfg Config) *Group { return &Group{cfg: cfg, changed: make(chan struct{})} }
+func NewGroup(cfg Config) *Group {
+	return &Group{
+		cfg: cfg, changed: make(chan struct{}), confirmations: newRounds[leaderKey, struct{}](cfg.Clock),
+		logsOfReplicas: newRounds[leaderKey, tracker.Position](cfg.Clock), logsOfNext: newRounds[string, tracker.Position](cfg.Clock),
+	}
+}
 
 // Leader returns the known primary; false if there is none or it is suspected
 // not to lead.
--- a/internal/attester/primary_lease.go
+++ b/internal/attester/primary_lease.go
@@ -10,6 +10,40 @@
 	until  time.Time
 }
 
+// switchoverLease is the coordinator's guarantee that before a time it will let only one
+// server, the next primary, lead after the present one.
+type switchoverLease struct {
+	lease
+	next string
+}
+
+// ExtendSwitchover records a switchover lease: before the time, only the next primary
+// may replace the server. It proves nothing for reads.
+func (g *Group) ExtendSwitchover(server, next string, term uint64, until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if term >= g.highestTerm && until.After(g.switchover.until) {
+		g.switchover = switchoverLease{lease{server: server, term: term, until: until}, next}
+	}
+}
+
+// SwitchoverRemaining returns the switchover lease and its remaining time; false if
+// there is none.
+func (g *Group) SwitchoverRemaining() (server, next string, term uint64, remaining time.Duration, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.switchover
+	remaining = s.until.Sub(g.cfg.Clock.Now())
+	return s.server, s.next, s.term, remaining, remaining > 0 && s.term == g.highestTerm
+}
+
+// switchoverNext returns the only server that may replace the leader now; false if
+// this instance has no such guarantee.
+func (g *Group) switchoverNext(l Leader) (string, bool) {
+	server, next, term, _, ok := g.SwitchoverRemaining()
+	return next, ok && server == l.Server.ID && term == l.Term
+}
+
 // ExtendLease records a primary lease: the coordinator will not let another
 // server lead before the time. The time is counted from before the coordinator
 // was asked, on a clock that includes the time in which the machine is suspended.
--- a/internal/dispatcher/counters.go
+++ b/internal/dispatcher/counters.go
@@ -5,7 +5,11 @@
 // counters count what the dispatcher does.
 type counters struct {
 	dials, probes, reads, readsAtReplicas, writes, retries, hedges, refusals, unknown, forwarded, forwardsRefused metrics.Counter
-	latency                                                                                                       metrics.Histogram
+	// commitsConfirmed are commits that no primary lease proved, commitsNotProved those
+	// that nothing did.
+	commitsConfirmed, commitsNotProved metrics.Counter
+
+	latency metrics.Histogram
 }
 
 // latencySamples bounds the memory of the latency histogram.
@@ -16,6 +20,7 @@
 	return counters{
 		dials: c("dials"), probes: c("probes"), reads: c("reads"), readsAtReplicas: c("reads_at_replicas"),
 		writes: c("writes"), retries: c("retries"), hedges: c("hedged_reads"), refusals: c("refusals"), unknown: c("unknown_outcomes"),
+		commitsConfirmed: c("commits_confirmed"), commitsNotProved: c("commits_not_proved"),
 		forwarded: c("forwarded"), forwardsRefused: c("forwards_refused"),
 		latency: metrics.GetOrRegisterHistogram("dispatcher.server_latency_us", r, metrics.NewExpDecaySample(latencySamples, 0.015)),
 	}
--- a/internal/dispatcher/transaction.go
+++ b/internal/dispatcher/transaction.go
@@ -124,12 +124,10 @@
 			t.d.cfg.Clock.Sleep(busyPause)
 			continue
 		}
+		t.releaseConn(a.State == exchanger.Idle)
 		if a.OK() && t.wrote {
-			g := t.d.Group(t.begin.Route.Service)
-			g.RecordAcknowledged(a.Position)
-			g.AddSample(attester.Sample{At: began, Position: a.Position, Term: t.leader.Term})
+			return t.d.acknowledgeCommit(t.d.Group(t.begin.Route.Service), t.leader, req, a, began, deadline)
 		}
-		t.releaseConn(a.State == exchanger.Idle)
 		return a
 	}
 	t.discardConn()
--- a/internal/dispatcher/write.go
+++ b/internal/dispatcher/write.go
@@ -45,9 +45,7 @@
 			d.recheckPrimary(g, l)
 			return d.unknownOutcome(req, l, err)
 		case answers[0].OK():
-			g.RecordAcknowledged(answers[0].Position)
-			g.AddSample(attester.Sample{At: began, Position: answers[0].Position, Term: l.Term})
-			return answers[0]
+			return d.acknowledgeCommit(g, l, req, answers[0], began, deadline)
 		case !answers[0].Code.IsNotExecuted():
 			return answers[0]
 		default:
@@ -91,5 +89,27 @@
 		"request": req.Statement.ID, "service": req.Route.Service, "server": l.Server.ID, "term": l.Term,
 		"waited": d.cfg.Clock.Since(req.Received).String(),
 	}).Warn("dispatcher: outcome of a request is unknown")
-	return exchanger.ErrorAnswer(exchanger.UnknownOutcome, exchanger.Idle, "the answer was lost")
+	text := "the answer was lost"
+	if errors.Is(err, errNotProved) {
+		text = "the primary is being replaced, and the commit may be lost with it"
+	}
+	return exchanger.ErrorAnswer(exchanger.UnknownOutcome, exchanger.Idle, text)
+}
+
+// errNotProved means that a server acknowledged a commit that the next primary may lack.
+var errNotProved = errors.New("the commit is not proved to be in the log of every server that may be promoted")
+
+// acknowledgeCommit returns the answer to a commit that the primary has acknowledged, once
+// the commit is proved to outlast a change of the primary. Otherwise its outcome is unknown.
+func (d *Dispatcher) acknowledgeCommit(g *attester.Group, l attester.Leader, req Request, a exchanger.Answer, began, deadline time.Time) exchanger.Answer {
+	if !g.HasLease(l) {
+		d.count.commitsConfirmed.Inc(1)
+	}
+	if err := g.ConfirmCommit(l, a.Position, deadline); err != nil {
+		d.count.commitsNotProved.Inc(1)
+		return d.unknownOutcome(req, l, errors.Join(errNotProved, err))
+	}
+	g.RecordAcknowledged(a.Position)
+	g.AddSample(attester.Sample{At: began, Position: a.Position, Term: l.Term})
+	return a
 }
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -246,7 +246,7 @@
 	}
 	g.detector.RecordReported(leases.GetLost())
 	g.cfg.View.LearnLeases(leases, asked)
-	if len(leases.GetPermits()) == 0 {
+	if len(leases.GetPermits()) == 0 && len(leases.GetSwitchovers()) == 0 {
 		return errNoLeases
 	}
 	return nil
--- a/internal/gossiper/service.go
+++ b/internal/gossiper/service.go
@@ -41,7 +41,7 @@
 	detector.Heartbeat(in.GetInstance())
 	detector.RecordReported(in.GetLost())
 	resp := s.View.Leases()
-	if len(resp.GetPermits()) > 0 {
+	if len(resp.GetPermits()) > 0 || len(resp.GetSwitchovers()) > 0 {
 		resp.Lost = detector.Failed()
 	}
 	return resp, nil
--- a/internal/noder/primary_leases.go
+++ b/internal/noder/primary_leases.go
@@ -59,10 +59,16 @@
 		v.addRelayedLeases(resp)
 		return resp
 	}
+	ttl := uint64(holder.PrimaryLeaseTTL.Microseconds())
 	for _, p := range v.replacer.GrantLeases() {
+		if p.Next != "" {
+			resp.Switchovers = append(resp.Switchovers, &wire.SwitchoverPermit{
+				Service: p.Service, Primary: p.Leader.Server.ID, Term: p.Leader.Term, Next: p.Next, ForUs: ttl,
+			})
+			continue
+		}
 		resp.Permits = append(resp.Permits, &wire.Permit{
-			Service: p.Service, Primary: p.Leader.Server.ID, Term: p.Leader.Term,
-			ForUs: uint64(holder.PrimaryLeaseTTL.Microseconds()),
+			Service: p.Service, Primary: p.Leader.Server.ID, Term: p.Leader.Term, ForUs: ttl,
 		})
 	}
 	return resp
@@ -75,9 +81,15 @@
 		return
 	}
 	for name := range state.Configuration.Services {
-		if server, term, remaining, ok := v.dispatcher.Group(name).LeaseRemaining(); ok {
+		g := v.dispatcher.Group(name)
+		if server, term, remaining, ok := g.LeaseRemaining(); ok {
 			resp.Permits = append(resp.Permits, &wire.Permit{Service: name, Primary: server, Term: term, ForUs: uint64(remaining.Microseconds())})
 		}
+		if server, next, term, remaining, ok := g.SwitchoverRemaining(); ok {
+			resp.Switchovers = append(resp.Switchovers, &wire.SwitchoverPermit{
+				Service: name, Primary: server, Term: term, Next: next, ForUs: uint64(remaining.Microseconds()),
+			})
+		}
 	}
 }
 
@@ -92,9 +104,19 @@
 		if _, ok := state.Configuration.Services[p.GetService()]; !ok {
 			continue
 		}
-		// No coordinator grants a longer time; the message is wrong then.
-		remaining := min(p.GetForUs(), uint64(holder.PrimaryLeaseTTL.Microseconds()))
-		until := asked.Add(time.Duration(remaining) * time.Microsecond)
-		v.dispatcher.Group(p.GetService()).ExtendLease(p.GetPrimary(), p.GetTerm(), until)
+		v.dispatcher.Group(p.GetService()).ExtendLease(p.GetPrimary(), p.GetTerm(), leaseEnd(asked, p.GetForUs()))
 	}
+	for _, p := range resp.GetSwitchovers() {
+		if _, ok := state.Configuration.Services[p.GetService()]; !ok {
+			continue
+		}
+		v.dispatcher.Group(p.GetService()).ExtendSwitchover(p.GetPrimary(), p.GetNext(), p.GetTerm(), leaseEnd(asked, p.GetForUs()))
+	}
+}
+
+// leaseEnd returns when a lease ends that was requested at the time.
+func leaseEnd(asked time.Time, microseconds uint64) time.Time {
+	// No coordinator grants a longer time; the message is wrong then.
+	remaining := min(microseconds, uint64(holder.PrimaryLeaseTTL.Microseconds()))
+	return asked.Add(time.Duration(remaining) * time.Microsecond)
 }
--- a/internal/replacer/doc.go
+++ b/internal/replacer/doc.go
@@ -13,7 +13,11 @@
 //   - the primary has stepped down, which means that it gave up its role.
 //
 // A change takes effect only when the primary is fenced; package attester relies on
-// it. The new primary must have every acknowledged commit. If all replicas are
+// it. A fence can be lost again before the effect: a replica that restarts forgets its
+// pause, and a replica that joins was never paused. Commits that the old primary
+// acknowledges with such a replica are lost, so an instance tells its caller of a
+// success only with a proof of package attester, which no replica gives after the
+// fence. The new primary must have every acknowledged commit. If all replicas are
 // fenced, the longest of their logs has them; if only the old primary is, its own
 // log has them, and a server with a log as long may lead.
 //
@@ -28,6 +32,9 @@
 // terms and pauses there and starts the change again at the fencing. A pause ends
 // only when the new primary leads.
 //
-// The coordinator also grants primary leases ([Replacer.GrantLeases]). A server is
-// promoted only when all granted leases have expired.
+// The coordinator also grants primary leases ([Replacer.GrantLeases]), which are such
+// proofs. A server is promoted only when all granted leases have expired, and it is
+// chosen by the logs of the fenced servers after that. During a switchover the
+// coordinator grants switchover leases, which name the next primary: a commit that this
+// one has received is safe.
 package replacer
--- a/internal/replacer/fence.go
+++ b/internal/replacer/fence.go
@@ -84,19 +84,12 @@
 	return fmt.Errorf("server %s knows term %d: a later primary leads or has led", srv.ID, max(r.Term, r.Received.Term))
 }
 
-// fenceAndChoose fences all servers that it can reach and chooses the next primary.
-func (t *task) fenceAndChoose(f fence) (string, error) {
+// fenceAndChoose fences all servers that it can reach and chooses the next primary
+// when the wait has returned.
+func (t *task) fenceAndChoose(f fence, wait func()) (string, error) {
 	servers := t.servers()
-	exchanged := make(chan struct{})
-	go func() {
-		defer close(exchanged)
-		t.cfg.Peers.Broadcast(t.ctx)
-	}()
 	reports := t.command(servers, f.commands, f.isNeeded)
-	select {
-	case <-exchanged:
-	case <-t.cfg.Clock.After(peersTimeout):
-	}
+	wait()
 	id, err := t.chooseFenced(f, servers, reports)
 	if err != nil {
 		t.yieldIfBlocked()
@@ -104,6 +97,23 @@
 	return id, err
 }
 
+// startExchange starts to exchange state with the other instances, which tell of
+// acknowledged commits. The returned function waits for their answers up to
+// peersTimeout.
+func (t *task) startExchange() (await func()) {
+	exchanged := make(chan struct{})
+	go func() {
+		defer close(exchanged)
+		t.cfg.Peers.Broadcast(t.ctx)
+	}()
+	return func() {
+		select {
+		case <-exchanged:
+		case <-t.cfg.Clock.After(peersTimeout):
+		}
+	}
+}
+
 // chooseFenced returns the server that may lead next by the reports of the fenced
 // servers.
 func (t *task) chooseFenced(f fence, servers []informer.Server, reports []*exchanger.Report) (string, error) {
--- a/internal/replacer/primary_lease.go
+++ b/internal/replacer/primary_lease.go
@@ -16,6 +16,9 @@
 type PrimaryLease struct {
 	Service string
 	Leader  attester.Leader
+	// Next is set during a switchover. Then the primary may change, but to no other
+	// server than this one.
+	Next string
 }
 
 // GrantLeases grants a primary lease from now on for each service whose primary
@@ -30,57 +33,76 @@
 	var leases []PrimaryLease
 	for _, t := range tasks {
 		if l, ok := t.grantLease(); ok {
-			leases = append(leases, PrimaryLease{Service: t.service.Name, Leader: l})
+			leases = append(leases, l)
 		}
 	}
 	return leases
 }
 
 // grantLease grants a lease for the present leader unless a change is due.
-func (t *task) grantLease() (attester.Leader, bool) {
+func (t *task) grantLease() (PrimaryLease, bool) {
 	l, ok := t.group().Leader()
-	if !ok {
-		return l, false
-	}
+	lease := PrimaryLease{Service: t.service.Name, Leader: l}
 	answered, failures := t.cfg.Backends.Health(l.Server.ID)
 	t.leaseMu.Lock()
 	defer t.leaseMu.Unlock()
 	now := t.cfg.Clock.Now()
-	if t.changing || failures > 0 || now.Sub(answered) > healthyWithin {
-		return l, false
+	switch {
+	case t.handover.Next != "":
+		lease = t.handover
+	case !ok || t.changing || failures > 0 || now.Sub(answered) > healthyWithin:
+		return lease, false
 	}
 	// The election is checked last: if this tenure ends after the check, the next
 	// coordinator waits until the lease has expired.
 	if token, mayAct := t.cfg.Election.Token(); !mayAct || token != t.settledToken {
-		return l, false
+		return lease, false
+	}
+	until := now.Add(t.cfg.PrimaryLeaseTTL)
+	if lease.Next != "" {
+		t.handoverUntil = until
+	} else {
+		t.leasedUntil = until
 	}
-	t.leasedUntil = now.Add(t.cfg.PrimaryLeaseTTL)
-	return l, true
+	return lease, true
 }
 
 // beginChange stops the granting of leases until endChange.
 func (t *task) beginChange() {
 	t.leaseMu.Lock()
 	defer t.leaseMu.Unlock()
-	t.changing = true
+	t.changing, t.handover = true, PrimaryLease{}
+}
+
+// beginHandover grants only switchover leases until beginChange or endChange.
+func (t *task) beginHandover(l attester.Leader, next string) {
+	t.leaseMu.Lock()
+	defer t.leaseMu.Unlock()
+	t.changing, t.handover = true, PrimaryLease{Service: t.service.Name, Leader: l, Next: next}
 }
 
 func (t *task) endChange() {
 	t.leaseMu.Lock()
 	defer t.leaseMu.Unlock()
-	t.changing = false
+	t.changing, t.handover = false, PrimaryLease{}
 }
 
-// awaitLeases returns when all leases that this instance granted have expired.
-func (t *task) awaitLeases() {
+// awaitLeases returns when all leases that this instance granted have expired. During
+// a switchover, switchover leases may still hold. It reports whether it had to wait.
+func (t *task) awaitLeases() (waited bool) {
 	t.leaseMu.Lock()
 	until := t.leasedUntil
+	if t.handover.Next == "" {
+		until = later(until, t.handoverUntil)
+	}
 	t.leaseMu.Unlock()
 	for t.ctx.Err() == nil {
 		left := until.Sub(t.cfg.Clock.Now())
 		if left < 0 {
-			return
+			return waited
 		}
+		waited = true
 		t.sleep(left + time.Millisecond)
 	}
+	return waited
 }
--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -63,7 +63,11 @@
 			return
 		}
 		f := t.newFence(old, reports)
-		id, err := t.fenceAndChoose(f)
+		id, err := t.fenceAndChoose(f, t.startExchange())
+		if err == nil && t.awaitLeases() {
+			// Commits were acknowledged under the leases, and a fence may have been lost.
+			id, err = t.fenceAndChoose(f, func() {})
+		}
 		if err == nil && t.promote(id, f.term) {
 			return
 		}
@@ -232,7 +236,6 @@
 	if !ok {
 		return false
 	}
-	t.awaitLeases()
 	deadline := t.cfg.Clock.Now().Add(promotionTimeout)
 	called := false
 	for t.ctx.Err() == nil && t.cfg.Clock.Now().Before(deadline) {
--- a/internal/replacer/replacer.go
+++ b/internal/replacer/replacer.go
@@ -130,9 +130,13 @@
 	tenureToken  int64
 	tenureSince  time.Time
 
-	leaseMu     sync.Mutex
-	leasedUntil time.Time
-	changing    bool
+	// leasedUntil and handoverUntil are the ends of the last lease and the last
+	// switchover lease. While changing is set, only switchover leases are granted, and
+	// only if handover has a next primary.
+	leaseMu                    sync.Mutex
+	leasedUntil, handoverUntil time.Time
+	changing                   bool
+	handover                   PrimaryLease
 }
 
 func newTask(r *Replacer, service informer.Service) *task {
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -130,7 +130,15 @@
 	draining map[string]bool
 }
 
+// leaseTTL is how long a primary lease holds unless a test needs another time.
+const leaseTTL = 300 * time.Millisecond
+
 func newFixture(t *testing.T, known tracker.Position) *fixture {
+	t.Helper()
+	return newFixtureWithLeases(t, known, leaseTTL)
+}
+
+func newFixtureWithLeases(t *testing.T, known tracker.Position, ttl time.Duration) *fixture {
 	t.Helper()
 	c := exchangertest.New("a", "b", "c")
 	c.PromoteDelay = 20 * time.Millisecond
@@ -162,7 +170,7 @@
 	}
 	f.store.Put("config/now", config)
 	f.replacer = replacer.New(replacer.Config{
-		Name: "self", Informer: inf, Backends: f, Promoter: c, Election: f.election, Peers: peers{known}, PrimaryLeaseTTL: 300 * time.Millisecond,
+		Name: "self", Informer: inf, Backends: f, Promoter: c, Election: f.election, Peers: peers{known}, PrimaryLeaseTTL: ttl,
 		Clock: clock, Metrics: metrics.NewRegistry(), Log: log,
 	})
 	t.Cleanup(func() {
@@ -553,3 +561,85 @@
 	}
 	return err
 }
+
+// command sends a server a command from outside, as if it had come from nobody here.
+func (f *fixture) command(server string, s exchanger.Statement) error {
+	deadline := time.Now().Add(time.Second)
+	conn, err := f.Dial(exchanger.Target{ServerID: server}, deadline)
+	if err != nil {
+		return err
+	}
+	_, err = conn.Exchange(deadline, s)
+	return err
+}
+
+// Guards against a promotion without a commit that was acknowledged under a primary lease
+// after the fence, with a replica that has forgotten its pause (review/4): the server is
+// chosen by the logs as they are when all leases have ended.
+func TestFenceIsRepeatedAfterLeases(t *testing.T) {
+	f := newFixtureWithLeases(t, pos(0), 2*time.Second)
+	paused := make(chan struct{})
+	var once sync.Once
+	f.OnStatement = func(server string, s exchanger.Statement) {
+		if server == "c" && s.Kind == exchanger.Pause {
+			once.Do(func() { close(paused) })
+		}
+	}
+	f.election.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	eventually(t, 5*time.Second, "leases are granted", func() bool { return len(f.replacer.GrantLeases()) == 1 })
+	f.setCut("a", true)
+	<-paused
+	time.Sleep(100 * time.Millisecond)
+	if len(f.Promotions()) > 0 {
+		t.Fatal("a server was promoted while a lease held")
+	}
+	if err := f.command("c", exchanger.Statement{Kind: exchanger.Resume}); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.write("a", "under the lease"); err != nil {
+		t.Fatalf("the old primary did not acknowledge the commit: %v", err)
+	}
+	eventually(t, 10*time.Second, "another server leads", func() bool { return f.group.Term() > 1 })
+	if !slices.Contains(f.Entries(), "under the lease") {
+		t.Errorf("the acknowledged commit is not in the log of the primary; promoted: %v", f.Promotions())
+	}
+}
+
+// Guards against leases that let reads run at the old primary during a switchover, and
+// against a change to another server than the named one while a switchover lease holds.
+func TestSwitchoverLeases(t *testing.T) {
+	f := newFixtureWithLeases(t, pos(0), time.Second)
+	f.PromoteDelay = 400 * time.Millisecond
+	f.election.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	eventually(t, 5*time.Second, "leases are granted", func() bool { return len(f.replacer.GrantLeases()) == 1 })
+	f.draining["a"] = true
+	f.putServers(t)
+	next := ""
+	var last time.Time
+	eventually(t, 5*time.Second, "switchover leases are granted", func() bool {
+		leases := f.replacer.GrantLeases()
+		if len(leases) == 1 && leases[0].Next != "" {
+			next, last = leases[0].Next, time.Now()
+		}
+		return next != ""
+	})
+	// The next primary fails, so that the switchover becomes a failover to the other replica.
+	f.SetDown(next, true)
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(2 * time.Millisecond) {
+		for _, l := range f.replacer.GrantLeases() {
+			if l.Next != next {
+				t.Fatalf("a lease without the next primary was granted during a switchover: %+v", l)
+			}
+			last = time.Now()
+		}
+		if slices.ContainsFunc(f.Promotions(), func(id string) bool { return id != next }) {
+			if gap := time.Since(last); gap < 980*time.Millisecond {
+				t.Errorf("another server than %s was promoted %v after a switchover lease of 1 s", next, gap)
+			}
+			return
+		}
+	}
+	t.Error("no other server was promoted")
+}
--- a/internal/replacer/switchover.go
+++ b/internal/replacer/switchover.go
@@ -1,6 +1,8 @@
 package replacer
 
 import (
+	"errors"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,10 +15,13 @@
 
 // switchover changes the primary while the old one still serves. All replicas but
 // the next primary are paused first: from then on every acknowledged commit is in
-// the next primary's log. If a step fails, it becomes a failover.
+// the next primary's log. A replica may forget its pause in a restart, so once the
+// primary leases have ended, a commit counts only when the next primary has it (see
+// [attester.Group.ConfirmCommit]), and the pauses are repeated before the promote
+// call. If a step fails, it becomes a failover.
 func (t *task) switchover(old attester.Leader, reason string) {
 	reports := t.group().Survey()
-	next, others, ok := t.successor(old, reports)
+	next, ok := successor(old, reports)
 	if !ok {
 		return
 	}
@@ -24,30 +29,47 @@
 		t.failover(old, "switchover: a replica that may acknowledge commits is not listed")
 		return
 	}
-	t.beginChange()
+	t.beginHandover(old, next.ID)
 	defer t.endChange()
 	term := old.Term + 1
 	t.log.WithFields(logrus.Fields{"server": old.Server.ID, "next": next.ID, "term": term, "reason": reason}).Info("replacer: primary hands over")
-	paused := t.command(others, everyServerRuns(exchanger.Statement{Kind: exchanger.Pause, Term: term}), everyServer)
+	err := t.pauseOthers(old, next, term)
+	if err == nil && t.awaitLeases() {
+		err = t.pauseOthers(old, next, term)
+	}
+	if err != nil {
+		t.failover(old, "switchover: "+err.Error())
+		return
+	}
+	if !t.promote(next.ID, term) {
+		t.failover(old, "switchover: the next primary did not lead in time")
+		return
+	}
+	t.command([]informer.Server{old.Server}, everyServerRuns(exchanger.Statement{Kind: exchanger.StepDown, Term: term}), everyServer)
+}
+
+var (
+	errNotPaused   = errors.New("a replica was not paused")
+	errNotReceived = errors.New("the next primary has not received the log in time")
+)
+
+// pauseOthers pauses all replicas but the next primary, and waits until that one has
+// received what they have.
+func (t *task) pauseOthers(old attester.Leader, next informer.Server, term uint64) error {
+	others := slices.DeleteFunc(t.servers(), func(srv informer.Server) bool { return srv.ID == old.Server.ID || srv.ID == next.ID })
 	longest := tracker.Position{}
-	for _, r := range paused {
+	for _, r := range t.command(others, everyServerRuns(exchanger.Statement{Kind: exchanger.Pause, Term: term}), everyServer) {
 		if r == nil || r.PausedTerm < term {
-			t.failover(old, "switchover: a replica was not paused")
-			return
+			return errNotPaused
 		}
 		if r.Received.Compare(longest) > 0 {
 			longest = r.Received
 		}
 	}
 	if !t.awaitReceived(next, longest) {
-		t.failover(old, "switchover: the next primary has not received the log in time")
-		return
-	}
-	if !t.promote(next.ID, term) {
-		t.failover(old, "switchover: the next primary did not lead in time")
-		return
+		return errNotReceived
 	}
-	t.command([]informer.Server{old.Server}, everyServerRuns(exchanger.Statement{Kind: exchanger.StepDown, Term: term}), everyServer)
+	return nil
 }
 
 // catchUpTimeout is how long the next primary may take to receive what the paused
@@ -67,20 +89,15 @@
 	return false
 }
 
-// successor returns the replica with the longest log that is not draining, and the
-// other replicas. The longest log is needed because any replica may have acknowledged
-// a commit before the others are paused.
-func (t *task) successor(old attester.Leader, reports []attester.ServerReport) (next informer.Server, others []informer.Server, ok bool) {
+// successor returns the replica with the longest log that is not draining. The longest
+// log is needed because any replica may have acknowledged a commit before the others
+// are paused.
+func successor(old attester.Leader, reports []attester.ServerReport) (next informer.Server, ok bool) {
 	var best exchanger.Report
 	for _, r := range reports {
 		if r.Server.ID != old.Server.ID && isReplica(r.Report) && !r.Server.Draining && (!ok || r.Report.Received.Compare(best.Received) > 0) {
 			next, best, ok = r.Server, r.Report, true
 		}
 	}
-	for _, srv := range t.servers() {
-		if srv.ID != old.Server.ID && srv.ID != next.ID {
-			others = append(others, srv)
-		}
-	}
-	return next, others, ok
+	return next, ok
 }
