replacer: fence the server that answers at an address, not the latest entry

Cause: an entry whose address a later one has was taken for a server that has been replaced. The server itself got no command then, and the odd entry, which no server answers for, blocked the change of primary.

Evidence: TestEntryAtTheAddressOfAReplica: no server led within 5 s.

Change: commands of a fence and of a switchover go to all listed servers. At each address the entry counts whose server has reported: a server refuses a connection that names another one. If none has, the latest start counts as before, and only that entry is waited for. The record of listed servers that a task keeps is bounded by its retention now.

--- a/internal/replacer/fence.go
+++ b/internal/replacer/fence.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/exchanger"
@@ -87,8 +88,11 @@
 // fenceAndChoose fences all servers that it can reach and chooses the next primary
 // when the wait has returned.
 func (t *task) fenceAndChoose(f fence, wait func()) (string, error) {
-	servers := t.servers()
-	reports := t.command(servers, f.commands, f.isNeeded)
+	listed := t.listed()
+	present := withoutReplaced(listed)
+	servers, reports := identify(listed, t.command(listed, f.commands, func(srv informer.Server) bool {
+		return f.isNeeded(srv) && slices.Contains(present, srv)
+	}))
 	wait()
 	id, err := t.chooseFenced(f, servers, reports)
 	if err != nil {
@@ -97,6 +101,25 @@
 	return id, err
 }
 
+// identify returns the entries that name the server at their address, with the reports:
+// the one that has reported, as a server refuses connections that name another one, or
+// else the one with the latest start.
+func identify(listed []informer.Server, reports []*exchanger.Report) ([]informer.Server, []*exchanger.Report) {
+	answered := map[string]bool{}
+	for i, srv := range listed {
+		answered[srv.Address] = answered[srv.Address] || reports[i] != nil
+	}
+	present := withoutReplaced(listed)
+	var servers []informer.Server
+	var kept []*exchanger.Report
+	for i, srv := range listed {
+		if reports[i] != nil || !answered[srv.Address] && slices.Contains(present, srv) {
+			servers, kept = append(servers, srv), append(kept, reports[i])
+		}
+	}
+	return servers, kept
+}
+
 // startExchange starts to exchange state with the other instances, which tell of
 // acknowledged commits. The returned function waits for their answers up to
 // peersTimeout.
--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -149,6 +149,11 @@
 	for _, srv := range staying {
 		t.lastListed[srv.ID] = listing{at: now, staying: len(staying)}
 	}
+	for id, seen := range t.lastListed {
+		if now.Sub(seen.at) > unlistedRetention {
+			delete(t.lastListed, id)
+		}
+	}
 }
 
 // yieldIfBlocked leaves the coordinator role to another instance when a failover
--- a/internal/replacer/replacer.go
+++ b/internal/replacer/replacer.go
@@ -168,11 +168,13 @@
 
 func (t *task) group() *attester.Group { return t.cfg.Backends.Group(t.service.Name) }
 
+// listed returns the listed servers of the service.
+func (t *task) listed() []informer.Server { return t.cfg.Informer.State().ServersOf(t.service.Name) }
+
 // servers returns the listed servers of the service without those that have been
-// replaced at their addresses.
-func (t *task) servers() []informer.Server {
-	return withoutReplaced(t.cfg.Informer.State().ServersOf(t.service.Name))
-}
+// replaced at their addresses, as far as the list shows. An entry of another writer may
+// have the address of a server, so commands go to all listed servers (see identify).
+func (t *task) servers() []informer.Server { return withoutReplaced(t.listed()) }
 
 // withoutReplaced returns the servers without those whose address a later one has: a
 // server that crashed comes back under another id, and its old entry stays listed
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -284,17 +284,24 @@
 
 // putEntryAtAddressOf lists an earlier server at the address of another.
 func (f *fixture) putEntryAtAddressOf(t *testing.T, id, earlier string) {
+	t.Helper()
+	f.putEntryBornAt(t, id, earlier, -1)
+}
+
+// putEntryBornAt lists a second entry at the address of a server, whose start is later
+// by the milliseconds.
+func (f *fixture) putEntryBornAt(t *testing.T, id, second string, later int64) {
 	t.Helper()
 	for _, srv := range f.Servers() {
 		if srv.ID != id {
 			continue
 		}
-		srv.ID, srv.Born = earlier, srv.Born-1
+		srv.ID, srv.Born = second, srv.Born+later
 		value, err := json.Marshal(srv)
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.store.Put("backend/"+earlier, value)
+		f.store.Put("backend/"+second, value)
 	}
 }
 
@@ -643,3 +650,20 @@
 	}
 	t.Error("no other server was promoted")
 }
+
+// Guards against a replica that is not fenced because an entry of another writer has its
+// address and a later start: the failed primary's commits are in that replica's log only.
+func TestEntryAtTheAddressOfAReplica(t *testing.T) {
+	f := newFixture(t, pos(0))
+	f.SetLog("b", pos(5))
+	f.SetLog("c", pos(7))
+	f.putEntryBornAt(t, "c", "odd", time.Hour.Milliseconds())
+	f.election.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	time.Sleep(200 * time.Millisecond)
+	f.SetDown("a", true)
+	eventually(t, 5*time.Second, "another server leads", func() bool { return f.group.Term() > 1 })
+	if p := f.Promotions(); p[0] != "c" {
+		t.Errorf("%v promoted, want c, which has the longest log", p)
+	}
+}
--- a/internal/replacer/switchover.go
+++ b/internal/replacer/switchover.go
@@ -56,9 +56,16 @@
 // pauseOthers pauses all replicas but the next primary, and waits until that one has
 // received what they have.
 func (t *task) pauseOthers(old attester.Leader, next informer.Server, term uint64) error {
-	others := slices.DeleteFunc(t.servers(), func(srv informer.Server) bool { return srv.ID == old.Server.ID || srv.ID == next.ID })
+	others := slices.DeleteFunc(slices.Clone(t.listed()), func(srv informer.Server) bool {
+		return srv.ID == old.Server.ID || srv.ID == next.ID
+	})
 	longest := tracker.Position{}
-	for _, r := range t.command(others, everyServerRuns(exchanger.Statement{Kind: exchanger.Pause, Term: term}), everyServer) {
+	others, paused := identify(others, t.command(others, everyServerRuns(exchanger.Statement{Kind: exchanger.Pause, Term: term}), everyServer))
+	for i, r := range paused {
+		// The next primary has answered at its address.
+		if r == nil && others[i].Address == next.Address {
+			continue
+		}
 		if r == nil || r.PausedTerm < term {
 			return errNotPaused
 		}
