replacer: check the fence and the choice before a promote call is repeated

A server that restarts has lost its pause and may have lost its log, and its id stays the same.

Evidence: TestRepeatedPromoteCall: the empty server was promoted without the acknowledged commit, and a replica with a shorter log than another one was.

Change: before a call is repeated, the servers are fenced and the next primary is chosen again; in a switchover the other replicas are paused again and the next primary must have received what they have. The server of the last call is preferred if its log is long enough: the call may take effect late, and two servers would lead then.

Not covered: a server that restarts empty after the call was accepted. No call takes a promotion back.

--- a/internal/exchanger/exchangertest/cluster.go
+++ b/internal/exchanger/exchangertest/cluster.go
@@ -121,6 +121,17 @@
 // SetLoad makes a server report that this many additional slots are occupied.
 func (c *Cluster) SetLoad(id string, load int) { c.change(id, func(s *server) { s.load = load }) }
 
+// Restart makes a replica forget its pause, and its log too if empty is set. It has
+// another start then.
+func (c *Cluster) Restart(id string, empty bool) {
+	c.change(id, func(s *server) {
+		s.paused, s.born = 0, time.Now().UnixMilli()
+		if empty {
+			s.term, s.log, s.entries = 0, tracker.Position{}, nil
+		}
+	})
+}
+
 // SetBusy makes a server answer Busy to everything but Status.
 func (c *Cluster) SetBusy(id string, busy bool) { c.change(id, func(s *server) { s.busy = busy }) }
 
--- a/internal/replacer/choose.go
+++ b/internal/replacer/choose.go
@@ -13,6 +13,8 @@
 	draining bool
 	// isOldPrimary is true for the primary of the newest known term.
 	isOldPrimary bool
+	// asked is true for the server that the platform was last asked to promote.
+	asked bool
 	// fenced is true if the server reported that it stepped down or is paused.
 	fenced   bool
 	received tracker.Position
@@ -79,8 +81,9 @@
 	return longest
 }
 
-// cheapest returns a fenced server whose log is long enough. It prefers servers
-// that are not draining, then those that are not the old primary.
+// cheapest returns a fenced server whose log is long enough. It prefers the server
+// that the platform was asked to promote, then servers that are not draining, then
+// those that are not the old primary.
 func cheapest(members []member, need tracker.Position) (string, error) {
 	found, cost := "", 0
 	for _, m := range members {
@@ -94,6 +97,9 @@
 		if m.isOldPrimary {
 			c += 2
 		}
+		if m.asked {
+			c = 0
+		}
 		if found == "" || c < cost {
 			found, cost = m.id, c
 		}
--- a/internal/replacer/fence.go
+++ b/internal/replacer/fence.go
@@ -18,6 +18,14 @@
 	leader string
 	// stale are servers that report to lead an earlier term.
 	stale map[string]bool
+	// asked is the server that the platform was last asked to promote; empty if none.
+	asked string
+}
+
+// withAsked returns the fence with another server that the platform was asked to promote.
+func (f fence) withAsked(id string) fence {
+	f.asked = id
+	return f
 }
 
 // newFence returns the fence for the replacement of the primary, by the terms that
@@ -67,7 +75,7 @@
 
 // member returns the server as its report shows it; nil if it did not report.
 func (f fence) member(srv informer.Server, r *exchanger.Report) member {
-	m := member{id: srv.ID, draining: srv.Draining, isOldPrimary: srv.ID == f.leader}
+	m := member{id: srv.ID, draining: srv.Draining, isOldPrimary: srv.ID == f.leader, asked: srv.ID == f.asked}
 	if r != nil {
 		m.received = r.Received
 		m.fenced = isReplica(*r) && (m.isOldPrimary || r.PausedTerm >= f.term)
--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -55,6 +55,9 @@
 	// The first attempt uses the known term: a survey would wait for the server that
 	// has failed.
 	var reports []attester.ServerReport
+	// asked is the server that the platform was last asked to promote. The call may
+	// take effect late, so the same server is chosen again if it may lead.
+	asked := ""
 	for first := true; t.ctx.Err() == nil && t.cfg.Election.IsCoordinator(); first = false {
 		if !first || old.Server.ID == "" {
 			reports = t.group().Survey()
@@ -63,13 +66,17 @@
 			return
 		}
 		f := t.newFence(old, reports)
+		f.asked = asked
 		id, err := t.fenceAndChoose(f, t.startExchange())
 		if err == nil && t.awaitLeases() {
 			// Commits were acknowledged under the leases, and a fence may have been lost.
 			id, err = t.fenceAndChoose(f, func() {})
 		}
-		if err == nil && t.promote(id, f.term) {
-			return
+		if err == nil {
+			asked = id
+			if t.promote(id, f.term, func() (string, error) { return t.fenceAndChoose(f.withAsked(id), func() {}) }) {
+				return
+			}
 		}
 		if err != nil {
 			t.log.WithError(err).WithFields(logrus.Fields{"term": f.term}).Warn("replacer: no server may lead yet")
@@ -235,8 +242,10 @@
 func everyServer(informer.Server) bool { return true }
 
 // promote makes the server the primary and waits until it leads. It returns false
-// if that takes too long; all servers stay fenced then.
-func (t *task) promote(id string, term uint64) bool {
+// if that takes too long or another server should lead; all servers stay fenced then.
+// Before the call is repeated, choose tells which server may lead now: one that
+// restarted since may have lost its pause or its log.
+func (t *task) promote(id string, term uint64, choose func() (string, error)) bool {
 	srv, ok := t.cfg.Informer.State().Server(t.service.Name, id)
 	if !ok {
 		return false
@@ -255,9 +264,15 @@
 			log := t.log.WithFields(logrus.Fields{"server": id, "term": term, "token": token})
 			if err != nil {
 				log = log.WithError(err)
-				t.sleep(promoteRetryInterval)
 			}
 			log.Info("replacer: platform was asked to promote a server")
+			if err != nil {
+				t.sleep(promoteRetryInterval)
+				if now, err := choose(); err != nil || now != id {
+					t.log.WithFields(logrus.Fields{"server": id, "now": now, "error": err}).Warn("replacer: promotion is not repeated")
+					return false
+				}
+			}
 		}
 		r, err := t.cfg.Backends.Probe(srv, exchanger.Statement{Kind: exchanger.Status}, t.cfg.Clock.Now().Add(pollTimeout))
 		if err == nil && r.Role == exchanger.Primary && r.Term >= term {
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -124,10 +124,12 @@
 
 type fixture struct {
 	*backends
-	election *election
-	store    *storertest.Memory
-	replacer *replacer.Replacer
-	draining map[string]bool
+	// beforePromote is called before each promote call; the call fails with its error.
+	beforePromote func(id string) error
+	election      *election
+	store         *storertest.Memory
+	replacer      *replacer.Replacer
+	draining      map[string]bool
 }
 
 // leaseTTL is how long a primary lease holds unless a test needs another time.
@@ -170,7 +172,7 @@
 	}
 	f.store.Put("config/now", config)
 	f.replacer = replacer.New(replacer.Config{
-		Name: "self", Informer: inf, Backends: f, Promoter: c, Election: f.election, Peers: peers{known}, PrimaryLeaseTTL: ttl,
+		Name: "self", Informer: inf, Backends: f, Promoter: f, Election: f.election, Peers: peers{known}, PrimaryLeaseTTL: ttl,
 		Clock: clock, Metrics: metrics.NewRegistry(), Log: log,
 	})
 	t.Cleanup(func() {
@@ -180,6 +182,16 @@
 	return f
 }
 
+// Promote implements [replacer.Promoter].
+func (f *fixture) Promote(ctx context.Context, service, id, coordinator string, token int64) error {
+	if f.beforePromote != nil {
+		if err := f.beforePromote(id); err != nil {
+			return err
+		}
+	}
+	return f.Cluster.Promote(ctx, service, id, coordinator, token)
+}
+
 func (f *fixture) putServers(t *testing.T) {
 	t.Helper()
 	for _, srv := range f.Servers() {
@@ -667,3 +679,53 @@
 		t.Errorf("%v promoted, want c, which has the longest log", p)
 	}
 }
+
+// Guards against a repeated promote call for a server that may not lead any more, and
+// against a call for another server while the first call may still take effect.
+func TestRepeatedPromoteCall(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// afterFirst is called when the first call, for the server, has failed.
+		afterFirst func(f *fixture, id, other string)
+		sameAgain  bool
+	}{
+		{"the server has restarted empty (review/2)", func(f *fixture, id, _ string) { f.Restart(id, true) }, false},
+		{"the other replica has received more since it forgot its pause", func(f *fixture, _, other string) {
+			f.Restart(other, false)
+			f.write("a", "late")
+		}, false},
+		{"nothing has changed", func(*fixture, string, string) {}, true},
+		{"the server drains now", func(f *fixture, id, _ string) { f.draining[id] = true }, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, pos(0))
+			first := make(chan string, 1)
+			f.beforePromote = func(id string) error {
+				select {
+				case first <- id:
+				default:
+					return nil
+				}
+				tc.afterFirst(f, id, map[string]string{"b": "c", "c": "b"}[id])
+				f.putServers(t)
+				time.Sleep(50 * time.Millisecond)
+				return errors.New("no answer")
+			}
+			f.election.token.Store(3)
+			eventually(t, 5*time.Second, "a leads", f.leads("a"))
+			if err := f.write("a", "early"); err != nil {
+				t.Fatal(err)
+			}
+			f.setCut("a", true)
+			eventually(t, 10*time.Second, "another server leads", func() bool { return f.group.Term() > 1 })
+			id := <-first
+			if got := f.Promotions()[0]; (got == id) != tc.sameAgain {
+				t.Errorf("%s was promoted after a failed call for %s", got, id)
+			}
+			if !slices.Contains(f.Entries(), "early") {
+				t.Errorf("the acknowledged commit is lost; promoted: %v", f.Promotions())
+			}
+		})
+	}
+}
--- a/internal/replacer/switchover.go
+++ b/internal/replacer/switchover.go
@@ -17,7 +17,7 @@
 // the next primary are paused first: from then on every acknowledged commit is in
 // the next primary's log. A replica may forget its pause in a restart, so once the
 // primary leases have ended, a commit counts only when the next primary has it (see
-// [attester.Group.ConfirmCommit]), and the pauses are repeated before the promote
+// [attester.Group.ConfirmCommit]), and the pauses are repeated before each promote
 // call. If a step fails, it becomes a failover.
 func (t *task) switchover(old attester.Leader, reason string) {
 	reports := t.group().Survey()
@@ -41,7 +41,8 @@
 		t.failover(old, "switchover: "+err.Error())
 		return
 	}
-	if !t.promote(next.ID, term) {
+	repeat := func() (string, error) { return next.ID, t.pauseOthers(old, next, term) }
+	if !t.promote(next.ID, term, repeat) {
 		t.failover(old, "switchover: the next primary did not lead in time")
 		return
 	}
