--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -1,6 +1,7 @@
 package replacer
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -259,7 +260,7 @@
 				t.sleep(pollInterval)
 				continue
 			}
-			err := t.cfg.Promoter.Promote(t.ctx, t.service.Name, id, t.cfg.Name, token)
+			err := t.callPromote(id, token)
 			called = err == nil
 			log := t.log.WithFields(logrus.Fields{"server": id, "term": term, "token": token})
 			if err != nil {
@@ -290,6 +291,30 @@
 	return false
 }
 
+// callPromote asks the platform to promote the server. The call is given up when the
+// tenure ends: a later coordinator may call soon after.
+func (t *task) callPromote(id string, token int64) error {
+	ctx, cancel := context.WithCancel(t.ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			if now, mayAct := t.cfg.Election.Token(); !mayAct || now != token {
+				cancel()
+				return
+			}
+			select {
+			case <-t.cfg.Clock.After(pollInterval):
+			case <-ctx.Done():
+			}
+		}
+	}()
+	err := t.cfg.Promoter.Promote(ctx, t.service.Name, id, t.cfg.Name, token)
+	cancel()
+	<-done
+	return err
+}
+
 // completePromotion announces the new primary and ends the pauses for terms up to
 // its own.
 func (t *task) completePromotion(l attester.Leader) {
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -125,7 +125,7 @@
 type fixture struct {
 	*backends
 	// beforePromote is called before each promote call; the call fails with its error.
-	beforePromote func(id string) error
+	beforePromote func(ctx context.Context, id string) error
 	election      *election
 	store         *storertest.Memory
 	replacer      *replacer.Replacer
@@ -185,7 +185,7 @@
 // Promote implements [replacer.Promoter].
 func (f *fixture) Promote(ctx context.Context, service, id, coordinator string, token int64) error {
 	if f.beforePromote != nil {
-		if err := f.beforePromote(id); err != nil {
+		if err := f.beforePromote(ctx, id); err != nil {
 			return err
 		}
 	}
@@ -701,7 +701,7 @@
 			t.Parallel()
 			f := newFixture(t, pos(0))
 			first := make(chan string, 1)
-			f.beforePromote = func(id string) error {
+			f.beforePromote = func(_ context.Context, id string) error {
 				select {
 				case first <- id:
 				default:
@@ -729,3 +729,31 @@
 		})
 	}
 }
+
+// Guards against a promote call that goes on after the tenure of its coordinator: the next
+// one may call with a higher fencing token then (review/5).
+func TestPromoteCallEndsWithTheTenure(t *testing.T) {
+	f := newFixture(t, pos(0))
+	called, ended := make(chan struct{}), make(chan time.Time, 1)
+	var once sync.Once
+	f.beforePromote = func(ctx context.Context, _ string) error {
+		once.Do(func() {
+			close(called)
+			select {
+			case <-ctx.Done():
+			case <-time.After(3 * time.Second):
+			}
+			ended <- time.Now()
+		})
+		return errors.New("no answer")
+	}
+	f.election.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	f.SetDown("a", true)
+	<-called
+	f.election.token.Store(0)
+	stopped := time.Now()
+	if gap := (<-ended).Sub(stopped); gap > 200*time.Millisecond {
+		t.Errorf("the call went on for %v after the end of the tenure; the next coordinator acts 300 ms after it", gap)
+	}
+}
