informer, replacer: change no primary before all servers are known

Cause: entries that expired during an outage return within two seconds of its end. An instance that starts then has never seen the others, becomes the coordinator, and took the servers listed so far for all of them: it fenced those and replaced a healthy primary that went on acknowledging commits with a replica that was not listed.

TestListThatIsNotCompleteYet: the primary was stepped down before its entry was back.

Change: an instance knows all servers once a linearizable list has been read 2.5 s (RemoveAfter) after its first list, without a failed list between. Before that it changes no primary. It costs one linearizable read for each start of an instance. A failover by such an instance waits up to 3 s longer.

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -18,6 +18,10 @@
 // are randomized by half so that instances do not return together.
 const retryPause = 300 * time.Millisecond
 
+// completeJitter spreads the lists by which instances that started together know all
+// servers.
+const completeJitter = 500 * time.Millisecond
+
 // Informer follows the configuration and the servers in the store.
 type Informer struct {
 	cfg   Config
@@ -32,7 +36,11 @@
 	list     List
 	order    *storer.ListOrder
 	listed   bool
-	changed  chan struct{}
+	// firstListed is when the first list was accepted since one failed. complete is set
+	// when a linearizable list has been read long enough after that.
+	firstListed time.Time
+	complete    bool
+	changed     chan struct{}
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -86,6 +94,35 @@
 	return n.listed
 }
 
+// KnowsAllServers reports whether the view has every server that is not gone. The
+// entries of running servers may be missing for some time after an outage of the store,
+// which an instance that has just started knows nothing of. It knows all servers once it
+// has listed them again [Config.RemoveAfter] after its first list.
+func (n *Informer) KnowsAllServers() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.complete
+}
+
+// recordFailedList restarts the time after which the view is complete: the store may be
+// away again, so that entries return later.
+func (n *Informer) recordFailedList() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.firstListed = time.Time{}
+}
+
+// completeIn returns how long after now the view may become complete; 0 if it is or may
+// become so now.
+func (n *Informer) completeIn(now time.Time) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.complete {
+		return 0
+	}
+	return max(n.firstListed.Add(n.cfg.RemoveAfter).Sub(now), 0)
+}
+
 // List returns the last list of the servers, as instances exchange it.
 func (n *Informer) List() List {
 	n.mu.Lock()
@@ -251,32 +288,53 @@
 }
 
 func (n *Informer) followServers(ctx context.Context) {
-	// The first list is a linearizable read. Later ones are spread over instances.
+	// The first lists are linearizable reads. Later ones are spread over instances.
 	for i := 0; ctx.Err() == nil; i++ {
 		if i == 1 {
 			i += rand.N(n.cfg.LinearizableEvery())
 		}
-		err := n.listServers(ctx, i == 0 || i%n.cfg.LinearizableEvery() == 0 && n.cfg.IsReader())
+		err := n.listServers(ctx, !n.KnowsAllServers() || i%n.cfg.LinearizableEvery() == 0 && n.cfg.IsReader())
 		if err != nil || !n.HasServerList() {
 			n.pauseRetry(ctx)
 			continue
 		}
 		interval := n.cfg.ListInterval()
-		n.pause(ctx, interval*3/4+rand.N(interval/2))
+		wait := interval*3/4 + rand.N(interval/2)
+		if d := n.completeIn(n.cfg.Clock.Now()); d > 0 {
+			wait = min(wait, d+rand.N(completeJitter))
+		}
+		n.pause(ctx, wait)
 	}
 }
 
 func (n *Informer) listServers(ctx context.Context, linearizable bool) error {
+	began := n.cfg.Clock.Now()
 	entries, revision, err := n.lister(!linearizable)(ctx, n.cfg.Schema.ServerPrefix)
 	if err != nil {
+		n.recordFailedList()
 		return errors.Wrap(err, "list servers")
 	}
-	if n.apply(entries, revision) && linearizable {
+	leaving := n.apply(entries, revision)
+	if linearizable {
+		n.recordComplete(began)
+	}
+	if leaving && linearizable {
 		n.cfg.OnChange()
 	}
 	return nil
 }
 
+// recordComplete records that a linearizable list that began at the time was merged.
+func (n *Informer) recordComplete(began time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.complete && n.listed && began.Sub(n.firstListed) >= n.cfg.RemoveAfter {
+		n.complete = true
+		n.cfg.Log.WithFields(logrus.Fields{"servers": len(n.servers), "revision": storer.FormatRevision(n.list.Revision)}).
+			Info("informer: all backend servers are known")
+	}
+}
+
 // apply merges a list. It ignores a list of an older revision than the last one, and
 // a first list without servers. An outdated entry of a store that was restored from a copy
 // neither changes a server nor brings back one that had gone. It reports whether a
@@ -292,6 +350,9 @@
 	n.list = newList(entries, revision)
 	changed := !n.listed
 	n.listed = true
+	if n.firstListed.IsZero() {
+		n.firstListed = now
+	}
 	seen := map[string]bool{}
 	for _, srv := range servers {
 		if n.isOutdated(srv, storer.Epoch(revision), now) {
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -329,3 +329,30 @@
 		})
 	}
 }
+
+// Guards against an instance that takes its first lists for complete (review/1): entries
+// return within RemoveAfter after an outage of the store, also after a second one.
+func TestKnowsAllServers(t *testing.T) {
+	const removeAfter = 300 * time.Millisecond
+	f := start(t, func(c *informer.Config) { c.RemoveAfter = removeAfter })
+	f.store.Put("backend/x", encode(t, informer.Server{Service: "s", Address: "a"}))
+	began := time.Now()
+	eventually(t, "x is listed", func() bool { return len(f.informer.State().ServersOf("s")) == 1 })
+	if f.informer.KnowsAllServers() {
+		t.Error("the first list is taken for complete")
+	}
+	time.Sleep(removeAfter / 2)
+	f.store.SetDown(true)
+	time.Sleep(removeAfter / 2)
+	f.store.SetDown(false)
+	back := time.Now()
+	eventually(t, "the list is complete", f.informer.KnowsAllServers)
+	if d := time.Since(back); d < removeAfter {
+		t.Errorf("complete %v after the store was back and %v after the first list, want %v after the former", d, time.Since(began), removeAfter)
+	}
+	f.store.SetDown(true)
+	time.Sleep(removeAfter / 4)
+	if !f.informer.KnowsAllServers() {
+		t.Error("a running instance forgets that it knows all servers")
+	}
+}
--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -66,6 +66,12 @@
 		if t.hasLaterLeader(old, reports) {
 			return
 		}
+		if !t.cfg.Informer.KnowsAllServers() {
+			// A server that is not listed yet would not be fenced.
+			t.log.Info("replacer: no server may lead yet: the list of servers may be incomplete")
+			t.sleep(fenceRetryInterval)
+			continue
+		}
 		f := t.newFence(old, reports)
 		f.asked = asked
 		id, err := t.fenceAndChoose(f, t.startExchange())
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -137,12 +137,32 @@
 
 func newFixture(t *testing.T, known tracker.Position) *fixture {
 	t.Helper()
-	return newFixtureWithLeases(t, known, leaseTTL)
+	return newFixtureWith(t, fixtureOptions{known: known, leaseTTL: leaseTTL, removeAfter: removeAfter})
 }
 
 func newFixtureWithLeases(t *testing.T, known tracker.Position, ttl time.Duration) *fixture {
 	t.Helper()
-	c := exchangertest.New("a", "b", "c")
+	return newFixtureWith(t, fixtureOptions{known: known, leaseTTL: ttl, removeAfter: removeAfter})
+}
+
+// removeAfter is the time in which missing entries return unless a test needs another.
+const removeAfter = 100 * time.Millisecond
+
+type fixtureOptions struct {
+	// servers are a, b and c if it is empty.
+	servers []string
+	// unlisted are servers whose entries are not in the store at the start.
+	unlisted              []string
+	known                 tracker.Position
+	leaseTTL, removeAfter time.Duration
+}
+
+func newFixtureWith(t *testing.T, o fixtureOptions) *fixture {
+	t.Helper()
+	if len(o.servers) == 0 {
+		o.servers = []string{"a", "b", "c"}
+	}
+	c := exchangertest.New(o.servers...)
 	c.PromoteDelay = 20 * time.Millisecond
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -154,7 +174,7 @@
 	inf := informer.New(informer.Config{
 		Store: f.store, Clock: clock, Log: log,
 		Schema:       informertest.Schema(),
-		ListInterval: func() time.Duration { return 10 * time.Millisecond }, LinearizableEvery: func() int { return 1 }, RemoveAfter: 100 * time.Millisecond,
+		ListInterval: func() time.Duration { return 10 * time.Millisecond }, LinearizableEvery: func() int { return 1 }, RemoveAfter: o.removeAfter,
 		CheckInterval: func() time.Duration { return time.Hour }, OnChange: func() {},
 	})
 	f.group = attester.NewGroup(attester.Config{
@@ -162,6 +182,9 @@
 		Servers: func() []informer.Server { return inf.State().ServersOf(exchangertest.Service) },
 	})
 	f.putServers(t)
+	for _, id := range o.unlisted {
+		f.store.Delete("backend/" + id)
+	}
 	config, err := json.Marshal(informer.Configuration{Version: 1, Services: map[string]informer.Service{
 		exchangertest.Service: {Name: exchangertest.Service, SyncReplicas: 1},
 	}, Routes: map[string]informer.Route{
@@ -172,7 +195,7 @@
 	}
 	f.store.Put("config/now", config)
 	f.replacer = replacer.New(replacer.Config{
-		Name: "self", Informer: inf, Backends: f, Promoter: f, Election: f.election, Peers: peers{known}, PrimaryLeaseTTL: ttl,
+		Name: "self", Informer: inf, Backends: f, Promoter: f, Election: f.election, Peers: peers{o.known}, PrimaryLeaseTTL: o.leaseTTL,
 		Clock: clock, Metrics: metrics.NewRegistry(), Log: log,
 	})
 	t.Cleanup(func() {
@@ -757,3 +780,28 @@
 		t.Errorf("the call went on for %v after the end of the tenure; the next coordinator acts 300 ms after it", gap)
 	}
 }
+
+// Guards against a coordinator that has just started after an outage of the store and
+// takes the servers that are listed again so far for all of them (review/1): the primary
+// and a replica go on acknowledging commits.
+func TestListThatIsNotCompleteYet(t *testing.T) {
+	f := newFixtureWith(t, fixtureOptions{
+		servers: []string{"a", "b", "c", "d"}, unlisted: []string{"a", "d"}, known: pos(0), leaseTTL: leaseTTL, removeAfter: 2500 * time.Millisecond,
+	})
+	f.election.token.Store(3)
+	time.Sleep(1900 * time.Millisecond)
+	if err := f.write("a", "late"); err != nil {
+		t.Fatalf("the primary does not acknowledge a commit: %v", err)
+	}
+	f.putServers(t)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	time.Sleep(1500 * time.Millisecond)
+	if p := f.Promotions(); len(p) > 0 {
+		t.Errorf("%v promoted although the primary leads and only its entry was missing", p)
+	}
+	if !slices.Contains(f.Entries(), "late") {
+		t.Error("the acknowledged commit is lost")
+	}
+	f.SetDown("a", true)
+	eventually(t, 5*time.Second, "another server leads", func() bool { return f.group.Term() > 1 })
+}
--- a/internal/replacer/switchover.go
+++ b/internal/replacer/switchover.go
@@ -20,6 +20,9 @@
 // [attester.Group.ConfirmCommit]), and the pauses are repeated before each promote
 // call. If a step fails, it becomes a failover.
 func (t *task) switchover(old attester.Leader, reason string) {
+	if !t.cfg.Informer.KnowsAllServers() {
+		return
+	}
 	reports := t.group().Survey()
 	next, ok := successor(old, reports)
 	if !ok {
