replacer: do not resume replicas after the tenure

Cause: after a promotion the coordinator asked all servers for a report and resumed those that were paused for a term up to the new one. If its tenure ended in between, a replica may have been paused for a later change: RESUME ends any pause, and the fence of that change with it. On the other hand a coordinator that died before it resumed left a replica paused that had not heard of the promotion, and nobody resumed it.

Evidence: TestNoResumeAfterTheTenure: the replica was resumed after the tenure.

Change: RESUME is sent only in the tenure in which the reports were requested. The next tenure resumes what is left when it checks that no change is unfinished.

--- a/internal/exchanger/exchangertest/cluster.go
+++ b/internal/exchanger/exchangertest/cluster.go
@@ -61,6 +61,7 @@
 	failing        bool
 	lag            time.Duration
 	load           int
+	pauseKept      bool
 }
 
 // New returns a cluster whose first server is the primary of term 1. The servers
@@ -132,6 +133,11 @@
 	})
 }
 
+// SetPauseKept makes a pause of the server outlast a promotion.
+func (c *Cluster) SetPauseKept(id string, kept bool) {
+	c.change(id, func(s *server) { s.pauseKept = kept })
+}
+
 // SetBusy makes a server answer Busy to everything but Status.
 func (c *Cluster) SetBusy(id string, busy bool) { c.change(id, func(s *server) { s.busy = busy }) }
 
@@ -160,7 +166,10 @@
 		case s.id == id:
 			s.role, s.term, s.paused = exchanger.Primary, term, 0
 		case notifyOthers && !s.down:
-			s.role, s.term, s.paused = exchanger.Replica, term, 0
+			s.role, s.term = exchanger.Replica, term
+			if !s.pauseKept {
+				s.paused = 0
+			}
 		}
 	}
 }
--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -328,11 +328,23 @@
 	t.unreachableSince, t.leaderlessSince, t.blockedSince = time.Time{}, time.Time{}, time.Time{}
 	t.log.WithFields(logrus.Fields{"server": l.Server.ID, "term": l.Term}).Info("replacer: new primary leads")
 	t.announce(l)
-	var others []informer.Server
-	for _, r := range t.group().Survey() {
+	token, _ := t.cfg.Election.Token()
+	t.resume(l, token, t.group().Survey())
+}
+
+// resume ends the pauses for terms up to the leader's that the reports show. It does
+// nothing if the tenure in which the reports were requested has ended: a replica may have
+// been paused since for the change of a later coordinator, and RESUME ends any pause. The
+// next tenure resumes what is left (see isSettled).
+func (t *task) resume(l attester.Leader, token int64, reports []attester.ServerReport) {
+	var paused []informer.Server
+	for _, r := range reports {
 		if r.Server.ID != l.Server.ID && r.Report.PausedTerm != 0 && r.Report.PausedTerm <= l.Term {
-			others = append(others, r.Server)
+			paused = append(paused, r.Server)
 		}
 	}
-	t.command(others, everyServerRuns(exchanger.Statement{Kind: exchanger.Resume}), everyServer)
+	if now, mayAct := t.cfg.Election.Token(); len(paused) == 0 || !mayAct || now != token {
+		return
+	}
+	t.command(paused, everyServerRuns(exchanger.Statement{Kind: exchanger.Resume}), everyServer)
 }
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -805,3 +805,39 @@
 	f.SetDown("a", true)
 	eventually(t, 5*time.Second, "another server leads", func() bool { return f.group.Term() > 1 })
 }
+
+// Guards against a RESUME by a coordinator whose tenure has ended: it would end the pause
+// of a newer change, whose fence the replica is part of.
+func TestNoResumeAfterTheTenure(t *testing.T) {
+	f := newFixture(t, pos(0))
+	var promoted, resumed atomic.Bool
+	var once sync.Once
+	f.OnStatement = func(server string, s exchanger.Statement) {
+		switch {
+		case s.Kind == exchanger.Resume:
+			resumed.Store(true)
+		case s.Kind == exchanger.Status && server == "c" && promoted.Load() && f.group.Term() > 1:
+			// The report that the old coordinator reads is older than the pause of the next one.
+			once.Do(func() { f.election.token.Store(0) })
+		}
+	}
+	f.beforePromote = func(context.Context, string) error {
+		promoted.Store(true)
+		return nil
+	}
+	f.SetLog("b", pos(7))
+	f.SetPauseKept("c", true)
+	f.election.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	f.SetDown("a", true)
+	eventually(t, 5*time.Second, "b leads", f.leads("b"))
+	time.Sleep(time.Second)
+	if f.election.token.Load() != 0 {
+		t.Fatal("the tenure has not ended")
+	}
+	if resumed.Load() {
+		t.Error("a replica was resumed after the tenure")
+	}
+	f.election.token.Store(4)
+	eventually(t, 5*time.Second, "the next coordinator resumes the replica", resumed.Load)
+}
--- a/internal/replacer/settle.go
+++ b/internal/replacer/settle.go
@@ -34,7 +34,8 @@
 		return true
 	}
 	leads, clear := false, 0
-	for _, r := range t.group().Survey() {
+	reports := t.group().Survey()
+	for _, r := range reports {
 		switch {
 		case r.Server.ID == l.Server.ID:
 			leads = r.Report.Role == exchanger.Primary && r.Report.Term == l.Term
@@ -47,6 +48,9 @@
 			clear++
 		}
 	}
+	if leads {
+		t.resume(l, token, reports)
+	}
 	replicas := len(t.servers()) - 1
 	if leads && clear > 0 && (clear >= replicas || now.Sub(t.tenureSince) >= settleLimit) {
 		t.settle(token)
