replacer: random faults around changes of primary, checked by what callers were told

TestChangesUnderFaults runs dispatchers of three instances, each with its own paths to a group of servers, and the replacer of one of them. Servers restart, crash, leave and are cut off one instance; promote calls fail, some of them with effect. No acknowledged commit may be missing from the log of the last primary.

--- /dev/null
+++ b/internal/replacer/changes_test.go
@@ -0,0 +1,365 @@
+package replacer_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/attester"
+	"marigoldhub.example/hub/internal/dispatcher"
+	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/exchanger/exchangertest"
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/informer/informertest"
+	"marigoldhub.example/hub/internal/linker"
+	"marigoldhub.example/hub/internal/placer"
+	"marigoldhub.example/hub/internal/replacer"
+	"marigoldhub.example/hub/internal/storer/storertest"
+	"marigoldhub.example/hub/internal/tracker"
+)
+
+// By hand: go test ./internal/replacer -run TestChangesUnderFaults -changes.seeds=200.
+var (
+	changesSeeds = flag.Int("changes.seeds", 12, "number of seeds of TestChangesUnderFaults")
+	changesFirst = flag.Uint64("changes.first", 1, "first seed of TestChangesUnderFaults")
+)
+
+const (
+	changesInstances = 3
+	changesLength    = 6 * time.Second
+	changesSettle    = 12 * time.Second
+)
+
+// instance is one instance with its own paths to the servers.
+type instance struct {
+	*changes
+	name     string
+	informer *informer.Informer
+	d        *dispatcher.Dispatcher
+
+	mu  sync.Mutex
+	cut map[string]bool
+}
+
+// Dial implements [exchanger.Dialer]. While the instance is cut off a server, nothing
+// answers.
+func (n *instance) Dial(t exchanger.Target, deadline time.Time) (exchanger.Conn, error) {
+	if err := n.awaitPath(t.ServerID, deadline); err != nil {
+		return nil, err
+	}
+	conn, err := n.Cluster.Dial(t, deadline)
+	return &cutConn{conn, n, t.ServerID}, err
+}
+
+func (n *instance) awaitPath(server string, deadline time.Time) error {
+	for n.isCut(server) {
+		if time.Now().After(deadline) {
+			return exchanger.ErrConnectionLost
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return nil
+}
+
+func (n *instance) isCut(server string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[server]
+}
+
+func (n *instance) setCut(server string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[server] = cut
+}
+
+// cutConn is a connection that answers nothing while its instance is cut off the server.
+type cutConn struct {
+	exchanger.Conn
+	n      *instance
+	server string
+}
+
+func (c *cutConn) Exchange(deadline time.Time, statements ...exchanger.Statement) ([]exchanger.Answer, error) {
+	if err := c.n.awaitPath(c.server, deadline); err != nil {
+		return nil, err
+	}
+	answers, err := c.Conn.Exchange(deadline, statements...)
+	if err == nil {
+		err = c.n.awaitPath(c.server, deadline)
+	}
+	return answers, err
+}
+
+// changes is a cluster before instances whose first one is the coordinator.
+type changes struct {
+	*exchangertest.Cluster
+	t         *testing.T
+	store     *storertest.Memory
+	instances []*instance
+	election  *election
+	replacer  *replacer.Replacer
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	draining map[string]bool
+	acked    []string
+	unknown  int
+}
+
+func (c *changes) random(n int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rng.IntN(n)
+}
+
+// Promote implements [replacer.Promoter]. Some calls fail, and some of these take effect.
+func (c *changes) Promote(ctx context.Context, service, id, coordinator string, token int64) error {
+	switch c.random(6) {
+	case 0:
+		return errors.New("the call was lost")
+	case 1:
+		c.Cluster.Promote(ctx, service, id, coordinator, token)
+		return errors.New("the answer was lost")
+	}
+	return c.Cluster.Promote(ctx, service, id, coordinator, token)
+}
+
+// Broadcast implements [replacer.Peers]: all instances learn the newest primary that one
+// of them knows.
+func (c *changes) Broadcast(context.Context) int {
+	var best attester.Leader
+	for _, n := range c.instances {
+		if l, ok := n.d.Group(exchangertest.Service).Leader(); ok && l.Term > best.Term {
+			best = l
+		}
+	}
+	for _, n := range c.instances {
+		if g := n.d.Group(exchangertest.Service); best.Term > g.Term() {
+			g.Learn(best, "another instance")
+		}
+	}
+	return 0
+}
+
+// Acknowledged implements [replacer.Peers]. Nothing is known, so that only the fence and
+// the proofs keep commits.
+func (c *changes) Acknowledged(string) tracker.Position { return tracker.Position{} }
+
+func (c *changes) putServers() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, srv := range c.Servers() {
+		srv.Draining = c.draining[srv.ID]
+		value, err := json.Marshal(srv)
+		if err != nil {
+			c.t.Error(err)
+		}
+		c.store.Put("backend/"+srv.ID, value)
+	}
+}
+
+func newChanges(t *testing.T, seed uint64) *changes {
+	c := &changes{
+		Cluster: exchangertest.New("a", "b", "c"), t: t, store: storertest.New(), election: &election{},
+		rng: rand.New(rand.NewPCG(seed, 0)), draining: map[string]bool{},
+	}
+	c.PromoteDelay = 300 * time.Millisecond
+	c.putServers()
+	config, err := json.Marshal(informer.Configuration{Version: 1, Services: map[string]informer.Service{
+		exchangertest.Service: {Name: exchangertest.Service, SyncReplicas: 1},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.store.Put("config/now", config)
+	for i := range changesInstances {
+		c.instances = append(c.instances, c.newInstance(fmt.Sprintf("i%d", i)))
+	}
+	first := c.instances[0]
+	c.replacer = replacer.New(replacer.Config{
+		Name: first.name, Informer: first.informer, Backends: first.d, Promoter: c, Election: c.election, Peers: c, PrimaryLeaseTTL: leaseTTL,
+		Clock: clockwork.NewRealClock(), Metrics: metrics.NewRegistry(), Log: discard(),
+	})
+	t.Cleanup(c.replacer.Close)
+	c.election.token.Store(3)
+	return c
+}
+
+func discard() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func (c *changes) newInstance(name string) *instance {
+	clock := clockwork.NewRealClock()
+	n := &instance{changes: c, name: name, cut: map[string]bool{}}
+	n.informer = informer.New(informer.Config{
+		Store: c.store, Clock: clock, Log: discard(), Schema: informertest.Schema(),
+		ListInterval: func() time.Duration { return 50 * time.Millisecond }, LinearizableEvery: func() int { return 1 }, RemoveAfter: removeAfter,
+		CheckInterval: func() time.Duration { return time.Hour }, OnChange: func() {},
+	})
+	n.d = dispatcher.New(dispatcher.Config{
+		Zone: "zone-b", Informer: n.informer, Dialer: n, Instance: name,
+		Instances:      func() []placer.Peer { return []placer.Peer{{Name: name, Zone: "zone-b"}} },
+		InstancesKnown: func() bool { return true }, InstancesChanged: func() <-chan struct{} { return nil }, IsCoordinator: func() bool { return name == "i0" },
+		AskPeers: func() {}, DrainLimit: time.Minute, Clock: clock, TimeOfDay: time.Now, Metrics: metrics.NewRegistry(), Log: discard(),
+	})
+	c.t.Cleanup(func() {
+		n.d.Close()
+		n.informer.Close()
+	})
+	return n
+}
+
+// requestLeases keeps the leases of an instance up to date until stop is closed.
+func (n *instance) requestLeases(stop chan struct{}) {
+	for !isClosed(stop, 100*time.Millisecond) {
+		asked := time.Now()
+		for _, l := range n.replacer.GrantLeases() {
+			g := n.d.Group(l.Service)
+			if l.Next != "" {
+				g.ExtendSwitchover(l.Leader.Server.ID, l.Next, l.Leader.Term, asked.Add(leaseTTL))
+			} else {
+				g.ExtendLease(l.Leader.Server.ID, l.Leader.Term, asked.Add(leaseTTL))
+			}
+		}
+	}
+}
+
+// write runs writes until stop is closed.
+func (n *instance) write(stop chan struct{}, caller int) {
+	for i := 0; !isClosed(stop, 10*time.Millisecond); i++ {
+		id := fmt.Sprintf("%s-%d-%d", n.name, caller, i)
+		a := n.d.Run(dispatcher.Request{
+			Statement: exchanger.Statement{ID: id, Kind: exchanger.Write, Text: id}, Context: linker.Context{Values: map[string]string{}},
+			Route: informer.Route{
+				Name: "r", Database: "d", Service: exchangertest.Service, Reads: informer.PrimaryReads,
+				StatementTimeout: 800 * time.Millisecond, Objective: 150 * time.Millisecond,
+			},
+			Received: time.Now(),
+		})
+		n.changes.mu.Lock()
+		switch a.Code {
+		case exchanger.Success:
+			n.acked = append(n.acked, id)
+		case exchanger.UnknownOutcome:
+			n.unknown++
+		}
+		n.changes.mu.Unlock()
+	}
+}
+
+func isClosed(stop chan struct{}, wait time.Duration) bool {
+	select {
+	case <-stop:
+		return true
+	case <-time.After(wait):
+		return false
+	}
+}
+
+// disturb makes random faults, two tracks at a time, most of them while a change of
+// primary is likely to be under way.
+func (c *changes) disturb() {
+	until := time.Now().Add(changesLength)
+	var tracks sync.WaitGroup
+	for range 2 {
+		tracks.Go(func() {
+			for time.Now().Before(until) {
+				id := []string{"a", "b", "c"}[c.random(3)]
+				lasts := time.Duration(50+c.random(900)) * time.Millisecond
+				switch c.random(5) {
+				case 0:
+					c.SetDown(id, true)
+					time.Sleep(lasts)
+					c.SetDown(id, false)
+				case 1, 2:
+					c.SetDown(id, true)
+					time.Sleep(lasts / 10)
+					c.Restart(id, false)
+					c.SetDown(id, false)
+					c.putServers()
+				case 3:
+					n := c.instances[c.random(len(c.instances))]
+					n.setCut(id, true)
+					time.Sleep(2 * lasts)
+					n.setCut(id, false)
+				case 4:
+					c.drain(id, true)
+					time.Sleep(lasts)
+					c.drain(id, false)
+				}
+				time.Sleep(time.Duration(c.random(300)) * time.Millisecond)
+			}
+		})
+	}
+	tracks.Wait()
+}
+
+func (c *changes) drain(id string, draining bool) {
+	c.mu.Lock()
+	c.draining[id] = draining
+	c.mu.Unlock()
+	c.putServers()
+}
+
+// acknowledged returns how many commits callers were told of.
+func (c *changes) acknowledged() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.acked)
+}
+
+// Guards against the loss of acknowledged commits around changes of primary, by random
+// restarts, crashes, cuts between an instance and a server, servers that leave, and lost
+// promote calls.
+func TestChangesUnderFaults(t *testing.T) {
+	for i := range *changesSeeds {
+		seed := *changesFirst + uint64(i)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			c := newChanges(t, seed)
+			stop := make(chan struct{})
+			var running sync.WaitGroup
+			for _, n := range c.instances {
+				running.Go(func() { n.requestLeases(stop) })
+				for caller := range 2 {
+					running.Go(func() { n.write(stop, caller) })
+				}
+			}
+			running.Go(func() {
+				for !isClosed(stop, 200*time.Millisecond) {
+					c.CatchUp()
+					c.Broadcast(context.Background())
+				}
+			})
+			c.disturb()
+			before := c.acknowledged()
+			eventually(t, changesSettle, "commits are acknowledged after the faults", func() bool { return c.acknowledged() > before+20 })
+			close(stop)
+			running.Wait()
+			entries := c.Entries()
+			lost := slices.DeleteFunc(slices.Clone(c.acked), func(id string) bool { return slices.Contains(entries, id) })
+			if len(lost) > 0 {
+				t.Errorf("%d of %d acknowledged commits are lost, the first: %s; promoted: %v",
+					len(lost), len(c.acked), strings.Join(lost[:min(3, len(lost))], ", "), c.Promotions())
+			}
+			t.Logf("seed %d: %d acknowledged, %d unknown, promoted %v", seed, len(c.acked), c.unknown, c.Promotions())
+		})
+	}
+}
