replacer: choose again when the coordinator may act

Callers saw: nothing; found by reading the wait before the first promote call.

Cause: a coordinator that may not act yet fences and chooses at once, and calls up to 1.8 s later. Until then primary leases of the last coordinator hold, and instances acknowledge commits under them that the chosen server may lack, if a replica has forgotten its pause meanwhile.

Evidence: TestChoiceIsRepeatedWhenTheCoordinatorMayAct: the commit was not in the log of the promoted server.

Change: a call that does not follow the choice at once is preceded by another fence and choice, as a repeated call is.

After: the test and all others of the package pass.

--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -250,20 +250,30 @@
 
 // promote makes the server the primary and waits until it leads. It returns false
 // if that takes too long or another server should lead; all servers stay fenced then.
-// Before the call is repeated, choose tells which server may lead now: one that
-// restarted since may have lost its pause or its log.
+// Before a call that does not follow the choice at once, choose tells which server may
+// lead now: one that restarted since may have lost its pause or its log.
 func (t *task) promote(id string, term uint64, choose func() (string, error)) bool {
 	srv, ok := t.cfg.Informer.State().Server(t.service.Name, id)
 	if !ok {
 		return false
 	}
 	deadline := t.cfg.Clock.Now().Add(promotionTimeout)
-	called := false
+	called, chosenNow := false, true
 	for t.ctx.Err() == nil && t.cfg.Clock.Now().Before(deadline) {
 		if !called {
+			if _, mayAct := t.cfg.Election.Token(); !mayAct {
+				chosenNow = false
+				t.sleep(pollInterval)
+				continue
+			}
+			if !chosenNow {
+				if now, err := choose(); err != nil || now != id {
+					t.log.WithFields(logrus.Fields{"server": id, "now": now, "error": err}).Warn("replacer: the chosen server may not lead any more")
+					return false
+				}
+			}
 			token, mayAct := t.cfg.Election.Token()
 			if !mayAct {
-				t.sleep(pollInterval)
 				continue
 			}
 			err := t.callPromote(id, token)
@@ -274,11 +284,8 @@
 			}
 			log.Info("replacer: platform was asked to promote a server")
 			if err != nil {
+				chosenNow = false
 				t.sleep(promoteRetryInterval)
-				if now, err := choose(); err != nil || now != id {
-					t.log.WithFields(logrus.Fields{"server": id, "now": now, "error": err}).Warn("replacer: promotion is not repeated")
-					return false
-				}
 			}
 		}
 		r, err := t.cfg.Backends.Probe(srv, exchanger.Statement{Kind: exchanger.Status}, t.cfg.Clock.Now().Add(pollTimeout))
--- a/internal/replacer/replacer_test.go
+++ b/internal/replacer/replacer_test.go
@@ -841,3 +841,32 @@
 	f.election.token.Store(4)
 	eventually(t, 5*time.Second, "the next coordinator resumes the replica", resumed.Load)
 }
+
+// Guards against a call by a choice that was made before the coordinator may act: until
+// then primary leases of the last coordinator hold, and commits are acknowledged under them
+// with a replica that has forgotten its pause.
+func TestChoiceIsRepeatedWhenTheCoordinatorMayAct(t *testing.T) {
+	f := newFixture(t, pos(0))
+	paused := make(chan struct{})
+	var once sync.Once
+	f.OnStatement = func(server string, s exchanger.Statement) {
+		if server == "c" && s.Kind == exchanger.Pause {
+			once.Do(func() { close(paused) })
+		}
+	}
+	f.election.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	f.election.mute.Store(true)
+	f.setCut("a", true)
+	<-paused
+	time.Sleep(200 * time.Millisecond)
+	f.Restart("c", false)
+	if err := f.write("a", "under a lease of the last coordinator"); err != nil {
+		t.Fatalf("the old primary did not acknowledge the commit: %v", err)
+	}
+	f.election.mute.Store(false)
+	eventually(t, 10*time.Second, "another server leads", func() bool { return f.group.Term() > 1 })
+	if !slices.Contains(f.Entries(), "under a lease of the last coordinator") {
+		t.Errorf("the acknowledged commit is not in the log of the primary; promoted: %v", f.Promotions())
+	}
+}
