informer: refuse an entry in the place of a known server's

Cause: an entry under the id of a known server replaced it, whatever service or address it named. Until the server's next heartbeat, 1.2 s later, the server was not used, and a primary that cannot be reached is replaced after 0.6 s.

Evidence: three of four cases of TestEntryInThePlaceOfAServer.

Change: an entry with the id of a known server, another service or address, and no later start names no server. The known server stays in the view as one that is missing from the list.

After: the test passes, and all others of the package.

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -381,6 +381,9 @@
 	servers := make([]Server, 0, len(entries))
 	for _, e := range entries {
 		srv, err := n.cfg.Schema.DecodeServer(e.Key, e.Value)
+		if err == nil && n.isInPlaceOf(srv) {
+			err = errOtherServer
+		}
 		if err != nil {
 			n.rejected.add(e.Key, err, now)
 			continue
@@ -391,6 +394,16 @@
 	return usable, servers
 }
 
+// errOtherServer means that an entry describes another server than the one with its id.
+var errOtherServer = errors.New("the server with this id has another service or address")
+
+// isInPlaceOf reports whether the entry has the id of a known server but cannot be its:
+// a server has one service and one address from its start on. The caller holds mu.
+func (n *Informer) isInPlaceOf(srv Server) bool {
+	known, ok := n.servers[srv.ID]
+	return ok && srv.Born <= known.Born && (srv.Service != known.Service || srv.Address != known.Address)
+}
+
 // drainingBeforeSeen is how long a server that is draining when it is first seen is
 // taken to have been draining. It is longer than a draining server serves, because
 // an instance that starts does not know when the server began to drain.
--- a/internal/informer/odd_entries_test.go
+++ b/internal/informer/odd_entries_test.go
@@ -80,3 +80,31 @@
 		}
 	}
 }
+
+// Guards against an entry of another writer in the place of a known server's: the server
+// would not be used, and a primary would be replaced, until its next heartbeat.
+func TestEntryInThePlaceOfAServer(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		entry informer.Server
+		want  string
+	}{
+		{"another service", informer.Server{Service: "odd", Address: "a", Born: 5}, "a"},
+		{"another address", informer.Server{Service: "s", Address: "odd", Born: 5}, "a"},
+		{"an earlier start", informer.Server{Service: "s", Address: "odd", Born: 4}, "a"},
+		{"a later start: the server has moved", informer.Server{Service: "s", Address: "b", Born: 6}, "b"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := start(t, func(c *informer.Config) { c.RemoveAfter = time.Minute })
+			f.store.Put("backend/x", encode(t, informer.Server{Service: "s", Address: "a", Born: 5}))
+			eventually(t, "x is listed", func() bool { return len(f.informer.State().ServersOf("s")) == 1 })
+			f.store.Put("backend/x", encode(t, tc.entry))
+			f.store.Put("backend/y", encode(t, informer.Server{Service: "t", Address: "c", Born: 5}))
+			eventually(t, "the list is read", func() bool { return len(f.informer.State().ServersOf("t")) == 1 })
+			list := f.informer.State().ServersOf("s")
+			if len(list) != 1 || list[0].Address != tc.want {
+				t.Errorf("%+v, want x at %s", list, tc.want)
+			}
+		})
+	}
+}
