--- a/internal/replacer/fence.go
+++ b/internal/replacer/fence.go
@@ -73,7 +73,7 @@
 // usually failed.
 func (f fence) isNeeded(srv informer.Server) bool { return srv.ID != f.leader }
 
-// member returns the server as its report shows it; nil if it did not report.
+// member returns the server as its report shows it. The report is nil if none arrived.
 func (f fence) member(srv informer.Server, r *exchanger.Report) member {
 	m := member{id: srv.ID, draining: srv.Draining, isOldPrimary: srv.ID == f.leader, asked: srv.ID == f.asked}
 	if r != nil {
--- a/internal/replacer/primary_lease.go
+++ b/internal/replacer/primary_lease.go
@@ -48,8 +48,8 @@
 	defer t.leaseMu.Unlock()
 	now := t.cfg.Clock.Now()
 	switch {
-	case t.handover.Next != "":
-		lease = t.handover
+	case t.switchoverLease.Next != "":
+		lease = t.switchoverLease
 	case !ok || t.changing || failures > 0 || now.Sub(answered) > healthyWithin:
 		return lease, false
 	}
@@ -60,7 +60,7 @@
 	}
 	until := now.Add(t.cfg.PrimaryLeaseTTL)
 	if lease.Next != "" {
-		t.handoverUntil = until
+		t.switchoverUntil = until
 	} else {
 		t.leasedUntil = until
 	}
@@ -71,20 +71,20 @@
 func (t *task) beginChange() {
 	t.leaseMu.Lock()
 	defer t.leaseMu.Unlock()
-	t.changing, t.handover = true, PrimaryLease{}
+	t.changing, t.switchoverLease = true, PrimaryLease{}
 }
 
-// beginHandover grants only switchover leases until beginChange or endChange.
-func (t *task) beginHandover(l attester.Leader, next string) {
+// beginSwitchover grants only switchover leases until beginChange or endChange.
+func (t *task) beginSwitchover(l attester.Leader, next string) {
 	t.leaseMu.Lock()
 	defer t.leaseMu.Unlock()
-	t.changing, t.handover = true, PrimaryLease{Service: t.service.Name, Leader: l, Next: next}
+	t.changing, t.switchoverLease = true, PrimaryLease{Service: t.service.Name, Leader: l, Next: next}
 }
 
 func (t *task) endChange() {
 	t.leaseMu.Lock()
 	defer t.leaseMu.Unlock()
-	t.changing, t.handover = false, PrimaryLease{}
+	t.changing, t.switchoverLease = false, PrimaryLease{}
 }
 
 // awaitLeases returns when all leases that this instance granted have expired. During
@@ -92,8 +92,8 @@
 func (t *task) awaitLeases() (waited bool) {
 	t.leaseMu.Lock()
 	until := t.leasedUntil
-	if t.handover.Next == "" {
-		until = later(until, t.handoverUntil)
+	if t.switchoverLease.Next == "" {
+		until = later(until, t.switchoverUntil)
 	}
 	t.leaseMu.Unlock()
 	for t.ctx.Err() == nil {
--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -250,9 +250,9 @@
 
 // promote makes the server the primary and waits until it leads. It returns false
 // if that takes too long or another server should lead; all servers stay fenced then.
-// Before a call that does not follow the choice at once, choose tells which server may
-// lead now: one that restarted since may have lost its pause or its log.
-func (t *task) promote(id string, term uint64, choose func() (string, error)) bool {
+// Before a call that does not follow the choice at once, chooseAgain tells which server
+// may lead now: one that restarted since may have lost its pause or its log.
+func (t *task) promote(id string, term uint64, chooseAgain func() (string, error)) bool {
 	srv, ok := t.cfg.Informer.State().Server(t.service.Name, id)
 	if !ok {
 		return false
@@ -267,7 +267,7 @@
 				continue
 			}
 			if !chosenNow {
-				if now, err := choose(); err != nil || now != id {
+				if now, err := chooseAgain(); err != nil || now != id {
 					t.log.WithFields(logrus.Fields{"server": id, "now": now, "error": err}).Warn("replacer: the chosen server may not lead any more")
 					return false
 				}
--- a/internal/replacer/replacer.go
+++ b/internal/replacer/replacer.go
@@ -130,13 +130,13 @@
 	tenureToken  int64
 	tenureSince  time.Time
 
-	// leasedUntil and handoverUntil are the ends of the last lease and the last
+	// leasedUntil and switchoverUntil are the ends of the last lease and the last
 	// switchover lease. While changing is set, only switchover leases are granted, and
-	// only if handover has a next primary.
-	leaseMu                    sync.Mutex
-	leasedUntil, handoverUntil time.Time
-	changing                   bool
-	handover                   PrimaryLease
+	// only if switchoverLease has a next primary.
+	leaseMu                      sync.Mutex
+	leasedUntil, switchoverUntil time.Time
+	changing                     bool
+	switchoverLease              PrimaryLease
 }
 
 func newTask(r *Replacer, service informer.Service) *task {
--- a/internal/replacer/switchover.go
+++ b/internal/replacer/switchover.go
@@ -32,7 +32,7 @@
 		t.failover(old, "switchover: a replica that may acknowledge commits is not listed")
 		return
 	}
-	t.beginHandover(old, next.ID)
+	t.beginSwitchover(old, next.ID)
 	defer t.endChange()
 	term := old.Term + 1
 	t.log.WithFields(logrus.Fields{"server": old.Server.ID, "next": next.ID, "term": term, "reason": reason}).Info("replacer: primary hands over")
