dispatcher: no proof for commits that need no replica

Callers would have seen: unknown outcomes of commits in services with sync_replicas 0, as soon as no primary lease holds; always, if the service has one server, for which no leases are granted. Found by reading again; no deployment in force has such a service.

Cause: the proof asked for a replica that has the commit, whether or not the service's commits wait for one.

Evidence: TestCommitOfAServiceWithoutSyncReplicas got unknown_outcome.

Change: only services whose commits need a replica ask for a proof.

After: the test and all others of the package pass.

--- a/internal/dispatcher/commit_test.go
+++ b/internal/dispatcher/commit_test.go
@@ -60,6 +60,41 @@
 	}
 }
 
+// Guards against commits of unknown outcome in a service whose commits need no replica: no
+// replica can prove them, and the service may have none.
+func TestCommitOfAServiceWithoutSyncReplicas(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		syncReplicas int
+		want         exchanger.Code
+	}{{"commits need no replica", 0, exchanger.Success}, {"commits need a replica", 1, exchanger.UnknownOutcome}} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			config, err := json.Marshal(informer.Configuration{Version: 1, Services: map[string]informer.Service{
+				exchangertest.Service: {Name: exchangertest.Service, SyncReplicas: tc.syncReplicas},
+			}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.store.Put("config/now", config)
+			for deadline := time.Now().Add(5 * time.Second); !f.informer.State().HasConfiguration(); time.Sleep(time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatal("the configuration is not in force")
+				}
+			}
+			if _, err := f.d.Group(exchangertest.Service).AwaitLeader(time.Now().Add(time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			f.pause(t, "b", 2)
+			f.restarted(t, "c")
+			if a := f.d.Run(request("w", exchanger.Write, informer.PrimaryReads)); a.Code != tc.want {
+				t.Errorf("got %s %q, want %s", a.Code, a.Text, tc.want)
+			}
+		})
+	}
+}
+
 // prepareCommit returns a function that runs a single write, or commits a transaction
 // that has written.
 func (f *fixture) prepareCommit(t *testing.T, kind string) func() exchanger.Answer {
--- a/internal/dispatcher/write.go
+++ b/internal/dispatcher/write.go
@@ -99,15 +99,28 @@
 // errNotProved means that a server acknowledged a commit that the next primary may lack.
 var errNotProved = errors.New("the commit is not proved to be in the log of every server that may be promoted")
 
+// needsReplica reports whether the service's commits are acknowledged only when a replica
+// has received them. Others may be lost with the primary, and no replica can prove them.
+func (d *Dispatcher) needsReplica(service string) bool {
+	state := d.cfg.Informer.State()
+	if !state.HasConfiguration() {
+		return true
+	}
+	s, ok := state.Configuration.Services[service]
+	return !ok || s.SyncReplicas > 0
+}
+
 // acknowledgeCommit returns the answer to a commit that the primary has acknowledged, once
 // the commit is proved to outlast a change of the primary. Otherwise its outcome is unknown.
 func (d *Dispatcher) acknowledgeCommit(g *attester.Group, l attester.Leader, req Request, a exchanger.Answer, began, deadline time.Time) exchanger.Answer {
-	if !g.HasLease(l) {
-		d.count.commitsConfirmed.Inc(1)
-	}
-	if err := g.ConfirmCommit(l, a.Position, deadline); err != nil {
-		d.count.commitsNotProved.Inc(1)
-		return d.unknownOutcome(req, l, errors.Join(errNotProved, err))
+	if d.needsReplica(req.Route.Service) {
+		if !g.HasLease(l) {
+			d.count.commitsConfirmed.Inc(1)
+		}
+		if err := g.ConfirmCommit(l, a.Position, deadline); err != nil {
+			d.count.commitsNotProved.Inc(1)
+			return d.unknownOutcome(req, l, errors.Join(errNotProved, err))
+		}
 	}
 	g.RecordAcknowledged(a.Position)
 	g.AddSample(attester.Sample{At: began, Position: a.Position, Term: l.Term})
