reconciler: keeps a backend for each server that is listed

Pools, shares of connections, the health of unlisted servers and the counters of slots' use were parts of dispatcher and guarded by its lock. Change: package reconciler has them with a lock of its own. Log lines and metric names stay.

--- a/internal/dispatcher/counters.go
+++ b/internal/dispatcher/counters.go
@@ -4,7 +4,7 @@
 
 // counters count what the dispatcher does.
 type counters struct {
-	dials, probes, reads, readsAtReplicas, writes, retries, hedges, refusals, unknown metrics.Counter
+	probes, reads, readsAtReplicas, writes, retries, hedges, refusals, unknown metrics.Counter
 	// readsLeftZone are reads that left a zone with a replica.
 	readsLeftZone metrics.Counter
 	// positionQueries are status queries to replicas that are behind, readsPassedOver reads
@@ -16,8 +16,6 @@
 	probeReads, hedgesNotPaid metrics.Counter
 	// retriesRefused are requests that were not tried again because too many were.
 	retriesRefused metrics.Counter
-	// teamSwitches are connections for which an idle one of another team was closed.
-	teamSwitches, teamSwitchesFailed metrics.Counter
 	// commitsConfirmed are commits that no primary lease proved, commitsNotProved those
 	// that nothing did.
 	commitsConfirmed, commitsNotProved metrics.Counter
@@ -31,7 +29,6 @@
 func newCounters(r metrics.Registry) counters {
 	c := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("dispatcher."+name, r) }
 	return counters{
-		dials: c("dials"), teamSwitches: c("team_switches"), teamSwitchesFailed: c("team_switches_failed"),
 		probes: c("probes"), reads: c("reads"), readsAtReplicas: c("reads_at_replicas"),
 		writes: c("writes"), retries: c("retries"), hedges: c("hedged_reads"), refusals: c("refusals"), unknown: c("unknown_outcomes"),
 		commitsConfirmed: c("commits_confirmed"), commitsNotProved: c("commits_not_proved"),
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -15,38 +15,13 @@
 	"marigoldhub.example/hub/internal/executor"
 	"marigoldhub.example/hub/internal/hedger"
 	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/reconciler"
 	"marigoldhub.example/hub/internal/selector"
 )
 
 const (
-	// defaultConnections is the connection limit of a service that declares none.
-	defaultConnections = 20
 	// reconcileInterval is how often the shares of connections are recomputed.
 	reconcileInterval = 500 * time.Millisecond
-	// idleTimeout is how long a connection beyond minOpenConnections may be idle.
-	// Servers count the connections of an instance that lost power for 3 s; those
-	// that were closed before are available to the instances that start again.
-	idleTimeout = 1500 * time.Millisecond
-	// maxTeamIdleTime is how long a connection of a team may be idle in any case. Servers
-	// close idle connections after a time of their own, and a statement that is sent on
-	// a closed one is lost.
-	maxTeamIdleTime = 20 * time.Second
-	// probeIdleTimeout replaces idleTimeout on an instance that is no gateway of the
-	// server: its connections serve status queries only. It is longer than the pause
-	// between two queries.
-	probeIdleTimeout = 500 * time.Millisecond
-	// assumedFleetSize is the number of instances that share a server's connections,
-	// as assumed by an instance that has not yet received the list of instances.
-	assumedFleetSize = 16
-	// probeConnections is how many connections an instance that is no gateway may
-	// open, for status queries and for callers while no gateway is reachable.
-	probeConnections = 1
-	// serverLingerTime is how long a server counts connections whose instance has
-	// lost power, according to the servers' protocol.
-	serverLingerTime = 3 * time.Second
-	// minOpenConnections connections to each server stay open for status queries
-	// and the next request.
-	minOpenConnections = 1
 	// probePriority puts status queries before callers' requests: they are short,
 	// and reads wait for what they confirm.
 	probePriority = -1
@@ -61,18 +36,15 @@
 	*executor.Executor
 	cfg   Config
 	count counters
-	order *orderCounters
 	// retryBudget limits the tries after refusals at full queues.
 	retryBudget retryBudget
-	started     time.Time
 
-	mu       sync.RWMutex
-	backends map[string]*connector.Backend
-	// unlisted is the health of servers without a pool.
-	unlisted map[string]unlistedHealth
-	groups   map[string]*attester.Group
+	mu     sync.RWMutex
+	groups map[string]*attester.Group
 	// hedges are the budgets for additional tries of reads by service.
 	hedges map[string]*hedger.Budget
+	// backends are the listed servers.
+	backends *reconciler.Reconciler
 	// gateways knows the gateways of the servers.
 	gateways *selector.Selector
 	// delegator sends statements to them.
@@ -87,24 +59,24 @@
 // New returns a dispatcher and starts its background work.
 func New(cfg Config) *Dispatcher {
 	d := &Dispatcher{
-		cfg:      cfg,
-		started:  cfg.Clock.Now(),
-		count:    newCounters(cfg.Metrics),
-		order:    newOrderCounters(cfg.Metrics),
-		backends: map[string]*connector.Backend{},
-		unlisted: map[string]unlistedHealth{},
-		groups:   map[string]*attester.Group{},
-		hedges:   map[string]*hedger.Budget{},
-		stop:     make(chan struct{}),
-		done:     make(chan struct{}),
+		cfg:    cfg,
+		count:  newCounters(cfg.Metrics),
+		groups: map[string]*attester.Group{},
+		hedges: map[string]*hedger.Budget{},
+		stop:   make(chan struct{}),
+		done:   make(chan struct{}),
 	}
 	d.gateways = selector.New(selector.Config{Instance: cfg.Instance, Forwarder: cfg.Forwarder, Stop: d.stop, Clock: cfg.Clock, Log: cfg.Log})
 	d.delegator = delegator.New(delegator.Config{
 		Instance: cfg.Instance, Zone: cfg.Zone, Forwarder: cfg.Forwarder, Selector: d.gateways, Clock: cfg.Clock, TimeOfDay: cfg.TimeOfDay, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	d.appraiser = appraiser.New(cfg.Clock, cfg.Metrics, cfg.Log)
+	d.backends = reconciler.New(reconciler.Config{
+		Informer: cfg.Informer, Instances: cfg.Instances, InstancesKnown: cfg.InstancesKnown, Selector: d.gateways, KeepListed: d.appraiser.Keep,
+		Dialer: cfg.Dialer, DrainLimit: cfg.DrainLimit, Clock: cfg.Clock, Metrics: cfg.Metrics, Log: cfg.Log,
+	})
 	d.Executor = executor.New(executor.Config{
-		Backend: d.backend, AcceptsNewWork: d.acceptsNewWork, LeaveGateways: d.gateways.LeaveGateways, IdleInTransaction: d.idleInTransaction,
+		Backend: d.backends.Backend, AcceptsNewWork: d.backends.AcceptsNewWork, LeaveGateways: d.gateways.LeaveGateways, IdleInTransaction: d.idleInTransaction,
 		Appraiser: d.appraiser, Clock: cfg.Clock, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	go func() {
@@ -125,11 +97,7 @@
 func (d *Dispatcher) Close() {
 	close(d.stop)
 	<-d.done
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, b := range d.backends {
-		b.Close()
-	}
+	d.backends.Close()
 }
 
 // follow reconciles with the lists of servers and instances until the dispatcher is
@@ -137,7 +105,7 @@
 func (d *Dispatcher) follow() {
 	for {
 		changed, instances := d.cfg.Informer.Changed(), d.cfg.InstancesChanged()
-		d.reconcile()
+		d.backends.Reconcile()
 		d.ExpireTransactions()
 		select {
 		case <-changed:
@@ -178,7 +146,7 @@
 // The server need not be listed: one whose entry is missing may still run.
 func (d *Dispatcher) Probe(srv informer.Server, s exchanger.Statement, deadline time.Time) (exchanger.Report, error) {
 	d.count.probes.Inc(1)
-	b := d.backend(srv.ID)
+	b := d.backends.Backend(srv.ID)
 	if b == nil {
 		return d.probeUnlisted(srv, s, deadline)
 	}
@@ -198,12 +166,12 @@
 	c, err := d.cfg.Dialer.Dial(srv.Target(), deadline)
 	if err != nil {
 		var refused *exchanger.RefusedError
-		d.recordUnlisted(srv.ID, errors.As(err, &refused))
+		d.backends.RecordUnlisted(srv.ID, errors.As(err, &refused))
 		return exchanger.Report{}, err
 	}
 	defer c.Close()
 	answers, err := c.Exchange(deadline, s)
-	d.recordUnlisted(srv.ID, err == nil)
+	d.backends.RecordUnlisted(srv.ID, err == nil)
 	if err != nil {
 		return exchanger.Report{}, err
 	}
@@ -241,13 +209,19 @@
 	return answers, err
 }
 
+// Health returns when the server last answered this instance, and how many
+// attempts have failed since; see [reconciler.Reconciler.Health].
+func (d *Dispatcher) Health(id string) (answered time.Time, failures int) {
+	return d.backends.Health(id)
+}
+
 // LastBehind returns when a read of this instance last found that the server's log does
 // not cover its position: by the server's answer, or by a report for which it was not tried.
 // A report of the server's gateway, which exists only if a read of any instance found that,
 // counts as well.
 func (d *Dispatcher) LastBehind(id string) time.Time {
 	var last time.Time
-	if b := d.backend(id); b != nil {
+	if b := d.backends.Backend(id); b != nil {
 		last = latest(b.LackedAt(), b.PassedOverAt())
 	}
 	if d.cfg.PositionAt == nil {
@@ -266,7 +240,7 @@
 // PendingSince returns when the oldest unanswered write was sent to the server;
 // false if there is none.
 func (d *Dispatcher) PendingSince(id string) (time.Time, bool) {
-	if b := d.backend(id); b != nil {
+	if b := d.backends.Backend(id); b != nil {
 		return b.Writes.Oldest()
 	}
 	return time.Time{}, false
--- a/internal/dispatcher/export_test.go
+++ b/internal/dispatcher/export_test.go
@@ -1,4 +1,4 @@
 package dispatcher
 
 // Waiting returns how many requests wait for a slot of the server.
-func (d *Dispatcher) Waiting(server string) int { return d.backend(server).Limiter.Waiting() }
+func (d *Dispatcher) Waiting(server string) int { return d.backends.Backend(server).Limiter.Waiting() }
--- a/internal/dispatcher/leader_read.go
+++ b/internal/dispatcher/leader_read.go
@@ -52,7 +52,7 @@
 // server is still the primary: by its own report and by a replica. Under a primary
 // lease no confirmation is needed.
 func (d *Dispatcher) confirmedRead(g *attester.Group, l attester.Leader, req Request, deadline time.Time) (exchanger.Answer, error) {
-	b := d.backend(l.Server.ID)
+	b := d.backends.Backend(l.Server.ID)
 	if b == nil {
 		g.Suspect(l.Server.ID, "not listed")
 		return exchanger.Answer{}, errUnknownServer
@@ -108,7 +108,7 @@
 
 // recheckPrimary looks for another primary when the known one did not answer.
 func (d *Dispatcher) recheckPrimary(g *attester.Group, l attester.Leader) {
-	if b := d.backend(l.Server.ID); b == nil {
+	if b := d.backends.Backend(l.Server.ID); b == nil {
 		g.Suspect(l.Server.ID, "not listed")
 		return
 	}
--- a/internal/dispatcher/progress.go
+++ b/internal/dispatcher/progress.go
@@ -57,7 +57,7 @@
 			return
 		}
 		now := d.cfg.Clock.Now()
-		for _, b := range d.scheduledBackends(now) {
+		for _, b := range d.backends.Scheduled(now) {
 			at, lacks := b.LacksPosition()
 			if !lacks || now.Sub(at) < positionInterval {
 				continue
@@ -89,7 +89,7 @@
 	if wait > 0 {
 		estimates = append(estimates, wait-req.Route.Objective/2)
 	}
-	for _, b := range d.backendsOf(req.Route.Service, now) {
+	for _, b := range d.backends.BackendsOf(req.Route.Service, now) {
 		if p, ok := d.progressOf(b, now); ok && p.Lacks(pos.floor(), now) {
 			estimates = append(estimates, p.CoversAt(pos.floor()).Sub(now))
 		}
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -109,7 +109,7 @@
 	var backends []*connector.Backend
 	var candidates []placer.Candidate
 	isPassedOver := false
-	for _, b := range d.backendsOf(req.Route.Service, now) {
+	for _, b := range d.backends.BackendsOf(req.Route.Service, now) {
 		if !tried[b.ID] {
 			backends = append(backends, b)
 			c := b.Candidate(now, d.cfg.Zone, leader, now.Sub(pos.availableAt))
--- a/internal/dispatcher/transaction_begin.go
+++ b/internal/dispatcher/transaction_begin.go
@@ -72,7 +72,7 @@
 		if err != nil {
 			return d.refuse(req, exchanger.Busy, "no primary is known", errors.Join(err, reason)), false
 		}
-		b := d.backend(l.Server.ID)
+		b := d.backends.Backend(l.Server.ID)
 		if b == nil {
 			g.Suspect(l.Server.ID, "not listed")
 			reason = errUnknownServer
--- a/internal/dispatcher/waits.go
+++ b/internal/dispatcher/waits.go
@@ -20,7 +20,7 @@
 func (d *Dispatcher) Waits() []surveyor.Report {
 	now := d.cfg.Clock.Now()
 	var out []surveyor.Report
-	for _, b := range d.scheduledBackends(now) {
+	for _, b := range d.backends.Scheduled(now) {
 		r := surveyor.Report{Server: b.ID}
 		load := b.Load(connector.Request{Priority: readPriority, Due: now})
 		// Connections are opened when they are needed; only the slots are scarce.
@@ -37,17 +37,3 @@
 	}
 	return out
 }
-
-// scheduledBackends returns the servers whose work this instance schedules as their first
-// gateway. Standby gateways know nothing of the queue at the one that does.
-func (d *Dispatcher) scheduledBackends(now time.Time) []*connector.Backend {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	var out []*connector.Backend
-	for _, b := range d.backends {
-		if b.IsScheduler(now) {
-			out = append(out, b)
-		}
-	}
-	return out
-}
--- a/internal/dispatcher/write.go
+++ b/internal/dispatcher/write.go
@@ -24,7 +24,7 @@
 		if err != nil {
 			return d.refuse(req, exchanger.Busy, "no primary is known", errors.Join(err, reason))
 		}
-		b := d.backend(l.Server.ID)
+		b := d.backends.Backend(l.Server.ID)
 		if b == nil {
 			g.Suspect(l.Server.ID, "not listed")
 			reason = errUnknownServer
--- /dev/null
+++ b/internal/reconciler/doc.go
@@ -0,0 +1,12 @@
+// Package reconciler keeps a backend for each server that is listed.
+//
+// Whenever the list of servers or of instances changes, and at a fixed interval, a
+// [Reconciler] opens pools for new servers, closes those of servers that have left, and
+// gives each server its ranking of gateways and this instance's share of the connections.
+// With more instances than the server allows connections, only its gateways hold some;
+// package placer computes how many. Idle connections beyond the share are closed.
+//
+// A server that returns with another address, or after a restart, is a new one. The health
+// of a server that is not listed is kept for a while: its primary may have failed without
+// an entry, and package replacer asks for it.
+package reconciler
--- a/internal/dispatcher/health.go
+++ b/internal/reconciler/unlisted.go
@@ -1,4 +1,4 @@
-package dispatcher
+package reconciler
 
 import (
 	"maps"
@@ -18,33 +18,33 @@
 	probed time.Time
 }
 
-// recordUnlisted records how a server that is not listed answered a probe. Any answer
+// RecordUnlisted records how a server that is not listed answered a probe. Any answer
 // shows that it runs.
-func (d *Dispatcher) recordUnlisted(id string, answered bool) {
-	now := d.cfg.Clock.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	h := d.unlisted[id]
+func (r *Reconciler) RecordUnlisted(id string, answered bool) {
+	now := r.cfg.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.unlisted[id]
 	h.probed = now
 	if answered {
 		h.RecordAnswer(now)
 	} else {
 		h.RecordFailure()
 	}
-	d.unlisted[id] = h
+	r.unlisted[id] = h
 }
 
 // keepHealth keeps the health of a server whose pool is closed because it is not listed.
 // The caller holds mu.
-func (d *Dispatcher) keepHealth(b *connector.Backend) {
-	d.unlisted[b.ID] = unlistedHealth{Health: b.Health(), probed: d.cfg.Clock.Now()}
+func (r *Reconciler) keepHealth(b *connector.Backend) {
+	r.unlisted[b.ID] = unlistedHealth{Health: b.Health(), probed: r.cfg.Clock.Now()}
 }
 
 // forgetUnlisted drops the health of servers that are listed again or have not been
 // probed for a while. The caller holds mu.
-func (d *Dispatcher) forgetUnlisted(listed map[string]bool) {
-	now := d.cfg.Clock.Now()
-	maps.DeleteFunc(d.unlisted, func(id string, h unlistedHealth) bool {
+func (r *Reconciler) forgetUnlisted(listed map[string]bool) {
+	now := r.cfg.Clock.Now()
+	maps.DeleteFunc(r.unlisted, func(id string, h unlistedHealth) bool {
 		return listed[id] || now.Sub(h.probed) > unlistedHealthRetention
 	})
 }
@@ -52,10 +52,10 @@
 // Health returns when the server last answered this instance, and how many
 // attempts have failed since. Servers that are not listed are known by their probes and
 // by what was known when they were last listed.
-func (d *Dispatcher) Health(id string) (answered time.Time, failures int) {
-	d.mu.RLock()
-	b, h := d.backends[id], d.unlisted[id].Health
-	d.mu.RUnlock()
+func (r *Reconciler) Health(id string) (answered time.Time, failures int) {
+	r.mu.RLock()
+	b, h := r.backends[id], r.unlisted[id].Health
+	r.mu.RUnlock()
 	if b != nil {
 		h = b.Health()
 	}
--- a/internal/dispatcher/order.go
+++ b/internal/reconciler/use.go
@@ -1,4 +1,4 @@
-package dispatcher
+package reconciler
 
 import (
 	"strings"
@@ -55,9 +55,9 @@
 
 // recordUse counts what became of the requests that waited for slots of the server since
 // the last call, and logs it if any was refused or late.
-func (d *Dispatcher) recordUse(b *connector.Backend) {
+func (r *Reconciler) recordUse(b *connector.Backend) {
 	u := b.Limiter.TakeUse()
-	c := d.order
+	c := r.order
 	c.late.Inc(int64(u.Late))
 	c.timedOut.Inc(int64(u.TimedOut))
 	c.evicted.Inc(int64(u.Evicted))
@@ -72,8 +72,12 @@
 	if u.Late+u.TimedOut+u.Evicted+u.Left == 0 {
 		return
 	}
-	d.cfg.Log.WithFields(withTeam(logrus.Fields{
+	fields := logrus.Fields{
 		"server": b.ID, "late": u.Late, "timed_out": u.TimedOut, "evicted": u.Evicted, "caller_left": u.Left, "waiting": b.Limiter.Waiting(),
 		"teams": len(u.SlotTime), "most_slot_time": longest.String(),
-	}, most)).Info("dispatcher: requests waited for a slot in vain or too long")
+	}
+	if most != "" {
+		fields["team"] = most
+	}
+	r.cfg.Log.WithFields(fields).Info("dispatcher: requests waited for a slot in vain or too long")
 }
