querier: sends servers the status queries and commands of the instance itself

Probes and the groups that use them shared the lock and the fields of the dispatcher. Change: package querier has both; the dispatcher embeds it, so its users see no difference. Result: the tests of dispatcher and of replacer pass (replacer without TestChangesOfServers).

--- a/internal/dispatcher/counters.go
+++ b/internal/dispatcher/counters.go
@@ -4,7 +4,7 @@
 
 // counters count what the dispatcher does.
 type counters struct {
-	probes, reads, readsAtReplicas, writes, retries, hedges, refusals, unknown metrics.Counter
+	reads, readsAtReplicas, writes, retries, hedges, refusals, unknown metrics.Counter
 	// readsLeftZone are reads that left a zone with a replica.
 	readsLeftZone metrics.Counter
 	// positionQueries are status queries to replicas that are behind, readsPassedOver reads
@@ -29,7 +29,7 @@
 func newCounters(r metrics.Registry) counters {
 	c := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("dispatcher."+name, r) }
 	return counters{
-		probes: c("probes"), reads: c("reads"), readsAtReplicas: c("reads_at_replicas"),
+		reads: c("reads"), readsAtReplicas: c("reads_at_replicas"),
 		writes: c("writes"), retries: c("retries"), hedges: c("hedged_reads"), refusals: c("refusals"), unknown: c("unknown_outcomes"),
 		commitsConfirmed: c("commits_confirmed"), commitsNotProved: c("commits_not_proved"),
 		readsLeftZone:   c("reads_left_zone"),
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -1,20 +1,16 @@
 package dispatcher
 
 import (
-	"fmt"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"marigoldhub.example/hub/internal/appraiser"
-	"marigoldhub.example/hub/internal/attester"
-	"marigoldhub.example/hub/internal/connector"
 	"marigoldhub.example/hub/internal/delegator"
-	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/executor"
 	"marigoldhub.example/hub/internal/hedger"
-	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/querier"
 	"marigoldhub.example/hub/internal/reconciler"
 	"marigoldhub.example/hub/internal/selector"
 )
@@ -22,9 +18,6 @@
 const (
 	// reconcileInterval is how often the shares of connections are recomputed.
 	reconcileInterval = 500 * time.Millisecond
-	// probePriority puts status queries before callers' requests: they are short,
-	// and reads wait for what they confirm.
-	probePriority = -1
 )
 
 // errUnknownServer means that a server is not listed any more.
@@ -34,13 +27,14 @@
 type Dispatcher struct {
 	// Executor runs the statements of other instances.
 	*executor.Executor
+	// Querier asks servers for their status and knows the primaries.
+	*querier.Querier
 	cfg   Config
 	count counters
 	// retryBudget limits the tries after refusals at full queues.
 	retryBudget retryBudget
 
-	mu     sync.RWMutex
-	groups map[string]*attester.Group
+	mu sync.RWMutex
 	// hedges are the budgets for additional tries of reads by service.
 	hedges map[string]*hedger.Budget
 	// backends are the listed servers.
@@ -61,7 +55,6 @@
 	d := &Dispatcher{
 		cfg:    cfg,
 		count:  newCounters(cfg.Metrics),
-		groups: map[string]*attester.Group{},
 		hedges: map[string]*hedger.Budget{},
 		stop:   make(chan struct{}),
 		done:   make(chan struct{}),
@@ -75,6 +68,10 @@
 		Informer: cfg.Informer, Instances: cfg.Instances, InstancesKnown: cfg.InstancesKnown, Selector: d.gateways, KeepListed: d.appraiser.Keep,
 		Dialer: cfg.Dialer, DrainLimit: cfg.DrainLimit, Clock: cfg.Clock, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
+	d.Querier = querier.New(querier.Config{
+		Backends: d.backends, Informer: cfg.Informer, Dialer: cfg.Dialer, Delegator: d.delegator, IsCoordinator: cfg.IsCoordinator, AskPeers: cfg.AskPeers,
+		Clock: cfg.Clock, Metrics: cfg.Metrics, Log: cfg.Log,
+	})
 	d.Executor = executor.New(executor.Config{
 		Backend: d.backends.Backend, AcceptsNewWork: d.backends.AcceptsNewWork, LeaveGateways: d.gateways.LeaveGateways, IdleInTransaction: d.idleInTransaction,
 		Appraiser: d.appraiser, Clock: cfg.Clock, Metrics: cfg.Metrics, Log: cfg.Log,
@@ -125,90 +122,6 @@
 	return 0
 }
 
-// Group returns what is known of the service's primary, including its samples and
-// leases. It creates the group at the first call.
-func (d *Dispatcher) Group(service string) *attester.Group {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	g := d.groups[service]
-	if g == nil {
-		g = attester.NewGroup(attester.Config{
-			Service: service, Prober: d, AskPeers: d.cfg.AskPeers, Clock: d.cfg.Clock, Log: d.cfg.Log,
-			Servers: func() []informer.Server { return d.cfg.Informer.State().ServersOf(service) },
-		})
-		d.groups[service] = g
-	}
-	return g
-}
-
-// Probe sends a server a status query or command that this instance itself issues,
-// not one of a caller, and returns the server's report. It implements [attester.Prober].
-// The server need not be listed: one whose entry is missing may still run.
-func (d *Dispatcher) Probe(srv informer.Server, s exchanger.Statement, deadline time.Time) (exchanger.Report, error) {
-	d.count.probes.Inc(1)
-	b := d.backends.Backend(srv.ID)
-	if b == nil {
-		return d.probeUnlisted(srv, s, deadline)
-	}
-	answers, err := d.askServer(b, s, deadline)
-	if err != nil {
-		return exchanger.Report{}, err
-	}
-	r, err := reportOf(srv, answers[0])
-	if err == nil {
-		b.RecordAnswer(d.cfg.Clock.Now())
-	}
-	return r, err
-}
-
-// probeUnlisted is Probe for a server without a pool, on a connection of its own.
-func (d *Dispatcher) probeUnlisted(srv informer.Server, s exchanger.Statement, deadline time.Time) (exchanger.Report, error) {
-	c, err := d.cfg.Dialer.Dial(srv.Target(), deadline)
-	if err != nil {
-		var refused *exchanger.RefusedError
-		d.backends.RecordUnlisted(srv.ID, errors.As(err, &refused))
-		return exchanger.Report{}, err
-	}
-	defer c.Close()
-	answers, err := c.Exchange(deadline, s)
-	d.backends.RecordUnlisted(srv.ID, err == nil)
-	if err != nil {
-		return exchanger.Report{}, err
-	}
-	return reportOf(srv, answers[0])
-}
-
-// reportOf returns the report that the server's answer contains.
-func reportOf(srv informer.Server, a exchanger.Answer) (exchanger.Report, error) {
-	if !a.OK() || a.Report == nil {
-		return exchanger.Report{}, fmt.Errorf("backend server %s refused to report: %s %s", srv.ID, a.Code, a.Text)
-	}
-	return *a.Report, nil
-}
-
-// askServer sends a server a statement of the instance itself. Commands, and the
-// status queries of the coordinator, use a connection of this instance, so that
-// they do not depend on another one.
-func (d *Dispatcher) askServer(b *connector.Backend, s exchanger.Statement, deadline time.Time) ([]exchanger.Answer, error) {
-	cr := connector.Request{IsOwn: true, Priority: probePriority, WaitDeadline: deadline, Remaining: deadline.Sub(d.cfg.Clock.Now())}
-	if s.Kind == exchanger.Status && b.UsesGateways() && !b.IsGateway() && !d.cfg.IsCoordinator() {
-		c := d.delegator.NewConn(b, cr)
-		answers, err := c.RunPlain(deadline, s)
-		c.Release(err == nil && answers[0].State == exchanger.Idle)
-		return answers, err
-	}
-	c, err := b.AcquireOutOfSlot(cr)
-	if err != nil {
-		return nil, err
-	}
-	answers, err := c.RunPlain(deadline, s)
-	b.Pool.Release(c, err == nil && answers[0].State == exchanger.Idle)
-	if err != nil {
-		b.ObserveQueryFailure(d.cfg.Clock.Now())
-	}
-	return answers, err
-}
-
 // Health returns when the server last answered this instance, and how many
 // attempts have failed since; see [reconciler.Reconciler.Health].
 func (d *Dispatcher) Health(id string) (answered time.Time, failures int) {
--- a/internal/dispatcher/progress.go
+++ b/internal/dispatcher/progress.go
@@ -75,7 +75,7 @@
 	defer b.EndPositionQuery()
 	d.count.positionQueries.Inc(1)
 	status := exchanger.Statement{Kind: exchanger.Status}
-	if answers, err := d.askServer(b, status, deadline); err == nil {
+	if answers, err := d.Ask(b, status, deadline); err == nil {
 		b.ObservePosition(d.cfg.Clock.Now(), status, answers[0])
 	}
 }
