inspector: finds out which replicas are behind and how long requests wait

Reports of waits, positions of replicas and the queries for them shared files with the refusal of reads. Change: package inspector has them; the refusal of a read stays in dispatcher, in a file of its own. Result: the tests of dispatcher and noder pass.

--- a/internal/dispatcher/counters.go
+++ b/internal/dispatcher/counters.go
@@ -7,10 +7,9 @@
 	reads, readsAtReplicas, writes, retries, hedges, refusals, unknown metrics.Counter
 	// readsLeftZone are reads that left a zone with a replica.
 	readsLeftZone metrics.Counter
-	// positionQueries are status queries to replicas that are behind, readsPassedOver reads
-	// that were not tried at a replica because it lacks what they need, refusalsWithTime
+	// readsPassedOver are reads that were not tried at a replica because it lacks what they need, refusalsWithTime
 	// refused reads whose callers were told when to come back.
-	positionQueries, readsPassedOver, refusalsWithTime metrics.Counter
+	readsPassedOver, refusalsWithTime metrics.Counter
 	// probeReads are reads that were sent on purpose to a server that gets none otherwise,
 	// hedgesNotPaid tries that the budget did not allow.
 	probeReads, hedgesNotPaid metrics.Counter
@@ -33,7 +32,7 @@
 		writes: c("writes"), retries: c("retries"), hedges: c("hedged_reads"), refusals: c("refusals"), unknown: c("unknown_outcomes"),
 		commitsConfirmed: c("commits_confirmed"), commitsNotProved: c("commits_not_proved"),
 		readsLeftZone:   c("reads_left_zone"),
-		positionQueries: c("position_queries"), readsPassedOver: c("reads_passed_over"), refusalsWithTime: c("refusals_with_time"),
+		readsPassedOver: c("reads_passed_over"), refusalsWithTime: c("refusals_with_time"),
 		probeReads: c("probe_reads"), hedgesNotPaid: c("hedges_not_paid"),
 		retriesRefused: c("retries_refused"),
 		latency:        metrics.GetOrRegisterHistogram("dispatcher.server_latency_us", r, metrics.NewExpDecaySample(latencySamples, 0.015)),
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -10,9 +10,11 @@
 	"marigoldhub.example/hub/internal/delegator"
 	"marigoldhub.example/hub/internal/executor"
 	"marigoldhub.example/hub/internal/hedger"
+	"marigoldhub.example/hub/internal/inspector"
 	"marigoldhub.example/hub/internal/querier"
 	"marigoldhub.example/hub/internal/reconciler"
 	"marigoldhub.example/hub/internal/selector"
+	"marigoldhub.example/hub/internal/surveyor"
 )
 
 const (
@@ -43,6 +45,8 @@
 	gateways *selector.Selector
 	// delegator sends statements to them.
 	delegator *delegator.Delegator
+	// inspector knows which replicas are behind.
+	inspector *inspector.Inspector
 	// appraiser grades the servers by their answers to reads.
 	appraiser *appraiser.Appraiser
 
@@ -72,16 +76,17 @@
 		Backends: d.backends, Informer: cfg.Informer, Dialer: cfg.Dialer, Delegator: d.delegator, IsCoordinator: cfg.IsCoordinator, AskPeers: cfg.AskPeers,
 		Clock: cfg.Clock, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
+	d.inspector = inspector.New(inspector.Config{
+		Scheduled: d.backends.Scheduled, Querier: d.Querier, PositionAt: cfg.PositionAt, Stop: d.stop, Clock: cfg.Clock, Metrics: cfg.Metrics,
+	})
 	d.Executor = executor.New(executor.Config{
 		Backend: d.backends.Backend, AcceptsNewWork: d.backends.AcceptsNewWork, LeaveGateways: d.gateways.LeaveGateways, IdleInTransaction: d.idleInTransaction,
 		Appraiser: d.appraiser, Clock: cfg.Clock, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	go func() {
 		defer close(d.done)
-		var wg sync.WaitGroup
-		wg.Go(d.followPositions)
 		d.follow()
-		wg.Wait()
+		<-d.inspector.Done()
 	}()
 	return d
 }
@@ -128,6 +133,10 @@
 	return d.backends.Health(id)
 }
 
+// Waits returns the waits at the busy servers whose work this instance schedules, and
+// the positions of those that are replicas and behind.
+func (d *Dispatcher) Waits() []surveyor.Report { return d.inspector.Waits() }
+
 // LastBehind returns when a read of this instance last found that the server's log does
 // not cover its position: by the server's answer, or by a report for which it was not tried.
 // A report of the server's gateway, which exists only if a read of any instance found that,
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -114,7 +114,7 @@
 			backends = append(backends, b)
 			c := b.Candidate(now, d.cfg.Zone, leader, now.Sub(pos.availableAt))
 			c.Wait, c.OtherZoneCost = cmp.Or(d.reportedWait(b.ID), c.Wait), cmp.Or(d.cfg.OtherZoneCost, placer.DefaultOtherZoneCost)
-			if p, ok := d.progressOf(b, now); ok && !c.Primary {
+			if p, ok := d.inspector.Progress(b, now); ok && !c.Primary {
 				c.Lacks = p.Lacks(pos.floor(), now)
 			}
 			if c.Lacks {
