noder: check-config compares with the configuration and servers in the store

Cause: the configuration in force had to be copied into a file by hand, and nothing compared a new one with the backend servers that are there.

--- a/internal/auditor/auditor_test.go
+++ b/internal/auditor/auditor_test.go
@@ -201,3 +201,46 @@
 		}
 	}
 }
+
+// Guards against a configuration that is put in force although the listed servers cannot
+// serve it as it is written.
+func TestCheckServers(t *testing.T) {
+	servers := func(service string, n int) []informer.Server {
+		var out []informer.Server
+		for range n {
+			out = append(out, informer.Server{Service: service, Slots: 3})
+		}
+		return out
+	}
+	for _, tc := range []struct {
+		name    string
+		change  func(c *informer.Configuration)
+		servers []informer.Server
+		want    []string
+	}{
+		{"complete", func(*informer.Configuration) {}, servers("s1", 3), nil},
+		{"no server", func(*informer.Configuration) {}, nil, []string{`warning: service "s1": no server of it is listed: its statements are refused`}},
+		{"no server and no route", func(c *informer.Configuration) { clear(c.Routes) }, nil, nil},
+		{"too few replicas", func(*informer.Configuration) {}, servers("s1", 1), []string{
+			`warning: service "s1": commits wait for 1 replicas, and 1 servers are listed, one of which is the primary: no commit is acknowledged`,
+		}},
+		{"fewer connections than slots", func(c *informer.Configuration) {
+			update(c.Services, "s1", func(s *informer.Service) { s.MaxConnections = 2 })
+		}, servers("s1", 2), []string{`warning: service "s1": the connection limit of 2 is below the 3 slots of a server: a part of them is never used`}},
+		{"unknown service", func(*informer.Configuration) {}, append(servers("s1", 3), servers("old", 2)...), []string{
+			`warning: service "old": 2 servers are listed, but the service is not in the configuration: they get no work`,
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newConfiguration()
+			tc.change(c)
+			var got []string
+			for _, f := range auditor.CheckServers(c, tc.servers) {
+				got = append(got, f.String())
+			}
+			if strings.Join(got, "\n") != strings.Join(tc.want, "\n") {
+				t.Errorf("got:\n%s\nwant:\n%s", strings.Join(got, "\n"), strings.Join(tc.want, "\n"))
+			}
+		})
+	}
+}
--- a/internal/auditor/check.go
+++ b/internal/auditor/check.go
@@ -85,10 +85,7 @@
 
 func (fs *findings) checkService(c *informer.Configuration, s informer.Service) {
 	entry := ServiceEntry(s.Name)
-	isUsed := false
-	for _, r := range c.Routes {
-		isUsed = isUsed || r.Service == s.Name
-	}
+	isUsed := isRouted(s.Name, c.Routes)
 	if !isUsed {
 		fs.warnf(entry, "no route leads to it")
 	}
--- a/internal/noder/check_config.go
+++ b/internal/noder/check_config.go
@@ -1,6 +1,7 @@
 package noder
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"os"
@@ -10,13 +11,13 @@
 	"github.com/spf13/cobra"
 
 	"marigoldhub.example/hub/internal/auditor"
-	"marigoldhub.example/hub/internal/informer"
 	"marigoldhub.example/hub/platform"
 )
 
 // checkOptions are the flags of check-config.
 type checkOptions struct {
 	inForce  string
+	store    string
 	format   string
 	capacity float64
 }
@@ -30,29 +31,33 @@
 
 All errors and warnings are printed with file, line and key path: entries that
 cannot be decoded, that never match, or that contradict each other. With
---in-force, the differences to the configuration in that file are printed too.
+--in-force, the differences to the configuration in that file are printed too,
+with --store those to the configuration that the platform's store holds, and the
+backend servers listed there are compared as well. The store is only read.
 Keys of teams are shown by their fingerprints.
 
 The exit code is 0 without findings, 1 with warnings only, and 2 with errors,
-also if a file cannot be read.`,
-		Example: "  marigold-node check-config next.json --in-force now.json",
+also if a file or the store cannot be read.`,
+		Example: "  marigold-node check-config next.json --in-force now.json\n  marigold-node check-config next.json --store 10.200.1.7:8783",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			return checkConfig(cmd.OutOrStdout(), args[0], opts)
+			return checkConfig(cmd.Context(), cmd.OutOrStdout(), args[0], opts)
 		},
 	}
 	cmd.Flags().StringVar(&opts.inForce, "in-force", "", "file with the configuration in force")
+	cmd.Flags().StringVar(&opts.store, "store", "", "address of the platform's store, host:port, to compare with what is in force")
+	cmd.MarkFlagsMutuallyExclusive("in-force", "store")
 	cmd.Flags().StringVar(&opts.format, "format", "text", "output format: text or json")
 	cmd.Flags().Float64Var(&opts.capacity, "capacity", 0, "operations that the servers run in a second; the quotas are compared with it")
 	return cmd
 }
 
 // checkConfig prints the report about a configuration. Its error says what the exit code is.
-func checkConfig(w io.Writer, file string, opts checkOptions) error {
+func checkConfig(ctx context.Context, w io.Writer, file string, opts checkOptions) error {
 	if opts.format != "text" && opts.format != "json" {
 		return exitError{exitErrors, errors.Errorf("format %q is neither text nor json", opts.format)}
 	}
-	r, err := newConfigReport(file, opts)
+	r, err := newConfigReport(ctx, file, opts)
 	if err != nil {
 		return exitError{exitErrors, err}
 	}
@@ -75,7 +80,7 @@
 }
 
 // newConfigReport checks the configuration in the file.
-func newConfigReport(file string, opts checkOptions) (*configReport, error) {
+func newConfigReport(ctx context.Context, file string, opts checkOptions) (*configReport, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return nil, err
@@ -96,29 +101,24 @@
 	if opts.capacity > 0 {
 		findings = append(findings, auditor.CheckCapacity(next, opts.capacity)...)
 	}
-	if opts.inForce != "" {
-		before, err := decodeFile(opts.inForce)
-		if err != nil {
-			return nil, errors.Wrap(err, opts.inForce)
-		}
+	now, err := readInForce(ctx, opts)
+	if err != nil {
+		return nil, err
+	}
+	if now.configuration != nil {
 		var more []auditor.Finding
-		r.InForce = before.Version
-		r.Changes, more = auditor.Compare(before, next)
+		r.InForce = now.configuration.Version
+		r.Changes, more = auditor.Compare(now.configuration, next)
 		findings = append(findings, more...)
 	}
+	if now.hasServers {
+		findings = append(findings, auditor.CheckServers(next, now.servers)...)
+	}
 	r.addFindings(places, findings)
 	r.Findings = auditor.Sort(r.Findings)
 	return r, nil
 }
 
-func decodeFile(file string) (*informer.Configuration, error) {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return nil, err
-	}
-	return platform.Schema().DecodeConfiguration(data)
-}
-
 // addText adds an error that begins with its key path.
 func (r *configReport) addText(places *platform.EntryPlaces, text string) {
 	path, message, ok := strings.Cut(text, ": ")
--- a/internal/noder/check_config_test.go
+++ b/internal/noder/check_config_test.go
@@ -50,13 +50,13 @@
 			}
 			var out strings.Builder
 			next, now := write("next.json", tc.next), write("now.json", tc.now)
-			err := checkConfig(&out, next, checkOptions{format: "text", inForce: now})
+			err := checkConfig(t.Context(), &out, next, checkOptions{format: "text", inForce: now})
 			var e exitError
 			if errors.As(err, &e); e.code != tc.code {
 				t.Errorf("exit code %d (%v), want %d", e.code, err, tc.code)
 			}
 			var encoded strings.Builder
-			if err := checkConfig(&encoded, next, checkOptions{format: "json", inForce: now}); !errors.As(err, &e) && tc.code != exitOK || e.code != tc.code {
+			if err := checkConfig(t.Context(), &encoded, next, checkOptions{format: "json", inForce: now}); !errors.As(err, &e) && tc.code != exitOK || e.code != tc.code {
 				t.Errorf("exit code %d (%v) with JSON, want %d", e.code, err, tc.code)
 			}
 			if encoded.Len() > 0 && !json.Valid([]byte(encoded.String())) {
