scheduler: a full queue refuses one of the least urgent priority

Cause: Evict kept the last request of each priority of teams and went on to the next more urgent one. With one waiting request of each priority it ended at the most urgent one and refused it, a status query of the instance itself included.

Change: if no priority of teams has more than one waiting request, one of the least urgent priority is refused. Requests without a team give up no place for the floor of a less urgent priority.

--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -100,26 +101,37 @@
 // Evict removes and returns the waiting request with the least use for a slot; nil if none
 // waits. It is of the least urgent priority; there one that cannot be answered in time, or
 // else the last one of the team that is furthest above its share. The last request of a
-// team's priority stays while others can go, so that its floor is not lost.
+// team's priority stays while more urgent ones of teams have several, so that its floor is
+// not lost.
 func (q *Queue[T]) Evict(now time.Time) *Entry[T] {
-	var from *level[T]
-	for _, l := range slices.Backward(q.levels) {
-		if len(l.waiting) == 0 {
-			continue
-		}
-		from = l
-		if !l.hasTeams() || len(l.waiting) > 1 {
-			break
-		}
-	}
-	if from == nil {
+	l := q.levelToEvict()
+	if l == nil {
 		return nil
 	}
-	e := from.leastUse(now)
+	e := l.leastUse(now)
 	q.Remove(e)
 	return e
 }
 
+// levelToEvict returns the priority of which a request is refused when too many wait; nil
+// if none waits. Requests without a team, such as those of the instance itself, give up no
+// place for the floor of a less urgent priority.
+func (q *Queue[T]) levelToEvict() *level[T] {
+	var least *level[T]
+	for _, l := range slices.Backward(q.levels) {
+		switch {
+		case len(l.waiting) == 0:
+		case !l.hasTeams():
+			return cmp.Or(least, l)
+		case len(l.waiting) > 1:
+			return l
+		case least == nil:
+			least = l
+		}
+	}
+	return least
+}
+
 // Finish ends the use of a slot after the given time and charges the time to the team. A
 // slot that was not answered was freed by its timeout, which says nothing about the time
 // that other requests take.
