admitter: slots of requests that were not sent are not measured

Cause: a request that got a slot but no connection freed it as if it had been answered, so waits for connections that failed counted as slot times of nearly zero. Statements of open transactions, which overtake all others, counted at an assumed 20 ms, whatever was measured. Both moved the forecast that decides whether only the floor of a priority is left: too low in the first case, wrong both ways in the second.

Change: Acquire returns a Slot with Release and Cancel; a canceled one is charged to its team and not measured. The slot time of statements of open transactions is measured.

Tests: TestRequestsThatWereNotSentHaveNoSlotTime and TestForecastMeasuresOpenTransactions fail with each fault put back and pass now; the existing tests call slot.Release() where they called release().

--- a/internal/admitter/arrivals_test.go
+++ b/internal/admitter/arrivals_test.go
@@ -18,15 +18,15 @@
 	in := func(priority int, allowance time.Duration) admitter.Urgency {
 		return admitter.Urgency{Priority: priority, Due: clock.Now().Add(allowance)}
 	}
-	release, err := l.Acquire(in(1, 0), clock.Now(), time.Hour)
+	slot, err := l.Acquire(in(1, 0), clock.Now(), time.Hour)
 	if err != nil {
 		t.Fatal(err)
 	}
-	release()
+	slot.Release()
 	for range 5000 {
 		for _, u := range []admitter.Urgency{in(0, 150*time.Millisecond), in(2, 250*time.Millisecond), in(2, 500*time.Millisecond)} {
-			if release, err := l.Acquire(u, clock.Now(), time.Hour); err == nil {
-				release()
+			if slot, err := l.Acquire(u, clock.Now(), time.Hour); err == nil {
+				slot.Release()
 			}
 		}
 		clock.Advance(20 * time.Millisecond)
--- a/internal/admitter/limiter.go
+++ b/internal/admitter/limiter.go
@@ -77,6 +77,9 @@
 	queue      scheduler.Queue[admitted]
 	arrivals   arrivals
 	use        use
+	// inTransaction is the mean slot time of statements of open transactions; 0 if none
+	// is known.
+	inTransaction time.Duration
 }
 
 // New returns a limiter with limit slots, in which up to queueLimit requests may
@@ -89,9 +92,9 @@
 
 // Acquire waits for a slot until the deadline. When more requests wait than the
 // queue limit allows, the one with the least use for a slot is refused at once. The
-// error is [ErrNotAdmitted], or [ErrLeft]. The caller calls release when its request has
-// ended; a slot that is held longer than the timeout is freed without this call.
-func (l *Limiter) Acquire(u Urgency, deadline time.Time, timeout time.Duration) (release func(), err error) {
+// error is [ErrNotAdmitted], or [ErrLeft]. A slot that is held longer than the timeout is
+// freed without a call of its methods.
+func (l *Limiter) Acquire(u Urgency, deadline time.Time, timeout time.Duration) (*Slot, error) {
 	l.mu.Lock()
 	if u.hasLeft() {
 		l.use.countEnd(ErrLeft)
@@ -101,9 +104,9 @@
 	now := l.clock.Now()
 	l.arrivals.add(u, now)
 	if l.running < l.limit && l.queue.Len() == 0 {
-		release = l.start(u, now, timeout)
+		s := l.start(u, now, timeout)
 		l.mu.Unlock()
-		return release, nil
+		return s, nil
 	}
 	result := make(admitted, 1)
 	e := l.queue.Push(u.job(), result)
@@ -113,7 +116,7 @@
 	defer timer.Stop()
 	reason := ErrNotAdmitted
 	select {
-	case err = <-result:
+	case err := <-result:
 		return l.ended(e, timeout, err)
 	case <-timer.Chan():
 	case <-u.Left:
@@ -132,29 +135,31 @@
 }
 
 // ended returns what the caller of Acquire gets after the wait of its request has ended.
-func (l *Limiter) ended(e *scheduler.Entry[admitted], timeout time.Duration, err error) (release func(), _ error) {
+func (l *Limiter) ended(e *scheduler.Entry[admitted], timeout time.Duration, err error) (*Slot, error) {
 	if err != nil {
 		return nil, err
 	}
-	return l.releaseFunc(e, l.clock.Now(), timeout), nil
+	return l.newSlot(e, l.clock.Now(), timeout), nil
 }
 
 // AcquireNow takes a slot without waiting, even beyond the limit. It is for the
 // next statement of an open transaction: a refusal would lose the work so far, and
 // a wait would leave the transaction's connection idle, which no other request can
 // use meanwhile.
-func (l *Limiter) AcquireNow(timeout time.Duration) (release func()) {
+func (l *Limiter) AcquireNow(timeout time.Duration) *Slot {
 	return l.AcquireNowFor(Urgency{Priority: transactionPriority, Due: l.clock.Now()}, timeout)
 }
 
 // AcquireNowFor is AcquireNow for a statement whose slot time counts as use of the
 // priority and team.
-func (l *Limiter) AcquireNowFor(u Urgency, timeout time.Duration) (release func()) {
+func (l *Limiter) AcquireNowFor(u Urgency, timeout time.Duration) *Slot {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
 	l.arrivals.add(Urgency{Priority: transactionPriority, Due: now}, now)
-	return l.start(u, now, timeout)
+	s := l.start(u, now, timeout)
+	s.isInTransaction = true
+	return s
 }
 
 // transactionPriority is that of the next statement of an open transaction, which gets
@@ -162,23 +167,9 @@
 const transactionPriority = math.MinInt
 
 // start takes a slot. The caller holds mu.
-func (l *Limiter) start(u Urgency, now time.Time, timeout time.Duration) (release func()) {
+func (l *Limiter) start(u Urgency, now time.Time, timeout time.Duration) *Slot {
 	l.running++
-	return l.releaseFunc(l.queue.Start(u.job()), now, timeout)
-}
-
-// releaseFunc returns the function that frees a slot that was taken at the time. The slot
-// is also freed after the timeout: a server whose answers are lost can run other requests
-// long before the callers give up, and without the timeout a few lost answers would keep
-// all other requests waiting.
-func (l *Limiter) releaseFunc(e *scheduler.Entry[admitted], taken time.Time, timeout time.Duration) (release func()) {
-	var once sync.Once
-	end := func(answered bool) { once.Do(func() { l.release(e, taken, answered) }) }
-	timer := l.clock.AfterFunc(timeout, func() { end(false) })
-	return func() {
-		timer.Stop()
-		end(true)
-	}
+	return l.newSlot(l.queue.Start(u.job()), now, timeout)
 }
 
 // evict refuses waiters while there are too many. The caller holds mu.
@@ -189,16 +180,6 @@
 	}
 }
 
-func (l *Limiter) release(e *scheduler.Entry[admitted], taken time.Time, answered bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	took := l.clock.Since(taken)
-	l.queue.Finish(e, took, answered)
-	l.use.addSlotTime(e.Team, took)
-	l.running--
-	l.admit()
-}
-
 // SetLimits changes the number of slots and how many requests may wait. Lower
 // values than 1 are taken as 1.
 func (l *Limiter) SetLimits(limit, queueLimit int) {
@@ -265,7 +246,7 @@
 	busy := 0.0
 	for _, o := range overtakers {
 		if o.For == math.MaxInt64 {
-			busy += o.Rate * l.queue.Cost(o.priority).Seconds()
+			busy += o.Rate * l.cost(o.priority).Seconds()
 		}
 	}
 	return busy >= float64(l.limit)*(1-scheduler.Floor)
--- a/internal/admitter/limiter_test.go
+++ b/internal/admitter/limiter_test.go
@@ -16,7 +16,7 @@
 	clock := clockwork.NewRealClock()
 	l := admitter.New(1, 8, clock)
 	now := clock.Now()
-	release, err := l.Acquire(admitter.Urgency{Priority: 2, Due: now}, now, time.Minute)
+	slot, err := l.Acquire(admitter.Urgency{Priority: 2, Due: now}, now, time.Minute)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -35,7 +35,7 @@
 	for i, w := range waiting {
 		go func() {
 			defer func() { ended <- struct{}{} }()
-			release, err := l.Acquire(w.urgency, clock.Now().Add(w.wait), time.Minute)
+			slot, err := l.Acquire(w.urgency, clock.Now().Add(w.wait), time.Minute)
 			if err != nil {
 				if !errors.Is(err, admitter.ErrNotAdmitted) || w.name != "gives up" {
 					t.Errorf("%s: %v", w.name, err)
@@ -43,7 +43,7 @@
 				return
 			}
 			order <- w.name
-			release()
+			slot.Release()
 		}()
 		for l.Stats(admitter.Urgency{Priority: 9}).QueuedAhead <= i {
 			time.Sleep(time.Millisecond)
@@ -53,7 +53,7 @@
 		t.Errorf("%+v, want 3 before a read that is due in 300 ms", s)
 	}
 	time.Sleep(50 * time.Millisecond)
-	release()
+	slot.Release()
 	for range waiting {
 		<-ended
 	}
@@ -73,18 +73,18 @@
 	clock := clockwork.NewRealClock()
 	l := admitter.New(1, 2, clock)
 	now := clock.Now()
-	release, err := l.Acquire(admitter.Urgency{}, now, time.Minute)
+	slot, err := l.Acquire(admitter.Urgency{}, now, time.Minute)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ended := make(chan int, 8)
 	acquire := func(priority int) {
-		release, err := l.Acquire(admitter.Urgency{Priority: priority, Due: now}, clock.Now().Add(5*time.Second), time.Minute)
+		slot, err := l.Acquire(admitter.Urgency{Priority: priority, Due: now}, clock.Now().Add(5*time.Second), time.Minute)
 		if err != nil {
 			ended <- priority
 			return
 		}
-		release()
+		slot.Release()
 	}
 	for i, p := range []int{2, 3} {
 		go acquire(p)
@@ -103,7 +103,7 @@
 			t.Fatalf("priority %d came, nobody gave up", tc.priority)
 		}
 	}
-	release()
+	slot.Release()
 }
 
 // Guards against a server at which a few lost answers keep all other requests
@@ -111,17 +111,17 @@
 func TestSlotTimeout(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	l := admitter.New(1, 8, clock)
-	release, err := l.Acquire(admitter.Urgency{}, clock.Now(), 100*time.Millisecond)
+	slot, err := l.Acquire(admitter.Urgency{}, clock.Now(), 100*time.Millisecond)
 	if err != nil {
 		t.Fatal(err)
 	}
-	acquired := make(chan func(), 1)
+	acquired := make(chan *admitter.Slot, 1)
 	go func() {
-		release, err := l.Acquire(admitter.Urgency{}, clock.Now().Add(time.Second), time.Minute)
+		slot, err := l.Acquire(admitter.Urgency{}, clock.Now().Add(time.Second), time.Minute)
 		if err != nil {
 			t.Error(err)
 		}
-		acquired <- release
+		acquired <- slot
 	}()
 	for l.Stats(admitter.Urgency{Priority: 9}).QueuedAhead == 0 {
 		time.Sleep(time.Millisecond)
@@ -134,12 +134,12 @@
 	}
 	clock.Advance(time.Millisecond)
 	next := <-acquired
-	release()
+	slot.Release()
 	if s := l.Stats(admitter.Urgency{}); s.Running != 1 {
 		t.Errorf("%d slots are taken, want 1", s.Running)
 	}
-	next()
-	next()
+	next.Release()
+	next.Release()
 	if s := l.Stats(admitter.Urgency{}); s.Running != 0 {
 		t.Errorf("%d slots are taken at the end", s.Running)
 	}
@@ -156,14 +156,14 @@
 		if _, err := l.Acquire(admitter.Urgency{}, clock.Now().Add(5*time.Millisecond), time.Minute); !errors.Is(err, admitter.ErrNotAdmitted) {
 			t.Errorf("a request got a slot: %v", err)
 		}
-		first()
+		first.Release()
 	}
-	second()
-	release, err := l.Acquire(admitter.Urgency{}, clock.Now(), time.Minute)
+	second.Release()
+	slot, err := l.Acquire(admitter.Urgency{}, clock.Now(), time.Minute)
 	if err != nil {
 		t.Fatal(err)
 	}
-	release()
+	slot.Release()
 }
 
 // Simulates an overload: a primary with three slots gets short writes, reads of
--- a/internal/admitter/shares_test.go
+++ b/internal/admitter/shares_test.go
@@ -18,9 +18,9 @@
 	ended := make(chan error, 1)
 	queued := l.Waiting() + 1
 	go func() {
-		release, err := l.Acquire(u, clock.Now().Add(time.Hour), time.Hour)
+		slot, err := l.Acquire(u, clock.Now().Add(time.Hour), time.Hour)
 		if err == nil {
-			release()
+			slot.Release()
 		}
 		ended <- err
 	}()
@@ -81,8 +81,8 @@
 	}
 	// More urgent requests come at twice the rate that two slots of 20 ms can run.
 	for range 1000 {
-		if release, err := l.Acquire(in(1, "a"), clock.Now(), time.Hour); err == nil {
-			release()
+		if slot, err := l.Acquire(in(1, "a"), clock.Now(), time.Hour); err == nil {
+			slot.Release()
 		}
 		clock.Advance(5 * time.Millisecond)
 	}
@@ -115,7 +115,7 @@
 func TestCallerLeavesTheQueue(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	l := admitter.New(1, 10, clock)
-	release, err := l.Acquire(admitter.Urgency{}, clock.Now(), time.Hour)
+	slot, err := l.Acquire(admitter.Urgency{}, clock.Now(), time.Hour)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -129,7 +129,7 @@
 	if n := l.Waiting(); n != 1 {
 		t.Errorf("%d requests wait, want 1", n)
 	}
-	release()
+	slot.Release()
 	if err := <-stays; err != nil {
 		t.Errorf("the other caller: %v", err)
 	}
@@ -144,9 +144,9 @@
 	clock := clockwork.NewFakeClock()
 	l := admitter.New(1, 10, clock)
 	for i := range 400 {
-		release := l.AcquireNowFor(admitter.Urgency{Team: fmt.Sprint("team-", i)}, time.Hour)
+		slot := l.AcquireNowFor(admitter.Urgency{Team: fmt.Sprint("team-", i)}, time.Hour)
 		clock.Advance(10 * time.Millisecond)
-		release()
+		slot.Release()
 	}
 	u := l.TakeUse()
 	sum := time.Duration(0)
@@ -160,3 +160,72 @@
 		t.Errorf("counted twice: %v", u.SlotTime)
 	}
 }
+
+// Guards against a forecast for requests at the floor that takes requests which were not
+// sent, because no connection became free, for very short ones.
+func TestRequestsThatWereNotSentHaveNoSlotTime(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l := admitter.New(2, 1000, clock)
+	in := func(priority int) admitter.Urgency {
+		return admitter.Urgency{Priority: priority, Team: "a", Due: clock.Now().Add(time.Second)}
+	}
+	// More urgent requests of 20 ms come at twice the rate that two slots can run. Each
+	// is followed by one that gets no connection.
+	for range 200 {
+		slot, err := l.Acquire(in(1), clock.Now(), time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		clock.Advance(20 * time.Millisecond)
+		slot.Release()
+		if slot, err = l.Acquire(in(1), clock.Now(), time.Hour); err != nil {
+			t.Fatal(err)
+		}
+		slot.Cancel()
+	}
+	for range 800 {
+		if slot, err := l.Acquire(in(1), clock.Now(), time.Hour); err == nil {
+			slot.Cancel()
+		}
+		clock.Advance(5 * time.Millisecond)
+	}
+	for range 2 {
+		l.AcquireNow(time.Hour)
+	}
+	if s := l.Stats(in(2)); s.QueuedAhead != 19 {
+		t.Errorf("%+v, want the forecast of the floor, 19 ahead", s)
+	}
+	if u := l.TakeUse(); u.SlotTime["a"] < 4*time.Second {
+		t.Errorf("%v", u.SlotTime)
+	}
+}
+
+// Guards against a forecast for requests at the floor by which statements of open
+// transactions take a fixed time, whatever was measured.
+func TestForecastMeasuresOpenTransactions(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		took, pause time.Duration
+		ahead       int
+	}{
+		{"short ones leave half of two slots free", 5 * time.Millisecond, 5 * time.Millisecond, 0},
+		{"long ones take both slots", 200 * time.Millisecond, 0, 19},
+	} {
+		clock := clockwork.NewFakeClock()
+		l := admitter.New(2, 1000, clock)
+		u := admitter.Urgency{Priority: 1, Team: "a"}
+		for range 400 {
+			first, second := l.AcquireNowFor(u, time.Hour), l.AcquireNowFor(u, time.Hour)
+			clock.Advance(tc.took)
+			first.Release()
+			second.Release()
+			clock.Advance(tc.pause)
+		}
+		for range 2 {
+			l.AcquireNowFor(u, time.Hour)
+		}
+		if s := l.Stats(admitter.Urgency{Priority: 2, Team: "a", Due: clock.Now().Add(time.Second)}); s.QueuedAhead != tc.ahead {
+			t.Errorf("%s: %+v, want %d ahead", tc.name, s, tc.ahead)
+		}
+	}
+}
--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -100,7 +100,7 @@
 	if err := b.checkAdmission(now, cr); err != nil {
 		return nil, nil, err
 	}
-	releaseSlot, err = b.limiter.Acquire(cr.urgency(), cr.waitDeadline, placer.SlotTimeout(b.meanLatency()))
+	slot, err := b.limiter.Acquire(cr.urgency(), cr.waitDeadline, placer.SlotTimeout(b.meanLatency()))
 	if errors.Is(err, admitter.ErrLeft) {
 		return nil, nil, errCallerLeft
 	}
@@ -109,9 +109,9 @@
 	}
 	c, err = b.Pool.Acquire(cr.linkerRequest())
 	if err == nil {
-		return c, releaseSlot, nil
+		return c, slot.Release, nil
 	}
-	releaseSlot()
+	slot.Cancel()
 	switch {
 	case errors.Is(err, linker.ErrLeft):
 		err = errCallerLeft
@@ -123,7 +123,7 @@
 
 // acquireSlotNow takes a slot for the next statement of an open transaction.
 func (b *backend) acquireSlotNow(u admitter.Urgency) (releaseSlot func()) {
-	return b.limiter.AcquireNowFor(u, placer.SlotTimeout(b.meanLatency()))
+	return b.limiter.AcquireNowFor(u, placer.SlotTimeout(b.meanLatency())).Release
 }
 
 // runInSlot runs the next statement of an open transaction on a connection of this
