dispatcher: the idle limit of transactions counts the way of the answer

Cause: while requests wait for connections, a gateway ended a transaction of another instance exactly at the idle limit, counted from when the gateway had the last answer. The caller counts from when that answer has reached it, so work that kept to the limit could be lost.

Change: a margin of 200 ms for the way of the answer and the next statement.

Test: a row of TestIdleTransactionsEnd, idle for 0.1 s more than the limit, was ended before and stays now.

--- a/internal/dispatcher/pinned_conn.go
+++ b/internal/dispatcher/pinned_conn.go
@@ -13,6 +13,10 @@
 	// pinnedIdleMargin is added to the configured idle limit of transactions, so that
 	// the caller's own instance ends the transaction first.
 	pinnedIdleMargin = time.Second
+	// shortIdleMargin replaces it while requests wait for a connection: the time in which
+	// the last answer reaches the caller's instance and its next statement this one, over
+	// a busy link.
+	shortIdleMargin = 200 * time.Millisecond
 	// defaultPinnedIdleLimit is how long a transaction may be idle when the
 	// configuration sets no limit.
 	defaultPinnedIdleLimit = 10 * time.Second
@@ -117,14 +121,14 @@
 
 // pinnedIdleLimit returns how long a transaction of another instance may be idle when the
 // configured limit is as given, 0 if there is none. While requests wait for a connection,
-// there is no margin: the caller's instance would have ended the transaction by then, so it
-// has gone.
+// the margin covers only the way of a statement and its answer: the caller's instance would
+// have ended the transaction by then, so it has gone.
 func pinnedIdleLimit(configured time.Duration, isShort bool) time.Duration {
 	switch {
 	case configured <= 0:
 		return defaultPinnedIdleLimit
 	case isShort:
-		return configured
+		return configured + shortIdleMargin
 	}
 	return configured + pinnedIdleMargin
 }
--- a/internal/dispatcher/pinned_conn_test.go
+++ b/internal/dispatcher/pinned_conn_test.go
@@ -7,7 +7,8 @@
 )
 
 // Guards against transactions of lost instances that keep connections for which requests
-// wait, and against the end of one that is within its limit.
+// wait, and against the end of one that is within its limit at the caller's instance, which
+// counts from when the last answer has arrived there.
 func TestIdleTransactionsEnd(t *testing.T) {
 	now := time.Unix(1000, 0)
 	const configured = 2 * time.Second
@@ -22,7 +23,7 @@
 		{"no limit is configured", 0, true, nil},
 	} {
 		var ps pinnedConns
-		for _, idle := range []string{"1s", "2.5s", "4s", "5s"} {
+		for _, idle := range []string{"1s", "2.1s", "2.5s", "4s", "5s"} {
 			d, err := time.ParseDuration(idle)
 			if err != nil {
 				t.Fatal(err)
