dispatcher: reported waits are those of a read that arrives now

Cause: the gateway asked for the wait of a request that is due at once. The order puts it behind all that can still be answered in time, so the report was the wait behind the whole queue: reads left a busy zone too early.

Change: the report is for a read that is due after the shortest objective of the service's bounded and session routes, 0.5 s while no route is known.

--- a/internal/dispatcher/waits.go
+++ b/internal/dispatcher/waits.go
@@ -1,9 +1,11 @@
 package dispatcher
 
 import (
+	"cmp"
 	"time"
 
 	"marigoldhub.example/hub/internal/forwarder"
+	"marigoldhub.example/hub/internal/informer"
 	"marigoldhub.example/hub/internal/surveyor"
 )
 
@@ -13,6 +15,9 @@
 	minReportedWait = 3 * time.Millisecond
 	// readPriority is the priority for which waits are reported, that of most reads.
 	readPriority = 1
+	// assumedObjective is the objective of the reads of a service while no route to it is
+	// known.
+	assumedObjective = 500 * time.Millisecond
 )
 
 // Waits returns the waits at the busy servers whose work this instance schedules, and
@@ -22,7 +27,9 @@
 	var out []surveyor.Report
 	for _, b := range d.scheduledBackends(now) {
 		r := surveyor.Report{Server: b.id}
-		load := b.load(connRequest{priority: readPriority, due: now})
+		// A request that is due now could not be answered in time, and would wait behind all
+		// that can.
+		load := b.load(connRequest{priority: readPriority, due: now.Add(d.readObjective(b.Target().Service))})
 		// Connections are opened when they are needed; only the slots are scarce.
 		load.Idle = max(load.Idle, 1)
 		if wait := load.Wait(); wait >= minReportedWait {
@@ -38,6 +45,21 @@
 	return out
 }
 
+// readObjective returns the shortest objective of the reads that any server of the service
+// may run. Reads with a longer one wait longer than reported; the gateway of the server
+// decides about them when they arrive.
+func (d *Dispatcher) readObjective(service string) time.Duration {
+	shortest := time.Duration(0)
+	if c := d.cfg.Informer.State().Configuration; c != nil {
+		for _, r := range c.Routes {
+			if r.Service == service && r.Reads != informer.PrimaryReads && (shortest == 0 || r.Objective < shortest) {
+				shortest = r.Objective
+			}
+		}
+	}
+	return cmp.Or(shortest, assumedObjective)
+}
+
 // scheduledBackends returns the servers whose work this instance schedules as their first
 // gateway. Standby gateways know nothing of the queue at the one that does.
 func (d *Dispatcher) scheduledBackends(now time.Time) []*backend {
