dispatcher: refusals of writes, begins and primary reads tell when to return

Cause: they said "retry later". Refused reads had a time, spread over half of the estimate: after a burst the estimate is nearly the same for all who are refused, so they returned as the next burst.

Change: the estimate comes from what refused the request: the expected wait at the queue, how long a primary has been missing and usually is (measured by attester.Group), how long commits or answers have been missing. placer.Returns gives each refused caller of an instance a place of its own, one after the other at the rate at which the servers can run them, by route priority; so the delay rises while refusals go on. No caller is told a time after its statement's timeout if the estimate is before it.

Tests: TestRefusalsTellWhenToReturn (nine refusals, all "retry later" before). TestRefusedCallersFormNoSecondBurst plays 400 or 200 callers in 0.1 s at a primary with four slots, three tries each. TestRetryDelay is TestBookOneReturn now, with its rows and three more.

--- a/internal/attester/explore.go
+++ b/internal/attester/explore.go
@@ -30,6 +30,9 @@
 		return
 	}
 	g.discovering = true
+	if g.outages.since.IsZero() {
+		g.outages.since = g.cfg.Clock.Now()
+	}
 	go func() {
 		backoff := discoverBackoff
 		for !g.discover() {
--- a/internal/attester/group.go
+++ b/internal/attester/group.go
@@ -43,6 +43,7 @@
 	known  bool
 	// suspended is true while the known leader is suspected not to lead.
 	suspended bool
+	outages   outages
 	// highestTerm is the term of the latest known leader.
 	highestTerm  uint64
 	samples      samples
@@ -121,6 +122,9 @@
 	if l.Term < g.highestTerm || g.known && !g.suspended && l.Term == g.leader.Term && l.Server.ID == g.leader.Server.ID {
 		return
 	}
+	if g.suspended {
+		g.outages.end(g.cfg.Clock.Now())
+	}
 	g.leader, g.known, g.suspended, g.highestTerm = l, true, false, l.Term
 	g.notify()
 	g.cfg.Log.WithFields(logrus.Fields{"service": g.cfg.Service, "server": l.Server.ID, "term": l.Term, "source": source}).
@@ -135,7 +139,7 @@
 	if !g.known || g.suspended || g.leader.Server.ID != serverID {
 		return
 	}
-	g.suspended = true
+	g.suspended, g.outages.since = true, g.cfg.Clock.Now()
 	g.notify()
 	g.startDiscovery()
 	g.cfg.Log.WithFields(logrus.Fields{"service": g.cfg.Service, "server": serverID, "term": g.leader.Term, "reason": reason}).
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -21,9 +21,9 @@
 	return exchanger.ErrorAnswer(code, exchanger.Idle, reason+"; retry later")
 }
 
-// refuseUntil refuses a read of which nothing ran, and tells the caller when to come back.
-func (d *Dispatcher) refuseUntil(req Request, reason string, after time.Duration) exchanger.Answer {
-	a := d.refuse(req, exchanger.Busy, reason, nil)
+// refuseUntil refuses a request of which nothing ran, and tells the caller when to come back.
+func (d *Dispatcher) refuseUntil(req Request, reason string, err error, after time.Duration) exchanger.Answer {
+	a := d.refuse(req, exchanger.Busy, reason, err)
 	a.Text = fmt.Sprintf("%s; nothing ran, retry in %d ms", reason, after.Milliseconds())
 	return a
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -59,7 +59,9 @@
 	order *orderCounters
 	// retryBudget limits the tries after refusals at full queues.
 	retryBudget retryBudget
-	started     time.Time
+	// returns hold when the callers of refused requests come back.
+	returns returns
+	started time.Time
 
 	mu       sync.RWMutex
 	backends map[string]*backend
--- a/internal/dispatcher/hedged_read.go
+++ b/internal/dispatcher/hedged_read.go
@@ -76,7 +76,7 @@
 	if r.lastFailure != nil {
 		return *r.lastFailure
 	}
-	return r.d.refuseRead(r.req, r.minPosition, "no backend server could run the read", r.shortestWait)
+	return r.d.refuseRead(r.req, r.minPosition, "no backend server could run the read", nil, r.shortestWait)
 }
 
 // hedge asks a second server while the first has not answered.
--- a/internal/dispatcher/leader_read.go
+++ b/internal/dispatcher/leader_read.go
@@ -26,7 +26,7 @@
 	for range maxAttempts {
 		l, err := g.AwaitLeader(waitDeadline)
 		if err != nil {
-			return d.refuse(req, exchanger.Busy, "no primary is known", errors.Join(err, reason))
+			return d.refuseAtPrimary(req, "no primary is known", errors.Join(err, reason), req.Route.Objective/2)
 		}
 		a, err := d.confirmedRead(g, l, req, deadline)
 		if err == nil {
@@ -41,7 +41,7 @@
 			break
 		}
 	}
-	return d.refuse(req, exchanger.Busy, "the primary could not run the read", reason)
+	return d.refuseAtPrimary(req, "the primary could not run the read", reason, req.Route.Objective/2)
 }
 
 // errRefused means that a server refused a statement without running it.
--- a/internal/dispatcher/progress.go
+++ b/internal/dispatcher/progress.go
@@ -1,7 +1,7 @@
 package dispatcher
 
 import (
-	"math/rand/v2"
+	"errors"
 	"time"
 
 	"marigoldhub.example/hub/internal/exchanger"
@@ -159,20 +159,19 @@
 // refuseRead refuses a read that no server could run. The text says when to come back if
 // a replica will have the position that the read requires, or the queue of a server, whose
 // wait is given, will be short enough; a wait of 0 means that no queue was too long.
-func (d *Dispatcher) refuseRead(req Request, pos minPosition, reason string, wait time.Duration) exchanger.Answer {
+func (d *Dispatcher) refuseRead(req Request, pos minPosition, reason string, err error, wait time.Duration) exchanger.Answer {
 	now := d.cfg.Clock.Now()
 	var estimates []time.Duration
 	if wait > 0 {
 		estimates = append(estimates, wait-req.Route.Objective/2)
 	}
+	if errors.Is(err, errNoRetries) && wait == 0 {
+		estimates = append(estimates, avoidAfterRefusal)
+	}
 	for _, b := range d.backendsOf(req.Route.Service, now) {
 		if p, ok := d.progressOf(b, now); ok && p.Lacks(pos.floor(), now) {
 			estimates = append(estimates, p.CoversAt(pos.floor()).Sub(now))
 		}
 	}
-	if len(estimates) == 0 {
-		return d.refuse(req, exchanger.Busy, reason, nil)
-	}
-	d.count.refusalsWithTime.Inc(1)
-	return d.refuseUntil(req, reason, placer.RetryDelay(estimates, rand.Float64()))
+	return d.refuseWithTime(req, reason, err, d.backendsOf(req.Route.Service, now), estimates...)
 }
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -72,7 +72,7 @@
 	deadline := req.deadline(req.Received)
 	pos, err := d.minPositionFor(req, req.primaryWaitDeadline(req.Received))
 	if err != nil {
-		return d.refuse(req, exchanger.Busy, "no current position is known", err)
+		return d.refuseAtPrimary(req, "no current position is known", err, req.Route.Objective/2)
 	}
 	r := &hedgedRead{d: d, req: req, minPosition: pos, deadline: deadline, budget: d.hedgeBudget(req.Route.Service), tried: map[string]bool{}, results: make(chan readResult, maxAttempts)}
 	return r.run()
--- a/internal/dispatcher/transaction_begin.go
+++ b/internal/dispatcher/transaction_begin.go
@@ -31,7 +31,7 @@
 	open.Received = now
 	pos, err := d.minPositionFor(open, open.primaryWaitDeadline(now))
 	if err != nil {
-		return d.refuse(req, exchanger.Busy, "no current position is known", err), false
+		return d.refuseAtPrimary(req, "no current position is known", err, t.begin.Route.Objective), false
 	}
 	tried := map[string]bool{}
 	wait := time.Duration(0)
@@ -51,12 +51,12 @@
 			d.logRetry(req, b.id, "transaction did not begin: "+a.Code.String(), err)
 		}
 		if !d.mayRetry(t.begin.Route.Service, a.Code, err) {
-			return d.refuse(req, exchanger.Busy, "the servers' queues are full", errNoRetries), false
+			return d.refuseRead(open, pos, "the servers' queues are full", errors.Join(errNoRetries, err), shorterWait(wait, err)), false
 		}
 		tried[b.id] = true
 		wait = shorterWait(wait, err)
 	}
-	return d.refuseRead(open, pos, "no backend server could begin the transaction", wait), false
+	return d.refuseRead(open, pos, "no backend server could begin the transaction", nil, wait), false
 }
 
 func (t *Transaction) beginAtLeader(req Request) (exchanger.Answer, bool) {
@@ -69,7 +69,7 @@
 	for range maxAttempts {
 		l, err := g.AwaitLeader(waitDeadline)
 		if err != nil {
-			return d.refuse(req, exchanger.Busy, "no primary is known", errors.Join(err, reason)), false
+			return d.refuseAtPrimary(req, "no primary is known", errors.Join(err, reason), t.begin.Route.Objective), false
 		}
 		b := d.backend(l.Server.ID)
 		if b == nil {
@@ -79,7 +79,7 @@
 		}
 		begin, err := t.beginStatement(g, req, waitDeadline)
 		if err != nil {
-			return d.refuse(req, exchanger.Busy, "no current position is known", err), false
+			return d.refuseAtPrimary(req, "no current position is known", err, t.begin.Route.Objective), false
 		}
 		a, err := t.beginAt(b, req, begin)
 		if err == nil && a.OK() {
@@ -89,10 +89,10 @@
 		}
 		if errors.Is(err, errSilent) || errors.Is(err, errOverloaded) {
 			d.recheckPrimary(g, l)
-			return d.refuse(req, exchanger.Busy, "the primary could not begin the transaction", err), false
+			return d.refuseAtPrimary(req, "the primary could not begin the transaction", err, t.begin.Route.Objective), false
 		}
 		if !d.mayRetry(t.begin.Route.Service, a.Code, err) {
-			return d.refuse(req, exchanger.Busy, "the primary's queue is full", errNoRetries), false
+			return d.refuseAtPrimary(req, "the primary's queue is full", errors.Join(errNoRetries, err), t.begin.Route.Objective), false
 		}
 		if err != nil {
 			d.recheckPrimary(g, l)
@@ -102,7 +102,7 @@
 		}
 		d.logRetry(req, b.id, "transaction did not begin", reason)
 	}
-	return d.refuse(req, exchanger.Busy, "the primary could not begin the transaction", reason), false
+	return d.refuseAtPrimary(req, "the primary could not begin the transaction", reason, t.begin.Route.Objective), false
 }
 
 // beginStatement returns the statement that begins the transaction at the primary.
--- a/internal/dispatcher/write.go
+++ b/internal/dispatcher/write.go
@@ -21,7 +21,7 @@
 	for range maxAttempts {
 		l, err := g.AwaitLeader(waitDeadline)
 		if err != nil {
-			return d.refuse(req, exchanger.Busy, "no primary is known", errors.Join(err, reason))
+			return d.refuseAtPrimary(req, "no primary is known", errors.Join(err, reason), req.Route.Objective)
 		}
 		b := d.backend(l.Server.ID)
 		if b == nil {
@@ -33,12 +33,12 @@
 		answers, err := d.attemptWrite(b, req, deadline)
 		switch {
 		case errors.Is(err, errStalled):
-			return d.refuse(req, exchanger.Busy, errStalled.Error(), reason)
+			return d.refuseAtPrimary(req, errStalled.Error(), err, req.Route.Objective)
 		case errors.Is(err, errOverloaded):
-			return d.refuse(req, exchanger.Busy, "too many requests wait for the primary", err)
+			return d.refuseAtPrimary(req, "too many requests wait for the primary", err, req.Route.Objective)
 		case errors.Is(err, errSilent):
 			d.recheckPrimary(g, l)
-			return d.refuse(req, exchanger.Busy, "the primary does not answer", err)
+			return d.refuseAtPrimary(req, "the primary does not answer", err, req.Route.Objective)
 		case errors.Is(err, errNotSent):
 			d.recheckPrimary(g, l)
 			reason = err
@@ -50,7 +50,7 @@
 		case !answers[0].Code.IsNotExecuted():
 			return answers[0]
 		case !d.mayRetry(req.Route.Service, answers[0].Code, nil):
-			return d.refuse(req, exchanger.Busy, "the primary's queue is full", errNoRetries)
+			return d.refuseAtPrimary(req, "the primary's queue is full", errNoRetries, req.Route.Objective)
 		default:
 			reason = d.handleRefusal(g, l, answers[0])
 		}
@@ -59,7 +59,7 @@
 			break
 		}
 	}
-	return d.refuse(req, exchanger.Busy, "the primary could not run the write", reason)
+	return d.refuseAtPrimary(req, "the primary could not run the write", reason, req.Route.Objective)
 }
 
 // attemptWrite sends a write once a connection is free.
--- a/internal/placer/coverage.go
+++ b/internal/placer/coverage.go
@@ -55,25 +55,3 @@
 	}
 	return !f.AvailableAt.After(p.At) || p.CoversAt(f).After(now)
 }
-
-const (
-	// minRetryDelay is the shortest time that a refusal for load names: a few requests
-	// of the queue end within it.
-	minRetryDelay = 50 * time.Millisecond
-	// maxRetryDelay is the longest one. Estimates for replicas that stand still have no
-	// limit, and a change of primary may end the shortage earlier.
-	maxRetryDelay = 5 * time.Second
-)
-
-// RetryDelay returns when the caller of a refused read should come back: as soon as a
-// replica is expected to have its floor or the queue of a server to be short enough.
-// The refused reads are spread over half of that time, so that they do not return
-// together; random is in [0, 1).
-func RetryDelay(estimates []time.Duration, random float64) time.Duration {
-	least := maxRetryDelay
-	for _, e := range estimates {
-		least = min(least, e)
-	}
-	least = max(least, minRetryDelay)
-	return least + time.Duration(random*float64(least)/2)
-}
