dispatcher: a request that waited in vain is refused with the expected wait

Cause: only requests that were refused on arrival had the expected wait. One that was refused later, at its deadline or for others, had none: its caller was not told when to return, and for a read such a server counted as the least loaded one, with a wait of 0, and was asked again.

Test: the row "the wait is in vain" of TestRefusalsTellWhenToReturn failed before ("retry later").

--- a/internal/dispatcher/backend.go
+++ b/internal/dispatcher/backend.go
@@ -89,7 +89,7 @@
 	case cr.isWrite && b.writes.isStalled(now):
 		return errStalled
 	case !load.Admits(cr.remaining, cr.waitDeadline.Sub(now)):
-		return overload{max(load.Wait(), time.Microsecond)}
+		return b.overload(cr)
 	}
 	return nil
 }
@@ -105,7 +105,7 @@
 		return nil, nil, errCallerLeft
 	}
 	if err != nil {
-		return nil, nil, errors.Join(errOverloaded, err)
+		return nil, nil, errors.Join(b.overload(cr), err)
 	}
 	c, err = b.Pool.Acquire(cr.linkerRequest())
 	if err == nil {
@@ -116,11 +116,17 @@
 	case errors.Is(err, linker.ErrLeft):
 		err = errCallerLeft
 	case errors.Is(err, linker.ErrNoConn):
-		err = errors.Join(errOverloaded, err)
+		err = errors.Join(b.overload(cr), err)
 	}
 	return nil, nil, err
 }
 
+// overload returns the refusal of a request that waited in vain, with the wait that it
+// would find now.
+func (b *backend) overload(cr connRequest) overload {
+	return overload{max(b.load(cr).Wait(), time.Microsecond)}
+}
+
 // acquireSlotNow takes a slot for the next statement of an open transaction.
 func (b *backend) acquireSlotNow(u admitter.Urgency) (releaseSlot func()) {
 	return b.limiter.AcquireNowFor(u, placer.SlotTimeout(b.meanLatency())).Release
--- a/internal/dispatcher/return_time.go
+++ b/internal/dispatcher/return_time.go
@@ -97,7 +97,7 @@
 		return []time.Duration{placer.OutageLeft(elapsed, usual)}
 	case errors.As(err, &o) && o.wait > 0:
 		return []time.Duration{o.wait - allowed}
-	case errors.Is(err, errRefused), errors.Is(err, errNoRetries):
+	case errors.Is(err, errRefused), errors.Is(err, errNoRetries), errors.Is(err, errOverloaded):
 		return []time.Duration{avoidAfterRefusal}
 	case b == nil:
 		return nil
--- a/internal/dispatcher/return_time_test.go
+++ b/internal/dispatcher/return_time_test.go
@@ -53,6 +53,12 @@
 			}
 			time.Sleep(50 * time.Millisecond)
 		}},
+		{"the wait is in vain", func(f *fixture, all *sync.WaitGroup) {
+			for i := range 3 {
+				all.Go(func() { f.d.Run(request(fmt.Sprint("block", i), exchanger.Write, informer.PrimaryReads)) })
+			}
+			time.Sleep(50 * time.Millisecond)
+		}},
 	} {
 		for _, k := range kinds {
 			t.Run(tc.name+"/"+k.name, func(t *testing.T) {
