messenger: closes the oldest unanswered connection before it accepts another

Cause: the limit of unanswered connections was applied in each connection's goroutine. A crowd that is accepted faster than these goroutines run opened up to 1,024 sockets, the limit of all connections.

Change: the connection is counted in the accept loop, which waits until the oldest one is closed.

--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -147,6 +147,9 @@
 		}
 		select {
 		case s.slots <- struct{}{}:
+			// The oldest one is closed before the next is accepted. Otherwise those whose
+			// goroutines have not run yet exceed the limit.
+			conn = s.unanswered.add(s.counter.wrap(conn), s.cfg.MaxUnanswered)
 			s.conns.Go(func() { s.serve(conn) })
 		default:
 			s.cfg.Log.WithField("remote", conn.RemoteAddr()).Warn("messenger: connection limit reached")
@@ -155,9 +158,12 @@
 	}
 }
 
+// CloseUnanswered closes the oldest connection on which nothing has been answered, in favor
+// of others; false if there is none.
+func (s *Server) CloseUnanswered() bool { return s.unanswered.closeOldest() }
+
 func (s *Server) serve(conn net.Conn) {
 	defer func() { <-s.slots }()
-	conn = s.unanswered.add(s.counter.wrap(conn), s.cfg.MaxUnanswered)
 	if s.cfg.Wrap != nil {
 		conn = s.cfg.Wrap(conn)
 	}
--- a/internal/messenger/unanswered.go
+++ b/internal/messenger/unanswered.go
@@ -33,6 +33,19 @@
 	return c
 }
 
+// closeOldest closes the oldest of the connections; false if there is none.
+func (u *unanswered) closeOldest() bool {
+	u.mu.Lock()
+	if len(u.conns) == 0 {
+		u.mu.Unlock()
+		return false
+	}
+	oldest := u.conns[0]
+	u.mu.Unlock()
+	_ = oldest.Close()
+	return true
+}
+
 // unansweredConn is a connection that leaves the unanswered ones with the first write or its
 // end.
 type unansweredConn struct {
