limiter: keeps one count of open sockets over all ports of marigold-node

Cause: each port had its own limit, and sessions that are refused counted nowhere until their goroutines had run.

Change: new package limiter. All listening ports and the connections to the store, backend servers and other instances share one count, with a reserve for each; a socket counts until its descriptor is closed. A port whose sockets are used up first closes a connection that can be spared.

--- a/internal/budgeter/refusals.go
+++ b/internal/budgeter/refusals.go
@@ -29,11 +29,14 @@
 	// ConnectionDisplaced means that the oldest connection of a port for short calls was
 	// closed in favor of a new one.
 	ConnectionDisplaced
+	// NoSocket means that the process had no socket left for a connection.
+	NoSocket
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"no_memory", "evicted", "slow_message", "slow_reader", "too_many_sessions", "idle_displaced", "start_displaced", "connection_displaced",
+	"no_socket",
 }
 
 // String returns the name that logs and metrics use.
--- /dev/null
+++ b/internal/limiter/limiter_test.go
@@ -0,0 +1,217 @@
+package limiter_test
+
+import (
+	"errors"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/budgeter"
+	"marigoldhub.example/hub/internal/limiter"
+)
+
+func newSockets(max int) (*limiter.Sockets, metrics.Registry) {
+	r := metrics.NewRegistry()
+	log := logrus.New()
+	log.SetOutput(new(strings.Builder))
+	return limiter.New(limiter.Config{
+		Max: max, Clock: clockwork.NewRealClock(), Metrics: r, Refusals: budgeter.NewRefusals(r, log),
+	}), r
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// connect opens count connections that stay open.
+func connect(t *testing.T, address string, count int) {
+	t.Helper()
+	for range count {
+		conn, err := net.DialTimeout("tcp4", address, 5*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+	}
+}
+
+// Guards against a use that takes what is reserved for others, or more than its limit, and
+// against reserves that cannot be taken.
+func TestReserves(t *testing.T) {
+	address := listen(t).Addr().String()
+	dial := func() (net.Conn, error) { return net.Dial("tcp4", address) }
+	type use struct{ reserve, limit int }
+	for _, tc := range []struct {
+		name string
+		max  int
+		uses []use
+		// ask is the order in which uses ask for a socket, got how many each gets.
+		ask string
+		got []int
+	}{
+		{"one use", 3, []use{{0, 0}}, "00000", []int{3}},
+		{"own limit", 5, []use{{0, 2}}, "00000", []int{2}},
+		{"reserve of another", 5, []use{{0, 0}, {2, 0}}, "00000111", []int{3, 2}},
+		{"beyond the own reserve", 5, []use{{0, 0}, {2, 0}}, "11110000", []int{1, 4}},
+		{"limit beside a reserve", 6, []use{{1, 2}, {2, 0}}, "000111111", []int{2, 4}},
+		{"everything is reserved", 4, []use{{2, 0}, {2, 0}}, "00001111", []int{2, 2}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s, _ := newSockets(tc.max)
+			var uses []*limiter.Use
+			for i, u := range tc.uses {
+				uses = append(uses, s.NewUse(string(rune('a'+i)), u.reserve, u.limit))
+			}
+			for _, which := range tc.ask {
+				conn, err := uses[which-'0'].Dial(dial)
+				if err == nil {
+					t.Cleanup(func() { conn.Close() })
+				} else if !errors.Is(err, limiter.ErrNoSocket) {
+					t.Fatal(err)
+				}
+			}
+			for i, u := range uses {
+				if u.Taken() != tc.got[i] {
+					t.Errorf("use %d took %d sockets, want %d", i, u.Taken(), tc.got[i])
+				}
+			}
+		})
+	}
+}
+
+// Guards against sockets that are given back twice or never.
+func TestSocketsAreGivenBack(t *testing.T) {
+	address := listen(t).Addr().String()
+	s, r := newSockets(2)
+	u := s.NewUse("a", 0, 0)
+	if _, err := u.Dial(func() (net.Conn, error) { return nil, errors.New("unreachable") }); err == nil || u.Taken() != 0 {
+		t.Fatalf("error %v, %d sockets after a failed dial", err, u.Taken())
+	}
+	conns := make([]net.Conn, 2)
+	for i := range conns {
+		var err error
+		if conns[i], err = u.Dial(func() (net.Conn, error) { return net.Dial("tcp4", address) }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		conns[0].Read(make([]byte, 1))
+	}()
+	for range 3 {
+		conns[0].Close()
+	}
+	<-read
+	if u.Taken() != 1 {
+		t.Errorf("%d sockets are taken after one of two was closed, want 1", u.Taken())
+	}
+	if peak := r.Get("sockets.peak").(metrics.Gauge).Value(); peak != 2 {
+		t.Errorf("peak %d, want 2", peak)
+	}
+	conn, err := (*limiter.Use)(nil).Dial(func() (net.Conn, error) { return net.Dial("tcp4", address) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Close()
+}
+
+// accept accepts connections until the listener is closed.
+func accept(l net.Listener) <-chan net.Conn {
+	accepted := make(chan net.Conn, 64)
+	go func() {
+		defer close(accepted)
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	return accepted
+}
+
+// Guards against a crowd that opens more sockets than the process may have: further
+// connections wait until others are closed, or are closed when nobody makes room.
+func TestListenerWaitsForSockets(t *testing.T) {
+	const most, crowd = 4, 12
+	s, r := newSockets(most + 2)
+	u := s.NewUse("callers", 0, 0)
+	l := u.Listen(listen(t))
+	defer l.Close()
+	accepted := accept(l)
+	connect(t, l.Addr().String(), crowd)
+	var open []net.Conn
+	for range most {
+		conn := <-accepted
+		defer conn.Close()
+		open = append(open, conn)
+	}
+	refused := r.Get("limits.no_socket").(metrics.Counter)
+	for deadline := time.Now().Add(20 * time.Second); refused.Count() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no connection was refused")
+		}
+	}
+	if len(accepted) > 0 || u.Taken() != most+2 {
+		t.Fatalf("%d connections more than %d, %d sockets are taken", len(accepted), most, u.Taken())
+	}
+	open[0].Close()
+	conn := <-accepted
+	defer conn.Close()
+	if u.Taken() > most+2 {
+		t.Errorf("%d sockets are taken, want at most %d", u.Taken(), most+2)
+	}
+}
+
+// Guards against callers that are kept out, and connections to servers that fail, while the
+// port has connections that can be spared.
+func TestSparedConnectionsMakeRoom(t *testing.T) {
+	const most, crowd = 4, 12
+	server := listen(t).Addr().String()
+	s, r := newSockets(most + 2)
+	u, servers := s.NewUse("callers", 0, 0), s.NewUse("servers", 0, 0)
+	l := u.Listen(listen(t))
+	defer l.Close()
+	open := make(chan net.Conn, 2*crowd)
+	l.OnFull(func() bool {
+		select {
+		case conn := <-open:
+			conn.Close()
+			return true
+		default:
+			return false
+		}
+	})
+	accepted := accept(l)
+	connect(t, l.Addr().String(), crowd)
+	for range crowd {
+		open <- <-accepted
+	}
+	conn, err := servers.Dial(func() (net.Conn, error) { return net.Dial("tcp4", server) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Close()
+	if peak := r.Get("sockets.peak").(metrics.Gauge).Value(); peak > most+2 {
+		t.Errorf("%d sockets were open, want at most %d", peak, most+2)
+	}
+	if n := r.Get("limits.no_socket").(metrics.Counter).Count(); n > 0 {
+		t.Errorf("%d connections were refused", n)
+	}
+	for len(open) > 0 {
+		(<-open).Close()
+	}
+}
--- /dev/null
+++ b/internal/limiter/listener.go
@@ -0,0 +1,101 @@
+package limiter
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"marigoldhub.example/hub/internal/budgeter"
+)
+
+const (
+	// maxAcceptWait is how long an accepted connection waits for a socket before it is
+	// closed. Connections that are being closed give theirs back within milliseconds.
+	maxAcceptWait = 500 * time.Millisecond
+	// minAcceptWait is how long it waits before another connection is closed for it. Those
+	// that are being refused are closed by then.
+	minAcceptWait = 10 * time.Millisecond
+	// acceptInterval is the pause between two attempts to get a socket.
+	acceptInterval = 2 * time.Millisecond
+	// listenerSockets are the listening socket and a connection that has been accepted
+	// and waits.
+	listenerSockets = 2
+)
+
+// Listener accepts TCP connections while the use has sockets for them.
+type Listener struct {
+	net.Listener
+	use *Use
+	// spare closes a connection that can be spared; nil if there is no way.
+	spare  atomic.Pointer[func() bool]
+	closed atomic.Bool
+}
+
+// Listen returns a listener whose connections take sockets of the use.
+func (u *Use) Listen(l net.Listener) *Listener {
+	listener := &Listener{Listener: l, use: u}
+	s := u.sockets
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u.reserve += listenerSockets
+	if u.limit > 0 {
+		u.limit += listenerSockets
+	}
+	u.add(listenerSockets)
+	s.listeners = append(s.listeners, listener)
+	return listener
+}
+
+// OnFull sets the function that is called when no socket is left. It closes a connection of
+// the port that can be spared, and reports whether it did.
+func (l *Listener) OnFull(spare func() bool) { l.spare.Store(&spare) }
+
+func (l *Listener) spareOne() bool {
+	spare := l.spare.Load()
+	return spare != nil && (*spare)()
+}
+
+// Accept implements [net.Listener].
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := conn.(*net.TCPConn)
+		if !ok {
+			return conn, nil
+		}
+		if l.await() {
+			return &Conn{TCPConn: tcp, use: l.use}, nil
+		}
+		l.use.sockets.cfg.Refusals.Add(budgeter.NoSocket)
+		conn.Close()
+	}
+}
+
+// await waits until the use has a socket, and takes it.
+func (l *Listener) await() bool {
+	clock := l.use.sockets.cfg.Clock
+	began := clock.Now()
+	for !l.use.take() {
+		waited := clock.Since(began)
+		switch {
+		case waited >= maxAcceptWait || l.closed.Load():
+			return false
+		case waited >= minAcceptWait && l.spareOne():
+			continue
+		}
+		clock.Sleep(acceptInterval)
+	}
+	return true
+}
+
+// Close implements [net.Listener].
+func (l *Listener) Close() error {
+	err := l.Listener.Close()
+	if !l.closed.Swap(true) {
+		l.use.give(listenerSockets)
+	}
+	return err
+}
--- a/internal/messenger/pool.go
+++ b/internal/messenger/pool.go
@@ -14,6 +14,8 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcwire"
+
+	"marigoldhub.example/hub/internal/limiter"
 )
 
 // Defaults of [PoolConfig].
@@ -53,6 +55,8 @@
 	// MaxMessageBytes limits a received message. 0 means
 	// DefaultMaxMessageBytes.
 	MaxMessageBytes int
+	// Sockets counts the connections' sockets. Nil counts none.
+	Sockets *limiter.Use
 	// Registry receives the byte counters. Nil discards them.
 	Registry metrics.Registry
 	// Clock measures idle times. Nil means the real clock.
@@ -249,7 +253,7 @@
 	if p.cfg.LocalIP != nil {
 		d.LocalAddr = &net.TCPAddr{IP: p.cfg.LocalIP}
 	}
-	conn, err := d.DialContext(ctx, "tcp", address)
+	conn, err := p.cfg.Sockets.Dial(func() (net.Conn, error) { return d.DialContext(ctx, "tcp", address) })
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to instance at %s", address)
 	}
--- a/internal/noder/coordination.go
+++ b/internal/noder/coordination.go
@@ -24,7 +24,7 @@
 // startCoordination starts the exchange with other instances, the competition for
 // the coordinator role, and the replacer.
 func (n *Node) startCoordination() error {
-	l, err := n.listen(n.settings.ControlAddress, peerReceiveBuffer)
+	l, err := n.listen(n.settings.ControlAddress, peerReceiveBuffer, n.sockets.control)
 	if err != nil {
 		return errors.Wrap(err, "listen for instances")
 	}
@@ -36,15 +36,18 @@
 		Store: n.store, Name: n.settings.Instance, Address: n.settings.ControlAddress,
 		EndTenure: n.gossiper.EndTenure, CampaignInterval: n.campaignInterval, Clock: n.clock, Log: n.log,
 	})
+	cloud := platform.NewCloudClient(n.settings.CloudAddress)
+	cloud.Sockets = n.sockets.store
 	n.replacer = replacer.New(replacer.Config{
 		Name: n.settings.Instance, Informer: n.informer, Backends: n.dispatcher,
-		Promoter: platform.NewCloudClient(n.settings.CloudAddress), Election: n.holder, Peers: replacerPeers{v, n.gossiper}, PrimaryLeaseTTL: holder.PrimaryLeaseTTL,
+		Promoter: cloud, Election: n.holder, Peers: replacerPeers{v, n.gossiper}, PrimaryLeaseTTL: holder.PrimaryLeaseTTL,
 		Clock: n.clock, Metrics: n.metrics, Log: n.log,
 	})
 	n.control = messenger.NewServer(messenger.ServerConfig{
 		Listener: l, Registry: n.metrics, Log: n.log, MaxUnanswered: maxUnanswered, MaxMessageBytes: maxCall,
 		Wrap: func(c net.Conn) net.Conn { return n.budget.NewConn(c) },
 	})
+	l.OnFull(n.control.CloseUnanswered)
 	if err := wire.DRPCRegisterPeers(n.control.Mux(), gossiper.Service{Name: n.settings.Instance, View: v, Gossiper: n.gossiper}); err != nil {
 		return errors.Wrap(err, "register the service for instances")
 	}
--- a/internal/noder/limits.go
+++ b/internal/noder/limits.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sys/unix"
 
 	"marigoldhub.example/hub/internal/budgeter"
+	"marigoldhub.example/hub/internal/limiter"
 	"marigoldhub.example/hub/platform"
 )
 
@@ -56,10 +57,10 @@
 const minSessions = 100
 
 // listen listens with receive buffers of the size for the accepted connections, and send
-// buffers of sendBuffer. They are set before the connections exist, because a window that has
+// buffers of sendBuffer, and counts their sockets. They are set before the connections exist, because a window that has
 // been offered cannot shrink. Without them the instance works, but unread bytes may take more
 // memory.
-func (n *Node) listen(address string, receiveBuffer int) (net.Listener, error) {
+func (n *Node) listen(address string, receiveBuffer int, u *limiter.Use) (*limiter.Listener, error) {
 	cfg := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
 			err := unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
@@ -71,7 +72,11 @@
 			}
 		})
 	}}
-	return cfg.Listen(context.Background(), "tcp4", address)
+	l, err := cfg.Listen(context.Background(), "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return u.Listen(l), nil
 }
 
 // textLimitHook shortens long texts in log lines.
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -37,8 +37,8 @@
 
 const (
 	// reservedFileDescriptors is the number of descriptors that are not for callers'
-	// sessions: the platform reserves 200, and connections to servers and instances
-	// need the rest.
+	// sessions: the platform reserves 200 (platformFiles), and connections to servers and
+	// instances need the rest.
 	reservedFileDescriptors = 600
 	// memoryLimitShare is the share of the instance's memory limit that is the soft
 	// limit of the Go runtime, near which the garbage collector works harder.
@@ -119,6 +119,7 @@
 	coordinator   knownCoordinator
 	httpServers   []*http.Server
 	budget        *budgeter.Budget
+	sockets       sockets
 
 	// built is closed when all components exist. Components that start earlier wait
 	// for it before they use others.
@@ -137,11 +138,14 @@
 	n.printer = printer.New(out, n.clock, n.metrics)
 	n.log = newLogger(n.printer, settings)
 	n.log.WithFields(logrus.Fields{"callers": settings.CallerAddress, "store": settings.StoreAddress}).Info("noder: starting")
-	callers, err := n.listen(settings.CallerAddress, callerReceiveBuffer)
+	n.budget = n.newBudget()
+	n.sockets = n.newSockets()
+	callers, err := n.listen(settings.CallerAddress, callerReceiveBuffer, n.sockets.callers)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
 	n.store = platform.NewStore(settings.StoreAddress, n.metrics, n.log)
+	n.store.Sockets = n.sockets.store
 	n.registrar = registrar.New(registrar.Config{
 		Store: n.store, Clock: n.clock, Log: n.log,
 		Self: registrar.Instance{
@@ -156,11 +160,12 @@
 		MaxProofAge: settings.RevocationLimit, IsProofRoot: n.isProofRoot, AskPeers: n.refreshFromPeers,
 		ProofRetryPause: func() time.Duration { return n.scaleInterval(proofRetryPause) }, OnChange: n.broadcast,
 	})
-	n.peers = messenger.NewPool(messenger.PoolConfig{Registry: n.metrics, DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout, Clock: n.clock})
+	n.peers = messenger.NewPool(messenger.PoolConfig{
+		Registry: n.metrics, DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout, Sockets: n.sockets.peers, Clock: n.clock,
+	})
 	n.surveyor = surveyor.New(n.clock)
-	n.budget = n.newBudget()
 	n.dispatcher = dispatcher.New(dispatcher.Config{
-		Zone: settings.Zone, Informer: n.informer, Dialer: platform.ServerDialer{User: settings.Instance, Clock: n.clock, Budget: n.budget},
+		Zone: settings.Zone, Informer: n.informer, Dialer: platform.ServerDialer{User: settings.Instance, Clock: n.clock, Budget: n.budget, Sockets: n.sockets.servers},
 		Instance: settings.Instance, Instances: n.instances, InstancesKnown: n.registrar.HasList, InstancesChanged: n.registrar.Changed,
 		Forwarder:     forwarder.Client{Dialer: n.peers},
 		IsCoordinator: n.isCoordinator,
@@ -176,7 +181,7 @@
 		return nil, err
 	}
 	n.sessions = sessioner.NewServer(sessioner.Config{
-		Listener: callers, NewConn: func(c net.Conn) sessioner.Conn { return platform.NewCallerConn(c, n.budget) },
+		Listener: callers, OnFull: callers.OnFull, NewConn: func(c net.Conn) sessioner.Conn { return platform.NewCallerConn(c, n.budget) },
 		Informer: n.informer, Dispatcher: n.dispatcher, Authenticator: n.authenticator, Throttler: n.throttler, MaxSessions: maxSessions(settings), Refusals: n.budget.Refusals(),
 		Clock: n.clock, Metrics: n.metrics, Log: n.log,
 	})
--- a/internal/noder/readiness.go
+++ b/internal/noder/readiness.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"marigoldhub.example/hub/internal/budgeter"
+	"marigoldhub.example/hub/internal/limiter"
 )
 
 // headerTimeout closes a connection to the readiness or metrics port that sends no
@@ -32,21 +33,21 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	if err := n.serveHTTP(n.settings.ReadinessAddress, probe); err != nil {
+	if err := n.serveHTTP(n.settings.ReadinessAddress, n.sockets.readiness, probe); err != nil {
 		return errors.Wrap(err, "listen for readiness probes")
 	}
 	if n.settings.MetricsAddress == "" {
 		return nil
 	}
 	figures := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(n.metrics, w) })
-	if err := n.serveHTTP(n.settings.MetricsAddress, figures); err != nil {
+	if err := n.serveHTTP(n.settings.MetricsAddress, n.sockets.metrics, figures); err != nil {
 		return errors.Wrap(err, "listen for metrics")
 	}
 	return nil
 }
 
-func (n *Node) serveHTTP(address string, h http.Handler) error {
-	l, err := n.listen(address, probeReceiveBuffer)
+func (n *Node) serveHTTP(address string, u *limiter.Use, h http.Handler) error {
+	l, err := n.listen(address, probeReceiveBuffer, u)
 	if err != nil {
 		return err
 	}
--- a/internal/sessioner/displace.go
+++ b/internal/sessioner/displace.go
@@ -61,6 +61,21 @@
 	return true
 }
 
+// spareOne closes a connection whose session has not started, or the session that has been
+// idle for longest; false if there is none that may be closed.
+func (s *Server) spareOne() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	idle, unstarted := s.quietest(s.Clock.Now())
+	switch {
+	case unstarted != nil:
+		s.displace(unstarted, budgeter.StartDisplaced)
+	case idle != nil:
+		s.displace(idle, budgeter.IdleDisplaced)
+	}
+	return idle != nil || unstarted != nil
+}
+
 // quietest returns the session that has been idle for longest, and the connection that has
 // been without the start of its session for longest, if that is long enough to close them.
 // The caller holds mu.
