throttler: an instance stays with an allocator that answers

Cause: while no candidate was known to get half of the refill, an instance sent its next request, with its contribution, to each candidate that it did not know. After a start lists differ for a second, no candidate gets half, and all instances went through the twelve candidates for ever; each got a twelfth. Timeouts of slow candidates began the same.

Change: a chooser keeps the current candidate while it answers and gets half of the refill. One slow answer of a candidate that answered lately is no reason to leave it, and the pause of one that answers now and then grows.

--- a/internal/throttler/candidates.go
+++ b/internal/throttler/candidates.go
@@ -24,6 +24,9 @@
 	// that an instance is gone.
 	minAvoid = time.Second
 	maxAvoid = 4 * time.Second
+	// formerValid is for how long a pause counts after it began, though the candidate has
+	// answered since.
+	formerValid = 2 * maxAvoid
 	// suspectPause is the least time between requests to candidates that did not answer
 	// before. Each of them delays the operations that arrive meanwhile.
 	suspectPause = time.Second
@@ -75,16 +78,23 @@
 	// 0 if the candidate could not tell.
 	share   float64
 	shareAt time.Time
+	// former is the last pause, which began at formerAt. It counts on after an answer.
+	former   time.Duration
+	formerAt time.Time
 }
 
 // answered records an answer.
 func (r *reachability) answered(out *wire.QuotaResponse, now time.Time) {
-	*r = reachability{share: float64(out.GetRefillPermille()) / 1000, shareAt: now}
+	*r = reachability{share: float64(out.GetRefillPermille()) / 1000, shareAt: now, former: r.former, formerAt: r.formerAt}
 }
 
 // timedOut records that a request was not answered. Limit is the number of such requests
-// after which the candidate is avoided.
+// after which the candidate is avoided, unless it answered lately: one slow answer is no reason
+// then.
 func (r *reachability) timedOut(limit int, now time.Time) {
+	if r.answeredWithin(shareValid, now) {
+		limit = maxTimeouts
+	}
 	r.timeouts++
 	if r.timeouts >= limit {
 		r.unreached(now)
@@ -112,13 +122,26 @@
 	return last
 }
 
-// unreached makes the candidate avoided for a while.
+// unreached makes the candidate avoided for a while. One that answers only now and then is
+// avoided for longer each time.
 func (r *reachability) unreached(now time.Time) {
 	r.timeouts = max(r.timeouts, maxTimeouts)
+	if r.avoid == 0 && now.Sub(r.formerAt) < formerValid {
+		r.avoid = r.former
+	}
 	r.avoid = min(max(2*r.avoid, minAvoid), maxAvoid)
 	r.avoidUntil, r.missed = now.Add(r.avoid), now
+	r.former, r.formerAt = r.avoid, now
 }
 
+// answeredWithin reports whether the candidate has answered within the time.
+func (r *reachability) answeredWithin(d time.Duration, now time.Time) bool {
+	return !r.shareAt.IsZero() && now.Sub(r.shareAt) <= d
+}
+
+// isAway reports whether the candidate is avoided or did not answer before.
+func (r *reachability) isAway(now time.Time) bool { return r.isSuspect() || now.Before(r.avoidUntil) }
+
 // isSuspect reports whether the candidate did not answer before and has not answered since.
 func (r *reachability) isSuspect() bool { return r.avoid > 0 }
 
@@ -141,7 +164,7 @@
 		valid *= 2
 	}
 	switch {
-	case r.shareAt.IsZero() || now.Sub(r.shareAt) > valid:
+	case !r.answeredWithin(valid, now):
 		return unknown
 	case r.share == 0:
 		return young
@@ -150,56 +173,3 @@
 	}
 	return major
 }
-
-// choose returns the index of the candidate to ask; -1 if none should be. It is the first
-// one, unless few instances use that and most use another: while lists of instances differ,
-// those that list a new first candidate early would share only their own part of the refill
-// there. A suspect candidate is not asked while an operation waits, or within suspectPause
-// of another one, unless there is no other.
-func choose(known []*reachability, isUrgent bool, now time.Time) int {
-	first := [...]int{unknown: -1, young: -1, minor: -1, major: -1}
-	suspect := -1
-	silence := now.Sub(lastMissed(known))
-	for i, r := range known {
-		if now.Before(r.avoidUntil) {
-			continue
-		}
-		if r.isSuspect() && (isUrgent || silence < suspectPause) {
-			if suspect < 0 {
-				suspect = i
-			}
-			continue
-		}
-		s := r.standing(isUrgent, now)
-		if first[s] < 0 || s == minor && r.share > known[first[s]].share {
-			first[s] = i
-		}
-	}
-	// After others were silent, one that is not known may be so, too. While an operation waits,
-	// and within suspectPause, one that answers is asked instead.
-	usesMinor := first[minor] >= 0 && (isUrgent && silence < 2*maxAvoid || silence < suspectPause)
-	if i := first[unknown]; i >= 0 && !usesMinor && (first[young] < 0 || i < first[young]) && (first[major] < 0 || i < first[major]) {
-		return i
-	}
-	for _, s := range []standing{major, young, minor} {
-		if first[s] >= 0 {
-			return first[s]
-		}
-	}
-	return suspect
-}
-
-// isProbe reports whether a request to the candidate only finds out whether it answers, or how
-// much it is used: it did not answer before, or it is not known to be used by most and another
-// one is.
-func isProbe(known []*reachability, chosen int, now time.Time) bool {
-	if known[chosen].isSuspect() {
-		return true
-	}
-	if known[chosen].standing(false, now) == major {
-		return false
-	}
-	return slices.ContainsFunc(known, func(r *reachability) bool {
-		return r.standing(true, now) == major && !now.Before(r.avoidUntil) && !r.isSuspect()
-	})
-}
--- a/internal/throttler/link.go
+++ b/internal/throttler/link.go
@@ -47,7 +47,7 @@
 	roster   roster
 	chosen   []placer.Peer
 	chosenAt time.Time
-	reached  map[string]*reachability
+	chooser  chooser
 	// current is the name of the allocator; empty if none is reached. It is known after
 	// the first exchange.
 	current        string
@@ -57,7 +57,7 @@
 func (t *Throttler) newLink(group string) *link {
 	ctx, cancel := context.WithCancel(t.ctx)
 	l := &link{
-		t: t, wake: make(chan struct{}, 1), cancel: cancel, done: make(chan struct{}), roster: roster{}, reached: map[string]*reachability{},
+		t: t, wake: make(chan struct{}, 1), cancel: cancel, done: make(chan struct{}), roster: roster{},
 		ledger: ledger{
 			instance: t.cfg.Instance, group: group, accounts: map[string]*account{}, contributed: t.cfg.Clock.Now(),
 			capacity: func(team string, limits allocator.Limits) float64 {
@@ -166,14 +166,16 @@
 	due := l.ledger.next(now)
 	isUrgent := !due.IsZero() && !due.After(now)
 	l.mu.Unlock()
-	chosen, known := l.chosen, l.known(l.chosen)
+	chosen, known := l.chosen, l.chooser.candidates(l.chosen)
 	for range maxTimeouts * candidates {
 		now := l.t.cfg.Clock.Now()
-		i := choose(known, isUrgent, now)
+		i, isProbe := l.chooser.choose(known, isUrgent, now)
 		if i < 0 || !l.t.cfg.InstancesKnown() {
 			break
 		}
-		if poll, ok := l.ask(ctx, chosen[i], known, i); ok {
+		// A probe comes besides the request that contributes.
+		if poll, ok := l.ask(ctx, chosen[i], known, i, isProbe); ok && !isProbe {
+			l.chooser.adopt(known[i], l.t.cfg.Clock.Now())
 			l.setCurrent(chosen[i].Name)
 			return poll
 		}
@@ -206,28 +208,13 @@
 	l.ledger.observe(l.t.sizeOf(peers), now)
 }
 
-// known returns what is known of the candidates, and forgets other instances.
-func (l *link) known(chosen []placer.Peer) []*reachability {
-	reached := map[string]*reachability{}
-	known := make([]*reachability, len(chosen))
-	for i, p := range chosen {
-		r := l.reached[p.Name]
-		if r == nil {
-			r = &reachability{}
-		}
-		reached[p.Name], known[i] = r, r
-	}
-	l.reached = reached
-	return known
-}
-
 // ask sends a request to a candidate. It returns false if it got no tokens or none are
 // allocated there.
-func (l *link) ask(ctx context.Context, p placer.Peer, known []*reachability, chosen int) (poll time.Duration, ok bool) {
+func (l *link) ask(ctx context.Context, p placer.Peer, known []*reachability, chosen int, isProbe bool) (poll time.Duration, ok bool) {
 	l.mu.Lock()
 	now := l.t.cfg.Clock.Now()
 	l.ledger.endSilence(now)
-	r := l.ledger.request(isProbe(known, chosen, now), now)
+	r := l.ledger.request(isProbe, now)
 	l.t.count.setTokens(l.ledger.group, l.ledger.tokens(r.sent))
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
