--- a/internal/connector/backend.go
+++ b/internal/connector/backend.go
@@ -92,11 +92,14 @@
 // Zone returns the availability zone of the server.
 func (b *Backend) Zone() string { return b.Entry().Zone }
 
+// Slots returns how many requests the server runs at a time.
+func (b *Backend) Slots() int { return slotsOf(b.Entry()) }
+
 // Resize sets the connections that this instance may hold, and the slots that the server has
 // now with the queue that its latency allows.
 func (b *Backend) Resize(limits linker.Limits) {
 	b.SetLimits(limits)
-	slots := slotsOf(b.Entry())
+	slots := b.Slots()
 	b.Limiter.SetLimits(slots, placer.QueueLimit(slots, b.MeanLatency()))
 }
 
@@ -110,7 +113,7 @@
 	case r.IsWrite && b.Writes.IsStalled(now):
 		return ErrStalled
 	case !load.Admits(r.Remaining, r.WaitDeadline.Sub(now)):
-		return Overload{Wait: max(load.Wait(), time.Microsecond)}
+		return b.overload(r)
 	}
 	return nil
 }
@@ -121,27 +124,33 @@
 	if err := b.checkAdmission(now, r); err != nil {
 		return nil, nil, err
 	}
-	releaseSlot, err = b.Limiter.Acquire(r.Urgency(), r.WaitDeadline, placer.SlotTimeout(b.MeanLatency()))
+	slot, err := b.Limiter.Acquire(r.Urgency(), r.WaitDeadline, placer.SlotTimeout(b.MeanLatency()))
 	if errors.Is(err, admitter.ErrLeft) {
 		return nil, nil, ErrCallerLeft
 	}
 	if err != nil {
-		return nil, nil, errors.Join(ErrOverloaded, err)
+		return nil, nil, errors.Join(b.overload(r), err)
 	}
 	c, err = b.AcquireOutOfSlot(r)
 	if err == nil {
-		return c, releaseSlot, nil
+		return c, slot.Release, nil
 	}
-	releaseSlot()
+	slot.Cancel()
 	switch {
 	case errors.Is(err, linker.ErrLeft):
 		err = ErrCallerLeft
 	case errors.Is(err, linker.ErrNoConn):
-		err = errors.Join(ErrOverloaded, err)
+		err = errors.Join(b.overload(r), err)
 	}
 	return nil, nil, err
 }
 
+// overload returns the refusal of a request that waited in vain, with the wait that it
+// would find now.
+func (b *Backend) overload(r Request) Overload {
+	return Overload{Wait: max(b.Load(r).Wait(), time.Microsecond)}
+}
+
 // AcquireOutOfSlot waits for a connection of this instance without a slot.
 func (b *Backend) AcquireOutOfSlot(r Request) (*linker.Conn, error) {
 	return b.Pool.Acquire(r.ofPool())
@@ -161,7 +170,7 @@
 
 // AcquireSlotNow takes a slot for the next statement of an open transaction.
 func (b *Backend) AcquireSlotNow(u admitter.Urgency) (releaseSlot func()) {
-	return b.Limiter.AcquireNowFor(u, placer.SlotTimeout(b.MeanLatency()))
+	return b.Limiter.AcquireNowFor(u, placer.SlotTimeout(b.MeanLatency())).Release
 }
 
 // RunInSlot runs the next statement of an open transaction on a connection of this
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -35,6 +35,8 @@
 	count counters
 	// retryBudget limits the tries after refusals at full queues.
 	retryBudget retryBudget
+	// returns hold when the callers of refused requests come back.
+	returns returns
 
 	mu sync.RWMutex
 	// hedges are the budgets for additional tries of reads by service.
@@ -77,7 +79,7 @@
 		Clock: cfg.Clock, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	d.inspector = inspector.New(inspector.Config{
-		Scheduled: d.backends.Scheduled, Querier: d.Querier, PositionAt: cfg.PositionAt, Stop: d.stop, Clock: cfg.Clock, Metrics: cfg.Metrics,
+		Scheduled: d.backends.Scheduled, Querier: d.Querier, Informer: cfg.Informer, PositionAt: cfg.PositionAt, Stop: d.stop, Clock: cfg.Clock, Metrics: cfg.Metrics,
 	})
 	d.Executor = executor.New(executor.Config{
 		Backend: d.backends.Backend, AcceptsNewWork: d.backends.AcceptsNewWork, LeaveGateways: d.gateways.LeaveGateways, IdleInTransaction: d.idleInTransaction,
--- a/internal/dispatcher/transaction_begin.go
+++ b/internal/dispatcher/transaction_begin.go
@@ -32,16 +32,20 @@
 	open.Received = now
 	pos, err := d.minPositionFor(open, open.primaryWaitDeadline(now))
 	if err != nil {
-		return d.refuse(req, exchanger.Busy, "no current position is known", err), false
+		return d.refuseAtPrimary(req, "no current position is known", err, t.begin.Route.Objective), false
 	}
 	tried := map[string]bool{}
-	wait := time.Duration(0)
+	wait, wasFull := time.Duration(0), false
 	d.retryBudget.earn(t.begin.Route.Service)
 	for range maxAttempts {
-		b, _ := d.chooseRead(open, pos, tried, false)
+		c := d.chooseRead(open, pos, tried, false)
+		b := c.backend
 		if b == nil {
 			break
 		}
+		if wasFull && c.isFull && !d.spendRetry(t.begin.Route.Service) {
+			return d.refuseRead(open, pos, "the servers' queues are full", errNoRetries, wait), false
+		}
 		a, err := t.beginAt(b, req, exchanger.Statement{Kind: exchanger.BeginReadOnly, MinPosition: pos.position})
 		if err == nil && a.OK() {
 			return a, true
@@ -51,13 +55,10 @@
 		} else {
 			d.logRetry(req, b.ID, "transaction did not begin: "+a.Code.String(), err)
 		}
-		if !d.mayRetry(t.begin.Route.Service, a.Code, err) {
-			return d.refuse(req, exchanger.Busy, "the servers' queues are full", errNoRetries), false
-		}
 		tried[b.ID] = true
-		wait = shorterWait(wait, err)
+		wait, wasFull = shorterWait(wait, err), isFull(a.Code, err)
 	}
-	return d.refuseRead(open, pos, "no backend server could begin the transaction", wait), false
+	return d.refuseRead(open, pos, "no backend server could begin the transaction", nil, wait), false
 }
 
 func (t *Transaction) beginAtLeader(req Request) (exchanger.Answer, bool) {
@@ -70,7 +71,7 @@
 	for range maxAttempts {
 		l, err := g.AwaitLeader(waitDeadline)
 		if err != nil {
-			return d.refuse(req, exchanger.Busy, "no primary is known", errors.Join(err, reason)), false
+			return d.refuseAtPrimary(req, "no primary is known", errors.Join(err, reason), t.begin.Route.Objective), false
 		}
 		b := d.backends.Backend(l.Server.ID)
 		if b == nil {
@@ -80,7 +81,7 @@
 		}
 		begin, err := t.beginStatement(g, req, waitDeadline)
 		if err != nil {
-			return d.refuse(req, exchanger.Busy, "no current position is known", err), false
+			return d.refuseAtPrimary(req, "no current position is known", err, t.begin.Route.Objective), false
 		}
 		a, err := t.beginAt(b, req, begin)
 		if err == nil && a.OK() {
@@ -90,10 +91,10 @@
 		}
 		if errors.Is(err, connector.ErrSilent) || errors.Is(err, connector.ErrOverloaded) {
 			d.recheckPrimary(g, l)
-			return d.refuse(req, exchanger.Busy, "the primary could not begin the transaction", err), false
+			return d.refuseAtPrimary(req, "the primary could not begin the transaction", err, t.begin.Route.Objective), false
 		}
 		if !d.mayRetry(t.begin.Route.Service, a.Code, err) {
-			return d.refuse(req, exchanger.Busy, "the primary's queue is full", errNoRetries), false
+			return d.refuseAtPrimary(req, "the primary's queue is full", errors.Join(errNoRetries, err), t.begin.Route.Objective), false
 		}
 		if err != nil {
 			d.recheckPrimary(g, l)
@@ -103,7 +104,7 @@
 		}
 		d.logRetry(req, b.ID, "transaction did not begin", reason)
 	}
-	return d.refuse(req, exchanger.Busy, "the primary could not begin the transaction", reason), false
+	return d.refuseAtPrimary(req, "the primary could not begin the transaction", reason, t.begin.Route.Objective), false
 }
 
 // beginStatement returns the statement that begins the transaction at the primary.
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -1,6 +1,7 @@
 package inspector
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -9,6 +10,7 @@
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/connector"
 	"marigoldhub.example/hub/internal/exchanger"
+	"marigoldhub.example/hub/internal/informer"
 	"marigoldhub.example/hub/internal/observer"
 	"marigoldhub.example/hub/internal/placer"
 	"marigoldhub.example/hub/internal/surveyor"
@@ -21,6 +23,9 @@
 	minReportedWait = 3 * time.Millisecond
 	// readPriority is the priority for which waits are reported, that of most reads.
 	readPriority = 1
+	// assumedObjective is the objective of the reads of a service while no route to it is
+	// known.
+	assumedObjective = 500 * time.Millisecond
 	// positionInterval is the age from which a position of a replica that is behind is
 	// asked for. Reports and what is known of a server expire after about three of them.
 	positionInterval = 200 * time.Millisecond
@@ -44,6 +49,8 @@
 	// Scheduled returns the servers whose work this instance schedules.
 	Scheduled func(now time.Time) []*connector.Backend
 	Querier   Querier
+	// Informer provides the configuration with the routes.
+	Informer *informer.Informer
 	// PositionAt returns the position of a replica that is behind, as its gateway reports
 	// it, and when it had it; nil if there are no reports.
 	PositionAt func(server string) (tracker.Position, time.Time, bool)
@@ -84,7 +91,9 @@
 	var out []surveyor.Report
 	for _, b := range i.cfg.Scheduled(now) {
 		r := surveyor.Report{Server: b.ID}
-		load := b.Load(connector.Request{Priority: readPriority, Due: now})
+		// A request that is due now could not be answered in time, and would wait behind all
+		// that can.
+		load := b.Load(connector.Request{Priority: readPriority, Due: now.Add(i.readObjective(b.Target().Service))})
 		// Connections are opened when they are needed; only the slots are scarce.
 		load.Idle = max(load.Idle, 1)
 		if wait := load.Wait(); wait >= minReportedWait {
@@ -100,6 +109,21 @@
 	return out
 }
 
+// readObjective returns the shortest objective of the reads that any server of the service
+// may run. Reads with a longer one wait longer than reported; the gateway of the server
+// decides about them when they arrive.
+func (i *Inspector) readObjective(service string) time.Duration {
+	shortest := time.Duration(0)
+	if c := i.cfg.Informer.State().Configuration; c != nil {
+		for _, r := range c.Routes {
+			if r.Service == service && r.Reads != informer.PrimaryReads && (shortest == 0 || r.Objective < shortest) {
+				shortest = r.Objective
+			}
+		}
+	}
+	return cmp.Or(shortest, assumedObjective)
+}
+
 // Progress returns what is known of a replica that is behind: what its gateway reports
 // or, if that is newer, what it answered to this instance.
 func (i *Inspector) Progress(b *connector.Backend, now time.Time) (placer.Progress, bool) {
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -13,9 +13,9 @@
 	// latencyWeight is the weight of a new sample in the moving average of the
 	// latency: about the last ten answers count.
 	latencyWeight = 0.2
-	// avoidAfterRefusal is how long a server is avoided whose queue was full: about
+	// AvoidAfterRefusal is how long a server is avoided whose queue was full: about
 	// the time of the requests in it.
-	avoidAfterRefusal = 100 * time.Millisecond
+	AvoidAfterRefusal = 100 * time.Millisecond
 	// avoidAfterFailure is how long an unreachable server is avoided: until it has
 	// had time to come back or to be taken off the list.
 	avoidAfterFailure = time.Second
@@ -65,7 +65,7 @@
 		o.avoid = now.Add(avoidAfterFailure)
 		return
 	case code == exchanger.Busy || code == exchanger.TooManyConnections:
-		o.avoid = now.Add(avoidAfterRefusal)
+		o.avoid = now.Add(AvoidAfterRefusal)
 	case code == exchanger.Success:
 		if o.latency == 0 {
 			o.latency = took
