attempter: sends a statement to one server and judges the attempt

Reads, writes and transactions share attempts, refusals, the budget of retries and the times to return; they stood beside them in dispatcher. Change: package attempter has them, with the request. The dispatcher keeps the name of the request for its callers. Log lines and metric names stay.

--- a/internal/dispatcher/retry_budget.go
+++ b/internal/attempter/retry_budget.go
@@ -1,4 +1,4 @@
-package dispatcher
+package attempter
 
 import (
 	"errors"
@@ -17,9 +17,9 @@
 	maxRetryTokens = 20
 )
 
-// errNoRetries means that a request was refused at a full queue and that the service has no
+// ErrNoRetries means that a request was refused at a full queue and that the service has no
 // further tries left.
-var errNoRetries = errors.New("too many requests were refused at full queues to try again")
+var ErrNoRetries = errors.New("too many requests were refused at full queues to try again")
 
 // retryBudget limits the tries that this instance makes after a refusal at a full queue, for
 // each service. It answers an overload in which each refused request would come back at
@@ -55,23 +55,26 @@
 	return true
 }
 
-// isFull reports whether an attempt that ran nothing was refused at a full queue, by the
+// IsFull reports whether an attempt that ran nothing was refused at a full queue, by the
 // server or by the gateway that orders its work.
-func isFull(code exchanger.Code, err error) bool {
+func IsFull(code exchanger.Code, err error) bool {
 	return errors.Is(err, connector.ErrOverloaded) && !errors.Is(err, connector.ErrCallerLeft) || err == nil && code == exchanger.Busy
 }
 
-// mayRetry reports whether an attempt that ran nothing may be followed by another one.
-func (d *Dispatcher) mayRetry(service string, code exchanger.Code, err error) bool {
-	return !isFull(code, err) || d.spendRetry(service)
+// EarnRetry records the first try of a request to the service.
+func (t *Attempter) EarnRetry(service string) { t.retryBudget.earn(service) }
+
+// MayRetry reports whether an attempt that ran nothing may be followed by another one.
+func (t *Attempter) MayRetry(service string, code exchanger.Code, err error) bool {
+	return !IsFull(code, err) || t.SpendRetry(service)
 }
 
-// spendRetry takes a further try from the budget of the service and reports whether there
+// SpendRetry takes a further try from the budget of the service and reports whether there
 // was one.
-func (d *Dispatcher) spendRetry(service string) bool {
-	if d.retryBudget.spend(service) {
+func (t *Attempter) SpendRetry(service string) bool {
+	if t.retryBudget.spend(service) {
 		return true
 	}
-	d.count.retriesRefused.Inc(1)
+	t.count.retriesRefused.Inc(1)
 	return false
 }
--- a/internal/dispatcher/return_time.go
+++ b/internal/attempter/return_time.go
@@ -1,4 +1,4 @@
-package dispatcher
+package attempter
 
 import (
 	"errors"
@@ -45,45 +45,45 @@
 	return r.byKey[key].Book(now, f, rand.Float64())
 }
 
-// refuseWithTime refuses a request of which nothing ran and tells the caller when to come
+// RefuseWithTime refuses a request of which nothing ran and tells the caller when to come
 // back, if there is an estimate. The servers are those that could run it.
-func (d *Dispatcher) refuseWithTime(req Request, reason string, err error, servers []*connector.Backend, estimates ...time.Duration) exchanger.Answer {
+func (t *Attempter) RefuseWithTime(req Request, reason string, err error, servers []*connector.Backend, estimates ...time.Duration) exchanger.Answer {
 	if len(estimates) == 0 {
-		return d.refuse(req, exchanger.Busy, reason, err)
+		return t.refuse(req, exchanger.Busy, reason, err)
 	}
-	now := d.cfg.Clock.Now()
+	now := t.cfg.Clock.Now()
 	slots, latency := 0, time.Duration(0)
 	for _, b := range servers {
 		slots += b.Slots()
 		latency = max(latency, b.MeanLatency())
 	}
-	after := d.returns.book(now, returnKey{req.Route.Service, req.Route.Priority}, placer.Refusal{
-		Estimates: estimates, Patience: req.deadline(req.Received).Sub(now),
-		Interval: placer.ReturnInterval(len(d.cfg.Instances()), slots, latency),
+	after := t.returns.book(now, returnKey{req.Route.Service, req.Route.Priority}, placer.Refusal{
+		Estimates: estimates, Patience: req.Deadline(req.Received).Sub(now),
+		Interval: placer.ReturnInterval(len(t.cfg.Instances()), slots, latency),
 	})
-	d.count.refusalsWithTime.Inc(1)
-	return d.refuseUntil(req, reason, err, after)
+	t.count.refusalsWithTime.Inc(1)
+	return t.refuseUntil(req, reason, err, after)
 }
 
-// refuseAtPrimary refuses a request that only the primary could run. Allowed is how long
+// RefuseAtPrimary refuses a request that only the primary could run. Allowed is how long
 // such a request may wait there.
-func (d *Dispatcher) refuseAtPrimary(req Request, reason string, err error, allowed time.Duration) exchanger.Answer {
+func (t *Attempter) RefuseAtPrimary(req Request, reason string, err error, allowed time.Duration) exchanger.Answer {
 	var servers []*connector.Backend
-	g := d.Group(req.Route.Service)
+	g := t.cfg.Groups.Group(req.Route.Service)
 	l, _ := g.Leader()
-	b := d.backends.Backend(l.Server.ID)
+	b := t.cfg.Backends.Backend(l.Server.ID)
 	if b != nil {
 		servers = append(servers, b)
 	}
-	return d.refuseWithTime(req, reason, err, servers, d.estimatesAtPrimary(g, b, err, allowed)...)
+	return t.RefuseWithTime(req, reason, err, servers, t.estimatesAtPrimary(g, b, err, allowed)...)
 }
 
 // estimatesAtPrimary returns in what time the primary is expected to run a request that
 // the error refused: when its queue is short enough, when a primary is known, or when its
 // commits are confirmed again. There is no estimate if nothing is known of it. B is nil
 // while no primary is known.
-func (d *Dispatcher) estimatesAtPrimary(g *attester.Group, b *connector.Backend, err error, allowed time.Duration) []time.Duration {
-	now := d.cfg.Clock.Now()
+func (t *Attempter) estimatesAtPrimary(g *attester.Group, b *connector.Backend, err error, allowed time.Duration) []time.Duration {
+	now := t.cfg.Clock.Now()
 	var o connector.Overload
 	var since time.Time
 	elapsed, usual, isMissing := g.Outage()
@@ -92,13 +92,13 @@
 		return []time.Duration{placer.OutageLeft(elapsed, usual)}
 	case errors.As(err, &o) && o.Wait > 0:
 		return []time.Duration{o.Wait - allowed}
-	case errors.Is(err, errRefused), errors.Is(err, errNoRetries), errors.Is(err, connector.ErrOverloaded):
+	case errors.Is(err, ErrRefused), errors.Is(err, ErrNoRetries), errors.Is(err, connector.ErrOverloaded):
 		return []time.Duration{observer.AvoidAfterRefusal}
 	case b == nil:
 		return nil
 	case errors.Is(err, connector.ErrStalled):
 		since, _ = b.Writes.Oldest()
-	case errors.Is(err, connector.ErrSilent), errors.Is(err, errNotSent):
+	case errors.Is(err, connector.ErrSilent), errors.Is(err, ErrNotSent):
 		since = b.Health().Answered
 	case errors.Is(err, attester.ErrNotConfirmed):
 		if s, ok := g.LatestSample(); ok {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -4,9 +4,8 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"marigoldhub.example/hub/internal/appraiser"
+	"marigoldhub.example/hub/internal/attempter"
 	"marigoldhub.example/hub/internal/delegator"
 	"marigoldhub.example/hub/internal/executor"
 	"marigoldhub.example/hub/internal/hedger"
@@ -22,9 +21,6 @@
 	reconcileInterval = 500 * time.Millisecond
 )
 
-// errUnknownServer means that a server is not listed any more.
-var errUnknownServer = errors.New("backend server is not listed")
-
 // Dispatcher runs statements on the backend servers that an informer lists.
 type Dispatcher struct {
 	// Executor runs the statements of other instances.
@@ -33,10 +29,6 @@
 	*querier.Querier
 	cfg   Config
 	count counters
-	// retryBudget limits the tries after refusals at full queues.
-	retryBudget retryBudget
-	// returns hold when the callers of refused requests come back.
-	returns returns
 
 	mu sync.RWMutex
 	// hedges are the budgets for additional tries of reads by service.
@@ -47,6 +39,8 @@
 	gateways *selector.Selector
 	// delegator sends statements to them.
 	delegator *delegator.Delegator
+	// attempts sends statements to servers.
+	attempts *attempter.Attempter
 	// inspector knows which replicas are behind.
 	inspector *inspector.Inspector
 	// appraiser grades the servers by their answers to reads.
@@ -81,6 +75,10 @@
 	d.inspector = inspector.New(inspector.Config{
 		Scheduled: d.backends.Scheduled, Querier: d.Querier, Informer: cfg.Informer, PositionAt: cfg.PositionAt, Stop: d.stop, Clock: cfg.Clock, Metrics: cfg.Metrics,
 	})
+	d.attempts = attempter.New(attempter.Config{
+		Groups: d.Querier, Backends: d.backends, Delegator: d.delegator, Appraiser: d.appraiser, Instances: cfg.Instances,
+		Clock: cfg.Clock, Metrics: cfg.Metrics, Log: cfg.Log,
+	})
 	d.Executor = executor.New(executor.Config{
 		Backend: d.backends.Backend, AcceptsNewWork: d.backends.AcceptsNewWork, LeaveGateways: d.gateways.LeaveGateways, IdleInTransaction: d.idleInTransaction,
 		Appraiser: d.appraiser, Clock: cfg.Clock, Metrics: cfg.Metrics, Log: cfg.Log,
@@ -169,3 +167,10 @@
 	}
 	return time.Time{}, false
 }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/dispatcher/hedged_read.go
+++ b/internal/dispatcher/hedged_read.go
@@ -6,6 +6,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"marigoldhub.example/hub/internal/attempter"
 	"marigoldhub.example/hub/internal/connector"
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/hedger"
@@ -58,7 +59,7 @@
 func (r *hedgedRead) run() exchanger.Answer {
 	clock := r.d.cfg.Clock
 	r.budget.Earn()
-	r.d.retryBudget.earn(r.req.Route.Service)
+	r.d.attempts.EarnRetry(r.req.Route.Service)
 	r.sendNext()
 	hedge := clock.NewTimer(placer.HedgeDelay(r.req.Route.Objective))
 	defer hedge.Stop()
@@ -89,7 +90,7 @@
 	}
 	if c := r.d.chooseRead(r.req, r.minPosition, r.tried, false); c.backend != nil && r.pay() {
 		r.d.count.hedges.Inc(1)
-		r.d.logRetry(r.req, c.backend.ID, "the first server has not answered", nil)
+		r.d.attempts.LogRetry(r.req, c.backend.ID, "the first server has not answered", nil)
 		r.send(c.backend, c.spillWait)
 	}
 }
@@ -119,7 +120,7 @@
 // sendNext asks the next server. When all were asked and none is pending, it asks the
 // least loaded one again, this time with a longer wait.
 func (r *hedgedRead) sendNext() {
-	if r.attempts >= maxAttempts {
+	if r.attempts >= attempter.MaxAttempts {
 		return
 	}
 	mayProbe := r.attempts == 0 && r.budget.Has()
@@ -146,7 +147,7 @@
 	if r.mayHaveRun {
 		return r.pay()
 	}
-	return !r.wasFull || !isFull || r.d.spendRetry(r.req.Route.Service)
+	return !r.wasFull || !isFull || r.d.attempts.SpendRetry(r.req.Route.Service)
 }
 
 // send starts an attempt at the server. With a spillWait, the read may be tried at
@@ -160,7 +161,7 @@
 	r.attempts++
 	r.pending++
 	go func() {
-		answers, err := r.d.attemptRead(b, r.req, spillWait, r.deadline, r.req.Statement.WithMinPosition(r.minPosition.position))
+		answers, err := r.d.attempts.AttemptRead(b, r.req, spillWait, r.deadline, r.req.Statement.WithMinPosition(r.minPosition.position))
 		r.results <- readResult{b, spillWait > 0, answers, err}
 	}()
 }
@@ -170,19 +171,19 @@
 func (r *hedgedRead) handleResult(result readResult) (exchanger.Answer, bool) {
 	d, b := r.d, result.backend
 	var o connector.Overload
-	r.mayHaveRun = result.err != nil && !errors.Is(result.err, errNotSent) || result.err == nil && !result.answers[0].Code.IsNotExecuted()
-	r.wasFull = result.err != nil && isFull(exchanger.Success, result.err) || result.err == nil && isFull(result.answers[0].Code, nil)
+	r.mayHaveRun = result.err != nil && !errors.Is(result.err, attempter.ErrNotSent) || result.err == nil && !result.answers[0].Code.IsNotExecuted()
+	r.wasFull = result.err != nil && attempter.IsFull(exchanger.Success, result.err) || result.err == nil && attempter.IsFull(result.answers[0].Code, nil)
 	switch {
 	case errors.Is(result.err, connector.ErrCallerLeft):
-		return callerLeftAnswer, true
-	case errors.Is(result.err, errNotSent):
-		d.logRetry(r.req, b.ID, "not sent", result.err)
-		r.shortestWait = shorterWait(r.shortestWait, result.err)
+		return attempter.CallerLeftAnswer, true
+	case errors.Is(result.err, attempter.ErrNotSent):
+		d.attempts.LogRetry(r.req, b.ID, "not sent", result.err)
+		r.shortestWait = attempter.ShorterWait(r.shortestWait, result.err)
 		if errors.As(result.err, &o) && result.maySpill && (r.leastLoaded == nil || o.Wait < r.leastLoadedWait) {
 			r.leastLoaded, r.leastLoadedWait = b, o.Wait
 		}
 	case result.err != nil:
-		d.logRetry(r.req, b.ID, "no answer", result.err)
+		d.attempts.LogRetry(r.req, b.ID, "no answer", result.err)
 		r.lastFailure = &exchanger.Answer{Code: exchanger.Failed, Text: "the answer was lost"}
 	case result.answers[0].OK() || result.answers[0].Code == exchanger.Timeout:
 		d.countReplicaRead(r.req.Route.Service, b.ID)
@@ -190,7 +191,7 @@
 	case result.answers[0].Code == exchanger.Behind:
 		d.recordBehind(r.req, b, r.minPosition, result.answers[0].Position)
 	default:
-		d.logRetry(r.req, b.ID, result.answers[0].Code.String(), nil)
+		d.attempts.LogRetry(r.req, b.ID, result.answers[0].Code.String(), nil)
 		if !result.answers[0].Code.IsNotExecuted() {
 			r.lastFailure = &result.answers[0]
 		}
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"marigoldhub.example/hub/internal/attempter"
 	"marigoldhub.example/hub/internal/connector"
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/informer"
@@ -15,14 +16,6 @@
 	"marigoldhub.example/hub/internal/tracker"
 )
 
-const (
-	// maxAttempts bounds how many times a statement is sent.
-	maxAttempts = 4
-	// busyPause is the pause between attempts at a server whose queue was full: the
-	// time in which it completes a request or two.
-	busyPause = 10 * time.Millisecond
-)
-
 // minPosition is a log position that a read's server must cover, with the time since
 // which replicas could have received it.
 type minPosition struct {
@@ -70,12 +63,12 @@
 // those that cover the minimum position. If it does not answer, another one is asked
 // as well.
 func (d *Dispatcher) readAnywhere(req Request) exchanger.Answer {
-	deadline := req.deadline(req.Received)
-	pos, err := d.minPositionFor(req, req.primaryWaitDeadline(req.Received))
+	deadline := req.Deadline(req.Received)
+	pos, err := d.minPositionFor(req, req.PrimaryWaitDeadline(req.Received))
 	if err != nil {
-		return d.refuseAtPrimary(req, "no current position is known", err, req.Route.Objective/2)
+		return d.attempts.RefuseAtPrimary(req, "no current position is known", err, req.Route.Objective/2)
 	}
-	r := &hedgedRead{d: d, req: req, minPosition: pos, deadline: deadline, budget: d.hedgeBudget(req.Route.Service), tried: map[string]bool{}, results: make(chan readResult, maxAttempts)}
+	r := &hedgedRead{d: d, req: req, minPosition: pos, deadline: deadline, budget: d.hedgeBudget(req.Route.Service), tried: map[string]bool{}, results: make(chan readResult, attempter.MaxAttempts)}
 	return r.run()
 }
 
--- a/internal/dispatcher/refuse_read.go
+++ b/internal/dispatcher/refuse_read.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"marigoldhub.example/hub/internal/attempter"
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/observer"
 )
@@ -17,7 +18,7 @@
 	if wait > 0 {
 		estimates = append(estimates, wait-req.Route.Objective/2)
 	}
-	if errors.Is(err, errNoRetries) && wait == 0 {
+	if errors.Is(err, attempter.ErrNoRetries) && wait == 0 {
 		estimates = append(estimates, observer.AvoidAfterRefusal)
 	}
 	for _, b := range d.backends.BackendsOf(req.Route.Service, now) {
@@ -25,5 +26,5 @@
 			estimates = append(estimates, p.CoversAt(pos.floor()).Sub(now))
 		}
 	}
-	return d.refuseWithTime(req, reason, err, d.backends.BackendsOf(req.Route.Service, now), estimates...)
+	return d.attempts.RefuseWithTime(req, reason, err, d.backends.BackendsOf(req.Route.Service, now), estimates...)
 }
--- a/internal/dispatcher/transaction.go
+++ b/internal/dispatcher/transaction.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldhub.example/hub/internal/admitter"
+	"marigoldhub.example/hub/internal/attempter"
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/connector"
 	"marigoldhub.example/hub/internal/exchanger"
@@ -49,7 +50,7 @@
 	if a, ok := t.ensureBegun(req); !ok {
 		return t.abort(a)
 	}
-	answers, err := t.run(req, req.deadline(req.Received))
+	answers, err := t.run(req, req.Deadline(req.Received))
 	if err != nil {
 		t.d.cfg.Log.WithError(err).WithFields(logrus.Fields{"request": req.Statement.ID, "server": t.backend.ID}).
 			Warn("dispatcher: transaction is aborted, its connection is lost")
@@ -99,7 +100,7 @@
 }
 
 func (t *Transaction) commit(req Request) exchanger.Answer {
-	deadline := req.deadline(req.Received)
+	deadline := req.Deadline(req.Received)
 	if t.wrote && t.backend.Writes.IsStalled(t.d.cfg.Clock.Now()) {
 		t.Abandon()
 		return exchanger.ErrorAnswer(exchanger.Aborted, exchanger.Idle, "no replica receives the primary's commits; nothing is kept")
@@ -122,7 +123,7 @@
 		}
 		a := answers[0]
 		if a.Code == exchanger.Busy && a.State == exchanger.InTransaction && t.d.cfg.Clock.Now().Before(deadline) {
-			t.d.cfg.Clock.Sleep(busyPause)
+			t.d.cfg.Clock.Sleep(attempter.BusyPause)
 			continue
 		}
 		t.releaseConn(a.State == exchanger.Idle)
@@ -151,7 +152,7 @@
 // Rollback rolls the transaction back.
 func (t *Transaction) Rollback(req Request) exchanger.Answer {
 	if t.conn != nil {
-		answers, err := t.conn.RunPlain(req.deadline(req.Received), req.Statement)
+		answers, err := t.conn.RunPlain(req.Deadline(req.Received), req.Statement)
 		t.releaseConn(err == nil && answers[0].State == exchanger.Idle)
 	}
 	return exchanger.Acknowledgement(exchanger.Idle)
@@ -196,7 +197,7 @@
 		t.backend.Observe(now, 0, exchanger.Success, err)
 	}
 	if t.leader.Term > 0 {
-		t.d.recheckPrimary(t.d.Group(t.begin.Route.Service), t.leader)
+		t.d.attempts.RecheckPrimary(t.d.Group(t.begin.Route.Service), t.leader)
 	}
 }
 
--- a/internal/dispatcher/transaction_begin.go
+++ b/internal/dispatcher/transaction_begin.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"marigoldhub.example/hub/internal/attempter"
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/connector"
 	"marigoldhub.example/hub/internal/exchanger"
@@ -30,21 +31,21 @@
 	now := d.cfg.Clock.Now()
 	open := t.begin
 	open.Received = now
-	pos, err := d.minPositionFor(open, open.primaryWaitDeadline(now))
+	pos, err := d.minPositionFor(open, open.PrimaryWaitDeadline(now))
 	if err != nil {
-		return d.refuseAtPrimary(req, "no current position is known", err, t.begin.Route.Objective), false
+		return d.attempts.RefuseAtPrimary(req, "no current position is known", err, t.begin.Route.Objective), false
 	}
 	tried := map[string]bool{}
 	wait, wasFull := time.Duration(0), false
-	d.retryBudget.earn(t.begin.Route.Service)
-	for range maxAttempts {
+	d.attempts.EarnRetry(t.begin.Route.Service)
+	for range attempter.MaxAttempts {
 		c := d.chooseRead(open, pos, tried, false)
 		b := c.backend
 		if b == nil {
 			break
 		}
-		if wasFull && c.isFull && !d.spendRetry(t.begin.Route.Service) {
-			return d.refuseRead(open, pos, "the servers' queues are full", errNoRetries, wait), false
+		if wasFull && c.isFull && !d.attempts.SpendRetry(t.begin.Route.Service) {
+			return d.refuseRead(open, pos, "the servers' queues are full", attempter.ErrNoRetries, wait), false
 		}
 		a, err := t.beginAt(b, req, exchanger.Statement{Kind: exchanger.BeginReadOnly, MinPosition: pos.position})
 		if err == nil && a.OK() {
@@ -53,10 +54,10 @@
 		if err == nil && a.Code == exchanger.Behind {
 			d.recordBehind(req, b, pos, a.Position)
 		} else {
-			d.logRetry(req, b.ID, "transaction did not begin: "+a.Code.String(), err)
+			d.attempts.LogRetry(req, b.ID, "transaction did not begin: "+a.Code.String(), err)
 		}
 		tried[b.ID] = true
-		wait, wasFull = shorterWait(wait, err), isFull(a.Code, err)
+		wait, wasFull = attempter.ShorterWait(wait, err), attempter.IsFull(a.Code, err)
 	}
 	return d.refuseRead(open, pos, "no backend server could begin the transaction", nil, wait), false
 }
@@ -65,23 +66,23 @@
 	d := t.d
 	g := d.Group(t.begin.Route.Service)
 	began := d.cfg.Clock.Now()
-	waitDeadline := t.begin.primaryWaitDeadline(began)
+	waitDeadline := t.begin.PrimaryWaitDeadline(began)
 	var reason error
-	d.retryBudget.earn(t.begin.Route.Service)
-	for range maxAttempts {
+	d.attempts.EarnRetry(t.begin.Route.Service)
+	for range attempter.MaxAttempts {
 		l, err := g.AwaitLeader(waitDeadline)
 		if err != nil {
-			return d.refuseAtPrimary(req, "no primary is known", errors.Join(err, reason), t.begin.Route.Objective), false
+			return d.attempts.RefuseAtPrimary(req, "no primary is known", errors.Join(err, reason), t.begin.Route.Objective), false
 		}
 		b := d.backends.Backend(l.Server.ID)
 		if b == nil {
 			g.Suspect(l.Server.ID, "not listed")
-			reason = errUnknownServer
+			reason = attempter.ErrUnknownServer
 			continue
 		}
 		begin, err := t.beginStatement(g, req, waitDeadline)
 		if err != nil {
-			return d.refuseAtPrimary(req, "no current position is known", err, t.begin.Route.Objective), false
+			return d.attempts.RefuseAtPrimary(req, "no current position is known", err, t.begin.Route.Objective), false
 		}
 		a, err := t.beginAt(b, req, begin)
 		if err == nil && a.OK() {
@@ -90,21 +91,21 @@
 			return a, true
 		}
 		if errors.Is(err, connector.ErrSilent) || errors.Is(err, connector.ErrOverloaded) {
-			d.recheckPrimary(g, l)
-			return d.refuseAtPrimary(req, "the primary could not begin the transaction", err, t.begin.Route.Objective), false
+			d.attempts.RecheckPrimary(g, l)
+			return d.attempts.RefuseAtPrimary(req, "the primary could not begin the transaction", err, t.begin.Route.Objective), false
 		}
-		if !d.mayRetry(t.begin.Route.Service, a.Code, err) {
-			return d.refuseAtPrimary(req, "the primary's queue is full", errors.Join(errNoRetries, err), t.begin.Route.Objective), false
+		if !d.attempts.MayRetry(t.begin.Route.Service, a.Code, err) {
+			return d.attempts.RefuseAtPrimary(req, "the primary's queue is full", errors.Join(attempter.ErrNoRetries, err), t.begin.Route.Objective), false
 		}
 		if err != nil {
-			d.recheckPrimary(g, l)
+			d.attempts.RecheckPrimary(g, l)
 			reason = err
 		} else {
-			reason = d.handleRefusal(g, l, a)
+			reason = d.attempts.HandleRefusal(g, l, a)
 		}
-		d.logRetry(req, b.ID, "transaction did not begin", reason)
+		d.attempts.LogRetry(req, b.ID, "transaction did not begin", reason)
 	}
-	return d.refuseAtPrimary(req, "the primary could not begin the transaction", reason, t.begin.Route.Objective), false
+	return d.attempts.RefuseAtPrimary(req, "the primary could not begin the transaction", reason, t.begin.Route.Objective), false
 }
 
 // beginStatement returns the statement that begins the transaction at the primary.
@@ -147,7 +148,7 @@
 	deadline := now.Add(t.begin.Route.StatementTimeout)
 	open := t.begin
 	open.Received, open.Context = now, req.Context
-	c, releaseSlot, err := t.d.delegator.Acquire(b, t.d.newConnRequest(open, writeWaitFactor))
+	c, releaseSlot, err := t.d.delegator.Acquire(b, t.d.attempts.NewConnRequest(open, attempter.WriteWaitFactor))
 	if err != nil {
 		return exchanger.Answer{}, err
 	}
--- a/internal/dispatcher/write.go
+++ b/internal/dispatcher/write.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"marigoldhub.example/hub/internal/attempter"
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/connector"
 	"marigoldhub.example/hub/internal/exchanger"
@@ -15,74 +16,52 @@
 // attempt had no effect.
 func (d *Dispatcher) runWrite(req Request) exchanger.Answer {
 	g := d.Group(req.Route.Service)
-	deadline := req.deadline(req.Received)
-	waitDeadline := req.primaryWaitDeadline(req.Received)
+	deadline := req.Deadline(req.Received)
+	waitDeadline := req.PrimaryWaitDeadline(req.Received)
 	var reason error
-	d.retryBudget.earn(req.Route.Service)
-	for range maxAttempts {
+	d.attempts.EarnRetry(req.Route.Service)
+	for range attempter.MaxAttempts {
 		l, err := g.AwaitLeader(waitDeadline)
 		if err != nil {
-			return d.refuseAtPrimary(req, "no primary is known", errors.Join(err, reason), req.Route.Objective)
+			return d.attempts.RefuseAtPrimary(req, "no primary is known", errors.Join(err, reason), req.Route.Objective)
 		}
 		b := d.backends.Backend(l.Server.ID)
 		if b == nil {
 			g.Suspect(l.Server.ID, "not listed")
-			reason = errUnknownServer
+			reason = attempter.ErrUnknownServer
 			continue
 		}
 		began := d.cfg.Clock.Now()
-		answers, err := d.attemptWrite(b, req, deadline)
+		answers, err := d.attempts.AttemptWrite(b, req, deadline)
 		switch {
 		case errors.Is(err, connector.ErrStalled):
-			return d.refuseAtPrimary(req, connector.ErrStalled.Error(), err, req.Route.Objective)
+			return d.attempts.RefuseAtPrimary(req, connector.ErrStalled.Error(), err, req.Route.Objective)
 		case errors.Is(err, connector.ErrOverloaded):
-			return d.refuseAtPrimary(req, "too many requests wait for the primary", err, req.Route.Objective)
+			return d.attempts.RefuseAtPrimary(req, "too many requests wait for the primary", err, req.Route.Objective)
 		case errors.Is(err, connector.ErrSilent):
-			d.recheckPrimary(g, l)
-			return d.refuseAtPrimary(req, "the primary does not answer", err, req.Route.Objective)
-		case errors.Is(err, errNotSent):
-			d.recheckPrimary(g, l)
+			d.attempts.RecheckPrimary(g, l)
+			return d.attempts.RefuseAtPrimary(req, "the primary does not answer", err, req.Route.Objective)
+		case errors.Is(err, attempter.ErrNotSent):
+			d.attempts.RecheckPrimary(g, l)
 			reason = err
 		case err != nil:
-			d.recheckPrimary(g, l)
+			d.attempts.RecheckPrimary(g, l)
 			return d.unknownOutcome(req, l, err)
 		case answers[0].OK():
 			return d.acknowledgeCommit(g, l, req, answers[0], began, deadline)
 		case !answers[0].Code.IsNotExecuted():
 			return answers[0]
-		case !d.mayRetry(req.Route.Service, answers[0].Code, nil):
-			return d.refuseAtPrimary(req, "the primary's queue is full", errNoRetries, req.Route.Objective)
+		case !d.attempts.MayRetry(req.Route.Service, answers[0].Code, nil):
+			return d.attempts.RefuseAtPrimary(req, "the primary's queue is full", attempter.ErrNoRetries, req.Route.Objective)
 		default:
-			reason = d.handleRefusal(g, l, answers[0])
+			reason = d.attempts.HandleRefusal(g, l, answers[0])
 		}
-		d.logRetry(req, l.Server.ID, "write was not run", reason)
+		d.attempts.LogRetry(req, l.Server.ID, "write was not run", reason)
 		if !d.cfg.Clock.Now().Before(deadline) {
 			break
 		}
 	}
-	return d.refuseAtPrimary(req, "the primary could not run the write", reason, req.Route.Objective)
-}
-
-// attemptWrite sends a write once a connection is free.
-func (d *Dispatcher) attemptWrite(b *connector.Backend, req Request, deadline time.Time) ([]exchanger.Answer, error) {
-	cr := d.newConnRequest(req, writeWaitFactor)
-	cr.IsWrite = true
-	return d.attempt(b, req, cr, deadline, req.Statement)
-}
-
-// writeWaitFactor is how many objectives a write may wait. A late write is worth
-// more to callers than a late read, and only the primary can run it.
-const writeWaitFactor = 2
-
-// handleRefusal reacts to a primary that refused a statement without running it. It
-// returns the refusal as an error.
-func (d *Dispatcher) handleRefusal(g *attester.Group, l attester.Leader, a exchanger.Answer) error {
-	if a.Code == exchanger.ReadOnly {
-		g.Suspect(l.Server.ID, "refuses writes")
-	} else {
-		d.cfg.Clock.Sleep(busyPause)
-	}
-	return errors.Join(errRefused, errors.New(a.Code.String()+" "+a.Text))
+	return d.attempts.RefuseAtPrimary(req, "the primary could not run the write", reason, req.Route.Objective)
 }
 
 // unknownOutcome logs and returns the answer to a request that may or may not have
