chooser: chooses the server for a read that need not run at the primary

Reads and read-only transactions share the choice of a server, the minimum position and the refusal with a time; they stood in the dispatcher's files of reads. Change: package chooser has them. The minimum position is placer.Floor, of which the dispatcher had a copy.

--- a/internal/dispatcher/refuse_read.go
+++ b/internal/chooser/refusal.go
@@ -1,4 +1,4 @@
-package dispatcher
+package chooser
 
 import (
 	"errors"
@@ -7,13 +7,14 @@
 	"marigoldhub.example/hub/internal/attempter"
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/observer"
+	"marigoldhub.example/hub/internal/placer"
 )
 
-// refuseRead refuses a read that no server could run. The text says when to come back if
+// RefuseRead refuses a read that no server could run. The text says when to come back if
 // a replica will have the position that the read requires, or the queue of a server, whose
 // wait is given, will be short enough; a wait of 0 means that no queue was too long.
-func (d *Dispatcher) refuseRead(req Request, pos minPosition, reason string, err error, wait time.Duration) exchanger.Answer {
-	now := d.cfg.Clock.Now()
+func (c *Chooser) RefuseRead(req attempter.Request, pos placer.Floor, reason string, err error, wait time.Duration) exchanger.Answer {
+	now := c.cfg.Clock.Now()
 	var estimates []time.Duration
 	if wait > 0 {
 		estimates = append(estimates, wait-req.Route.Objective/2)
@@ -21,10 +22,10 @@
 	if errors.Is(err, attempter.ErrNoRetries) && wait == 0 {
 		estimates = append(estimates, observer.AvoidAfterRefusal)
 	}
-	for _, b := range d.backends.BackendsOf(req.Route.Service, now) {
-		if p, ok := d.inspector.Progress(b, now); ok && p.Lacks(pos.floor(), now) {
-			estimates = append(estimates, p.CoversAt(pos.floor()).Sub(now))
+	for _, b := range c.cfg.Backends.BackendsOf(req.Route.Service, now) {
+		if p, ok := c.cfg.Inspector.Progress(b, now); ok && p.Lacks(pos, now) {
+			estimates = append(estimates, p.CoversAt(pos).Sub(now))
 		}
 	}
-	return d.attempts.RefuseWithTime(req, reason, err, d.backends.BackendsOf(req.Route.Service, now), estimates...)
+	return c.cfg.Attempter.RefuseWithTime(req, reason, err, c.cfg.Backends.BackendsOf(req.Route.Service, now), estimates...)
 }
--- a/internal/dispatcher/counters.go
+++ b/internal/dispatcher/counters.go
@@ -4,15 +4,11 @@
 
 // counters count what the dispatcher does.
 type counters struct {
-	reads, readsAtReplicas, writes, retries, hedges, unknown metrics.Counter
+	reads, readsAtReplicas, writes, hedges, unknown metrics.Counter
 	// readsLeftZone are reads that left a zone with a replica.
 	readsLeftZone metrics.Counter
-	// readsPassedOver are reads that were not tried at a replica because it
-	// lacks what they need.
-	readsPassedOver metrics.Counter
-	// probeReads are reads that were sent on purpose to a server that gets none otherwise,
-	// hedgesNotPaid tries that the budget did not allow.
-	probeReads, hedgesNotPaid metrics.Counter
+	// hedgesNotPaid are tries that the budget did not allow.
+	hedgesNotPaid metrics.Counter
 	// commitsConfirmed are commits that no primary lease proved, commitsNotProved those
 	// that nothing did.
 	commitsConfirmed, commitsNotProved metrics.Counter
@@ -22,10 +18,9 @@
 	c := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("dispatcher."+name, r) }
 	return counters{
 		reads: c("reads"), readsAtReplicas: c("reads_at_replicas"),
-		writes: c("writes"), retries: c("retries"), hedges: c("hedged_reads"), unknown: c("unknown_outcomes"),
+		writes: c("writes"), hedges: c("hedged_reads"), unknown: c("unknown_outcomes"),
 		commitsConfirmed: c("commits_confirmed"), commitsNotProved: c("commits_not_proved"),
-		readsLeftZone:   c("reads_left_zone"),
-		readsPassedOver: c("reads_passed_over"),
-		probeReads:      c("probe_reads"), hedgesNotPaid: c("hedges_not_paid"),
+		readsLeftZone: c("reads_left_zone"),
+		hedgesNotPaid: c("hedges_not_paid"),
 	}
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 
 	"marigoldhub.example/hub/internal/appraiser"
 	"marigoldhub.example/hub/internal/attempter"
+	"marigoldhub.example/hub/internal/chooser"
 	"marigoldhub.example/hub/internal/delegator"
 	"marigoldhub.example/hub/internal/executor"
 	"marigoldhub.example/hub/internal/hedger"
@@ -41,6 +42,8 @@
 	delegator *delegator.Delegator
 	// attempts sends statements to servers.
 	attempts *attempter.Attempter
+	// places chooses the servers for reads.
+	places *chooser.Chooser
 	// inspector knows which replicas are behind.
 	inspector *inspector.Inspector
 	// appraiser grades the servers by their answers to reads.
@@ -79,6 +82,10 @@
 		Groups: d.Querier, Backends: d.backends, Delegator: d.delegator, Appraiser: d.appraiser, Instances: cfg.Instances,
 		Clock: cfg.Clock, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
+	d.places = chooser.New(chooser.Config{
+		Zone: cfg.Zone, Groups: d.Querier, Backends: d.backends, Informer: cfg.Informer, Inspector: d.inspector, Appraiser: d.appraiser, Attempter: d.attempts,
+		WaitAt: cfg.WaitAt, OtherZoneCost: cfg.OtherZoneCost, Clock: cfg.Clock, Metrics: cfg.Metrics, Log: cfg.Log,
+	})
 	d.Executor = executor.New(executor.Config{
 		Backend: d.backends.Backend, AcceptsNewWork: d.backends.AcceptsNewWork, LeaveGateways: d.gateways.LeaveGateways, IdleInTransaction: d.idleInTransaction,
 		Appraiser: d.appraiser, Clock: cfg.Clock, Metrics: cfg.Metrics, Log: cfg.Log,
--- a/internal/dispatcher/hedged_read.go
+++ b/internal/dispatcher/hedged_read.go
@@ -18,7 +18,7 @@
 type hedgedRead struct {
 	d           *Dispatcher
 	req         Request
-	minPosition minPosition
+	minPosition placer.Floor
 	deadline    time.Time
 
 	// budget pays for tries while, or after, another one may have run.
@@ -80,7 +80,7 @@
 	if r.lastFailure != nil {
 		return *r.lastFailure
 	}
-	return r.d.refuseRead(r.req, r.minPosition, "no backend server could run the read", nil, r.shortestWait)
+	return r.d.places.RefuseRead(r.req, r.minPosition, "no backend server could run the read", nil, r.shortestWait)
 }
 
 // hedge asks a second server while the first has not answered.
@@ -88,10 +88,10 @@
 	if r.pending != 1 || !clock.Now().Before(r.deadline) {
 		return
 	}
-	if c := r.d.chooseRead(r.req, r.minPosition, r.tried, false); c.backend != nil && r.pay() {
+	if c := r.d.places.Choose(r.req, r.minPosition, r.tried, false); c.Backend != nil && r.pay() {
 		r.d.count.hedges.Inc(1)
-		r.d.attempts.LogRetry(r.req, c.backend.ID, "the first server has not answered", nil)
-		r.send(c.backend, c.spillWait)
+		r.d.attempts.LogRetry(r.req, c.Backend.ID, "the first server has not answered", nil)
+		r.send(c.Backend, c.SpillWait)
 	}
 }
 
@@ -124,9 +124,9 @@
 		return
 	}
 	mayProbe := r.attempts == 0 && r.budget.Has()
-	if c := r.d.chooseRead(r.req, r.minPosition, r.tried, mayProbe); c.backend != nil {
-		if r.mayTry(c.isFull) {
-			r.send(c.backend, c.spillWait)
+	if c := r.d.places.Choose(r.req, r.minPosition, r.tried, mayProbe); c.Backend != nil {
+		if r.mayTry(c.IsFull) {
+			r.send(c.Backend, c.SpillWait)
 		}
 		return
 	}
@@ -153,7 +153,7 @@
 // send starts an attempt at the server. With a spillWait, the read may be tried at
 // others.
 func (r *hedgedRead) send(b *connector.Backend, spillWait time.Duration) {
-	if !r.leftZone && r.d.leavesZone(r.req.Route.Service, b) {
+	if !r.leftZone && r.d.places.LeavesZone(r.req.Route.Service, b) {
 		r.leftZone = true
 		r.d.count.readsLeftZone.Inc(1)
 	}
@@ -161,7 +161,7 @@
 	r.attempts++
 	r.pending++
 	go func() {
-		answers, err := r.d.attempts.AttemptRead(b, r.req, spillWait, r.deadline, r.req.Statement.WithMinPosition(r.minPosition.position))
+		answers, err := r.d.attempts.AttemptRead(b, r.req, spillWait, r.deadline, r.req.Statement.WithMinPosition(r.minPosition.Position))
 		r.results <- readResult{b, spillWait > 0, answers, err}
 	}()
 }
@@ -189,7 +189,7 @@
 		d.countReplicaRead(r.req.Route.Service, b.ID)
 		return result.answers[0], true
 	case result.answers[0].Code == exchanger.Behind:
-		d.recordBehind(r.req, b, r.minPosition, result.answers[0].Position)
+		d.places.RecordBehind(r.req, b, r.minPosition, result.answers[0].Position)
 	default:
 		d.attempts.LogRetry(r.req, b.ID, result.answers[0].Code.String(), nil)
 		if !result.answers[0].Code.IsNotExecuted() {
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -1,33 +1,11 @@
 package dispatcher
 
 import (
-	"cmp"
-	"math/rand/v2"
-	"slices"
-	"time"
-
-	"github.com/sirupsen/logrus"
-
 	"marigoldhub.example/hub/internal/attempter"
-	"marigoldhub.example/hub/internal/connector"
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/informer"
-	"marigoldhub.example/hub/internal/placer"
-	"marigoldhub.example/hub/internal/tracker"
 )
 
-// minPosition is a log position that a read's server must cover, with the time since
-// which replicas could have received it.
-type minPosition struct {
-	position    tracker.Position
-	availableAt time.Time
-}
-
-// floor returns the position as the decisions about places take it.
-func (p minPosition) floor() placer.Floor {
-	return placer.Floor{Position: p.position, AvailableAt: p.availableAt}
-}
-
 // Run runs a statement outside a transaction.
 func (d *Dispatcher) Run(req Request) exchanger.Answer {
 	var a exchanger.Answer
@@ -46,25 +24,12 @@
 	return a
 }
 
-// minPositionFor returns the position that a bounded or session read must cover.
-func (d *Dispatcher) minPositionFor(req Request, deadline time.Time) (minPosition, error) {
-	s, err := d.Group(req.Route.Service).AwaitRequiredPosition(req.Received.Add(-req.Route.MaxStaleness), deadline)
-	if err != nil {
-		return minPosition{}, err
-	}
-	pos := minPosition{position: s.Position, availableAt: s.At}
-	if req.Route.Reads == informer.SessionReads && req.MinPosition.Compare(pos.position) > 0 {
-		pos = minPosition{position: req.MinPosition, availableAt: req.MinPositionAt}
-	}
-	return pos, nil
-}
-
 // readAnywhere runs a read at the server that is expected to answer first among
 // those that cover the minimum position. If it does not answer, another one is asked
 // as well.
 func (d *Dispatcher) readAnywhere(req Request) exchanger.Answer {
 	deadline := req.Deadline(req.Received)
-	pos, err := d.minPositionFor(req, req.PrimaryWaitDeadline(req.Received))
+	pos, err := d.places.MinPosition(req, req.PrimaryWaitDeadline(req.Received))
 	if err != nil {
 		return d.attempts.RefuseAtPrimary(req, "no current position is known", err, req.Route.Objective/2)
 	}
@@ -72,97 +37,8 @@
 	return r.run()
 }
 
-// recordBehind records that a replica did not cover a read's minimum position.
-func (d *Dispatcher) recordBehind(req Request, b *connector.Backend, pos minPosition, has tracker.Position) {
-	age := d.cfg.Clock.Since(pos.availableAt)
-	b.RecordBehind(d.cfg.Clock.Now(), age)
-	d.count.retries.Inc(1)
-	d.cfg.Log.WithFields(logrus.Fields{
-		"request": req.Statement.ID, "service": req.Route.Service, "server": b.ID, "reason": exchanger.Behind.String(),
-		"floor": pos.position.String(), "floor_age": age.String(), "server_has": has.String(),
-	}).Info("dispatcher: attempt did not run; trying again")
-}
-
 func (d *Dispatcher) countReplicaRead(service, server string) {
 	if l, ok := d.Group(service).Leader(); !ok || l.Server.ID != server {
 		d.count.readsAtReplicas.Inc(1)
 	}
 }
-
-// readChoice is the server that is chosen for a read.
-type readChoice struct {
-	// backend is nil if no server is left.
-	backend *connector.Backend
-	// spillWait is how long the read should wait there; 0 means no limit but that of its
-	// objective.
-	spillWait time.Duration
-	// isFull is set if the server is expected to refuse the read because too many wait.
-	isFull bool
-}
-
-// chooseRead returns the best server for the read among those that were not tried. If
-// mayProbe is set, it may be a server that gets no reads otherwise.
-func (d *Dispatcher) chooseRead(req Request, pos minPosition, tried map[string]bool, mayProbe bool) readChoice {
-	now := d.cfg.Clock.Now()
-	leader := ""
-	if l, ok := d.Group(req.Route.Service).Leader(); ok {
-		leader = l.Server.ID
-	}
-	var backends []*connector.Backend
-	var candidates []placer.Candidate
-	isPassedOver := false
-	for _, b := range d.backends.BackendsOf(req.Route.Service, now) {
-		if !tried[b.ID] {
-			backends = append(backends, b)
-			c := b.Candidate(now, d.cfg.Zone, leader, now.Sub(pos.availableAt))
-			c.Wait, c.OtherZoneCost = cmp.Or(d.reportedWait(b.ID), c.Wait), cmp.Or(d.cfg.OtherZoneCost, placer.DefaultOtherZoneCost)
-			if p, ok := d.inspector.Progress(b, now); ok && !c.Primary {
-				c.Lacks = p.Lacks(pos.floor(), now)
-			}
-			if c.Lacks {
-				b.RecordPassedOver(now)
-			}
-			c.SetAside = d.appraiser.IsAside(req.Route.Service, b.ID)
-			isPassedOver = isPassedOver || c.Lacks
-			candidates = append(candidates, c)
-		}
-	}
-	if isPassedOver && len(tried) == 0 {
-		d.count.readsPassedOver.Inc(1)
-	}
-	candidates = placer.Relieve(candidates, req.Route.Objective, rand.Float64())
-	i := placer.ChooseRead(candidates, req.Route.Objective, rand.Float64())
-	if i < 0 {
-		return readChoice{}
-	}
-	if j := placer.ProbeTarget(candidates, i); mayProbe && j >= 0 && d.appraiser.TakeProbe(req.Route.Service, backends[j].ID) {
-		d.count.probeReads.Inc(1)
-		i = j
-	}
-	spillWait := placer.SpillWait(candidates, i, req.Route.Objective)
-	maxWait := placer.WaitDeadline(req.Received, req.Route.Objective).Sub(now)
-	if spillWait > 0 {
-		maxWait = min(maxWait, spillWait)
-	}
-	return readChoice{backends[i], spillWait, candidates[i].IsFull(maxWait)}
-}
-
-// leavesZone reports whether a read at the server leaves this instance's zone although a
-// replica of the service is in it.
-func (d *Dispatcher) leavesZone(service string, b *connector.Backend) bool {
-	if b.Zone() == d.cfg.Zone {
-		return false
-	}
-	l, _ := d.Group(service).Leader()
-	return slices.ContainsFunc(d.cfg.Informer.State().ServersOf(service), func(srv informer.Server) bool {
-		return srv.Zone == d.cfg.Zone && srv.ID != l.Server.ID
-	})
-}
-
-// reportedWait returns the wait at the server that its gateway reports.
-func (d *Dispatcher) reportedWait(server string) time.Duration {
-	if d.cfg.WaitAt == nil {
-		return 0
-	}
-	return d.cfg.WaitAt(server)
-}
--- a/internal/dispatcher/transaction_begin.go
+++ b/internal/dispatcher/transaction_begin.go
@@ -31,7 +31,7 @@
 	now := d.cfg.Clock.Now()
 	open := t.begin
 	open.Received = now
-	pos, err := d.minPositionFor(open, open.PrimaryWaitDeadline(now))
+	pos, err := d.places.MinPosition(open, open.PrimaryWaitDeadline(now))
 	if err != nil {
 		return d.attempts.RefuseAtPrimary(req, "no current position is known", err, t.begin.Route.Objective), false
 	}
@@ -39,27 +39,27 @@
 	wait, wasFull := time.Duration(0), false
 	d.attempts.EarnRetry(t.begin.Route.Service)
 	for range attempter.MaxAttempts {
-		c := d.chooseRead(open, pos, tried, false)
-		b := c.backend
+		c := d.places.Choose(open, pos, tried, false)
+		b := c.Backend
 		if b == nil {
 			break
 		}
-		if wasFull && c.isFull && !d.attempts.SpendRetry(t.begin.Route.Service) {
-			return d.refuseRead(open, pos, "the servers' queues are full", attempter.ErrNoRetries, wait), false
+		if wasFull && c.IsFull && !d.attempts.SpendRetry(t.begin.Route.Service) {
+			return d.places.RefuseRead(open, pos, "the servers' queues are full", attempter.ErrNoRetries, wait), false
 		}
-		a, err := t.beginAt(b, req, exchanger.Statement{Kind: exchanger.BeginReadOnly, MinPosition: pos.position})
+		a, err := t.beginAt(b, req, exchanger.Statement{Kind: exchanger.BeginReadOnly, MinPosition: pos.Position})
 		if err == nil && a.OK() {
 			return a, true
 		}
 		if err == nil && a.Code == exchanger.Behind {
-			d.recordBehind(req, b, pos, a.Position)
+			d.places.RecordBehind(req, b, pos, a.Position)
 		} else {
 			d.attempts.LogRetry(req, b.ID, "transaction did not begin: "+a.Code.String(), err)
 		}
 		tried[b.ID] = true
 		wait, wasFull = attempter.ShorterWait(wait, err), attempter.IsFull(a.Code, err)
 	}
-	return d.refuseRead(open, pos, "no backend server could begin the transaction", nil, wait), false
+	return d.places.RefuseRead(open, pos, "no backend server could begin the transaction", nil, wait), false
 }
 
 func (t *Transaction) beginAtLeader(req Request) (exchanger.Answer, bool) {
@@ -117,8 +117,8 @@
 	}
 	open := t.begin
 	open.Received = req.Received
-	pos, err := t.d.minPositionFor(open, waitDeadline)
-	return exchanger.Statement{Kind: exchanger.Begin, MinPosition: pos.position}, err
+	pos, err := t.d.places.MinPosition(open, waitDeadline)
+	return exchanger.Statement{Kind: exchanger.Begin, MinPosition: pos.Position}, err
 }
 
 // startConfirmation starts to confirm the primary of a transaction that reads at the
