transactor, committer: callers' transactions, and answers to commits

Transactions and the proof of a commit, which they share with single writes, were the last large part that stood in dispatcher beside reads and writes. Change: package transactor has the transactions, package committer the proof.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -7,6 +7,7 @@
 	"marigoldhub.example/hub/internal/appraiser"
 	"marigoldhub.example/hub/internal/attempter"
 	"marigoldhub.example/hub/internal/chooser"
+	"marigoldhub.example/hub/internal/committer"
 	"marigoldhub.example/hub/internal/delegator"
 	"marigoldhub.example/hub/internal/executor"
 	"marigoldhub.example/hub/internal/hedger"
@@ -15,12 +16,11 @@
 	"marigoldhub.example/hub/internal/reconciler"
 	"marigoldhub.example/hub/internal/selector"
 	"marigoldhub.example/hub/internal/surveyor"
+	"marigoldhub.example/hub/internal/transactor"
 )
 
-const (
-	// reconcileInterval is how often the shares of connections are recomputed.
-	reconcileInterval = 500 * time.Millisecond
-)
+// reconcileInterval is how often the shares of connections are recomputed.
+const reconcileInterval = 500 * time.Millisecond
 
 // Dispatcher runs statements on the backend servers that an informer lists.
 type Dispatcher struct {
@@ -28,10 +28,12 @@
 	*executor.Executor
 	// Querier asks servers for their status and knows the primaries.
 	*querier.Querier
+	// Transactor begins transactions.
+	*transactor.Transactor
 	cfg   Config
 	count counters
 
-	mu sync.RWMutex
+	mu sync.Mutex
 	// hedges are the budgets for additional tries of reads by service.
 	hedges map[string]*hedger.Budget
 	// backends are the listed servers.
@@ -44,6 +46,8 @@
 	attempts *attempter.Attempter
 	// places chooses the servers for reads.
 	places *chooser.Chooser
+	// commits answers commits.
+	commits *committer.Committer
 	// inspector knows which replicas are behind.
 	inspector *inspector.Inspector
 	// appraiser grades the servers by their answers to reads.
@@ -86,6 +90,11 @@
 		Zone: cfg.Zone, Groups: d.Querier, Backends: d.backends, Informer: cfg.Informer, Inspector: d.inspector, Appraiser: d.appraiser, Attempter: d.attempts,
 		WaitAt: cfg.WaitAt, OtherZoneCost: cfg.OtherZoneCost, Clock: cfg.Clock, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
+	d.commits = committer.New(committer.Config{Informer: cfg.Informer, Clock: cfg.Clock, Metrics: cfg.Metrics, Log: cfg.Log})
+	d.Transactor = transactor.New(transactor.Config{
+		Groups: d.Querier, Backends: d.backends, Delegator: d.delegator, Attempter: d.attempts, Chooser: d.places, Committer: d.commits,
+		Clock: cfg.Clock, Log: cfg.Log,
+	})
 	d.Executor = executor.New(executor.Config{
 		Backend: d.backends.Backend, AcceptsNewWork: d.backends.AcceptsNewWork, LeaveGateways: d.gateways.LeaveGateways, IdleInTransaction: d.idleInTransaction,
 		Appraiser: d.appraiser, Clock: cfg.Clock, Metrics: cfg.Metrics, Log: cfg.Log,
--- a/internal/dispatcher/write.go
+++ b/internal/dispatcher/write.go
@@ -2,12 +2,8 @@
 
 import (
 	"errors"
-	"time"
-
-	"github.com/sirupsen/logrus"
 
 	"marigoldhub.example/hub/internal/attempter"
-	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/connector"
 	"marigoldhub.example/hub/internal/exchanger"
 )
@@ -46,9 +42,9 @@
 			reason = err
 		case err != nil:
 			d.attempts.RecheckPrimary(g, l)
-			return d.unknownOutcome(req, l, err)
+			return d.commits.UnknownOutcome(req, l, err)
 		case answers[0].OK():
-			return d.acknowledgeCommit(g, l, req, answers[0], began, deadline)
+			return d.commits.Acknowledge(g, l, req, answers[0], began, deadline)
 		case !answers[0].Code.IsNotExecuted():
 			return answers[0]
 		case !d.attempts.MayRetry(req.Route.Service, answers[0].Code, nil):
@@ -63,49 +59,3 @@
 	}
 	return d.attempts.RefuseAtPrimary(req, "the primary could not run the write", reason, req.Route.Objective)
 }
-
-// unknownOutcome logs and returns the answer to a request that may or may not have
-// taken effect.
-func (d *Dispatcher) unknownOutcome(req Request, l attester.Leader, err error) exchanger.Answer {
-	d.count.unknown.Inc(1)
-	d.cfg.Log.WithError(err).WithFields(logrus.Fields{
-		"request": req.Statement.ID, "service": req.Route.Service, "server": l.Server.ID, "term": l.Term,
-		"waited": d.cfg.Clock.Since(req.Received).String(),
-	}).Warn("dispatcher: outcome of a request is unknown")
-	text := "the answer was lost"
-	if errors.Is(err, errNotProved) {
-		text = "the primary is being replaced, and the commit may be lost with it"
-	}
-	return exchanger.ErrorAnswer(exchanger.UnknownOutcome, exchanger.Idle, text)
-}
-
-// errNotProved means that a server acknowledged a commit that the next primary may lack.
-var errNotProved = errors.New("the commit is not proved to be in the log of every server that may be promoted")
-
-// needsReplica reports whether the service's commits are acknowledged only when a replica
-// has received them. Others may be lost with the primary, and no replica can prove them.
-func (d *Dispatcher) needsReplica(service string) bool {
-	state := d.cfg.Informer.State()
-	if !state.HasConfiguration() {
-		return true
-	}
-	s, ok := state.Configuration.Services[service]
-	return !ok || s.SyncReplicas > 0
-}
-
-// acknowledgeCommit returns the answer to a commit that the primary has acknowledged, once
-// the commit is proved to outlast a change of the primary. Otherwise its outcome is unknown.
-func (d *Dispatcher) acknowledgeCommit(g *attester.Group, l attester.Leader, req Request, a exchanger.Answer, began, deadline time.Time) exchanger.Answer {
-	if d.needsReplica(req.Route.Service) {
-		if !g.HasLease(l) {
-			d.count.commitsConfirmed.Inc(1)
-		}
-		if err := g.ConfirmCommit(l, a.Position, deadline); err != nil {
-			d.count.commitsNotProved.Inc(1)
-			return d.unknownOutcome(req, l, errors.Join(errNotProved, err))
-		}
-	}
-	g.RecordAcknowledged(a.Position)
-	g.AddSample(attester.Sample{At: began, Position: a.Position, Term: l.Term})
-	return a
-}
--- a/internal/dispatcher/transaction_begin.go
+++ b/internal/transactor/begin.go
@@ -1,4 +1,4 @@
-package dispatcher
+package transactor
 
 import (
 	"errors"
@@ -13,7 +13,7 @@
 
 // ensureBegun begins the transaction at a server unless it has begun, trying others
 // while nothing ran.
-func (t *Transaction) ensureBegun(req Request) (exchanger.Answer, bool) {
+func (t *Transaction) ensureBegun(req attempter.Request) (exchanger.Answer, bool) {
 	if t.conn != nil {
 		return exchanger.Answer{}, true
 	}
@@ -26,55 +26,53 @@
 	return t.beginAtLeader(req)
 }
 
-func (t *Transaction) beginAnywhere(req Request) (exchanger.Answer, bool) {
-	d := t.d
-	now := d.cfg.Clock.Now()
+func (t *Transaction) beginAnywhere(req attempter.Request) (exchanger.Answer, bool) {
+	now := t.cfg.Clock.Now()
 	open := t.begin
 	open.Received = now
-	pos, err := d.places.MinPosition(open, open.PrimaryWaitDeadline(now))
+	pos, err := t.cfg.Chooser.MinPosition(open, open.PrimaryWaitDeadline(now))
 	if err != nil {
-		return d.attempts.RefuseAtPrimary(req, "no current position is known", err, t.begin.Route.Objective), false
+		return t.cfg.Attempter.RefuseAtPrimary(req, "no current position is known", err, t.begin.Route.Objective), false
 	}
 	tried := map[string]bool{}
 	wait, wasFull := time.Duration(0), false
-	d.attempts.EarnRetry(t.begin.Route.Service)
+	t.cfg.Attempter.EarnRetry(t.begin.Route.Service)
 	for range attempter.MaxAttempts {
-		c := d.places.Choose(open, pos, tried, false)
+		c := t.cfg.Chooser.Choose(open, pos, tried, false)
 		b := c.Backend
 		if b == nil {
 			break
 		}
-		if wasFull && c.IsFull && !d.attempts.SpendRetry(t.begin.Route.Service) {
-			return d.places.RefuseRead(open, pos, "the servers' queues are full", attempter.ErrNoRetries, wait), false
+		if wasFull && c.IsFull && !t.cfg.Attempter.SpendRetry(t.begin.Route.Service) {
+			return t.cfg.Chooser.RefuseRead(open, pos, "the servers' queues are full", attempter.ErrNoRetries, wait), false
 		}
 		a, err := t.beginAt(b, req, exchanger.Statement{Kind: exchanger.BeginReadOnly, MinPosition: pos.Position})
 		if err == nil && a.OK() {
 			return a, true
 		}
 		if err == nil && a.Code == exchanger.Behind {
-			d.places.RecordBehind(req, b, pos, a.Position)
+			t.cfg.Chooser.RecordBehind(req, b, pos, a.Position)
 		} else {
-			d.attempts.LogRetry(req, b.ID, "transaction did not begin: "+a.Code.String(), err)
+			t.cfg.Attempter.LogRetry(req, b.ID, "transaction did not begin: "+a.Code.String(), err)
 		}
 		tried[b.ID] = true
 		wait, wasFull = attempter.ShorterWait(wait, err), attempter.IsFull(a.Code, err)
 	}
-	return d.places.RefuseRead(open, pos, "no backend server could begin the transaction", nil, wait), false
+	return t.cfg.Chooser.RefuseRead(open, pos, "no backend server could begin the transaction", nil, wait), false
 }
 
-func (t *Transaction) beginAtLeader(req Request) (exchanger.Answer, bool) {
-	d := t.d
-	g := d.Group(t.begin.Route.Service)
-	began := d.cfg.Clock.Now()
+func (t *Transaction) beginAtLeader(req attempter.Request) (exchanger.Answer, bool) {
+	g := t.cfg.Groups.Group(t.begin.Route.Service)
+	began := t.cfg.Clock.Now()
 	waitDeadline := t.begin.PrimaryWaitDeadline(began)
 	var reason error
-	d.attempts.EarnRetry(t.begin.Route.Service)
+	t.cfg.Attempter.EarnRetry(t.begin.Route.Service)
 	for range attempter.MaxAttempts {
 		l, err := g.AwaitLeader(waitDeadline)
 		if err != nil {
-			return d.attempts.RefuseAtPrimary(req, "no primary is known", errors.Join(err, reason), t.begin.Route.Objective), false
+			return t.cfg.Attempter.RefuseAtPrimary(req, "no primary is known", errors.Join(err, reason), t.begin.Route.Objective), false
 		}
-		b := d.backends.Backend(l.Server.ID)
+		b := t.cfg.Backends.Backend(l.Server.ID)
 		if b == nil {
 			g.Suspect(l.Server.ID, "not listed")
 			reason = attempter.ErrUnknownServer
@@ -82,7 +80,7 @@
 		}
 		begin, err := t.beginStatement(g, req, waitDeadline)
 		if err != nil {
-			return d.attempts.RefuseAtPrimary(req, "no current position is known", err, t.begin.Route.Objective), false
+			return t.cfg.Attempter.RefuseAtPrimary(req, "no current position is known", err, t.begin.Route.Objective), false
 		}
 		a, err := t.beginAt(b, req, begin)
 		if err == nil && a.OK() {
@@ -91,33 +89,33 @@
 			return a, true
 		}
 		if errors.Is(err, connector.ErrSilent) || errors.Is(err, connector.ErrOverloaded) {
-			d.attempts.RecheckPrimary(g, l)
-			return d.attempts.RefuseAtPrimary(req, "the primary could not begin the transaction", err, t.begin.Route.Objective), false
+			t.cfg.Attempter.RecheckPrimary(g, l)
+			return t.cfg.Attempter.RefuseAtPrimary(req, "the primary could not begin the transaction", err, t.begin.Route.Objective), false
 		}
-		if !d.attempts.MayRetry(t.begin.Route.Service, a.Code, err) {
-			return d.attempts.RefuseAtPrimary(req, "the primary's queue is full", errors.Join(attempter.ErrNoRetries, err), t.begin.Route.Objective), false
+		if !t.cfg.Attempter.MayRetry(t.begin.Route.Service, a.Code, err) {
+			return t.cfg.Attempter.RefuseAtPrimary(req, "the primary's queue is full", errors.Join(attempter.ErrNoRetries, err), t.begin.Route.Objective), false
 		}
 		if err != nil {
-			d.attempts.RecheckPrimary(g, l)
+			t.cfg.Attempter.RecheckPrimary(g, l)
 			reason = err
 		} else {
-			reason = d.attempts.HandleRefusal(g, l, a)
+			reason = t.cfg.Attempter.HandleRefusal(g, l, a)
 		}
-		d.attempts.LogRetry(req, b.ID, "transaction did not begin", reason)
+		t.cfg.Attempter.LogRetry(req, b.ID, "transaction did not begin", reason)
 	}
-	return d.attempts.RefuseAtPrimary(req, "the primary could not begin the transaction", reason, t.begin.Route.Objective), false
+	return t.cfg.Attempter.RefuseAtPrimary(req, "the primary could not begin the transaction", reason, t.begin.Route.Objective), false
 }
 
 // beginStatement returns the statement that begins the transaction at the primary.
 // Routes with a staleness bound need a position that is recent enough; a server that
 // does not cover it is a former primary.
-func (t *Transaction) beginStatement(g *attester.Group, req Request, waitDeadline time.Time) (exchanger.Statement, error) {
+func (t *Transaction) beginStatement(g *attester.Group, req attempter.Request, waitDeadline time.Time) (exchanger.Statement, error) {
 	if t.begin.Route.Reads == informer.PrimaryReads {
 		return exchanger.Statement{Kind: t.begin.Statement.Kind}, nil
 	}
 	open := t.begin
 	open.Received = req.Received
-	pos, err := t.d.places.MinPosition(open, waitDeadline)
+	pos, err := t.cfg.Chooser.MinPosition(open, waitDeadline)
 	return exchanger.Statement{Kind: exchanger.Begin, MinPosition: pos.Position}, err
 }
 
@@ -143,12 +141,12 @@
 // beginAt begins the transaction on a new connection to the server. Statements
 // follow only after the begin has been answered: if it failed, they would run outside
 // a transaction.
-func (t *Transaction) beginAt(b *connector.Backend, req Request, begin exchanger.Statement) (exchanger.Answer, error) {
-	now := t.d.cfg.Clock.Now()
+func (t *Transaction) beginAt(b *connector.Backend, req attempter.Request, begin exchanger.Statement) (exchanger.Answer, error) {
+	now := t.cfg.Clock.Now()
 	deadline := now.Add(t.begin.Route.StatementTimeout)
 	open := t.begin
 	open.Received, open.Context = now, req.Context
-	c, releaseSlot, err := t.d.delegator.Acquire(b, t.d.attempts.NewConnRequest(open, attempter.WriteWaitFactor))
+	c, releaseSlot, err := t.cfg.Delegator.Acquire(b, t.cfg.Attempter.NewConnRequest(open, attempter.WriteWaitFactor))
 	if err != nil {
 		return exchanger.Answer{}, err
 	}
@@ -159,7 +157,7 @@
 		return exchanger.Answer{}, err
 	}
 	a := answers[0]
-	b.ObservePosition(t.d.cfg.Clock.Now(), begin, a)
+	b.ObservePosition(t.cfg.Clock.Now(), begin, a)
 	if !a.OK() || a.State != exchanger.InTransaction {
 		c.Release(a.State == exchanger.Idle)
 		return a, nil
--- a/internal/dispatcher/transaction.go
+++ b/internal/transactor/transaction.go
@@ -1,4 +1,4 @@
-package dispatcher
+package transactor
 
 import (
 	"errors"
@@ -21,9 +21,9 @@
 // server with its first statement, so that it occupies no connection while the caller
 // pauses after its begin. Only one goroutine may use it at a time.
 type Transaction struct {
-	d        *Dispatcher
+	cfg      *Config
 	readOnly bool
-	begin    Request
+	begin    attempter.Request
 
 	// backend and conn are set while the transaction is open at a server.
 	backend *connector.Backend
@@ -39,20 +39,15 @@
 	failed bool
 }
 
-// Begin returns a transaction that has not yet reached a server.
-func (d *Dispatcher) Begin(begin Request) *Transaction {
-	return &Transaction{d: d, begin: begin, readOnly: begin.Statement.Kind == exchanger.BeginReadOnly}
-}
-
 // Run runs a statement inside the transaction. If the statement fails, the
 // transaction is rolled back.
-func (t *Transaction) Run(req Request) exchanger.Answer {
+func (t *Transaction) Run(req attempter.Request) exchanger.Answer {
 	if a, ok := t.ensureBegun(req); !ok {
 		return t.abort(a)
 	}
 	answers, err := t.run(req, req.Deadline(req.Received))
 	if err != nil {
-		t.d.cfg.Log.WithError(err).WithFields(logrus.Fields{"request": req.Statement.ID, "server": t.backend.ID}).
+		t.cfg.Log.WithError(err).WithFields(logrus.Fields{"request": req.Statement.ID, "server": t.backend.ID}).
 			Warn("dispatcher: transaction is aborted, its connection is lost")
 		t.observeLostConn(err)
 		return t.abort(exchanger.ErrorAnswer(exchanger.Aborted, exchanger.FailedTransaction, "the connection to the backend server was lost; nothing is kept"))
@@ -72,7 +67,7 @@
 // Commit commits the transaction. The answer is the server's, or says that the
 // transaction was rolled back or that its outcome is unknown. The request is the
 // caller's commit statement.
-func (t *Transaction) Commit(req Request) exchanger.Answer {
+func (t *Transaction) Commit(req attempter.Request) exchanger.Answer {
 	if t.failed {
 		return exchanger.ErrorAnswer(exchanger.Aborted, exchanger.Idle, "the transaction had failed and is rolled back")
 	}
@@ -93,20 +88,20 @@
 
 // abortUnconfirmed logs and returns the answer to a transaction at a server that may already have
 // been replaced as primary when the transaction began.
-func (t *Transaction) abortUnconfirmed(req Request, err error) exchanger.Answer {
-	t.d.cfg.Log.WithError(err).WithFields(logrus.Fields{"request": req.Statement.ID, "server": t.backend.ID, "term": t.leader.Term}).
+func (t *Transaction) abortUnconfirmed(req attempter.Request, err error) exchanger.Answer {
+	t.cfg.Log.WithError(err).WithFields(logrus.Fields{"request": req.Statement.ID, "server": t.backend.ID, "term": t.leader.Term}).
 		Info("dispatcher: transaction is aborted, the primary is not proved to lead")
 	return exchanger.ErrorAnswer(exchanger.Aborted, exchanger.FailedTransaction, "the primary is not proved to lead; nothing is kept")
 }
 
-func (t *Transaction) commit(req Request) exchanger.Answer {
+func (t *Transaction) commit(req attempter.Request) exchanger.Answer {
 	deadline := req.Deadline(req.Received)
-	if t.wrote && t.backend.Writes.IsStalled(t.d.cfg.Clock.Now()) {
+	if t.wrote && t.backend.Writes.IsStalled(t.cfg.Clock.Now()) {
 		t.Abandon()
 		return exchanger.ErrorAnswer(exchanger.Aborted, exchanger.Idle, "no replica receives the primary's commits; nothing is kept")
 	}
 	for range maxCommitAttempts {
-		began := t.d.cfg.Clock.Now()
+		began := t.cfg.Clock.Now()
 		answers, err := t.runCommit(req, deadline, began)
 		if errors.Is(err, exchanger.ErrNotSent) {
 			t.discardConn()
@@ -119,16 +114,16 @@
 			if !t.wrote {
 				return exchanger.ErrorAnswer(exchanger.Aborted, exchanger.Idle, "the answer to a transaction without writes was lost")
 			}
-			return t.d.unknownOutcome(req, l, err)
+			return t.cfg.Committer.UnknownOutcome(req, l, err)
 		}
 		a := answers[0]
-		if a.Code == exchanger.Busy && a.State == exchanger.InTransaction && t.d.cfg.Clock.Now().Before(deadline) {
-			t.d.cfg.Clock.Sleep(attempter.BusyPause)
+		if a.Code == exchanger.Busy && a.State == exchanger.InTransaction && t.cfg.Clock.Now().Before(deadline) {
+			t.cfg.Clock.Sleep(attempter.BusyPause)
 			continue
 		}
 		t.releaseConn(a.State == exchanger.Idle)
 		if a.OK() && t.wrote {
-			return t.d.acknowledgeCommit(t.d.Group(t.begin.Route.Service), t.leader, req, a, began, deadline)
+			return t.cfg.Committer.Acknowledge(t.cfg.Groups.Group(t.begin.Route.Service), t.leader, req, a, began, deadline)
 		}
 		return a
 	}
@@ -136,7 +131,7 @@
 	return exchanger.ErrorAnswer(exchanger.Aborted, exchanger.Idle, "the backend server was too busy to commit; nothing is kept")
 }
 
-func (t *Transaction) runCommit(req Request, deadline, began time.Time) ([]exchanger.Answer, error) {
+func (t *Transaction) runCommit(req attempter.Request, deadline, began time.Time) ([]exchanger.Answer, error) {
 	if t.wrote {
 		defer t.backend.Writes.Begin(began)()
 	}
@@ -144,13 +139,13 @@
 }
 
 // run sends the next statement. Through a gateway, the slot is taken there.
-func (t *Transaction) run(req Request, deadline time.Time) ([]exchanger.Answer, error) {
+func (t *Transaction) run(req attempter.Request, deadline time.Time) ([]exchanger.Answer, error) {
 	u := admitter.Urgency{Priority: t.begin.Route.Priority, Team: t.begin.Team}
 	return t.conn.RunNext(deadline, u, req.Context, req.Statement)
 }
 
 // Rollback rolls the transaction back.
-func (t *Transaction) Rollback(req Request) exchanger.Answer {
+func (t *Transaction) Rollback(req attempter.Request) exchanger.Answer {
 	if t.conn != nil {
 		answers, err := t.conn.RunPlain(req.Deadline(req.Received), req.Statement)
 		t.releaseConn(err == nil && answers[0].State == exchanger.Idle)
@@ -165,7 +160,7 @@
 		t.discardConn()
 	}
 	if t.conn != nil {
-		answers, err := t.conn.RunPlain(t.d.cfg.Clock.Now().Add(abandonTimeout), exchanger.Statement{Kind: exchanger.Rollback})
+		answers, err := t.conn.RunPlain(t.cfg.Clock.Now().Add(abandonTimeout), exchanger.Statement{Kind: exchanger.Rollback})
 		t.releaseConn(err == nil && answers[0].State == exchanger.Idle)
 	}
 }
@@ -192,12 +187,12 @@
 }
 
 func (t *Transaction) observeLostConn(err error) {
-	now := t.d.cfg.Clock.Now()
+	now := t.cfg.Clock.Now()
 	if !errors.Is(err, connector.ErrGateway) {
 		t.backend.Observe(now, 0, exchanger.Success, err)
 	}
 	if t.leader.Term > 0 {
-		t.d.attempts.RecheckPrimary(t.d.Group(t.begin.Route.Service), t.leader)
+		t.cfg.Attempter.RecheckPrimary(t.cfg.Groups.Group(t.begin.Route.Service), t.leader)
 	}
 }
 
