relayer, throttler: an operation that waits for longer than its token is valid takes another one

Cause: on the PostgreSQL path the token was taken before the wait for a primary, up to 5 s, and for a connection. The allocator counts a token for a second only, so those that had waited reached a new primary together with those that were admitted then, and a window could be exceeded.

Change: Operation.IsExpired tells that the token does not count any more. Before a statement is sent to the primary, and before a connection is waited for, such an operation takes a token again, or is refused with 53400; nothing ran then. A pinned connection is covered, too.

Measured: TestQuotaAfterAWait failed in six of its seven cases before ("the statement reached the server after its token had expired"), passes now. revoke_test.go: the raw session may pin a connection, which the new cases need.

--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -26,7 +26,7 @@
 	class := s.classOf(p)
 	w := s.newPrimaryWait()
 	for n := 1; ; n++ {
-		conn, failure := s.acquirePrimary(w, class)
+		conn, failure := s.acquireAdmitted(w, class)
 		if failure != nil {
 			s.endPrimaryUse()
 			return s.fail(b, failure)
@@ -54,6 +54,10 @@
 		if err := s.checkPinnedServer(); err != nil {
 			return err
 		}
+		if failure := s.confirmQuota(); failure != nil {
+			s.endPrimaryUse()
+			return s.fail(b, failure)
+		}
 	}
 	x := s.newExchange(s.retained.conn, b, p)
 	a := s.runOnce(x)
--- a/internal/relayer/quota.go
+++ b/internal/relayer/quota.go
@@ -8,6 +8,7 @@
 
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/planner"
+	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/throttler"
 )
@@ -21,6 +22,9 @@
 
 // Operation is an admitted operation of a team. Its first Done or Refund counts.
 type Operation interface {
+	// IsExpired reports whether too much time has passed to begin the operation: the quota
+	// has given out its token again.
+	IsExpired() bool
 	// Done records that the operation has run or may have.
 	Done()
 	// Refund gives the operation back to the quota because no server ran it.
@@ -74,6 +78,11 @@
 		}
 		s.quota.settle(true)
 	}
+	return s.takeQuota()
+}
+
+// takeQuota takes an operation from the quota of the session's team.
+func (s *Session) takeQuota() *pgproto3.ErrorResponse {
 	o, err := s.r.deps.Quotas.Admit(s.team, s.r.clock.Now().Add(s.r.cfg.PrimaryWait))
 	if err != nil {
 		s.r.counts.overQuota.Inc(1)
@@ -83,6 +92,38 @@
 	return nil
 }
 
+// confirmQuota takes the session's operation from the quota once more if it has waited for longer
+// than its token is valid. Otherwise all those that have waited for a primary would reach it in
+// the same window as those that are admitted after them.
+func (s *Session) confirmQuota() *pgproto3.ErrorResponse {
+	if !s.quota.isAdmitted() || !s.quota.operation.IsExpired() {
+		return nil
+	}
+	s.quota.settle(true)
+	return s.takeQuota()
+}
+
+// acquireAdmitted returns a connection to the primary for the session's operation while its
+// token is valid, if it needs one. The token is confirmed before the wait for a connection, too,
+// so that none is kept from others during a wait for a token unless it was waited for for long.
+func (s *Session) acquireAdmitted(w *primaryWait, class pooler.Class) (pooler.Conn, *pgproto3.ErrorResponse) {
+	if failure := s.beginPrimaryUse(w); failure != nil {
+		return nil, failure
+	}
+	if failure := s.confirmQuota(); failure != nil {
+		return nil, failure
+	}
+	conn, failure := s.acquirePrimary(w, class)
+	if failure != nil {
+		return nil, failure
+	}
+	if failure := s.confirmQuota(); failure != nil {
+		conn.Release()
+		return nil, failure
+	}
+	return conn, nil
+}
+
 // beginsAnother reports whether statements inside a transaction end it and begin another
 // one.
 func beginsAnother(list []classifier.Statement) bool {
--- a/internal/relayer/quota_test.go
+++ b/internal/relayer/quota_test.go
@@ -10,6 +10,7 @@
 
 	"marigoldhub.example/hub/internal/relayer"
 	"marigoldhub.example/hub/internal/throttler"
+	"marigoldhub.example/hub/internal/tracker"
 )
 
 // fakeQuotas admits as many operations as a test allows.
@@ -17,6 +18,10 @@
 	mu                    sync.Mutex
 	left                  int
 	asked, ran, givenBack int
+	// valid is how long a token may be used; 0 means without end.
+	valid time.Duration
+	// last is the operation that was admitted last.
+	last *fakeOperation
 }
 
 func (q *fakeQuotas) Admit(team string, _ time.Time) (relayer.Operation, error) {
@@ -27,7 +32,15 @@
 		return nil, &throttler.Refusal{Reason: "the team's quota is used up", After: 120 * time.Millisecond}
 	}
 	q.left--
-	return &fakeOperation{q: q}, nil
+	q.last = &fakeOperation{q: q, admitted: time.Now()}
+	return q.last, nil
+}
+
+// isExpired reports whether the token of the last operation is.
+func (q *fakeQuotas) isExpired() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.last.IsExpired()
 }
 
 func (q *fakeQuotas) set(left int) {
@@ -44,12 +57,22 @@
 }
 
 type fakeOperation struct {
-	q     *fakeQuotas
-	ended bool
+	q        *fakeQuotas
+	admitted time.Time
+	ended    bool
 }
 
-func (o *fakeOperation) Done()   { o.end(func() { o.q.ran++ }) }
-func (o *fakeOperation) Refund() { o.end(func() { o.q.givenBack++; o.q.left++ }) }
+func (o *fakeOperation) IsExpired() bool { return o.q.valid > 0 && time.Since(o.admitted) >= o.q.valid }
+func (o *fakeOperation) Done()           { o.end(func() { o.q.ran++ }) }
+
+func (o *fakeOperation) Refund() {
+	o.end(func() {
+		o.q.givenBack++
+		if !o.IsExpired() {
+			o.q.left++
+		}
+	})
+}
 
 func (o *fakeOperation) end(record func()) {
 	o.q.mu.Lock()
@@ -218,3 +241,77 @@
 		t.Errorf("asked for, run, given back: %v, want %v", got, want)
 	}
 }
+
+// Guards against operations that wait for a primary or a connection for longer than their
+// tokens are valid: the quota counts them as not run by then, and gives out as many others that
+// reach the server in the same window.
+func TestQuotaAfterAWait(t *testing.T) {
+	const insert, valid = "insert into kv values ('x', '1')", 100 * time.Millisecond
+	noPrimary := func(fx *fixture) (end func()) {
+		fx.views.set(func(v *tracker.View) { v.Primary = "" })
+		return func() { fx.views.set(func(v *tracker.View) { v.Primary = "a" }) }
+	}
+	noConnection := func(fx *fixture) (end func()) {
+		slots := fx.pool.slots["a"]
+		for range cap(slots) {
+			slots <- struct{}{}
+		}
+		return func() {
+			for range cap(slots) {
+				<-slots
+			}
+		}
+	}
+	cases := []struct {
+		name   string
+		before string
+		begin  func(*fixture) func()
+		wait   time.Duration
+		left   int
+		want   string
+		counts [3]int
+	}{
+		{"no primary", "", noPrimary, 3 * valid, 2, "INSERT 0 1; ready I", [3]int{2, 1, 1}},
+		{"no primary, and the quota is used up", "", noPrimary, 3 * valid, 1, overQuota + "; ready I", [3]int{2, 0, 1}},
+		{"no connection", "", noConnection, 3 * valid, 2, "INSERT 0 1; ready I", [3]int{2, 1, 1}},
+		{"no connection, and the quota is used up", "", noConnection, 3 * valid, 1, overQuota + "; ready I", [3]int{2, 0, 1}},
+		{"a pinned connection and no primary", "set work_mem = '1MB'", noPrimary, 3 * valid, 3, "INSERT 0 1; ready I", [3]int{3, 2, 1}},
+		{"a pinned connection, no primary and the quota is used up", "set work_mem = '1MB'", noPrimary, 3 * valid, 2, overQuota + "; ready I", [3]int{3, 1, 1}},
+		{"a primary in time", "", noPrimary, valid / 10, 1, "INSERT 0 1; ready I", [3]int{1, 1, 0}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			q := &fakeQuotas{left: c.left}
+			fx := newFixture(t, func(fx *fixture) { fx.quotas = q })
+			late := make(chan struct{}, 10)
+			fx.a.setHook(func(when, sql string) bool {
+				if when == "before" && strings.HasPrefix(sql, "insert") && q.isExpired() {
+					late <- struct{}{}
+				}
+				return true
+			})
+			s := fx.newRawSession(t)
+			if c.before != "" {
+				s.send(c.before)
+				if got := s.answers(); got != "SET; ready I" {
+					t.Fatalf("%q is answered %q", c.before, got)
+				}
+			}
+			q.valid = valid
+			end := c.begin(fx)
+			s.send(insert)
+			time.Sleep(c.wait)
+			end()
+			if got := s.answers(); got != c.want {
+				t.Errorf("answered %q, want %q", got, c.want)
+			}
+			s.end()
+			if len(late) > 0 {
+				t.Error("the statement reached the server after its token had expired")
+			}
+			if got := q.counts(); got != c.counts {
+				t.Errorf("asked for, run, given back: %v, want %v", got, c.counts)
+			}
+		})
+	}
+}
--- a/internal/relayer/revoke_test.go
+++ b/internal/relayer/revoke_test.go
@@ -38,7 +38,7 @@
 		t.Fatal(err)
 	}
 	s, err := fx.relayer.NewSession(relayer.AuthenticatedConn{
-		Conn: conn, Backend: pgproto3.NewBackend(conn, conn), Caller: checker.Caller{Name: "team:t", Groups: []string{"g"}}, Group: "g",
+		Conn: conn, Backend: pgproto3.NewBackend(conn, conn), Caller: checker.Caller{Name: "team:t", Groups: []string{"g"}, PinnedLimit: 1}, Group: "g",
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/throttler/operation.go
+++ b/internal/throttler/operation.go
@@ -12,7 +12,15 @@
 	account *account
 	// expires is zero if the token is from the reserve.
 	expires time.Time
-	ended   bool
+	// beginBefore is until when the operation may begin at a server.
+	beginBefore time.Time
+	ended       bool
+}
+
+// IsExpired reports whether the operation must not begin any more: its token counts as used or
+// is given out again.
+func (o Operation) IsExpired() bool {
+	return o.admission != nil && !o.link.t.cfg.Clock.Now().Before(o.beginBefore)
 }
 
 // Done records that the operation has run or may have.
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -198,5 +198,9 @@
 	if o.refusal != nil {
 		return Operation{}, o.refusal
 	}
-	return Operation{&admission{link: l, account: o.account, expires: o.expires}}, nil
+	beginBefore := o.expires
+	if beginBefore.IsZero() {
+		beginBefore = now.Add(allocator.TokenTTL)
+	}
+	return Operation{&admission{link: l, account: o.account, expires: o.expires, beginBefore: beginBefore}}, nil
 }
--- a/internal/throttler/throttler_test.go
+++ b/internal/throttler/throttler_test.go
@@ -202,3 +202,32 @@
 		t.Error("an operation was admitted after the end")
 	}
 }
+
+// Guards against an operation that begins after its token counts as used: by then others have
+// been admitted in its place.
+func TestOperationsExpire(t *testing.T) {
+	for _, hasAllocator := range []bool{true, false} {
+		th, _ := newThrottler(t, quotasOf(1000, 1000), hasAllocator)
+		var o Operation
+		for began := time.Now(); ; time.Sleep(time.Millisecond) {
+			var err error
+			if o, err = th.Admit("t", time.Now().Add(400*time.Millisecond)); err == nil {
+				break
+			}
+			if time.Since(began) > 10*time.Second {
+				t.Fatal(err)
+			}
+		}
+		if o.IsExpired() {
+			t.Errorf("allocator %t: the operation has expired at once", hasAllocator)
+		}
+		time.Sleep(allocator.TokenTTL + 10*time.Millisecond)
+		if !o.IsExpired() {
+			t.Errorf("allocator %t: the operation has not expired after %v", hasAllocator, allocator.TokenTTL)
+		}
+		o.Refund()
+	}
+	if (Operation{}).IsExpired() {
+		t.Error("an operation without a quota has expired")
+	}
+}
