allocator, throttler, wire: a quota of a newer configuration is in force with the first request

Cause: right after a change of configuration the allocator does not have the new or raised quota yet. Instances that have it admitted a new one from their own part only, and a raised one by the former limit.

Change: an answer tells the version of the allocator's configuration. A request to one with an older version tells the quotas of its teams, and the allocator uses them while they are told and its own configuration is older. A new quota begins with a full stock, but only at an allocator that has had most of the refill for a window and a second and has not had the team for as long; no tokens of that window exist then. On the PostgreSQL path manifests have no common version, so that nothing changes there.

TestNewQuotaBeforeTheAllocatorHasIt is now a case of TestChangedQuotaBeforeTheAllocatorHasIt, with bounds instead of "not 0".

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -56,15 +57,16 @@
 
 	mu      sync.Mutex
 	stopped bool
-	// adopted are the quotas that limits comes from.
+	// adopted are the quotas that limits comes from, besides those that were learned.
 	adopted *Quotas
 	limits  map[string]Limits
+	learned map[string]learnedQuota
 	pools   map[string]*pool
 }
 
 // New returns an allocator without tokens.
 func New(cfg Config) *Allocator {
-	return &Allocator{cfg: cfg, count: newCounters(cfg.Metrics), pools: map[string]*pool{}}
+	return &Allocator{cfg: cfg, count: newCounters(cfg.Metrics), learned: map[string]learnedQuota{}, pools: map[string]*pool{}}
 }
 
 // Stop makes the allocator decline all requests, so that the members go to the next one.
@@ -79,14 +81,16 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.cfg.Clock.Now()
-	if a.stopped || !a.adopt() || in.GetInstance() == "" {
+	if a.stopped || !a.adopt(now) || in.GetInstance() == "" {
 		return &wire.QuotaResponse{Declined: true}, nil
 	}
 	p := a.pool(in.GetGroup(), now)
 	if p == nil {
 		return &wire.QuotaResponse{Declined: true}, nil
 	}
+	a.learn(in, now)
 	out := p.acquire(in, a.cfg.Instances(), now)
+	out.Version = a.adopted.Version()
 	a.count.observe(out, len(p.members))
 	return out, nil
 }
@@ -106,7 +110,7 @@
 		return nil
 	}
 	p := newPool()
-	p.adopt(a.limits)
+	p.adopt(a.limits, now)
 	a.pools[group] = p
 	a.cfg.Log.WithField("group", group).Info("allocator: instance allocates quotas")
 	return p
@@ -114,20 +118,25 @@
 
 // adopt takes over the quotas in force. It returns false if no configuration is known. The
 // caller holds mu.
-func (a *Allocator) adopt() bool {
+func (a *Allocator) adopt(now time.Time) bool {
 	q := a.cfg.Quotas()
 	if q == nil {
 		return false
 	}
-	if q == a.adopted {
+	learned := len(a.learned)
+	maps.DeleteFunc(a.learned, func(_ string, l learnedQuota) bool { return !l.counts(q, now) })
+	if q == a.adopted && len(a.learned) == learned {
 		return true
 	}
 	a.adopted, a.limits = q, map[string]Limits{}
 	for team, quota := range q.All() {
 		a.limits[team] = a.cfg.Budget.Limits(quota)
 	}
+	for team, l := range a.learned {
+		a.limits[team] = a.cfg.Budget.Limits(l.Quota)
+	}
 	for _, p := range a.pools {
-		p.adopt(a.limits)
+		p.adopt(a.limits, now)
 	}
 	return true
 }
--- a/internal/allocator/pool.go
+++ b/internal/allocator/pool.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -31,21 +32,25 @@
 	// refill is the contributed time in a second, averaged until refillAt.
 	refill   float64
 	refillAt time.Time
+	// usedUntil is until when a window may have operations of a team that has no quota any more.
+	usedUntil map[string]time.Time
 	// majorSince is since when the pool has had most of the refill; zero if it has not.
 	majorSince time.Time
 }
 
 func newPool() *pool {
-	return &pool{members: map[string]*member{}, buckets: map[string]*bucket{}}
+	return &pool{members: map[string]*member{}, buckets: map[string]*bucket{}, usedUntil: map[string]time.Time{}}
 }
 
 // adopt takes over the teams' limits.
-func (p *pool) adopt(limits map[string]Limits) {
-	for team := range p.buckets {
+func (p *pool) adopt(limits map[string]Limits, now time.Time) {
+	for team, b := range p.buckets {
 		if _, ok := limits[team]; !ok {
 			delete(p.buckets, team)
+			p.usedUntil[team] = now.Add(b.limits.Window + TokenTTL)
 		}
 	}
+	maps.DeleteFunc(p.usedUntil, func(_ string, t time.Time) bool { return !now.Before(t) })
 	for team, l := range limits {
 		if b := p.buckets[team]; b != nil {
 			b.limits = l
@@ -55,6 +60,11 @@
 		for _, m := range p.members {
 			b.held += m.held[team]
 		}
+		if _, isUsed := p.usedUntil[team]; !isUsed && p.isMajorFor(l.Window+TokenTTL, now) {
+			// The team has had no quota for a window, and other allocators little of the refill, so
+			// that no window has operations of tokens besides these.
+			b.stock = l.Stock
+		}
 		p.buckets[team] = b
 	}
 }
@@ -157,8 +167,11 @@
 }
 
 // isYoung reports whether the stock of an earlier allocator may still be in use.
-func (p *pool) isYoung(now time.Time) bool {
-	return p.majorSince.IsZero() || now.Sub(p.majorSince) < 2*memberTTL
+func (p *pool) isYoung(now time.Time) bool { return !p.isMajorFor(2*memberTTL, now) }
+
+// isMajorFor reports whether the pool has had most of the refill for the time.
+func (p *pool) isMajorFor(d time.Duration, now time.Time) bool {
+	return !p.majorSince.IsZero() && now.Sub(p.majorSince) >= d
 }
 
 func (p *pool) clip(n int, now time.Time) {
--- a/internal/allocator/quotas.go
+++ b/internal/allocator/quotas.go
@@ -16,7 +16,10 @@
 
 // Quotas are the quotas of one configuration by team. They are not changed; another
 // configuration has others. The zero value has none.
-type Quotas struct{ byTeam map[string]Quota }
+type Quotas struct {
+	byTeam  map[string]Quota
+	version int64
+}
 
 // NewQuotas returns the quotas of the teams that have a rate.
 func NewQuotas(byTeam map[string]Quota) *Quotas {
@@ -25,6 +28,20 @@
 	return q
 }
 
+// WithVersion returns the quotas with the version of their configuration. A configuration with
+// a larger version replaces one with a smaller; 0, which is the default, tells nothing.
+func (q *Quotas) WithVersion(version int64) *Quotas {
+	return &Quotas{byTeam: q.byTeam, version: version}
+}
+
+// Version returns the version of the configuration.
+func (q *Quotas) Version() int64 {
+	if q == nil {
+		return 0
+	}
+	return q.version
+}
+
 // Of returns the team's quota; false if it has none or no configuration is known.
 func (q *Quotas) Of(team string) (Quota, bool) {
 	if q == nil {
@@ -45,15 +62,15 @@
 // Source gives the quotas of configurations of type C. It keeps those of the last one,
 // because quotas are looked up for each operation.
 type Source[C any] struct {
-	derive func(*C) map[string]Quota
+	derive func(*C) *Quotas
 
 	mu     sync.RWMutex
 	from   *C
 	quotas *Quotas
 }
 
-// NewSource returns a source. Derive returns the quotas of a configuration by team.
-func NewSource[C any](derive func(*C) map[string]Quota) *Source[C] { return &Source[C]{derive: derive} }
+// NewSource returns a source. Derive returns the quotas of a configuration.
+func NewSource[C any](derive func(*C) *Quotas) *Source[C] { return &Source[C]{derive: derive} }
 
 // Quotas returns the quotas of the configuration; nil for a nil one, which means that none is
 // known.
@@ -70,7 +87,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.from != c {
-		s.from, s.quotas = c, NewQuotas(s.derive(c))
+		s.from, s.quotas = c, s.derive(c)
 	}
 	return s.quotas
 }
--- a/internal/allocator/share_test.go
+++ b/internal/allocator/share_test.go
@@ -14,7 +14,7 @@
 func TestShareOfAPool(t *testing.T) {
 	now := time.Unix(100, 0)
 	p := newPool()
-	p.adopt(map[string]Limits{"t": {Rate: 100, Window: 5 * time.Second, Lag: 300 * time.Millisecond, Stock: 80, Young: 60}})
+	p.adopt(map[string]Limits{"t": {Rate: 100, Window: 5 * time.Second, Lag: 300 * time.Millisecond, Stock: 80, Young: 60}}, now)
 	for i := range 10 {
 		elapsed := uint64(0)
 		if i == 0 {
--- a/internal/launcher/quotas.go
+++ b/internal/launcher/quotas.go
@@ -18,12 +18,12 @@
 }
 
 func newQuotaSource(d *distributor.Distributor) quotaSource {
-	return quotaSource{d, allocator.NewSource(func(c *checker.Catalog) map[string]allocator.Quota {
+	return quotaSource{d, allocator.NewSource(func(c *checker.Catalog) *allocator.Quotas {
 		quotas := map[string]allocator.Quota{}
 		for _, t := range c.Teams() {
 			quotas[t.Name] = allocator.Quota{RatePerSecond: t.RatePerSecond, Burst: t.Burst}
 		}
-		return quotas
+		return allocator.NewQuotas(quotas)
 	})}
 }
 
--- a/internal/noder/quotas.go
+++ b/internal/noder/quotas.go
@@ -13,12 +13,12 @@
 }
 
 func newQuotaSource(i *informer.Informer) quotaSource {
-	return quotaSource{i, allocator.NewSource(func(c *informer.Configuration) map[string]allocator.Quota {
+	return quotaSource{i, allocator.NewSource(func(c *informer.Configuration) *allocator.Quotas {
 		quotas := map[string]allocator.Quota{}
 		for name, t := range c.Teams {
 			quotas[name] = allocator.Quota{RatePerSecond: t.RatePerSecond, Burst: t.Burst}
 		}
-		return quotas
+		return allocator.NewQuotas(quotas).WithVersion(c.Version)
 	})}
 }
 
--- a/internal/throttler/account.go
+++ b/internal/throttler/account.go
@@ -53,7 +53,9 @@
 // account holds the tokens of a team and the operations that wait for some.
 type account struct {
 	limits allocator.Limits
-	lots   []lot
+	// version is that of the configuration that the limits are from.
+	version int64
+	lots    []lot
 	// returned is the number of tokens that have expired unused and were not reported.
 	returned int
 	waiters  []*waiter
--- a/internal/throttler/failure_test.go
+++ b/internal/throttler/failure_test.go
@@ -140,39 +140,61 @@
 	}
 }
 
-// Guards against a team that is refused everything because the allocator does not have its new
-// quota yet, and against a quota that is exceeded meanwhile: after a restart of the fleet, the
-// same state follows operations of the same window.
-func TestNewQuotaBeforeTheAllocatorHasIt(t *testing.T) {
-	other, added := team("other", 50, 50), team("t", 200, 0)
-	f := newFleet(5, 20, other)
-	loads := []load{{"t", 0, 100, 0, 19}, {"other", 0, 30, 0, 19}}
-	f.play(6*time.Second, loads[1:])
-	f.allocated = f.quotas
-	f.configure(other, added)
-	admitted := func(when string, d time.Duration) (share float64) {
-		from, before := f.now, total(f.asked)
-		f.play(d, loads)
-		share = f.admittedFrom("t", from) / float64(total(f.asked)["t"]-before["t"])
-		t.Logf("%s: %.3f of the operations were admitted", when, share)
-		return share
-	}
-	from := f.now
-	if got := admitted("the first second", time.Second); got == 0 {
-		t.Error("no operation was admitted before the allocator had the quota")
-	}
-	f.play(time.Second, loads)
-	loads[0].perSecond = 1000
-	if got := admitted("an old configuration and more than the quota", 7*time.Second); got == 0 {
-		t.Error("no operation was admitted while the allocator's configuration was old")
-	}
-	if n := f.mostInWindow("t", from); n > f.allowed(added) {
-		t.Errorf("%d operations ran in a window while the allocator's configuration was old, more than %d", n, f.allowed(added))
+// Guards against a team that is refused what is its own because the allocator does not have its
+// new or raised quota yet, and against a quota that is exceeded meanwhile: after a restart of the
+// fleet, the same state follows operations of the same window. Without versions an instance
+// cannot tell whose configuration is newer, and admits its own part of a new quota.
+func TestChangedQuotaBeforeTheAllocatorHasIt(t *testing.T) {
+	other := team("other", 50, 50)
+	former, raised, added := team("t", 50, 0), team("t", 200, 0), team("t", 200, 0)
+	cases := []struct {
+		name          string
+		hasVersions   bool
+		before, after []testTeam
+		// first and old are the least shares in the first second, and while more than the quota is
+		// asked.
+		first, old float64
+	}{
+		{"a new quota", true, []testTeam{other}, []testTeam{other, added}, 0.9, 0.95},
+		{"a raised quota", true, []testTeam{other, former}, []testTeam{other, raised}, 0.8, 0.95},
+		{"a new quota without versions", false, []testTeam{other}, []testTeam{other, added}, 0.2, 0.5},
 	}
-	loads[0].perSecond = 100
-	f.allocated = nil
-	f.play(time.Second, loads)
-	if got := admitted("the allocator has the quota", 2*time.Second); got < 0.95 {
-		t.Errorf("%.3f of the operations were admitted after the allocator got the quota", got)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(5, 20, c.before...)
+			loads := []load{{"t", 0, 100, 0, 19}, {"other", 0, 30, 0, 19}}
+			if len(c.before) == 1 {
+				f.play(8*time.Second, loads[1:])
+			} else {
+				f.play(8*time.Second, []load{{"t", 0, 45, 0, 19}, loads[1]})
+			}
+			f.reconfigure(c.hasVersions, c.after...)
+			admitted := func(when string, d time.Duration) (share float64) {
+				from, before := f.now, total(f.asked)
+				f.play(d, loads)
+				owed := min(float64(total(f.asked)["t"]-before["t"]), added.RatePerSecond*d.Seconds())
+				share = f.admittedFrom("t", from) / owed
+				t.Logf("%s: %.3f of what is owed was admitted", when, share)
+				return share
+			}
+			from := f.now
+			if got := admitted("the first second", time.Second); got < c.first {
+				t.Errorf("%.3f of the operations were admitted in the first second, less than %.2f", got, c.first)
+			}
+			f.play(time.Second, loads)
+			loads[0].perSecond = 1000
+			if got := admitted("an old configuration and more than the quota", 7*time.Second); got < c.old {
+				t.Errorf("%.3f of the quota was admitted while the allocator's configuration was old, less than %.2f", got, c.old)
+			}
+			if n := f.mostInWindow("t", from); n > f.allowed(added) {
+				t.Errorf("%d operations ran in a window while the allocator's configuration was old, more than %d", n, f.allowed(added))
+			}
+			loads[0].perSecond = 100
+			f.allocated = nil
+			f.play(time.Second, loads)
+			if got := admitted("the allocator has the quota", 2*time.Second); got < 0.95 {
+				t.Errorf("%.3f of the operations were admitted after the allocator got the quota", got)
+			}
+		})
 	}
 }
--- a/internal/throttler/fleet_test.go
+++ b/internal/throttler/fleet_test.go
@@ -27,6 +27,8 @@
 	now    time.Time
 	budget allocator.Budget
 	quotas *allocator.Quotas
+	// version is that of the last configuration, 0 as long as they have none.
+	version int64
 	// allocated are the quotas that allocators have; nil means those that all have.
 	allocated *allocator.Quotas
 	instances []*instance
@@ -139,7 +141,17 @@
 	for _, t := range teams {
 		byTeam[t.Name] = t.Quota
 	}
-	f.quotas = allocator.NewQuotas(byTeam)
+	f.quotas = allocator.NewQuotas(byTeam).WithVersion(f.version)
+}
+
+// reconfigure makes another configuration known to instances, but not to allocators.
+func (f *fleet) reconfigure(hasVersions bool, teams ...testTeam) {
+	f.allocated = f.quotas
+	if hasVersions {
+		f.allocated = f.quotas.WithVersion(1)
+		f.version = 2
+	}
+	f.configure(teams...)
 }
 
 func (f *fleet) quotasOfAllocators() *allocator.Quotas {
@@ -182,7 +194,7 @@
 	f := in.f
 	quota, _ := f.quotas.Of(team)
 	limits := f.budget.Limits(quota)
-	a := in.ledger.account(team, limits)
+	a := in.ledger.account(team, limits, f.quotas.Version())
 	count(f.asked, team, in.name)
 	o, w := in.ledger.admit(a, f.now, f.now.Add(40*time.Millisecond))
 	if w != nil {
--- a/internal/throttler/ledger.go
+++ b/internal/throttler/ledger.go
@@ -31,6 +31,8 @@
 	// silentSince is when the first request after the last answer was sent; zero if all have
 	// been answered.
 	silentSince time.Time
+	// allocatorVersion is the version of the allocator's configuration by its last answer.
+	allocatorVersion int64
 	// isAlone is true while no allocator is reached.
 	isAlone bool
 }
@@ -44,7 +46,7 @@
 }
 
 // account returns the team's account with the limits in force.
-func (l *ledger) account(team string, limits allocator.Limits) *account {
+func (l *ledger) account(team string, limits allocator.Limits, version int64) *account {
 	a := l.accounts[team]
 	if a == nil {
 		a = &account{permitted: 1}
@@ -53,7 +55,7 @@
 		}
 		l.accounts[team] = a
 	}
-	a.limits = limits
+	a.limits, a.version = limits, version
 	return a
 }
 
@@ -143,9 +145,13 @@
 			a.aheadAt = now.Add(aheadPause)
 		}
 		if held+ahead+waiting+a.returned > 0 {
-			r.Demands = append(r.Demands, &wire.QuotaDemand{
+			d := &wire.QuotaDemand{
 				Team: team, Held: uint32(held), Want: uint32(ahead), Waiting: uint32(waiting), Returned: uint32(a.returned),
-			})
+			}
+			if a.version > l.allocatorVersion {
+				d.Version, d.RatePerSecond, d.Burst = a.version, a.limits.Rate, a.limits.Burst
+			}
+			r.Demands = append(r.Demands, d)
 			a.returned = 0
 		}
 	}
@@ -154,7 +160,7 @@
 
 // accept takes over the tokens of a response.
 func (l *ledger) accept(r request, out *wire.QuotaResponse, now time.Time) {
-	l.isAlone, l.silentSince = false, time.Time{}
+	l.isAlone, l.silentSince, l.allocatorVersion = false, time.Time{}, out.GetVersion()
 	for i, d := range r.GetDemands() {
 		a := l.accounts[d.GetTeam()]
 		if a == nil || i >= len(out.GetGrants()) {
@@ -164,6 +170,10 @@
 		if valid := time.Duration(min(g.GetValidUs(), uint64(allocator.TokenTTL.Microseconds()))) * time.Microsecond; g.GetTokens() > 0 {
 			a.put(lot{tokens: int(g.GetTokens()), expires: r.sent.Add(valid)}, now)
 		}
+		if g.GetUnknown() && d.GetVersion() == 0 && a.version > l.allocatorVersion && l.allocatorVersion > 0 {
+			// The next request, which is due at once, tells the quota.
+			continue
+		}
 		if g.GetUnknown() {
 			l.useOwnPart(d.GetTeam(), a, r, now)
 			continue
--- a/internal/throttler/ledger_test.go
+++ b/internal/throttler/ledger_test.go
@@ -19,7 +19,7 @@
 // granted returns a ledger that was granted tokens for a waiting operation at the time.
 func granted(tokens uint32, now time.Time) (*ledger, *account) {
 	l := newLedger(now)
-	a := l.account("t", testLimits)
+	a := l.account("t", testLimits, 0)
 	l.admit(a, now, now.Add(time.Second))
 	l.accept(l.request(false, now), &wire.QuotaResponse{Grants: []*wire.QuotaGrant{{Tokens: tokens, ValidUs: 1e6}}}, now)
 	return l, a
@@ -96,7 +96,7 @@
 func TestOperationsOfAnEmptyTeam(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := newLedger(now)
-	a := l.account("t", testLimits)
+	a := l.account("t", testLimits, 0)
 	_, patient := l.admit(a, now, now.Add(100*time.Millisecond))
 	_, hasty := l.admit(a, now, now.Add(20*time.Millisecond))
 	l.accept(l.request(false, now), &wire.QuotaResponse{Grants: []*wire.QuotaGrant{{RetryUs: 50000}}}, now)
--- a/internal/throttler/property_test.go
+++ b/internal/throttler/property_test.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		for _, tm := range teams {
-			a := in.ledger.account(tm.Name, f.budget.Limits(tm.Quota))
+			a := in.ledger.account(tm.Name, f.budget.Limits(tm.Quota), f.quotas.Version())
 			a.demand = demandRate{count: 1000, at: f.now}
 		}
 	}
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -193,7 +193,7 @@
 	}
 	now := t.cfg.Clock.Now()
 	patience := min(max(deadline.Sub(now)/patienceDivisor, minPatience), maxPatience)
-	o := l.admit(team, t.cfg.Budget.Limits(quota), now, now.Add(patience))
+	o := l.admit(team, t.cfg.Budget.Limits(quota), quotas.Version(), now, now.Add(patience))
 	t.count.record(team, o.refusal, now)
 	if o.refusal != nil {
 		return Operation{}, o.refusal
