registrar: lists often while a fleet starts, and removes instances that stop

Cause: an instance listed the others once at its start and then each 0.1 s for each of them (3.5 s in a fleet of 35, 9.5 s in one of 95). Of instances that start together the early ones knew a part of the fleet that long and disagreed on the gateways. A call that the store lost at that time was repeated after 1.5 s.

Change: after its own start, and after a quarter of the fleet came or went, an instance lists again after 0.25 s, then after as long again as the list has been unchanged, up to the usual interval. Calls before the first list end after 0.3 s. Remove takes an instance out of the list that tells that it is stopping, until its next start is listed.

Tests: list intervals, unsettling changes, a stopping instance.

--- /dev/null
+++ b/internal/registrar/list_interval_test.go
@@ -0,0 +1,58 @@
+package registrar
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against instances that start together, list each other once while some are still
+// missing, and disagree on the gateways of the servers until the next list 9.5 s later; and
+// against a settled fleet that lists as often as one that starts.
+func TestListInterval(t *testing.T) {
+	const ms = time.Millisecond
+	for _, tc := range []struct {
+		name    string
+		others  int
+		settled time.Duration
+		want    time.Duration
+	}{
+		{"just started", 60, 0, 250 * ms},
+		{"unchanged for half a second", 60, 500 * ms, 500 * ms},
+		{"unchanged for two seconds", 94, 2000 * ms, 2000 * ms},
+		{"settled", 94, time.Minute, 9400 * ms},
+		{"settled small fleet", 3, time.Minute, 2000 * ms},
+		{"alone", 0, time.Minute, 2000 * ms},
+	} {
+		if got := listInterval(tc.others, tc.settled); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// Guards against frequent lists after each planned stop of a single instance, and against
+// rare ones after many instances were lost or have returned.
+func TestUnsettlingChanges(t *testing.T) {
+	fleet := func(names string, incarnation int64) (out []Instance) {
+		for _, name := range names {
+			out = append(out, Instance{Name: string(name), Incarnation: incarnation})
+		}
+		return out
+	}
+	for _, tc := range []struct {
+		name          string
+		before, after []Instance
+		want          bool
+	}{
+		{"none", fleet("abcdefgh", 1), fleet("abcdefgh", 1), false},
+		{"one left", fleet("abcdefgh", 1), fleet("abcdefg", 1), false},
+		{"a quarter left", fleet("abcdefgh", 1), fleet("abcdef", 1), true},
+		{"a quarter came", fleet("abcdef", 1), fleet("abcdefgh", 1), true},
+		{"all started again", fleet("abcdefgh", 1), fleet("abcdefgh", 2), true},
+		{"first list", nil, fleet("abc", 1), true},
+		{"one came to one", fleet("a", 1), fleet("ab", 1), false},
+	} {
+		if got := isUnsettling(tc.before, tc.after); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -6,6 +6,9 @@
 // because an unreachable store does not mean that the other instances have failed.
 // When the store was restored from an older copy, instances that the copy lacks stay
 // listed for the lifetime of an entry.
+//
+// An instance that tells that it is stopping is removed from the list at once, and stays
+// removed until its next start is listed.
 package registrar
 
 import (
@@ -36,13 +39,29 @@
 	// each.
 	renewInterval = 2 * time.Second
 	// listPerInstance is the pause between two lists for each known instance, so that
-	// all instances together list at a constant rate.
+	// all instances together list at a constant rate. It is at least minListInterval.
 	listPerInstance = 100 * time.Millisecond
+	minListInterval = 2 * time.Second
+	// settlingInterval is the first pause between two lists after the start of this
+	// instance, or after many others came or went; the pause doubles. Machines that start
+	// together do so within 0.3 s, and until each knows all of them they disagree on the
+	// gateways of the servers.
+	settlingInterval = 250 * time.Millisecond
+	// freshTime is the age of this instance up to which its lists are linearizable reads.
+	// A stale one may be seconds old.
+	freshTime = 2 * time.Second
 	// retryInterval is the least pause after a failed call. In large fleets it is
 	// retryPerInstance for each instance, because the store charges refused calls,
 	// too.
 	retryInterval    = 500 * time.Millisecond
 	retryPerInstance = 25 * time.Millisecond
+	// firstCallTimeout limits a call until the first list. It covers a slow store. A silent
+	// one that is back answers the next call, and without a list the instance has hardly
+	// any connections.
+	firstCallTimeout = 300 * time.Millisecond
+	// firstRetryInterval is the pause after the first failed call before that list; it
+	// doubles up to retryInterval.
+	firstRetryInterval = 100 * time.Millisecond
 )
 
 // Instance is a registered instance.
@@ -75,9 +94,13 @@
 	order  *storer.ListOrder
 	carry  carryOver
 	lease  int64
-	// listed is when the instances were last listed.
-	listed  time.Time
-	changed chan struct{}
+	// stopping has the incarnations of instances that told that they are stopping, until
+	// they are not listed any more.
+	stopping map[string]int64
+	// started is when this registrar started, asked when it last asked for a list, listed
+	// when it last got a newer one, and unsettled when many instances last came or went.
+	started, asked, listed, unsettled time.Time
+	changed                           chan struct{}
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -86,7 +109,11 @@
 // New starts a registrar.
 func New(cfg Config) *Registrar {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Registrar{cfg: cfg, order: storer.NewListOrder(Prefix, cfg.Clock, cfg.Log), changed: make(chan struct{}), cancel: cancel, done: make(chan struct{})}
+	now := cfg.Clock.Now()
+	r := &Registrar{
+		cfg: cfg, order: storer.NewListOrder(Prefix, cfg.Clock, cfg.Log), stopping: map[string]int64{}, started: now, unsettled: now,
+		changed: make(chan struct{}), cancel: cancel, done: make(chan struct{}),
+	}
 	go func() {
 		defer close(r.done)
 		r.run(ctx)
@@ -149,15 +176,38 @@
 	}
 }
 
+// Remove removes the named instance, which has told that it is stopping, from the list.
+// It is listed again when it has started again.
+func (r *Registrar) Remove(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := slices.IndexFunc(r.others, func(o Instance) bool { return o.Name == name })
+	if i < 0 {
+		return
+	}
+	r.cfg.Log.WithField("stopping", name).Info("registrar: instance is stopping and is not used any more")
+	r.stopping[name] = r.others[i].Incarnation
+	r.setOthers(slices.Delete(slices.Clone(r.others), i, i+1))
+}
+
+// setOthers replaces the list of the others and signals the change. The caller holds mu.
+func (r *Registrar) setOthers(others []Instance) {
+	r.others = others
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
 func (r *Registrar) run(ctx context.Context) {
-	var unreachableSince time.Time
+	var unreachableSince, renewal time.Time
+	firstRetry := firstRetryInterval
 	for ctx.Err() == nil {
-		err := r.renew(ctx)
-		if err == nil && r.isListDue() {
-			err = r.list(ctx)
-		}
-		wait := renewInterval*3/4 + rand.N(renewInterval/2)
-		if err != nil {
+		err := r.update(ctx, &renewal)
+		wait := min(r.cfg.Clock.Until(renewal), r.untilList())
+		switch {
+		case err != nil && !r.HasList():
+			wait = firstRetry
+			firstRetry = min(2*firstRetry, retryInterval)
+		case err != nil:
 			wait = max(retryInterval, time.Duration(len(r.Others()))*retryPerInstance)
 		}
 		unreachableSince = r.logStoreState(ctx, err, unreachableSince)
@@ -168,6 +218,26 @@
 	}
 }
 
+// update renews the entry's lease and lists the instances if they are due. It sets when the
+// lease is to be renewed next.
+func (r *Registrar) update(ctx context.Context, renewal *time.Time) error {
+	if !r.HasList() {
+		first, cancel := context.WithTimeout(ctx, firstCallTimeout)
+		defer cancel()
+		ctx = first
+	}
+	if now := r.cfg.Clock.Now(); !now.Before(*renewal) {
+		if err := r.renew(ctx); err != nil {
+			return err
+		}
+		*renewal = now.Add(renewInterval*3/4 + rand.N(renewInterval/2))
+	}
+	if r.untilList() > 0 {
+		return nil
+	}
+	return r.list(ctx)
+}
+
 // logStoreState logs when the store becomes unreachable and when it is back. It returns
 // since when it has been unreachable; zero if it is not.
 func (r *Registrar) logStoreState(ctx context.Context, err error, unreachableSince time.Time) time.Time {
@@ -218,18 +288,50 @@
 	return nil
 }
 
-func (r *Registrar) isListDue() bool {
+// untilList returns the time until the next list.
+func (r *Registrar) untilList() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.cfg.Clock.Since(r.listed) >= time.Duration(len(r.others))*listPerInstance
+	if r.listed.IsZero() {
+		return 0
+	}
+	return listInterval(len(r.others), r.asked.Sub(r.unsettled)) - r.cfg.Clock.Since(r.asked)
+}
+
+// listInterval returns the pause after a list of the others that was made when the list had
+// been settled for the given time: as long again, within limits.
+func listInterval(others int, settled time.Duration) time.Duration {
+	usual := max(time.Duration(others)*listPerInstance, minListInterval)
+	return min(max(settled, settlingInterval), usual)
 }
 
-// list lists the instances, by a stale read once others are known.
+// isUnsettling reports whether so many instances came or went between two lists that more
+// are likely to follow: a quarter of the larger one, and two at least.
+func isUnsettling(before, after []Instance) bool {
+	known := make(map[Instance]bool, len(before))
+	for _, o := range before {
+		known[o] = true
+	}
+	came := 0
+	for _, o := range after {
+		if !known[o] {
+			came++
+		}
+	}
+	went := len(before) + came - len(after)
+	return max(came, went) >= max(2, max(len(before), len(after))/4)
+}
+
+// list lists the instances, by a stale read once others are known and this instance is
+// not fresh.
 func (r *Registrar) list(ctx context.Context) error {
 	list := r.cfg.Store.List
-	if stale, ok := r.cfg.Store.(storer.StaleLister); ok && len(r.Others()) > 0 {
+	if stale, ok := r.cfg.Store.(storer.StaleLister); ok && len(r.Others()) > 0 && r.cfg.Clock.Since(r.started) > freshTime {
 		list = stale.ListStale
 	}
+	r.mu.Lock()
+	r.asked = r.cfg.Clock.Now()
+	r.mu.Unlock()
 	entries, revision, err := list(ctx, Prefix)
 	if err != nil {
 		return err
@@ -260,14 +362,31 @@
 			others = append(others, o)
 		}
 	}
-	others = r.carry.merge(others, now)
+	others = r.withoutStopping(r.carry.merge(others, now))
 	sort.Slice(others, func(i, j int) bool { return others[i].Name < others[j].Name })
 	if len(others) != len(r.others) {
 		r.cfg.Log.WithFields(logrus.Fields{"others": len(others), "revision": storer.FormatRevision(revision)}).Info("registrar: list of instances changed")
 	}
+	if isUnsettling(r.others, others) {
+		r.unsettled = now
+	}
 	if isFirst || !slices.Equal(others, r.others) {
-		close(r.changed)
-		r.changed = make(chan struct{})
+		r.setOthers(others)
 	}
-	r.others = others
+}
+
+// withoutStopping removes the instances that told that they are stopping, and forgets those
+// that are not listed any more or have started again. The caller holds mu.
+func (r *Registrar) withoutStopping(listed []Instance) []Instance {
+	stopping := map[string]int64{}
+	others := slices.DeleteFunc(listed, func(o Instance) bool {
+		incarnation, ok := r.stopping[o.Name]
+		if !ok || incarnation != o.Incarnation {
+			return false
+		}
+		stopping[o.Name] = incarnation
+		return true
+	})
+	r.stopping = stopping
+	return others
 }
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,3 +64,33 @@
 	b.Close()
 	eventually(t, "a sees that b has left", func() bool { return len(a.Others()) == 0 })
 }
+
+// Guards against an instance that told that it is stopping and is used again as soon as a
+// list shows its entry, and against one that is not used again after it has started again.
+func TestStoppingInstanceIsRemoved(t *testing.T) {
+	store := storertest.New()
+	a := start(t, store, "a", "z1")
+	defer a.Close()
+	put := func(incarnation string) {
+		store.Put(registrar.Prefix+"b", []byte(`{"name":"b","address":"b","zone":"z1","incarnation":`+incarnation+`}`))
+	}
+	put("1")
+	eventually(t, "a knows b", func() bool { return len(a.Others()) == 1 })
+	changed := a.Changed()
+	a.Remove("b")
+	select {
+	case <-changed:
+	default:
+		t.Error("the change of the list was not signaled")
+	}
+	// Its entry is listed until it has ended. The next lists show c as well.
+	store.Put(registrar.Prefix+"c", []byte(`{"name":"c","address":"c","zone":"z1","incarnation":1}`))
+	eventually(t, "a knows c", func() bool {
+		return slices.ContainsFunc(a.Others(), func(o registrar.Instance) bool { return o.Name == "c" })
+	})
+	if others := a.Others(); len(others) != 1 {
+		t.Errorf("a uses %v", others)
+	}
+	put("2")
+	eventually(t, "a knows that b has started again", func() bool { return len(a.Others()) == 2 })
+}
