sessioner, platform: a stop cuts no message, and ends sessions that are never idle

Cause: the interrupt that wakes up idle sessions at a stop set a read deadline in the past at any moment. A start or a statement that was arriving then was cut off without an answer, and the time in which the end of a session waits for what is on its way ended at once, so that closing reset the connection. A caller that sends its next statement within 60 ms of each answer never counted as idle: its session went on until the process ended.

From then on a session ends after its present answer. New callers are refused with an answer until the instance ends.

--- a/internal/sessioner/conn.go
+++ b/internal/sessioner/conn.go
@@ -44,7 +44,9 @@
 	Keep(bytes int) bool
 	// Abort closes the connection without an answer. It may be called at any time.
 	Abort()
-	// Interrupt makes a pending Wait return. It may be called at any time.
+	// Interrupt makes a pending Wait return, or the next one if none is pending. It does not
+	// keep ReadStart and ReadStatement from reading what a caller sends at that time. It may
+	// be called at any time.
 	Interrupt()
 	// Close closes the connection.
 	Close() error
--- a/internal/sessioner/server.go
+++ b/internal/sessioner/server.go
@@ -104,7 +104,16 @@
 	}
 	ended := s.stopping
 	s.mu.Unlock()
-	if full || ended {
+	if ended {
+		// End reads what the caller sends meanwhile: closing with unread bytes would reset the
+		// connection, and the caller might not receive the error.
+		go func() {
+			ss.conn.End(exchanger.TooManyConnections, "the instance is stopping; connect again")
+			ss.conn.Close()
+		}()
+		return
+	}
+	if full {
 		go func() {
 			ss.conn.RefuseStart(exchanger.TooManyConnections, "the instance has no room for another session")
 			ss.conn.Close()
@@ -158,9 +167,9 @@
 	}
 }
 
-// Stop closes the listener, ends idle sessions and waits for running statements
-// until the timeout. It reports whether all sessions have ended; it does not cut off
-// the others.
+// Stop ends idle sessions, refuses new ones and waits for running statements until the
+// timeout. Then it closes the listener: connections that the process has not accepted are
+// reset by that. It reports whether all sessions have ended; it does not cut off the others.
 func (s *Server) Stop(timeout time.Duration) bool {
 	s.mu.Lock()
 	s.stopping = true
@@ -169,7 +178,7 @@
 		open = append(open, ss)
 	}
 	s.mu.Unlock()
-	s.Listener.Close()
+	defer s.Listener.Close()
 	for _, ss := range open {
 		ss.conn.Interrupt()
 	}
--- a/internal/sessioner/session.go
+++ b/internal/sessioner/session.go
@@ -140,6 +140,11 @@
 			s.conn.End(exchanger.Denied, "no team holds the key any more; an open transaction is rolled back")
 			return false
 		}
+		if s.state == exchanger.Idle && s.isStopping() {
+			// A caller that sends its next statement at once would go on until the process ends.
+			s.endStopping()
+			return false
+		}
 		deadline, closing := s.idleDeadline()
 		err := s.conn.Wait(deadline)
 		passed := !deadline.IsZero() && !s.Clock.Now().Before(deadline)
@@ -149,7 +154,7 @@
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return false
 		case closing && passed, s.isStopping() && s.state != exchanger.Idle:
-			s.conn.End(exchanger.Busy, "the instance is stopping and ran nothing after its last answer; connect again")
+			s.endStopping()
 			return false
 		case passed:
 			s.Log.WithField("database", s.database).Info("sessioner: transaction was idle too long and is rolled back")
@@ -160,6 +165,12 @@
 	}
 }
 
+// endStopping ends the session because the instance is stopping. What the caller has sent
+// since the last answer is not run, and the error says so.
+func (s *session) endStopping() {
+	s.conn.End(exchanger.Busy, "the instance is stopping and ran nothing after its last answer; connect again")
+}
+
 // idleDeadline returns until when the session may stay idle, and whether it is
 // closed then. The zero time means no limit.
 func (s *session) idleDeadline() (deadline time.Time, closing bool) {
