noder, gossiper: a stopping instance leaves the others' plans of gateways first

Cause: others learned of a planned stop from the refusal of each request that they still sent, kept away for 3 s at a time, and went on to count the instance as the first gateway of its servers until their next list of instances, up to 9.5 s later in a fleet of 95. The second gateway had a seventh of the connections meanwhile.

Change: on SIGTERM the instance tells all others (a Permit request that names its sender as lost) and waits 0.4 s at most for their answers. They remove it from the list of instances at once, so that the next gateway has the first one's share. Until then it runs what they send; after it, it counts itself out, too, and closes idle connections.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -2,7 +2,7 @@
 // which cannot reach the store still learns the configuration, the list of
 // servers and the primaries in time.
 //
-// It does three things:
+// It does four things:
 //
 //   - Anti-entropy: about every exchangeInterval an instance exchanges its [View]
 //     with one random other, mostly in its own availability zone. An instance that
@@ -17,6 +17,7 @@
 //     grants what remains of its own leases. Responses carry the proof that the
 //     sender's configuration is current (see package prover), with its age; so do
 //     responses to exchanges of views.
+//   - Planned stops: an instance that stops tells all others ([Gossiper.Leave]).
 //   - Failure detection: the lease requests are heartbeats of a [FailureDetector].
 //
 // All requests to other instances have short timeouts; a failed exchange is made
@@ -61,6 +62,10 @@
 	relayRequestInterval = 60 * time.Millisecond
 	// leaseRequestTimeout limits a lease request; a later response is of no use.
 	leaseRequestTimeout = 200 * time.Millisecond
+	// leaveTimeout limits how long the others are told that this instance is stopping. It
+	// covers a new connection to each of a large fleet; one that is not told meanwhile
+	// learns it from a refusal.
+	leaveTimeout = 400 * time.Millisecond
 	// directDuration is how long leases are requested from the coordinator itself
 	// after a request failed or brought no leases.
 	directDuration = time.Second
@@ -96,6 +101,8 @@
 	// with them (see package prover). Lacks is true if the proof is for a newer
 	// configuration than this instance's.
 	LearnLeases(p *wire.PermitResponse, asked time.Time) (lacks bool)
+	// LearnStopping records that the named instance is stopping.
+	LearnStopping(name string)
 	// LeaseSource returns the address to request leases from; empty if it is unknown.
 	// Self is true if this instance is the coordinator and grants them itself. Direct
 	// asks for the address of the coordinator even if there is a relay.
@@ -318,6 +325,29 @@
 	return unreached
 }
 
+// Leave tells all other instances that this one is stopping, so that none sends it new
+// work, and waits for their answers. It returns the number of those that did not answer.
+func (g *Gossiper) Leave(ctx context.Context) (unreached int) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	var failed atomic.Int32
+	for _, address := range g.cfg.Addresses() {
+		wg.Go(func() {
+			conn, err := g.cfg.Dialer.Dial(ctx, address)
+			if err == nil {
+				_, err = wire.NewDRPCPeersClient(conn).Permit(ctx, &wire.PermitRequest{Instance: g.cfg.Name, Lost: []string{g.cfg.Name}})
+			}
+			if err != nil {
+				failed.Add(1)
+				g.cfg.Log.WithError(err).WithField("address", address).Debug("gossiper: an instance was not told that this one is stopping")
+			}
+		})
+	}
+	wg.Wait()
+	return int(failed.Load())
+}
+
 // Refresh exchanges state with a few random instances and returns when the first
 // has answered or all have failed. It does nothing if it last ran less than
 // minRefreshInterval ago.
--- a/internal/gossiper/service.go
+++ b/internal/gossiper/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"marigoldhub.example/hub/internal/messenger/wire"
@@ -32,12 +33,16 @@
 
 // Permit implements the Peers service: it returns this instance's primary leases,
 // which the messages call permits. A request without a name is a probe of the
-// failure detector.
+// failure detector. One that names its sender as lost says that the sender is stopping.
 func (s Service) Permit(_ context.Context, in *wire.PermitRequest) (*wire.PermitResponse, error) {
 	detector := s.Gossiper.detector
 	if in.GetInstance() == "" {
 		return &wire.PermitResponse{}, nil
 	}
+	if slices.Contains(in.GetLost(), in.GetInstance()) {
+		s.View.LearnStopping(in.GetInstance())
+		return &wire.PermitResponse{}, nil
+	}
 	detector.Heartbeat(in.GetInstance())
 	detector.RecordReported(in.GetLost())
 	s.View.LearnWaits(in.GetWaits())
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -126,7 +126,9 @@
 
 	mu       sync.Mutex
 	draining bool
-	done     chan struct{}
+	// hasLeft is set when the other instances have been told that this one is stopping.
+	hasLeft bool
+	done    chan struct{}
 }
 
 // New starts an instance that writes its log to out.
@@ -214,10 +216,17 @@
 	return near + far
 }
 
-// instances returns all listed instances, this one included.
+// instances returns all listed instances, this one included unless it has left the others.
 func (n *Node) instances() []placer.Peer {
-	peers := []placer.Peer{n.self()}
-	for _, o := range n.registrar.Others() {
+	n.mu.Lock()
+	hasLeft := n.hasLeft
+	n.mu.Unlock()
+	others := n.registrar.Others()
+	var peers []placer.Peer
+	if !hasLeft || len(others) == 0 {
+		peers = append(peers, n.self())
+	}
+	for _, o := range others {
 		peers = append(peers, placer.Peer{Name: o.Name, Zone: o.Zone, Address: o.Address, Processor: o.Processor})
 	}
 	return peers
--- a/internal/noder/stop.go
+++ b/internal/noder/stop.go
@@ -1,6 +1,7 @@
 package noder
 
 import (
+	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,10 +16,10 @@
 )
 
 // Stop ends the instance within the stop limit of its settings. It reports not
-// ready at once, gives up the coordinator role, closes idle sessions, lets
-// transactions end, and then waits for the running requests. Calls to the store
-// run concurrently, so that a slow store does not shorten the time of the
-// sessions.
+// ready at once, tells the other instances that it stops, gives up the coordinator
+// role, closes idle sessions, lets transactions end, and then waits for the running
+// requests. Calls to the store run concurrently, so that a slow store does not
+// shorten the time of the sessions.
 func (n *Node) Stop() {
 	began := n.clock.Now()
 	n.mu.Lock()
@@ -29,7 +30,6 @@
 		return
 	}
 	n.log.Info("noder: stopping")
-	n.dispatcher.StopForwarding()
 	n.allocator.Stop()
 	go func() {
 		defer close(n.done)
@@ -38,8 +38,9 @@
 			defer close(departed)
 			n.leave()
 		}()
+		n.leavePlans()
 		drain := time.Duration(float64(n.settings.StopGracePeriod) * drainShare)
-		n.sessions.Drain(drain)
+		n.sessions.Drain(drain - n.clock.Since(began))
 		n.clock.Sleep(drain - n.clock.Since(began))
 		ended := n.sessions.Stop(n.settings.StopGracePeriod - stopMargin - n.clock.Since(began))
 		forwarded := n.dispatcher.AwaitForwardedTransactions(n.settings.StopGracePeriod - stopMargin - n.clock.Since(began))
@@ -54,6 +55,18 @@
 	}()
 }
 
+// leavePlans makes all other instances leave this one out of their plans of gateways, and
+// then refuses new work of those that did not get the message. Until then it runs what they
+// send.
+func (n *Node) leavePlans() {
+	unreached := n.gossiper.Leave(context.Background())
+	n.mu.Lock()
+	n.hasLeft = true
+	n.mu.Unlock()
+	n.dispatcher.StopForwarding()
+	n.log.WithField("unreached", unreached).Info("noder: other instances use this one no longer")
+}
+
 // close closes the components that need neither the store nor other instances to
 // end.
 func (n *Node) close() {
--- a/internal/noder/view.go
+++ b/internal/noder/view.go
@@ -110,6 +110,9 @@
 	return lacks
 }
 
+// LearnStopping implements [gossiper.View].
+func (v view) LearnStopping(name string) { v.registrar.Remove(name) }
+
 // EndTenure implements [gossiper.View].
 func (v view) EndTenure(token int64) {
 	<-v.built
