dispatcher: a gateway without a connection to a full server is passed over

Change: such a refusal leads to the next gateway, and to none of its own connections, which the server would refuse as well.

TestGatewayWithoutAConnectionIsPassedOver: 0 of 5 writes served before, 5 after.

--- a/internal/dispatcher/forwarded_conn.go
+++ b/internal/dispatcher/forwarded_conn.go
@@ -76,7 +76,8 @@
 // runAtGateway sends the request to one gateway after the other until one has run it.
 // A gateway that is reached but refuses the request, for example because it is
 // overloaded, ends the search unless it says that it is no gateway: it schedules all
-// work of the server, so the overload is the server's.
+// work of the server, so the overload is the server's. One without a connection, because
+// the server accepts no more, does not end it either: another gateway may have one.
 func (c *forwardedConn) runAtGateway(deadline time.Time, r forwarder.Request) ([]exchanger.Answer, error) {
 	var tried []*gateway
 	last := fmt.Errorf("%w: %w", errGateway, errNoGateway)
@@ -88,7 +89,12 @@
 		}
 		tried = append(tried, g)
 		if g.isSelf {
-			return c.runAtSelf(now, deadline, r)
+			answers, err := c.runAtSelf(now, deadline, r)
+			if !isConnectionRefused(err) {
+				return answers, err
+			}
+			last = err
+			continue
 		}
 		reply, err := c.forward(g, deadline, r)
 		answers, err := c.handleReply(g, r, reply, err)
@@ -99,13 +105,22 @@
 		c.d.cfg.Log.WithError(err).WithFields(logrus.Fields{
 			"request": r.Statements[0].ID, "server": c.b.id, "gateway": g.peer.Name,
 		}).Info("dispatcher: gateway did not run the statement")
-		if reply.Failure != forwarder.None && reply.Failure != forwarder.NotGateway {
+		if reply.Failure != forwarder.None && reply.Failure != forwarder.NotGateway && !isConnectionRefused(err) {
 			return nil, last
 		}
 	}
+	if isConnectionRefused(last) {
+		return nil, last
+	}
 	return c.runWithoutGateway(deadline, r, last)
 }
 
+// isConnectionRefused reports whether a server refused a connection because it has too many.
+func isConnectionRefused(err error) bool {
+	var refused *exchanger.RefusedError
+	return errors.As(err, &refused) && refused.Code == exchanger.TooManyConnections
+}
+
 // runAtSelf runs the request on a connection of this instance, which is the chosen
 // gateway.
 func (c *forwardedConn) runAtSelf(now, deadline time.Time, r forwarder.Request) ([]exchanger.Answer, error) {
