placer, dispatcher: a fleet that starts together keeps within the servers' limits

Cause: an instance without a list of the others opened a sixteenth of each server's limit, whatever the size of the fleet, and one that was no gateway opened a connection when its gateways had not started yet.

Change: until the list is known the seeds are the gateways, the only instances that all know. In the first 0.5 s the first two gateways open one connection and the others none; then gateways open half of their share until 3 s, as before. A pool without a share refuses at once.

TestStartupShare has the new rule; the dispatcher's other tests play an instance that started long ago, as they did for shares of one.

--- a/internal/dispatcher/config.go
+++ b/internal/dispatcher/config.go
@@ -37,6 +37,8 @@
 	InstancesKnown func() bool
 	// InstancesChanged returns a channel that is closed when the list changes.
 	InstancesChanged func() <-chan struct{}
+	// Seeds are instances that all others know from the beginning; some may be gone.
+	Seeds []placer.Peer
 	// Forwarder reaches the gateways.
 	Forwarder Forwarder
 	// IsCoordinator reports whether this instance is the coordinator, which watches
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -33,7 +33,8 @@
 	// between two queries.
 	probeIdleTimeout = 500 * time.Millisecond
 	// assumedFleetSize is the number of instances that share a server's connections,
-	// as assumed by an instance that has not yet received the list of instances.
+	// as assumed by an instance without seeds that has not yet received the list of
+	// instances.
 	assumedFleetSize = 16
 	// probeConnections is how many connections an instance that is no gateway may
 	// open, for status queries and for callers while no gateway is reachable.
--- a/internal/dispatcher/fixture_test.go
+++ b/internal/dispatcher/fixture_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -68,6 +69,7 @@
 		AskPeers:      func() {}, DrainLimit: time.Minute, Clock: clock, TimeOfDay: time.Now, Metrics: metrics.NewRegistry(), Log: log,
 	}
 	change(&cfg)
+	cfg.Clock = &agedClock{Clock: cfg.Clock}
 	f.d = dispatcher.New(cfg)
 	t.Cleanup(func() {
 		f.d.Close()
@@ -83,6 +85,20 @@
 	return f
 }
 
+// agedClock is a clock whose first reading is an hour early. A dispatcher that is made with
+// it counts as started then and has its whole share of connections.
+type agedClock struct {
+	clockwork.Clock
+	once sync.Once
+}
+
+// Now implements [clockwork.Clock].
+func (c *agedClock) Now() time.Time {
+	now := c.Clock.Now()
+	c.once.Do(func() { now = now.Add(-time.Hour) })
+	return now
+}
+
 func route(reads informer.Reads) informer.Route {
 	return informer.Route{
 		Name: "r", Database: "d", Service: exchangertest.Service, Reads: reads, MaxStaleness: time.Second,
--- a/internal/dispatcher/fleet.go
+++ b/internal/dispatcher/fleet.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -132,27 +133,42 @@
 }
 
 // share returns how many connections to the server this instance may hold, the
-// server's gateways, and the rank of this instance among them.
+// server's gateways, and the rank of this instance among them. Until the list of instances
+// has been received, the seeds are the gateways of all servers: only they are the same for
+// all instances then.
 func (d *Dispatcher) share(state *informer.State, srv informer.Server, peers []placer.Peer) (limit int, gateways []placer.Peer, rank int) {
 	all := d.connectionLimit(state, srv.Service)
-	if !d.cfg.InstancesKnown() {
+	switch n := placer.GatewayCount(all, len(peers)); {
+	case !d.cfg.InstancesKnown() && len(d.cfg.Seeds) == 0:
 		return max(all/assumedFleetSize, 1), nil, -1
-	}
-	limit, rank = all, -1
-	if n := placer.GatewayCount(all, len(peers)); n > 0 {
+	case !d.cfg.InstancesKnown():
+		gateways = d.cfg.Seeds[:min(len(d.cfg.Seeds), placer.GatewayCount(all, fleetOfUnknownSize))]
+	case n > 0:
 		gateways = d.plan.of(srv, peers, n)
-		rank = slices.IndexFunc(gateways, d.isSelf)
+	}
+	rank = slices.IndexFunc(gateways, d.isSelf)
+	startupRank := rank
+	switch {
+	case len(gateways) == 0:
+		limit, startupRank = all, 0
+	case rank >= 0:
+		limit = placer.GatewayShare(all, len(gateways), rank)
+	default:
 		limit = probeConnections
-		if rank >= 0 {
-			limit = placer.GatewayShare(all, len(gateways), rank)
-		}
 	}
-	if d.cfg.Clock.Since(d.started) < serverLingerTime {
-		limit = placer.StartupShare(limit)
+	if age := d.cfg.Clock.Since(d.started); age < serverLingerTime {
+		limit = placer.StartupShare(limit, startupRank, age)
+	}
+	if d.cfg.IsCoordinator() {
+		// Its commands to servers depend on no other instance.
+		limit = max(limit, probeConnections)
 	}
 	return limit, gateways, rank
 }
 
+// fleetOfUnknownSize is more instances than any server has gateways.
+const fleetOfUnknownSize = math.MaxInt
+
 func (d *Dispatcher) isSelf(p placer.Peer) bool { return p.Name == d.cfg.Instance }
 
 func (d *Dispatcher) backend(id string) *backend {
--- a/internal/dispatcher/gateway_test.go
+++ b/internal/dispatcher/gateway_test.go
@@ -143,7 +143,7 @@
 		Zone: self.Zone, Informer: f.informer, Dialer: dialer, Instance: self.Name, Instances: fleetPeers,
 		InstancesKnown: func() bool { return true }, InstancesChanged: func() <-chan struct{} { return nil },
 		Forwarder: f.net, IsCoordinator: func() bool { return false },
-		AskPeers: func() {}, DrainLimit: time.Minute, Clock: clockwork.NewRealClock(), TimeOfDay: time.Now, Metrics: registry, Log: log,
+		AskPeers: func() {}, DrainLimit: time.Minute, Clock: &agedClock{Clock: clockwork.NewRealClock()}, TimeOfDay: time.Now, Metrics: registry, Log: log,
 	})
 	t.Cleanup(d.Close)
 	return d
--- a/internal/linker/pool.go
+++ b/internal/linker/pool.go
@@ -125,6 +125,9 @@
 	if c := p.takeIdle(req); c != nil {
 		return c, nil, nil
 	}
+	if p.cfg.Limits.Max <= 0 && p.open.sum == 0 && p.opening.sum == 0 {
+		return nil, nil, ErrNoConn
+	}
 	if err := p.recentRefusal(); err != nil {
 		return nil, nil, err
 	}
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -164,6 +164,7 @@
 	n.dispatcher = dispatcher.New(dispatcher.Config{
 		Zone: settings.Zone, Informer: n.informer, Dialer: platform.ServerDialer{User: settings.Instance, Clock: n.clock, Budget: n.budget},
 		Instance: settings.Instance, Instances: n.instances, InstancesKnown: n.registrar.HasList, InstancesChanged: n.registrar.Changed,
+		Seeds:         n.seeds(),
 		Forwarder:     forwarder.Client{Dialer: n.peers},
 		IsCoordinator: n.isCoordinator,
 		AskPeers:      n.refreshFromPeers,
@@ -232,6 +233,19 @@
 	return peers
 }
 
+// seeds returns the instances of the settings, whose names are not known.
+func (n *Node) seeds() []placer.Peer {
+	peers := make([]placer.Peer, 0, len(n.settings.Seeds))
+	for _, address := range n.settings.Seeds {
+		p := placer.Peer{Name: address, Address: address}
+		if address == n.settings.ControlAddress {
+			p = n.self()
+		}
+		peers = append(peers, p)
+	}
+	return peers
+}
+
 func (n *Node) self() placer.Peer {
 	return placer.Peer{Name: n.settings.Instance, Zone: n.settings.Zone, Address: n.settings.ControlAddress, Processor: n.settings.CPUMillicores}
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -37,9 +37,24 @@
 // Guards against instances that restart together after a power loss and take all
 // connections while the servers still count the previous ones.
 func TestStartupShare(t *testing.T) {
-	for _, tc := range []struct{ share, want int }{{4, 2}, {1, 1}} {
-		if got := placer.StartupShare(tc.share); got != tc.want {
-			t.Errorf("startup share of %d is %d, want %d", tc.share, got, tc.want)
+	const ms = time.Millisecond
+	for _, tc := range []struct {
+		name        string
+		share, rank int
+		age         time.Duration
+		want        int
+	}{
+		{"gateway that may not know all others", 32, 0, 400 * ms, 1},
+		{"second gateway that may not know all others", 6, 1, 400 * ms, 1},
+		{"third gateway that may not know all others", 6, 2, 400 * ms, 0},
+		{"gateway", 32, 0, 600 * ms, 16},
+		{"gateway with a share of four", 4, 1, 2900 * ms, 2},
+		{"gateway with a share of one", 1, 2, 600 * ms, 1},
+		{"no gateway, gateways may be about to start", 1, -1, 400 * ms, 0},
+		{"no gateway", 1, -1, 600 * ms, 1},
+	} {
+		if got := placer.StartupShare(tc.share, tc.rank, tc.age); got != tc.want {
+			t.Errorf("%s: %d, want %d", tc.name, got, tc.want)
 		}
 	}
 }
--- a/internal/placer/share.go
+++ b/internal/placer/share.go
@@ -1,13 +1,45 @@
 package placer
 
+import "time"
+
 // PreferredConnections returns how many connections a gateway with the given share of a
 // server's limit keeps open for teams: up to half of the limit. It opens more only while
 // none is idle. After a loss of all power the servers still count the previous
 // connections, and the gateways that return need room for theirs; see [StartupShare].
 func PreferredConnections(limit, share int) int { return max(min(limit/2, share), 1) }
 
-// StartupShare returns how many connections an instance that has just started may
-// open: half of its share, at least one. After a power loss the servers still
-// count the previous connections, and the instances that return together must not
-// take all that is left from each other.
-func StartupShare(share int) int { return max(share/2, 1) }
+const (
+	// settlingTime is how long after its start an instance may not know all others.
+	// Machines that start together do so within 0.3 s, and register some tens of
+	// milliseconds later.
+	settlingTime = 500 * time.Millisecond
+	// settlingGateways is how many of a server's gateways open a connection in that time.
+	// With all three, a fleet of 300 could open one more than a server with a limit of 23
+	// accepts besides the connections of before.
+	settlingGateways = 2
+	// startupDivisor is the part of its share that a gateway may open after that.
+	startupDivisor = 2
+)
+
+// StartupShare returns how many connections to a server an instance may open that started
+// the given time ago, has the given rank among the server's gateways, -1 for none, and will
+// have the given share. It holds until the servers have dropped the connections of before:
+// after a loss of all power they still count them, and all instances start together.
+//
+//   - In the settling time, instances do not know all others yet, and several take
+//     themselves for the same gateway: each of the first ones may open one connection.
+//   - After it, a gateway may open half of its share.
+//   - An instance that is no gateway opens none in the settling time. If it did whenever it
+//     does not reach a gateway that is about to start, a large fleet alone would use up
+//     the limit.
+func StartupShare(share, rank int, age time.Duration) int {
+	switch {
+	case age < settlingTime && rank >= 0 && rank < settlingGateways:
+		return 1
+	case age < settlingTime:
+		return 0
+	case rank >= 0:
+		return max(share/startupDivisor, 1)
+	}
+	return share
+}
