dispatcher: a begin is withdrawn when its caller leaves

Cause: the begin of a transaction waits with its first statement, but took the "caller left" of the begin statement, which had been answered long before; and a call that begins a transaction was never canceled at the gateway, because a transaction would have stayed open there. So it kept its place in the queue and took a slot and a connection for nobody, and the caller's instance then looked for another primary.

Change: the begin has the first statement's "left". Its call is canceled like that of a read. A gateway that has begun a transaction whose call was canceled rolls it back; if the begin was answered before, the caller's instance tells the gateway to discard it.

Tests: the row "first statement of a transaction" of TestReadOfACallerThatLeftIsWithdrawn failed before (two forwarded calls, two status queries).

--- a/internal/dispatcher/conn.go
+++ b/internal/dispatcher/conn.go
@@ -63,14 +63,7 @@
 }
 
 // hasLeft reports whether the caller has left.
-func (cr connRequest) hasLeft() bool {
-	select {
-	case <-cr.left:
-		return true
-	default:
-		return false
-	}
-}
+func (cr connRequest) hasLeft() bool { return hasLeft(cr.left) }
 
 // acquire returns a connection to the server, or why a request should not wait for
 // one. With gateways it returns at once, and the request waits at the gateway. The
--- a/internal/dispatcher/forwarded.go
+++ b/internal/dispatcher/forwarded.go
@@ -103,6 +103,11 @@
 func (d *Dispatcher) pinOrRelease(r forwarder.Request, p *pinnedConn, answers []exchanger.Answer, err error) {
 	isIdle := err == nil && answers[len(answers)-1].State == exchanger.Idle
 	isOpen := err == nil && !isIdle && r.Transaction != ""
+	if isOpen && !isInTransaction(r) && hasLeft(r.Left) {
+		// Nobody would continue or end it.
+		go d.rollBack(p)
+		return
+	}
 	if isOpen && d.pinned.put(r.Transaction, p, d.cfg.Clock.Now()) {
 		return
 	}
@@ -110,6 +115,16 @@
 	p.backend.release(p.conn, isIdle)
 }
 
+// hasLeft reports whether the caller has left.
+func hasLeft(left <-chan struct{}) bool {
+	select {
+	case <-left:
+		return true
+	default:
+		return false
+	}
+}
+
 // failureReply returns the reply for a request that got no connection.
 func failureReply(err error) forwarder.Reply {
 	var refused *exchanger.RefusedError
--- a/internal/dispatcher/forwarded_conn.go
+++ b/internal/dispatcher/forwarded_conn.go
@@ -157,16 +157,12 @@
 	// Time passes while other gateways are asked.
 	r.Remaining = c.req.remaining - now.Sub(c.createdAt)
 	defer g.exchanges.begin(now)()
-	// A statement that may run again does not wait for a gateway that is lost. A read whose
-	// caller has left is withdrawn from the gateway's queue. Writes and transactions are
-	// not: their outcome would be unknown here, and a transaction would stay open there.
+	// A statement that may run again does not wait for a gateway that is lost. A read or a
+	// begin whose caller has left is withdrawn from the gateway's queue. Writes and
+	// statements of open transactions are not: their outcome would be unknown here.
 	ctx, cancel := context.Background(), context.CancelFunc(func() {})
 	if c.gateway == nil && !r.IsWrite {
-		var left <-chan struct{}
-		if r.Transaction == "" {
-			left = c.req.left
-		}
-		ctx, cancel = g.contextUntilLost(left)
+		ctx, cancel = g.contextUntilLost(c.req.left)
 	}
 	defer cancel()
 	c.d.countZoneTraffic(g.peer.Zone, r)
@@ -184,6 +180,10 @@
 	if err != nil && errors.Is(err, context.Canceled) && c.req.hasLeft() {
 		c.d.count.left.Inc(1)
 		c.broken = true
+		if r.Transaction != "" {
+			// The gateway may have begun the transaction before the call was canceled.
+			c.discard(g, r.Transaction)
+		}
 		return nil, errors.Join(exchanger.ErrConnectionLost, errGateway, errCallerLeft)
 	}
 	if errors.Is(err, forwarder.ErrNotSent) {
@@ -253,11 +253,15 @@
 		c.b.Pool.Release(c.direct, isIdle)
 		return
 	}
-	if c.gateway == nil {
-		return
+	if c.gateway != nil {
+		c.discard(c.gateway, c.transaction)
 	}
-	g, r := c.gateway, forwarder.Request{
-		Service: c.b.Target().Service, Server: c.b.id, Transaction: c.transaction, Discard: true, Timeout: abandonTimeout,
+}
+
+// discard rolls a transaction back that is open at the gateway.
+func (c *forwardedConn) discard(g *gateway, transaction string) {
+	r := forwarder.Request{
+		Service: c.b.Target().Service, Server: c.b.id, Transaction: transaction, Discard: true, Timeout: abandonTimeout,
 	}
 	go func() {
 		if _, err := c.d.cfg.Forwarder.Forward(context.Background(), g.peer.Address, r); err != nil {
--- a/internal/dispatcher/left_test.go
+++ b/internal/dispatcher/left_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"marigoldhub.example/hub/internal/dispatcher"
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/forwarder"
 	"marigoldhub.example/hub/internal/informer"
@@ -14,15 +15,21 @@
 
 // Guards against a read that keeps its place in the queue of a gateway after its caller has
 // left, and then runs for nobody, and against a gateway that is taken for lost because its
-// call was canceled. A write that was sent is not withdrawn.
+// call was canceled. The begin of a transaction is withdrawn with its first statement; a
+// write that was sent is not.
 func TestReadOfACallerThatLeftIsWithdrawn(t *testing.T) {
+	run := func(f *fleet, req dispatcher.Request) { f.caller.Run(req) }
 	for _, tc := range []struct {
 		name string
 		kind exchanger.Kind
+		run  func(*fleet, dispatcher.Request)
 		runs int
 	}{
-		{"read", exchanger.Read, 0},
-		{"write", exchanger.Write, 1},
+		{"read", exchanger.Read, run, 0},
+		{"write", exchanger.Write, run, 1},
+		{"first statement of a transaction", exchanger.Write, func(f *fleet, req dispatcher.Request) {
+			f.caller.Begin(request("begin", exchanger.Begin, informer.PrimaryReads)).Run(req)
+		}, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			f := newFleet(t)
@@ -56,7 +63,7 @@
 			}
 			var tries atomic.Int32
 			f.net.setHook(func(_ string, r forwarder.Request) (before, after error) {
-				if len(r.Statements) > 0 && r.Statements[0].ID == "x" {
+				if len(r.Statements) > 0 && (r.Statements[0].ID == "x" || r.Statements[0].Kind == exchanger.Begin) {
 					tries.Add(1)
 				}
 				return nil, nil
@@ -66,7 +73,7 @@
 				defer close(ended)
 				req := request("x", tc.kind, informer.PrimaryReads)
 				req.Left = left
-				f.caller.Run(req)
+				tc.run(f, req)
 			})
 			awaitWaiting := func(n int) {
 				t.Helper()
@@ -101,3 +108,62 @@
 		})
 	}
 }
+
+// leftRunner tells when the call of a begin has been canceled.
+type leftRunner struct {
+	forwarder.Runner
+	canceled chan<- (<-chan struct{})
+}
+
+func (r leftRunner) RunForwarded(req forwarder.Request) forwarder.Reply {
+	if len(req.Statements) > 0 && req.Statements[0].Kind == exchanger.Begin {
+		r.canceled <- req.Left
+	}
+	return r.Runner.RunForwarded(req)
+}
+
+// Guards against a transaction that stays open at its gateway because its caller left while
+// the begin ran: the caller's instance has withdrawn the call and does not know of it.
+func TestTransactionThatBeginsForNobodyIsRolledBack(t *testing.T) {
+	f := newFleet(t)
+	begun, release := make(chan struct{}), make(chan struct{})
+	f.OnStatement = func(_ string, s exchanger.Statement) {
+		if s.Kind == exchanger.Begin {
+			close(begun)
+			<-release
+		}
+	}
+	if a := f.caller.Run(request("warm", exchanger.Write, informer.PrimaryReads)); !a.OK() {
+		t.Fatal(a.Code, a.Text)
+	}
+	canceled := make(chan (<-chan struct{}), 1)
+	f.net.mu.Lock()
+	for address, runner := range f.net.runners {
+		f.net.runners[address] = leftRunner{runner, canceled}
+	}
+	f.net.mu.Unlock()
+	left, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		tx := f.caller.Begin(request("begin", exchanger.Begin, informer.PrimaryReads))
+		defer tx.Abandon()
+		req := request("x", exchanger.Write, informer.PrimaryReads)
+		req.Left = left
+		tx.Run(req)
+	}()
+	<-begun
+	close(left)
+	select {
+	case <-<-canceled:
+	case <-time.After(5 * time.Second):
+		t.Error("the call is not canceled")
+	}
+	close(release)
+	<-ended
+	if n := f.gatewayOf(t, "a").AwaitForwardedTransactions(time.Second); n != 0 {
+		t.Errorf("%d transactions are open for a caller that has left", n)
+	}
+	if at := f.ranAt("x"); len(at) > 0 {
+		t.Errorf("ran at %v", at)
+	}
+}
--- a/internal/dispatcher/transaction_begin.go
+++ b/internal/dispatcher/transaction_begin.go
@@ -49,6 +49,9 @@
 		if err == nil && a.OK() {
 			return a, true
 		}
+		if errors.Is(err, errCallerLeft) {
+			return callerLeftAnswer, false
+		}
 		if err == nil && a.Code == exchanger.Behind {
 			d.recordBehind(req, b, pos, a.Position)
 		} else {
@@ -88,6 +91,9 @@
 			t.startConfirmation(g, l, began)
 			return a, true
 		}
+		if errors.Is(err, errCallerLeft) {
+			return callerLeftAnswer, false
+		}
 		if errors.Is(err, errSilent) || errors.Is(err, errOverloaded) {
 			d.recheckPrimary(g, l)
 			return d.refuseAtPrimary(req, "the primary could not begin the transaction", err, t.begin.Route.Objective), false
@@ -145,7 +151,8 @@
 	now := t.d.cfg.Clock.Now()
 	deadline := now.Add(t.begin.Route.StatementTimeout)
 	open := t.begin
-	open.Received, open.Context = now, req.Context
+	// The caller of the first statement waits; the begin was answered when it arrived.
+	open.Received, open.Context, open.Left = now, req.Context, req.Left
 	c, releaseSlot, err := t.d.acquire(b, t.d.newConnRequest(open, writeWaitFactor))
 	if err != nil {
 		return exchanger.Answer{}, err
