--- a/internal/dispatcher/return_time.go
+++ b/internal/dispatcher/return_time.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -23,6 +24,8 @@
 type returns struct {
 	mu    sync.Mutex
 	byKey map[returnKey]*placer.Returns
+	// sweepAt is the number of keys at which those without places are forgotten.
+	sweepAt int
 }
 
 // book returns after what time the caller of a refused request should come back.
@@ -32,10 +35,9 @@
 	if r.byKey == nil {
 		r.byKey = map[returnKey]*placer.Returns{}
 	}
-	for k, other := range r.byKey {
-		if k != key && other.IsOver(now) {
-			delete(r.byKey, k)
-		}
+	if len(r.byKey) > r.sweepAt {
+		maps.DeleteFunc(r.byKey, func(_ returnKey, other *placer.Returns) bool { return other.IsOver(now) })
+		r.sweepAt = 2*len(r.byKey) + 16
 	}
 	if r.byKey[key] == nil {
 		r.byKey[key] = &placer.Returns{}
