--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -54,7 +54,6 @@
 // there no longer than spillWait; 0 means no limit but that of its objective.
 func (d *Dispatcher) attemptRead(b *backend, req Request, spillWait time.Duration, deadline time.Time, s ...exchanger.Statement) ([]exchanger.Answer, error) {
 	cr := d.newConnRequest(req, 1)
-	cr.waitDeadline = req.readWaitDeadline(b)
 	if spillWait > 0 {
 		cr.waitDeadline = earliest(cr.waitDeadline, d.cfg.Clock.Now().Add(spillWait))
 	}
--- a/internal/dispatcher/hedged_read.go
+++ b/internal/dispatcher/hedged_read.go
@@ -129,7 +129,7 @@
 		return
 	}
 	if b := r.leastLoaded; b != nil && r.pending == 0 {
-		left := r.req.readWaitDeadline(b).Sub(r.d.cfg.Clock.Now())
+		left := placer.WaitDeadline(r.req.Received, r.req.Route.Objective).Sub(r.d.cfg.Clock.Now())
 		if r.mayTry(r.leastLoadedWait > left) {
 			r.leastLoaded = nil
 			r.send(b, 0)
--- a/internal/dispatcher/leader_read.go
+++ b/internal/dispatcher/leader_read.go
@@ -28,7 +28,7 @@
 	for range maxAttempts {
 		l, err := g.AwaitLeader(waitDeadline)
 		if err != nil {
-			return d.refuseAtPrimary(req, "no primary is known", errors.Join(err, reason), req.readAllowance(d.primary(g)))
+			return d.refuseAtPrimary(req, "no primary is known", errors.Join(err, reason), req.Route.Objective/2)
 		}
 		a, err := d.confirmedRead(g, l, req, deadline)
 		if err == nil {
@@ -43,10 +43,10 @@
 			break
 		}
 		if errors.Is(err, errServerFull) && !d.spendRetry(req.Route.Service) {
-			return d.refuseAtPrimary(req, "the primary's queue is full", errNoRetries, req.readAllowance(d.primary(g)))
+			return d.refuseAtPrimary(req, "the primary's queue is full", errNoRetries, req.Route.Objective/2)
 		}
 	}
-	return d.refuseAtPrimary(req, "the primary could not run the read", reason, req.readAllowance(d.primary(g)))
+	return d.refuseAtPrimary(req, "the primary could not run the read", reason, req.Route.Objective/2)
 }
 
 // errServerFull is the [errRefused] of a server whose own queue is full.
--- a/internal/dispatcher/progress.go
+++ b/internal/dispatcher/progress.go
@@ -162,22 +162,16 @@
 func (d *Dispatcher) refuseRead(req Request, pos minPosition, reason string, err error, wait time.Duration) exchanger.Answer {
 	now := d.cfg.Clock.Now()
 	var estimates []time.Duration
-	servers := d.backendsOf(req.Route.Service, now)
 	if wait > 0 {
-		// Which server the wait is of does not matter: it is that of the least loaded one.
-		allowed := req.Route.Objective / 2
-		for _, b := range servers {
-			allowed = max(allowed, req.readAllowance(b))
-		}
-		estimates = append(estimates, wait-allowed)
+		estimates = append(estimates, wait-req.Route.Objective/2)
 	}
 	if errors.Is(err, errNoRetries) && wait == 0 {
 		estimates = append(estimates, avoidAfterRefusal)
 	}
-	for _, b := range servers {
+	for _, b := range d.backendsOf(req.Route.Service, now) {
 		if p, ok := d.progressOf(b, now); ok && p.Lacks(pos.floor(), now) {
 			estimates = append(estimates, p.CoversAt(pos.floor()).Sub(now))
 		}
 	}
-	return d.refuseWithTime(req, reason, err, servers, estimates...)
+	return d.refuseWithTime(req, reason, err, d.backendsOf(req.Route.Service, now), estimates...)
 }
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -72,7 +72,7 @@
 	deadline := req.deadline(req.Received)
 	pos, err := d.minPositionFor(req, req.primaryWaitDeadline(req.Received))
 	if err != nil {
-		return d.refuseAtPrimary(req, "no current position is known", err, req.readAllowance(nil))
+		return d.refuseAtPrimary(req, "no current position is known", err, req.Route.Objective/2)
 	}
 	r := &hedgedRead{d: d, req: req, minPosition: pos, deadline: deadline, budget: d.hedgeBudget(req.Route.Service), tried: map[string]bool{}, results: make(chan readResult, maxAttempts)}
 	return r.run()
@@ -146,7 +146,7 @@
 		i = j
 	}
 	spillWait := placer.SpillWait(candidates, i, req.Route.Objective)
-	maxWait := req.readWaitDeadline(backends[i]).Sub(now)
+	maxWait := placer.WaitDeadline(req.Received, req.Route.Objective).Sub(now)
 	if spillWait > 0 {
 		maxWait = min(maxWait, spillWait)
 	}
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -41,21 +41,6 @@
 
 func (r Request) deadline(now time.Time) time.Time { return now.Add(r.Route.StatementTimeout) }
 
-// readWaitDeadline returns until when a read may wait at the server; nil if no server is
-// known.
-func (r Request) readWaitDeadline(b *backend) time.Time {
-	latency := time.Duration(0)
-	if b != nil {
-		latency = b.meanLatency()
-	}
-	return placer.ReadWaitDeadline(r.Received, r.Route.Objective, latency)
-}
-
-// readAllowance returns how long a read may wait at the server.
-func (r Request) readAllowance(b *backend) time.Duration {
-	return r.readWaitDeadline(b).Sub(r.Received)
-}
-
 // primaryWaitDeadline returns until when the request may wait for a known primary.
 func (r Request) primaryWaitDeadline(now time.Time) time.Time {
 	return now.Add(placer.PrimaryWaitLimit(r.Route.Objective, r.Route.StatementTimeout))
--- a/internal/dispatcher/return_time.go
+++ b/internal/dispatcher/return_time.go
@@ -72,18 +72,13 @@
 	return d.refuseUntil(req, reason, err, after)
 }
 
-// primary returns the known primary; nil if there is none.
-func (d *Dispatcher) primary(g *attester.Group) *backend {
-	l, _ := g.Leader()
-	return d.backend(l.Server.ID)
-}
-
 // refuseAtPrimary refuses a request that only the primary could run. Allowed is how long
 // such a request may wait there.
 func (d *Dispatcher) refuseAtPrimary(req Request, reason string, err error, allowed time.Duration) exchanger.Answer {
 	var servers []*backend
 	g := d.Group(req.Route.Service)
-	b := d.primary(g)
+	l, _ := g.Leader()
+	b := d.backend(l.Server.ID)
 	if b != nil {
 		servers = append(servers, b)
 	}
--- a/internal/placer/wait.go
+++ b/internal/placer/wait.go
@@ -17,23 +17,6 @@
 	return received.Add(objective / 2)
 }
 
-// ReadWaitDeadline returns until when a read may wait at a server with the given mean
-// latency: as long as it can still be answered in time if it takes a few times the mean,
-// and at least half of its objective. It answers bursts and waves of load, in which a read
-// that is refused after half of its objective returns as a new request that competes with
-// those that have just arrived. A read that cannot be answered in time does not wait: it
-// would take slots that others need when they arrive.
-func ReadWaitDeadline(received time.Time, objective, latency time.Duration) time.Time {
-	if latency <= 0 {
-		return WaitDeadline(received, objective)
-	}
-	return received.Add(max(objective-runFactor*latency, objective/2))
-}
-
-// runFactor covers the reads that take longer than the mean: with the spread of the
-// requests that servers get, one in twenty takes more than twice as long.
-const runFactor = 2
-
 // QueueLimit returns how many requests may wait for a slot at a server with the
 // given number of slots and mean latency: as many as the server finishes within
 // maxQueueTime (a fraction of a second), but at least as many as there are slots.
