dispatcher: begins may wait their objective at the next server

Cause: after a refusal at a full queue, the begin of a transaction on a bounded or session route counted the next server as full if its reported wait was longer than a read waits before it leaves a server, an eighth of the objective. A begin may wait for the whole objective, so it paid for a try at a server with a place for it, and was refused without one when the budget was used up.

Change: what may be waited is compared where the request is known.

Test: TestBeginsLeaveAFullServer, refused with "the servers' queues are full" before, runs now.

--- a/internal/dispatcher/hedged_read.go
+++ b/internal/dispatcher/hedged_read.go
@@ -121,19 +121,21 @@
 	if r.attempts >= maxAttempts {
 		return
 	}
+	left := placer.WaitDeadline(r.req.Received, r.req.Route.Objective).Sub(r.d.cfg.Clock.Now())
 	mayProbe := r.attempts == 0 && r.budget.Has()
 	if c := r.d.chooseRead(r.req, r.minPosition, r.tried, mayProbe); c.backend != nil {
-		if r.mayTry(c.isFull) {
+		maxWait := left
+		if c.spillWait > 0 {
+			maxWait = min(left, c.spillWait)
+		}
+		if r.mayTry(c.IsFull(maxWait)) {
 			r.send(c.backend, c.spillWait)
 		}
 		return
 	}
-	if b := r.leastLoaded; b != nil && r.pending == 0 {
-		left := placer.WaitDeadline(r.req.Received, r.req.Route.Objective).Sub(r.d.cfg.Clock.Now())
-		if r.mayTry(r.leastLoadedWait > left) {
-			r.leastLoaded = nil
-			r.send(b, 0)
-		}
+	if b := r.leastLoaded; b != nil && r.pending == 0 && r.mayTry(r.leastLoadedWait > left) {
+		r.leastLoaded = nil
+		r.send(b, 0)
 	}
 }
 
--- a/internal/dispatcher/progress.go
+++ b/internal/dispatcher/progress.go
@@ -156,7 +156,7 @@
 	}
 }
 
-// refuseRead refuses a read that no server could run. The text says when to come back if
+// refuseRead refuses a read that no server could run; err is why, if that is known. The text says when to come back if
 // a replica will have the position that the read requires, or the queue of a server, whose
 // wait is given, will be short enough; a wait of 0 means that no queue was too long.
 func (d *Dispatcher) refuseRead(req Request, pos minPosition, reason string, err error, wait time.Duration) exchanger.Answer {
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -97,13 +97,12 @@
 
 // readChoice is the server that is chosen for a read.
 type readChoice struct {
+	placer.Candidate
 	// backend is nil if no server is left.
 	backend *backend
 	// spillWait is how long the read should wait there; 0 means no limit but that of its
 	// objective.
 	spillWait time.Duration
-	// isFull is set if the server is expected to refuse the read because too many wait.
-	isFull bool
 }
 
 // chooseRead returns the best server for the read among those that were not tried. If
@@ -145,12 +144,7 @@
 		d.count.probeReads.Inc(1)
 		i = j
 	}
-	spillWait := placer.SpillWait(candidates, i, req.Route.Objective)
-	maxWait := placer.WaitDeadline(req.Received, req.Route.Objective).Sub(now)
-	if spillWait > 0 {
-		maxWait = min(maxWait, spillWait)
-	}
-	return readChoice{backends[i], spillWait, candidates[i].IsFull(maxWait)}
+	return readChoice{candidates[i], backends[i], placer.SpillWait(candidates, i, req.Route.Objective)}
 }
 
 // leavesZone reports whether a read at the server leaves this instance's zone although a
--- a/internal/dispatcher/retry_budget_test.go
+++ b/internal/dispatcher/retry_budget_test.go
@@ -92,3 +92,26 @@
 		}
 	}
 }
+
+// Guards against begins that are refused for lack of a budget although the next server has a
+// place for them: they may wait for longer than a read waits before it leaves a server.
+func TestBeginsLeaveAFullServer(t *testing.T) {
+	f := newFixtureWith(t, func(cfg *dispatcher.Config) {
+		cfg.WaitAt = func(string) time.Duration { return 100 * time.Millisecond }
+	})
+	if a := f.d.Run(request("warm", exchanger.Write, informer.PrimaryReads)); !a.OK() {
+		t.Fatal(a.Code, a.Text)
+	}
+	// Use the budget up.
+	f.SetBusy("a", true)
+	for i := range 40 {
+		f.d.Run(request(fmt.Sprint("w", i), exchanger.Write, informer.PrimaryReads))
+	}
+	f.SetBusy("a", false)
+	f.SetBusy("b", true)
+	tx := f.d.Begin(request("begin", exchanger.BeginReadOnly, informer.BoundedReads))
+	defer tx.Abandon()
+	if a := tx.Run(request("r", exchanger.Read, informer.BoundedReads)); !a.OK() {
+		t.Errorf("%v %s", a.Code, a.Text)
+	}
+}
--- a/internal/dispatcher/return_time.go
+++ b/internal/dispatcher/return_time.go
@@ -12,8 +12,8 @@
 	"marigoldhub.example/hub/internal/placer"
 )
 
-// returnKey tells the requests apart that wait for different slots of time: less urgent
-// ones do not keep more urgent ones from a server.
+// returnKey names the requests that share the places of those who return. Less urgent ones do
+// not keep more urgent ones from a server, so each priority has its own.
 type returnKey struct {
 	service  string
 	priority int
--- a/internal/dispatcher/transaction_begin.go
+++ b/internal/dispatcher/transaction_begin.go
@@ -42,7 +42,7 @@
 		if b == nil {
 			break
 		}
-		if wasFull && c.isFull && !d.spendRetry(t.begin.Route.Service) {
+		if wasFull && c.IsFull(writeWaitFactor*open.Route.Objective/2) && !d.spendRetry(t.begin.Route.Service) {
 			return d.refuseRead(open, pos, "the servers' queues are full", errNoRetries, wait), false
 		}
 		a, err := t.beginAt(b, req, exchanger.Statement{Kind: exchanger.BeginReadOnly, MinPosition: pos.position})
