--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -193,10 +193,14 @@
 	}
 	now := t.cfg.Clock.Now()
 	patience := min(max(deadline.Sub(now)/patienceDivisor, minPatience), maxPatience)
-	o := l.admit(team, t.cfg.Budget.Limits(quota), now, now.Add(patience))
+	o := l.admit(team, t.cfg.Budget.Limits(quota), quotas.Version(), now, now.Add(patience))
 	t.count.record(team, o.refusal, now)
 	if o.refusal != nil {
 		return Operation{}, o.refusal
 	}
-	return Operation{&admission{link: l, account: o.account, expires: o.expires}}, nil
+	beginBefore := o.expires
+	if beginBefore.IsZero() {
+		beginBefore = now.Add(allocator.TokenTTL)
+	}
+	return Operation{&admission{link: l, account: o.account, expires: o.expires, beginBefore: beginBefore}}, nil
 }
