--- a/internal/chooser/choice.go
+++ b/internal/chooser/choice.go
@@ -14,13 +14,12 @@
 
 // Choice is the server that is chosen for a read.
 type Choice struct {
+	placer.Candidate
 	// Backend is nil if no server is left.
 	Backend *connector.Backend
 	// SpillWait is how long the read should wait there; 0 means no limit but that of its
 	// objective.
 	SpillWait time.Duration
-	// IsFull is set if the server is expected to refuse the read because too many wait.
-	IsFull bool
 }
 
 // Choose returns the best server for the read among those that were not tried. If
@@ -62,12 +61,7 @@
 		c.probeReads.Inc(1)
 		i = j
 	}
-	spillWait := placer.SpillWait(candidates, i, req.Route.Objective)
-	maxWait := placer.WaitDeadline(req.Received, req.Route.Objective).Sub(now)
-	if spillWait > 0 {
-		maxWait = min(maxWait, spillWait)
-	}
-	return Choice{backends[i], spillWait, candidates[i].IsFull(maxWait)}
+	return Choice{candidates[i], backends[i], placer.SpillWait(candidates, i, req.Route.Objective)}
 }
 
 // LeavesZone reports whether a read at the server leaves this instance's zone although a
--- a/internal/chooser/refusal.go
+++ b/internal/chooser/refusal.go
@@ -10,9 +10,10 @@
 	"marigoldhub.example/hub/internal/placer"
 )
 
-// RefuseRead refuses a read that no server could run. The text says when to come back if
-// a replica will have the position that the read requires, or the queue of a server, whose
-// wait is given, will be short enough; a wait of 0 means that no queue was too long.
+// RefuseRead refuses a read that no server could run; err is why, if that is known. The
+// text says when to come back if a replica will have the position that the read requires, or
+// the queue of a server, whose wait is given, will be short enough; a wait of 0 means that no
+// queue was too long.
 func (c *Chooser) RefuseRead(req attempter.Request, pos placer.Floor, reason string, err error, wait time.Duration) exchanger.Answer {
 	now := c.cfg.Clock.Now()
 	var estimates []time.Duration
--- a/internal/connector/request.go
+++ b/internal/connector/request.go
@@ -35,9 +35,12 @@
 }
 
 // HasLeft reports whether the caller has left.
-func (r Request) HasLeft() bool {
+func (r Request) HasLeft() bool { return HasLeft(r.Left) }
+
+// HasLeft reports whether the caller has left, which closes the channel.
+func HasLeft(left <-chan struct{}) bool {
 	select {
-	case <-r.Left:
+	case <-left:
 		return true
 	default:
 		return false
--- a/internal/delegator/conn.go
+++ b/internal/delegator/conn.go
@@ -97,7 +97,8 @@
 // runAtGateway sends the request to one gateway after the other until one has run it.
 // A gateway that is reached but refuses the request, for example because it is
 // overloaded, ends the search unless it says that it is no gateway: it schedules all
-// work of the server, so the overload is the server's.
+// work of the server, so the overload is the server's. One without a connection, because
+// the server accepts no more, does not end it either: another gateway may have one.
 func (c *Conn) runAtGateway(deadline time.Time, r forwarder.Request) ([]exchanger.Answer, error) {
 	var tried []*selector.Gateway
 	last := fmt.Errorf("%w: %w", connector.ErrGateway, errNoGateway)
@@ -109,7 +110,12 @@
 		}
 		tried = append(tried, g)
 		if g.IsSelf() {
-			return c.runAtSelf(now, deadline, r)
+			answers, err := c.runAtSelf(now, deadline, r)
+			if !isConnectionRefused(err) {
+				return answers, err
+			}
+			last = err
+			continue
 		}
 		reply, err := c.forward(g, deadline, r)
 		answers, err := c.handleReply(g, r, reply, err)
@@ -120,13 +126,22 @@
 		c.d.cfg.Log.WithError(err).WithFields(logrus.Fields{
 			"request": r.Statements[0].ID, "server": c.b.ID, "gateway": g.Peer().Name,
 		}).Info("dispatcher: gateway did not run the statement")
-		if reply.Failure != forwarder.None && reply.Failure != forwarder.NotGateway {
+		if reply.Failure != forwarder.None && reply.Failure != forwarder.NotGateway && !isConnectionRefused(err) {
 			return nil, last
 		}
 	}
+	if isConnectionRefused(last) {
+		return nil, last
+	}
 	return c.runWithoutGateway(deadline, r, last)
 }
 
+// isConnectionRefused reports whether a server refused a connection because it has too many.
+func isConnectionRefused(err error) bool {
+	var refused *exchanger.RefusedError
+	return errors.As(err, &refused) && refused.Code == exchanger.TooManyConnections
+}
+
 // runAtSelf runs the request on a connection of this instance, which is the chosen
 // gateway.
 func (c *Conn) runAtSelf(now, deadline time.Time, r forwarder.Request) ([]exchanger.Answer, error) {
@@ -178,16 +193,12 @@
 	// Time passes while other gateways are asked.
 	r.Remaining = c.req.Remaining - now.Sub(c.createdAt)
 	defer g.Begin(now)()
-	// A statement that may run again does not wait for a gateway that is lost. A read whose
-	// caller has left is withdrawn from the gateway's queue. Writes and transactions are
-	// not: their outcome would be unknown here, and a transaction would stay open there.
+	// A statement that may run again does not wait for a gateway that is lost. A read or a
+	// begin whose caller has left is withdrawn from the gateway's queue. Writes and
+	// statements of open transactions are not: their outcome would be unknown here.
 	ctx, cancel := context.Background(), context.CancelFunc(func() {})
 	if c.gateway == nil && !r.IsWrite {
-		var left <-chan struct{}
-		if r.Transaction == "" {
-			left = c.req.Left
-		}
-		ctx, cancel = g.ContextUntilLost(left)
+		ctx, cancel = g.ContextUntilLost(c.req.Left)
 	}
 	defer cancel()
 	c.d.countZoneTraffic(g.Peer().Zone, r)
@@ -205,6 +216,10 @@
 	if err != nil && errors.Is(err, context.Canceled) && c.req.HasLeft() {
 		c.d.left.Inc(1)
 		c.broken = true
+		if r.Transaction != "" {
+			// The gateway may have begun the transaction before the call was canceled.
+			c.discard(g, r.Transaction)
+		}
 		return nil, errors.Join(exchanger.ErrConnectionLost, connector.ErrGateway, connector.ErrCallerLeft)
 	}
 	if errors.Is(err, forwarder.ErrNotSent) {
@@ -275,11 +290,15 @@
 		c.b.Pool.Release(c.direct, isIdle)
 		return
 	}
-	if c.gateway == nil {
-		return
+	if c.gateway != nil {
+		c.discard(c.gateway, c.transaction)
 	}
-	g, r := c.gateway, forwarder.Request{
-		Service: c.b.Target().Service, Server: c.b.ID, Transaction: c.transaction, Discard: true, Timeout: discardTimeout,
+}
+
+// discard rolls a transaction back that is open at the gateway.
+func (c *Conn) discard(g *selector.Gateway, transaction string) {
+	r := forwarder.Request{
+		Service: c.b.Target().Service, Server: c.b.ID, Transaction: transaction, Discard: true, Timeout: discardTimeout,
 	}
 	go func() {
 		if _, err := c.d.cfg.Forwarder.Forward(context.Background(), g.Peer().Address, r); err != nil {
--- a/internal/delegator/doc.go
+++ b/internal/delegator/doc.go
@@ -10,7 +10,7 @@
 //
 // Outcomes. An error that wraps [exchanger.ErrNotSent] means that nothing ran. After any
 // other one the statement may have run: the caller decides whether it may run again. Errors
-// that wrap [connector.ErrGateway] say nothing about the server. A read whose caller leaves
-// is withdrawn from the gateway; writes and transactions are not, because their outcome
-// would be unknown.
+// that wrap [connector.ErrGateway] say nothing about the server. A read or a begin whose
+// caller leaves is withdrawn from the gateway; writes and statements of open transactions
+// are not, because their outcome would be unknown.
 package delegator
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -72,7 +72,7 @@
 	})
 	d.appraiser = appraiser.New(cfg.Clock, cfg.Metrics, cfg.Log)
 	d.backends = reconciler.New(reconciler.Config{
-		Informer: cfg.Informer, Instances: cfg.Instances, InstancesKnown: cfg.InstancesKnown, Selector: d.gateways, KeepListed: d.appraiser.Keep,
+		Informer: cfg.Informer, Instances: cfg.Instances, InstancesKnown: cfg.InstancesKnown, Seeds: cfg.Seeds, IsCoordinator: cfg.IsCoordinator, Selector: d.gateways, KeepListed: d.appraiser.Keep,
 		Dialer: cfg.Dialer, DrainLimit: cfg.DrainLimit, Clock: cfg.Clock, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	d.Querier = querier.New(querier.Config{
--- a/internal/dispatcher/hedged_read.go
+++ b/internal/dispatcher/hedged_read.go
@@ -123,19 +123,21 @@
 	if r.attempts >= attempter.MaxAttempts {
 		return
 	}
+	left := placer.WaitDeadline(r.req.Received, r.req.Route.Objective).Sub(r.d.cfg.Clock.Now())
 	mayProbe := r.attempts == 0 && r.budget.Has()
 	if c := r.d.places.Choose(r.req, r.minPosition, r.tried, mayProbe); c.Backend != nil {
-		if r.mayTry(c.IsFull) {
+		maxWait := left
+		if c.SpillWait > 0 {
+			maxWait = min(left, c.SpillWait)
+		}
+		if r.mayTry(c.IsFull(maxWait)) {
 			r.send(c.Backend, c.SpillWait)
 		}
 		return
 	}
-	if b := r.leastLoaded; b != nil && r.pending == 0 {
-		left := placer.WaitDeadline(r.req.Received, r.req.Route.Objective).Sub(r.d.cfg.Clock.Now())
-		if r.mayTry(r.leastLoadedWait > left) {
-			r.leastLoaded = nil
-			r.send(b, 0)
-		}
+	if b := r.leastLoaded; b != nil && r.pending == 0 && r.mayTry(r.leastLoadedWait > left) {
+		r.leastLoaded = nil
+		r.send(b, 0)
 	}
 }
 
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -101,6 +101,11 @@
 func (e *Executor) pinOrRelease(r forwarder.Request, p *pinnedConn, answers []exchanger.Answer, err error) {
 	isIdle := err == nil && answers[len(answers)-1].State == exchanger.Idle
 	isOpen := err == nil && !isIdle && r.Transaction != ""
+	if isOpen && !isInTransaction(r) && connector.HasLeft(r.Left) {
+		// Nobody would continue or end it.
+		go e.rollBack(p)
+		return
+	}
 	if isOpen && e.pinned.put(r.Transaction, p, e.cfg.Clock.Now()) {
 		return
 	}
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -127,7 +127,9 @@
 
 	mu       sync.Mutex
 	draining bool
-	done     chan struct{}
+	// hasLeft is set when the other instances have been told that this one is stopping.
+	hasLeft bool
+	done    chan struct{}
 }
 
 // New starts an instance that writes its log to out.
@@ -167,6 +169,7 @@
 	n.dispatcher = dispatcher.New(dispatcher.Config{
 		Zone: settings.Zone, Informer: n.informer, Dialer: platform.ServerDialer{User: settings.Instance, Clock: n.clock, Budget: n.budget, Sockets: n.sockets.servers},
 		Instance: settings.Instance, Instances: n.instances, InstancesKnown: n.registrar.HasList, InstancesChanged: n.registrar.Changed,
+		Seeds:         n.seeds(),
 		Forwarder:     forwarder.Client{Dialer: n.peers},
 		IsCoordinator: n.isCoordinator,
 		AskPeers:      n.refreshFromPeers,
@@ -219,15 +222,35 @@
 	return near + far
 }
 
-// instances returns all listed instances, this one included.
+// instances returns all listed instances, this one included unless it has left the others.
 func (n *Node) instances() []placer.Peer {
-	peers := []placer.Peer{n.self()}
-	for _, o := range n.registrar.Others() {
+	n.mu.Lock()
+	hasLeft := n.hasLeft
+	n.mu.Unlock()
+	others := n.registrar.Others()
+	var peers []placer.Peer
+	if !hasLeft || len(others) == 0 {
+		peers = append(peers, n.self())
+	}
+	for _, o := range others {
 		peers = append(peers, placer.Peer{Name: o.Name, Zone: o.Zone, Address: o.Address, Processor: o.Processor})
 	}
 	return peers
 }
 
+// seeds returns the instances of the settings, whose names are not known.
+func (n *Node) seeds() []placer.Peer {
+	peers := make([]placer.Peer, 0, len(n.settings.Seeds))
+	for _, address := range n.settings.Seeds {
+		p := placer.Peer{Name: address, Address: address}
+		if address == n.settings.ControlAddress {
+			p = n.self()
+		}
+		peers = append(peers, p)
+	}
+	return peers
+}
+
 func (n *Node) self() placer.Peer {
 	return placer.Peer{Name: n.settings.Instance, Zone: n.settings.Zone, Address: n.settings.ControlAddress, Processor: n.settings.CPUMillicores}
 }
--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -44,6 +44,10 @@
 	Instances func() []placer.Peer
 	// InstancesKnown reports whether the list of instances has been received.
 	InstancesKnown func() bool
+	// Seeds are instances that all others know from the beginning; some may be gone.
+	Seeds []placer.Peer
+	// IsCoordinator reports whether this instance is the coordinator.
+	IsCoordinator func() bool
 	// Selector knows the gateways.
 	Selector *selector.Selector
 	// KeepListed is called with the servers of a service that are listed.
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -64,15 +64,16 @@
 	return &Selector{cfg: cfg, self: &Gateway{isSelf: true, lostCh: make(chan struct{})}, peers: map[string]*Gateway{}}
 }
 
-// Rank returns the n instances among the peers that are the server's gateways, in order,
-// and the rank of this instance among them, -1 if it is none.
-func (s *Selector) Rank(srv informer.Server, peers []placer.Peer, n int) (chosen []placer.Peer, rank int) {
+// Plan returns the n instances among the peers that are the server's gateways, in order.
+func (s *Selector) Plan(srv informer.Server, peers []placer.Peer, n int) []placer.Peer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	chosen = s.plan.of(srv, peers, n)
-	return chosen, slices.IndexFunc(chosen, s.isSelf)
+	return s.plan.of(srv, peers, n)
 }
 
+// Rank returns the rank of this instance among the gateways, -1 if it is none.
+func (s *Selector) Rank(gateways []placer.Peer) int { return slices.IndexFunc(gateways, s.isSelf) }
+
 func (s *Selector) isSelf(p placer.Peer) bool { return p.Name == s.cfg.Instance }
 
 // Gateways returns the gateways for the peers.
--- a/internal/transactor/begin.go
+++ b/internal/transactor/begin.go
@@ -43,13 +43,16 @@
 		if b == nil {
 			break
 		}
-		if wasFull && c.IsFull && !t.cfg.Attempter.SpendRetry(t.begin.Route.Service) {
+		if wasFull && c.IsFull(attempter.WriteWaitFactor*open.Route.Objective/2) && !t.cfg.Attempter.SpendRetry(t.begin.Route.Service) {
 			return t.cfg.Chooser.RefuseRead(open, pos, "the servers' queues are full", attempter.ErrNoRetries, wait), false
 		}
 		a, err := t.beginAt(b, req, exchanger.Statement{Kind: exchanger.BeginReadOnly, MinPosition: pos.Position})
 		if err == nil && a.OK() {
 			return a, true
 		}
+		if errors.Is(err, connector.ErrCallerLeft) {
+			return attempter.CallerLeftAnswer, false
+		}
 		if err == nil && a.Code == exchanger.Behind {
 			t.cfg.Chooser.RecordBehind(req, b, pos, a.Position)
 		} else {
@@ -88,6 +91,9 @@
 			t.startConfirmation(g, l, began)
 			return a, true
 		}
+		if errors.Is(err, connector.ErrCallerLeft) {
+			return attempter.CallerLeftAnswer, false
+		}
 		if errors.Is(err, connector.ErrSilent) || errors.Is(err, connector.ErrOverloaded) {
 			t.cfg.Attempter.RecheckPrimary(g, l)
 			return t.cfg.Attempter.RefuseAtPrimary(req, "the primary could not begin the transaction", err, t.begin.Route.Objective), false
@@ -145,7 +151,8 @@
 	now := t.cfg.Clock.Now()
 	deadline := now.Add(t.begin.Route.StatementTimeout)
 	open := t.begin
-	open.Received, open.Context = now, req.Context
+	// The caller of the first statement waits; the begin was answered when it arrived.
+	open.Received, open.Context, open.Left = now, req.Context, req.Left
 	c, releaseSlot, err := t.cfg.Delegator.Acquire(b, t.cfg.Attempter.NewConnRequest(open, attempter.WriteWaitFactor))
 	if err != nil {
 		return exchanger.Answer{}, err
