relayer: server connections of callers that leave are used again

Cause, traced on with TestCrowdOfSessions/connect_and_close at load 28: a caller that leaves in a transaction or in the middle of an answer costs its server connection. The pool opens two at a time to a server, 65 in 3.4 s beside load, for 32 callers that each need one again and again, so that the queue is as long as its deadline of 2 s: the ordinary request waited 1.4 s in one run and found none in others ("no connection to backend server booking-a: deadline"). A statement that begins after its caller has left was not cancelled either and held its connection for 5 s.

Change: the rest of the answer is read and dropped, up to 8 MiB in 500 ms, an open transaction is rolled back at the end of the session, and the connection is released unless it has state of the session. A statement whose caller has left before it began is cancelled.

--- a/internal/relayer/batch.go
+++ b/internal/relayer/batch.go
@@ -66,6 +66,11 @@
 func (s *Session) handleDisconnect() {
 	close(s.disconnected)
 	s.cancel()
+	s.cancelRunning()
+}
+
+// cancelRunning cancels what the session runs, if anything.
+func (s *Session) cancelRunning() {
 	ctx, cancel := detachedContext(cancelTimeout)
 	defer cancel()
 	_ = s.Cancel(ctx)
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -69,6 +69,10 @@
 	// ranBefore is set when a server had run a part of the caller's operation before, or may
 	// have.
 	ranBefore bool
+	// callerGoneAt is when a write to the caller failed; the rest of the answer, of which
+	// droppedBytes were read since then, is dropped.
+	callerGoneAt time.Time
+	droppedBytes int
 	// otherPrimaryChecks counts successive checks that saw another primary.
 	otherPrimaryChecks int
 }
@@ -134,12 +138,20 @@
 	case <-x.s.disconnected:
 		if x.disconnectSeenAt.IsZero() {
 			x.disconnectSeenAt = time.Now()
+			// The caller may have left before the statement was sent. The cancel request at
+			// that time had nothing to cancel.
+			x.s.cancelRunning()
 		}
 		if time.Since(x.disconnectSeenAt) > disconnectTimeout {
 			return connLost("caller has disconnected and backend server %s did not stop", x.conn.Server())
 		}
 	default:
 	}
+	if !x.callerGoneAt.IsZero() {
+		if err := x.checkDrop(); err != nil {
+			return err
+		}
+	}
 	if x.replica != nil {
 		return x.replica.checkWait(x)
 	}
@@ -209,6 +221,9 @@
 // streamOutput passes on the buffered output once there is enough of it, unless
 // it must be withheld.
 func (x *exchange) streamOutput() error {
+	if !x.callerGoneAt.IsZero() {
+		return x.dropOutput()
+	}
 	if err := x.s.reserveOutput(); err != nil {
 		return connLost("answer of backend server %s: %w", x.conn.Server(), err)
 	}
@@ -227,15 +242,33 @@
 	}
 	x.partlySent = true
 	if err := x.s.flush(); err != nil {
-		return x.callerLost()
+		x.callerGoneAt = time.Now()
 	}
 	return nil
 }
 
-// callerLost returns the error for a failed write to the caller. The server
-// connection is discarded with the rest of the answer.
-func (x *exchange) callerLost() error {
-	return connLost("caller does not accept data")
+const (
+	// maxDroppedBytes is how much of an answer is read on after its caller has gone, so
+	// that the server connection can be used again. It takes about as long as opening
+	// another one.
+	maxDroppedBytes = 8 << 20
+	// dropTimeout is how long that may take.
+	dropTimeout = 500 * time.Millisecond
+)
+
+// dropOutput drops the buffered output of a caller that has gone. It fails when too much of
+// the answer is left; the server connection is discarded then.
+func (x *exchange) dropOutput() error {
+	x.droppedBytes += len(x.s.out)
+	x.s.out = x.s.out[:0]
+	return x.checkDrop()
+}
+
+func (x *exchange) checkDrop() error {
+	if x.droppedBytes > maxDroppedBytes || time.Since(x.callerGoneAt) > dropTimeout {
+		return connLost("caller does not accept data")
+	}
+	return nil
 }
 
 // mayHaveCommitted reports whether a part of the batch may have committed,
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -264,7 +264,7 @@
 	s.cancel()
 	_ = s.conn.Close()
 	s.setRunning(nil)
-	s.discardRetained()
+	s.returnRetained()
 	s.quota.settle(true)
 	s.in.Interrupt()
 	<-s.readDone
@@ -297,6 +297,45 @@
 	s.clearRetained()
 }
 
+// returnRetained gives the server connection that the session retains back at its end. An
+// open transaction is rolled back first: a new connection costs the server more, and callers
+// that leave in transactions would take all connections from others. A connection with state
+// of the session is discarded.
+func (s *Session) returnRetained() {
+	r := s.retained
+	if r.conn == nil {
+		return
+	}
+	if r.pinned || r.discardAfterTx || r.openExchange != nil || !rollBack(r.conn) {
+		s.discardRetained()
+		return
+	}
+	r.conn.Release()
+	s.clearRetained()
+}
+
+// rollBackTimeout is how long a server may take to roll back for a caller that has gone.
+const rollBackTimeout = 500 * time.Millisecond
+
+// rollBack ends the transaction of a connection and reports whether the server has answered
+// that none is open.
+func rollBack(c pooler.Conn) bool {
+	_ = c.SetReadDeadline(time.Now().Add(rollBackTimeout))
+	c.Send(&pgproto3.Query{String: "ROLLBACK"})
+	if err := c.Flush(); err != nil {
+		return false
+	}
+	for {
+		msg, err := c.Receive()
+		if err != nil {
+			return false
+		}
+		if ready, ok := msg.(*pgproto3.ReadyForQuery); ok {
+			return ready.TxStatus == 'I'
+		}
+	}
+}
+
 // clearRetained resets the state of a connection that was released or
 // discarded.
 func (s *Session) clearRetained() {
