framer: batches that arrive with the password count as received

Cause: the reader counted batches only after authentication, but the relayer reports the end of each. The end of one that came with the password returned the memory of a later batch that still ran, and a large batch was read beside those before it.

Change: their ends are counted before authentication, too.

--- a/internal/framer/framer_test.go
+++ b/internal/framer/framer_test.go
@@ -122,6 +122,57 @@
 	}
 }
 
+// Guards against batches that arrive with the password and are not counted: the end of one
+// would return the memory of a later batch that still runs.
+func TestBatchesWithThePasswordCount(t *testing.T) {
+	server, caller := net.Pipe()
+	defer server.Close()
+	in := NewInbound(server, newTestBudget(96<<10))
+	in.startup = false
+	small := &pgproto3.Query{String: "select 1"}
+	go func() {
+		caller.Write(encode(t, &pgproto3.PasswordMessage{Password: "x"}, small, small))
+		caller.Write(encode(t, &pgproto3.Query{String: strings.Repeat("x", 8<<10)}))
+	}()
+	backend := pgproto3.NewBackend(in, server)
+	if err := backend.SetAuthType(pgproto3.AuthTypeCleartextPassword); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := backend.Receive(); err != nil {
+		t.Fatal(err)
+	}
+	in.Start(1 << 20)
+	for range 2 {
+		if _, err := backend.Receive(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	large := make(chan error, 1)
+	go func() {
+		_, err := backend.Receive()
+		large <- err
+	}()
+	for range 2 {
+		select {
+		case err := <-large:
+			t.Fatalf("the large batch was read beside those before it: %v", err)
+		case <-time.After(50 * time.Millisecond):
+		}
+		in.Done()
+	}
+	if err := <-large; err != nil {
+		t.Fatal(err)
+	}
+	if used := in.budget.Used(); used == 0 {
+		t.Error("the memory of the batch that runs was returned")
+	}
+	in.Done()
+	in.Close()
+	if used := in.budget.Used(); used != 0 {
+		t.Errorf("%d bytes are still reserved", used)
+	}
+}
+
 // Guards against an answer larger than the whole budget that is read.
 func TestAnswersRefuseWhatNeverFits(t *testing.T) {
 	row, err := (&pgproto3.DataRow{Values: [][]byte{make([]byte, 64<<10)}}).Encode(nil)
--- a/internal/framer/inbound.go
+++ b/internal/framer/inbound.go
@@ -71,11 +71,18 @@
 	return in
 }
 
-// Start begins to account for messages. It is called after authentication.
+// Start begins to account for messages. It is called after authentication. Batches that have
+// arrived together with the password count as received.
 func (in *Inbound) Start(limit int) {
-	if in != nil && in.account != nil {
-		in.limit = int64(limit)
-		in.started.Store(true)
+	if in == nil || in.account == nil {
+		return
+	}
+	in.limit = int64(limit)
+	in.started.Store(true)
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.complete > 0 {
+		in.account.SetRunning(true)
 	}
 }
 
@@ -160,7 +167,7 @@
 // end implements accountant.
 func (in *Inbound) end(kind byte) {
 	in.large = false
-	if !in.started.Load() || !endsBatch(kind) {
+	if in.account == nil || !endsBatch(kind) {
 		return
 	}
 	in.batch = 0
@@ -168,7 +175,9 @@
 	defer in.mu.Unlock()
 	if in.complete++; in.complete == 1 {
 		in.idle = make(chan struct{})
-		in.account.SetRunning(true)
+		if in.started.Load() {
+			in.account.SetRunning(true)
+		}
 	}
 }
 
