gatekeeper: unauthenticated connections beyond their limit end no session

Cause: at the limit of connections an idle session was ended for each new connection before max_unauthenticated refused it.

Change: the limit of unauthenticated connections is applied first; a new one takes the place of the oldest of them, and no session ends.

--- a/internal/gatekeeper/displace_test.go
+++ b/internal/gatekeeper/displace_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -45,3 +46,32 @@
 		})
 	}
 }
+
+// Guards against a burst of connections that do not authenticate and end an idle session each
+// before they are refused.
+func TestUnauthenticatedBurstEndsNoSession(t *testing.T) {
+	g, address := start(t, Config{MaxConnections: 2, MaxUnauthenticated: 1}, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	session, err := pgconn.Connect(ctx, fmt.Sprintf("postgres://web:secret@%s/db?sslmode=disable", address))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer session.Close(ctx)
+	time.Sleep(2 * minIdle)
+	for range 10 {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+	}
+	wait, stop := context.WithTimeout(ctx, 5*minIdle)
+	defer stop()
+	if _, err := session.ReceiveMessage(wait); err == nil || wait.Err() == nil {
+		t.Errorf("the idle session has ended: %v", err)
+	}
+	if n := g.Sessions(); n != 1 {
+		t.Errorf("%d sessions, want 1", n)
+	}
+}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -139,28 +139,35 @@
 	if g.stopped {
 		return nil, false
 	}
-	if len(g.pending)+len(g.sessions) >= g.cfg.MaxConnections && !g.displaceIdle(now) {
-		g.refuse(budgeter.TooManySessions)
-		return nil, false
-	}
+	// Too many unauthenticated connections are refused first, so that they end no session.
 	if len(g.pending) >= g.cfg.MaxUnauthenticated {
-		oldest := now.Add(-minAuthTime)
-		for c, accepted := range g.pending {
-			if !accepted.After(oldest) {
-				displaced, oldest = c, accepted
-			}
-		}
-		if displaced == nil {
+		if displaced = g.oldestPending(now); displaced == nil {
 			g.deps.Meter.Refused("", refusedUnauthenticated)
 			return nil, false
 		}
 		delete(g.pending, displaced)
+	} else if len(g.pending)+len(g.sessions) >= g.cfg.MaxConnections && !g.displaceIdle(now) {
+		g.refuse(budgeter.TooManySessions)
+		return nil, false
 	}
 	g.pending[conn] = now
 	g.tasks.Add(1)
 	return displaced, true
 }
 
+// oldestPending returns the connection that has been unauthenticated for longest, if that is
+// at least minAuthTime; nil if there is none. The caller holds mu.
+func (g *Gatekeeper) oldestPending(now time.Time) net.Conn {
+	var conn net.Conn
+	oldest := now.Add(-minAuthTime)
+	for c, accepted := range g.pending {
+		if !accepted.After(oldest) {
+			conn, oldest = c, accepted
+		}
+	}
+	return conn
+}
+
 // serve handles one connection from startup until it is closed.
 func (g *Gatekeeper) serve(conn net.Conn) {
 	l := &login{g: g, conn: conn, raw: conn}
