budgeter: a call that has arrived as a whole needs no more memory

Cause: the connection of another instance reserved memory for more of a call before it read on. A call that ended just at such a step waited for memory although nothing more came, and after 2 s its connection ended while its statement ran: the outcome was unknown.

Change: a read ends at the step; one further byte is awaited before more is reserved.

Measured: TestCompleteCallNeedsNoMoreMemory fails on the code before in 2 of 2 runs ("the connection ended before the answer: no memory is left") and passes 3 of 3 now.

--- a/internal/budgeter/conn.go
+++ b/internal/budgeter/conn.go
@@ -38,23 +38,35 @@
 	return &Conn{Conn: conn, room: freeBytes, account: b.NewAccount(nil)}
 }
 
-// Read implements [net.Conn].
+// Read implements [net.Conn]. It reads no further than what is reserved. At that point it
+// waits for one more byte before it reserves more: a call that has arrived as a whole needs
+// nothing, and the connection must not end for lack of memory while its answer is awaited.
 func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p[:min(len(p), c.readable())])
+	c.mu.Lock()
+	c.received += int64(n)
+	c.mu.Unlock()
+	if err != nil {
+		return n, err
+	}
 	if err := c.reserve(); err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Read(p)
+	return n, nil
+}
+
+// readable returns how much may be read before memory is reserved for the rest.
+func (c *Conn) readable() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.received += int64(n)
-	return n, err
+	return int(max(c.room-c.received, 1))
 }
 
 // reserve reserves memory if the call has become large.
 func (c *Conn) reserve() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.received < c.room {
+	if c.closed || c.received <= c.room {
 		return nil
 	}
 	// An answer that is ready is not held up by the wait.
--- a/internal/budgeter/conn_test.go
+++ b/internal/budgeter/conn_test.go
@@ -130,6 +130,55 @@
 	}
 }
 
+// Guards against a call that has arrived as a whole and waits, or fails, for lack of memory for
+// more of it: its last byte was the last for which memory was reserved.
+func TestCompleteCallNeedsNoMoreMemory(t *testing.T) {
+	const budget, size = 1 << 20, 64 << 10
+	f := newFixture(budget)
+	holder := f.account("holder")
+	mustReserve(t, holder, budget-1000)
+	holder.SetRunning(true)
+	server, client := net.Pipe()
+	defer client.Close()
+	c := f.NewConn(server)
+	defer c.Close()
+	go client.Write(make([]byte, size))
+	received := make(chan error, 1)
+	ended := make(chan error, 1)
+	go func() {
+		buf := make([]byte, 4<<10)
+		for n := 0; n < size; {
+			read, err := c.Read(buf)
+			if err != nil {
+				received <- err
+				return
+			}
+			n += read
+		}
+		received <- nil
+		_, err := c.Read(buf)
+		ended <- err
+	}()
+	if err := advanceUntil(t, f, received); err != nil {
+		t.Fatalf("reading the call: %v", err)
+	}
+	for range 100 {
+		f.clock.Advance(100 * time.Millisecond)
+		time.Sleep(time.Millisecond)
+	}
+	select {
+	case err := <-ended:
+		t.Fatalf("the connection ended before the answer: %v", err)
+	default:
+	}
+	go c.Write([]byte("answer"))
+	if _, err := io.ReadFull(client, make([]byte, len("answer"))); err != nil {
+		t.Errorf("the answer did not arrive: %v", err)
+	}
+	client.Close()
+	<-ended
+}
+
 // Guards against a crowd of connections that keeps others out of a port for short calls.
 func TestListenerClosesTheOldest(t *testing.T) {
 	tcp, err := net.Listen("tcp4", "127.0.0.1:0")
