budgeter: a trickle is no progress

Cause: each byte counted as progress, and an account that makes progress is not evicted. A caller that sends a message of 16 MiB at the least rate of 8 KiB/s held 96 MB for half an hour, whoever waited for memory.

Change: a 512th of the reserved memory must be transferred to count.

--- a/internal/budgeter/account.go
+++ b/internal/budgeter/account.go
@@ -9,6 +9,8 @@
 	// message is the memory of the message or answer that is being transferred, kept
 	// that of the connection's state.
 	message, kept int64
+	// transferred is what the peer has sent or read since the last progress.
+	transferred int64
 
 	// The budget's mutex guards the following; reserved, which is what message and kept
 	// exceed the floor by, is changed only by the owner or while it waits.
@@ -109,11 +111,18 @@
 	return nil
 }
 
-// Progress notes that the peer has sent or read something.
-func (a *Account) Progress() {
-	if a.reserved == 0 {
+// progressParts is the number of parts of the reserved memory of which one must be transferred
+// to count as progress. A peer that sends a message of 16 MiB at 8 KiB/s would otherwise hold
+// 96 MiB for half an hour, whoever waits for memory.
+const progressParts = 512
+
+// Progress notes that the peer has sent or read bytes.
+func (a *Account) Progress(bytes int64) {
+	a.transferred += bytes
+	if a.reserved == 0 || a.transferred < a.reserved/progressParts {
 		return
 	}
+	a.transferred = 0
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -122,7 +122,7 @@
 			large.Reserve(40 + floor)
 			slow.Reserve(20 + floor)
 			f.clock.Advance(10 * time.Second)
-			large.Progress()
+			large.Progress(1)
 		}, "slow"},
 		{"not the running one", func(large, slow, running *budgeter.Account, f *fixture) {
 			running.Reserve(60 + floor)
@@ -146,6 +146,35 @@
 	}
 }
 
+// Guards against a peer that sends a large message at the least rate and keeps its memory from
+// others for as long as that takes.
+func TestTrickleIsNoProgress(t *testing.T) {
+	f := newFixture(100_000)
+	trickle, steady := f.account("trickle"), f.account("steady")
+	mustReserve(t, trickle, 60_000+floor)
+	mustReserve(t, steady, 30_000+floor)
+	next := reserve(f.account("next"), 50_000+floor)
+	evicted := ""
+	for range 1000 {
+		select {
+		case evicted = <-f.evicted:
+		case <-time.After(time.Millisecond):
+			f.clock.Advance(20 * time.Millisecond)
+			trickle.Progress(1)
+			steady.Progress(1000)
+			continue
+		}
+		break
+	}
+	if evicted != "trickle" {
+		t.Errorf("%q was evicted, want the trickle", evicted)
+	}
+	trickle.Close()
+	if err := advanceUntil(t, f, next); err != nil {
+		t.Errorf("the next one got no memory: %v", err)
+	}
+}
+
 // Guards against a wait that outlasts the callers' patience.
 func TestWaitEnds(t *testing.T) {
 	f := newFixture(100)
--- a/internal/framer/inbound.go
+++ b/internal/framer/inbound.go
@@ -93,7 +93,7 @@
 	}
 	n, err := in.Reader.Read(p)
 	if in.large {
-		in.account.Progress()
+		in.account.Progress(int64(n))
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		in.budget.Refusals().Add(budgeter.SlowMessage)
@@ -272,10 +272,10 @@
 	})
 }
 
-// Progress notes that the caller has read a part of the answer.
-func (in *Inbound) Progress() {
+// Progress notes that the caller has read bytes of the answer.
+func (in *Inbound) Progress(bytes int) {
 	_ = in.whileRunning(func(a *budgeter.Account) error {
-		a.Progress()
+		a.Progress(int64(bytes))
 		return nil
 	})
 }
--- a/internal/relayer/flush.go
+++ b/internal/relayer/flush.go
@@ -36,7 +36,7 @@
 		if err = s.writePiece(piece, holds); err != nil {
 			break
 		}
-		s.in.Progress()
+		s.in.Progress(len(piece))
 	}
 	if cap(s.out) > maxIdleBufferBytes {
 		s.out = nil
