relayer: notices and command tags are passed on like rows

Cause: only rows were passed on, and reserved memory, while an answer arrives. Notices, of which a function may raise millions, and the tags of a batch of many statements were collected until the end of the answer.

Change: they go the same way as rows.

--- a/internal/relayer/fakeserver_test.go
+++ b/internal/relayer/fakeserver_test.go
@@ -57,6 +57,8 @@
 	sqlSeen []string
 	cancels chan struct{}
 	conns   int
+	// notices is the number of notices that were sent for a statement that asks for them.
+	notices atomic.Int64
 }
 
 func newFakeServer(t testing.TB, name string, role tracker.Role, st *store) *fakeServer {
@@ -112,6 +114,10 @@
 	return n
 }
 
+// A statement with "notices" in it raises manyNotices notices of noticeSize bytes, more than the
+// buffers of the sockets hold.
+const manyNotices, noticeSize = 64 << 10, 1 << 10
+
 // fakeBackend is one connection of a fake server.
 type fakeBackend struct {
 	f       *fakeServer
@@ -312,6 +318,14 @@
 	case strings.Contains(lower, "1/0"):
 		b.fail("22012", "division by zero")
 		return true
+	case strings.Contains(lower, "notices"):
+		for range manyNotices {
+			b.be.Send(&pgproto3.NoticeResponse{Severity: "NOTICE", Code: "00000", Message: strings.Repeat("x", noticeSize)})
+			if b.be.Flush() != nil {
+				return false
+			}
+			b.f.notices.Add(1)
+		}
 	case strings.Contains(lower, "big"):
 		for range 4000 {
 			rows = append(rows, []string{strings.Repeat("x", 100)})
--- a/internal/relayer/receive.go
+++ b/internal/relayer/receive.go
@@ -56,7 +56,7 @@
 		return nil
 	case *pgproto3.ParameterDescription, *pgproto3.NoticeResponse, *pgproto3.ParameterStatus, *pgproto3.NotificationResponse:
 		x.s.send(m)
-		return nil
+		return x.streamOutput()
 	}
 	return connLost("unexpected message %T from backend server %s", msg, x.conn.Server())
 }
@@ -114,6 +114,9 @@
 	}
 	x.withhold = x.withhold || (x.plan.MayCommit && !x.mayStream)
 	x.s.send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	if err := x.streamOutput(); err != nil {
+		return err
+	}
 	return x.completeExecution()
 }
 
