--- a/internal/throttler/failure_test.go
+++ b/internal/throttler/failure_test.go
@@ -47,6 +47,11 @@
 				in.kill(500 * time.Millisecond)
 			}
 		}, 0.9},
+		{"all instances restart, each in its own time", func(f *fleet) {
+			for i, in := range f.instances {
+				in.kill(500*time.Millisecond + time.Duration(i*37%84)*10*time.Millisecond)
+			}
+		}, 0.8},
 		{"every fourth answer is lost", func(f *fleet) { f.lossEvery = 4 }, 0.6},
 	}
 	for _, c := range cases {
