--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -20,6 +20,8 @@
 	defaultConnections = 20
 	// reconcileInterval is how often the shares of connections are recomputed.
 	reconcileInterval = 500 * time.Millisecond
+	// startupReconcileInterval replaces it while shares grow after the start.
+	startupReconcileInterval = 100 * time.Millisecond
 	// idleTimeout is how long a connection beyond minOpenConnections may be idle.
 	// Servers count the connections of an instance that lost power for 3 s; those
 	// that were closed before are available to the instances that start again.
@@ -133,13 +135,17 @@
 // closed.
 func (d *Dispatcher) follow() {
 	for {
+		interval := reconcileInterval
+		if d.cfg.Clock.Since(d.started) < serverLingerTime {
+			interval = startupReconcileInterval
+		}
 		changed, instances := d.cfg.Informer.Changed(), d.cfg.InstancesChanged()
 		d.reconcile()
 		d.expirePinnedConns()
 		select {
 		case <-changed:
 		case <-instances:
-		case <-d.cfg.Clock.After(reconcileInterval):
+		case <-d.cfg.Clock.After(interval):
 		case <-d.stop:
 			return
 		}
--- a/internal/dispatcher/fleet.go
+++ b/internal/dispatcher/fleet.go
@@ -157,7 +157,7 @@
 		limit = probeConnections
 	}
 	if age := d.cfg.Clock.Since(d.started); age < serverLingerTime {
-		limit = placer.StartupShare(limit, startupRank, age)
+		limit = placer.StartupShare(all, limit, startupRank, age)
 	}
 	if d.cfg.IsCoordinator() {
 		// Its commands to servers depend on no other instance.
