--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -19,8 +19,6 @@
 	"marigoldhub.example/hub/internal/transactor"
 )
 
-// reconcileInterval is how often the shares of connections are recomputed.
-const reconcileInterval = 500 * time.Millisecond
 
 // Dispatcher runs statements on the backend servers that an informer lists.
 type Dispatcher struct {
@@ -128,7 +126,7 @@
 		select {
 		case <-changed:
 		case <-instances:
-		case <-d.cfg.Clock.After(reconcileInterval):
+		case <-d.cfg.Clock.After(d.backends.Interval()):
 		case <-d.stop:
 			return
 		}
--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -19,6 +19,10 @@
 )
 
 const (
+	// interval is how often the shares of connections are recomputed at least.
+	interval = 500 * time.Millisecond
+	// startupInterval replaces it while shares grow after the start.
+	startupInterval = 100 * time.Millisecond
 	// idleTimeout is how long a connection beyond minOpenConnections may be idle.
 	// Servers count the connections of an instance that lost power for 3 s; those
 	// that were closed before are available to the instances that start again.
@@ -92,6 +96,14 @@
 	}
 }
 
+// Interval returns the time until the next call of Reconcile, if no list changes before.
+func (r *Reconciler) Interval() time.Duration {
+	if r.cfg.Clock.Since(r.started) < serverLingerTime {
+		return startupInterval
+	}
+	return interval
+}
+
 // Reconcile opens and closes pools as servers are listed and removed, and updates
 // their gateways and shares of connections.
 func (r *Reconciler) Reconcile() {
--- a/internal/reconciler/share.go
+++ b/internal/reconciler/share.go
@@ -59,7 +59,7 @@
 		limit = probeConnections
 	}
 	if age := r.cfg.Clock.Since(r.started); age < serverLingerTime {
-		limit = placer.StartupShare(limit, startupRank, age)
+		limit = placer.StartupShare(all, limit, startupRank, age)
 	}
 	if r.cfg.IsCoordinator() {
 		// Its commands to servers depend on no other instance.
