dispatcher: routes are read for reported waits only where a server is busy

Cause: each report of waits went through all routes for each server that the instance orders; a fleet before thousands of databases reports ten times a second.

Change: once for a report, and only if the slots of a server are taken. The tests of reports are unchanged; TestIsFull tables when a server counts as full.

--- a/internal/dispatcher/waits.go
+++ b/internal/dispatcher/waits.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"sync"
 	"time"
 
 	"marigoldhub.example/hub/internal/forwarder"
@@ -24,12 +25,17 @@
 // the positions of those that are replicas and behind.
 func (d *Dispatcher) Waits() []surveyor.Report {
 	now := d.cfg.Clock.Now()
+	objectives := sync.OnceValue(d.readObjectives)
 	var out []surveyor.Report
 	for _, b := range d.scheduledBackends(now) {
 		r := surveyor.Report{Server: b.id}
-		// A request that is due now could not be answered in time, and would wait behind all
-		// that can.
-		load := b.load(connRequest{priority: readPriority, due: now.Add(d.readObjective(b.Target().Service))})
+		load := b.load(connRequest{priority: readPriority, due: now})
+		if load.Running >= load.Slots {
+			// A request that is due now could not be answered in time, and would wait behind
+			// all that can.
+			objective := cmp.Or(objectives()[b.Target().Service], assumedObjective)
+			load = b.load(connRequest{priority: readPriority, due: now.Add(objective)})
+		}
 		// Connections are opened when they are needed; only the slots are scarce.
 		load.Idle = max(load.Idle, 1)
 		if wait := load.Wait(); wait >= minReportedWait {
@@ -45,19 +51,19 @@
 	return out
 }
 
-// readObjective returns the shortest objective of the reads that any server of the service
-// may run. Reads with a longer one wait longer than reported; the gateway of the server
-// decides about them when they arrive.
-func (d *Dispatcher) readObjective(service string) time.Duration {
-	shortest := time.Duration(0)
+// readObjectives returns, for each service, the shortest objective of the reads that any of
+// its servers may run. Reads with a longer one wait longer than reported; the gateway of the
+// server decides about them when they arrive.
+func (d *Dispatcher) readObjectives() map[string]time.Duration {
+	out := map[string]time.Duration{}
 	if c := d.cfg.Informer.State().Configuration; c != nil {
 		for _, r := range c.Routes {
-			if r.Service == service && r.Reads != informer.PrimaryReads && (shortest == 0 || r.Objective < shortest) {
-				shortest = r.Objective
+			if known, ok := out[r.Service]; r.Reads != informer.PrimaryReads && (!ok || r.Objective < known) {
+				out[r.Service] = r.Objective
 			}
 		}
 	}
-	return cmp.Or(shortest, assumedObjective)
+	return out
 }
 
 // scheduledBackends returns the servers whose work this instance schedules as their first
--- a/internal/placer/returns_test.go
+++ b/internal/placer/returns_test.go
@@ -206,3 +206,25 @@
 		})
 	}
 }
+
+// Guards against tries at servers that refuse them, and against a server with room that is
+// taken for full.
+func TestIsFull(t *testing.T) {
+	ms := time.Millisecond
+	for _, tc := range []struct {
+		name      string
+		candidate placer.Candidate
+		maxWait   time.Duration
+		want      bool
+	}{
+		{"nothing is reported", placer.Candidate{}, 50 * ms, false},
+		{"a shorter wait", placer.Candidate{Wait: 40 * ms}, 50 * ms, false},
+		{"a longer wait", placer.Candidate{Wait: 60 * ms}, 50 * ms, true},
+		{"no time is left", placer.Candidate{}, -ms, true},
+		{"it refused a moment ago", placer.Candidate{Avoid: true}, 50 * ms, true},
+	} {
+		if got := tc.candidate.IsFull(tc.maxWait); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
