--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -19,7 +19,6 @@
 	"marigoldhub.example/hub/internal/transactor"
 )
 
-
 // Dispatcher runs statements on the backend servers that an informer lists.
 type Dispatcher struct {
 	// Executor runs the statements of other instances.
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -88,12 +89,17 @@
 // the positions of those that are replicas and behind.
 func (i *Inspector) Waits() []surveyor.Report {
 	now := i.cfg.Clock.Now()
+	objectives := sync.OnceValue(i.readObjectives)
 	var out []surveyor.Report
 	for _, b := range i.cfg.Scheduled(now) {
 		r := surveyor.Report{Server: b.ID}
-		// A request that is due now could not be answered in time, and would wait behind all
-		// that can.
-		load := b.Load(connector.Request{Priority: readPriority, Due: now.Add(i.readObjective(b.Target().Service))})
+		load := b.Load(connector.Request{Priority: readPriority, Due: now})
+		if load.Running >= load.Slots {
+			// A request that is due now could not be answered in time, and would wait behind
+			// all that can.
+			objective := cmp.Or(objectives()[b.Target().Service], assumedObjective)
+			load = b.Load(connector.Request{Priority: readPriority, Due: now.Add(objective)})
+		}
 		// Connections are opened when they are needed; only the slots are scarce.
 		load.Idle = max(load.Idle, 1)
 		if wait := load.Wait(); wait >= minReportedWait {
@@ -109,19 +115,19 @@
 	return out
 }
 
-// readObjective returns the shortest objective of the reads that any server of the service
-// may run. Reads with a longer one wait longer than reported; the gateway of the server
-// decides about them when they arrive.
-func (i *Inspector) readObjective(service string) time.Duration {
-	shortest := time.Duration(0)
+// readObjectives returns, for each service, the shortest objective of the reads that any of
+// its servers may run. Reads with a longer one wait longer than reported; the gateway of the
+// server decides about them when they arrive.
+func (i *Inspector) readObjectives() map[string]time.Duration {
+	out := map[string]time.Duration{}
 	if c := i.cfg.Informer.State().Configuration; c != nil {
 		for _, r := range c.Routes {
-			if r.Service == service && r.Reads != informer.PrimaryReads && (shortest == 0 || r.Objective < shortest) {
-				shortest = r.Objective
+			if known, ok := out[r.Service]; r.Reads != informer.PrimaryReads && (!ok || r.Objective < known) {
+				out[r.Service] = r.Objective
 			}
 		}
 	}
-	return cmp.Or(shortest, assumedObjective)
+	return out
 }
 
 // Progress returns what is known of a replica that is behind: what its gateway reports
