throttler: random sequences have slow answers and quotas that allocators lack

The choice of the allocator and quotas of newer configurations are played with the failures that they are for: TestNoWindowExceedsTheQuota gets an event for each.

--- a/internal/throttler/property_test.go
+++ b/internal/throttler/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
+	"marigoldhub.example/hub/internal/allocator"
 	"marigoldhub.example/hub/internal/placer"
 )
 
@@ -18,7 +20,7 @@
 	d := time.Duration(n>>16%3000) * time.Millisecond
 	first := chosenBy(f.instances[0].peers)
 	allocators := []*instance{f.byName[first[0].Name], f.byName[first[1].Name]}
-	switch n % 13 {
+	switch n % 15 {
 	case 0:
 		pick().kill(d)
 	case 1:
@@ -64,6 +66,15 @@
 		}
 	case 12:
 		f.delay = step * time.Duration(1+n>>8%40)
+	case 13:
+		// Some instances answer late, so that many answers are not used; or all at once again.
+		size := int(n >> 8 % uint32(len(f.instances)+1))
+		f.slowAnswers(d/16+step, func(in *instance) bool { return slices.Index(f.instances, in) < size })
+	case 14:
+		// The allocators' configuration lacks a quota that all instances have, or has it again.
+		if f.allocated = nil; n>>8%3 > 0 {
+			f.allocated = allocator.NewQuotas(map[string]allocator.Quota{"small": {RatePerSecond: 4, Burst: 4}}).WithVersion(int64(n >> 8 % 3))
+		}
 	}
 }
 
@@ -108,6 +119,8 @@
 	run := func(bursts bool) func(seed uint32, events []uint32) string {
 		return func(seed uint32, events []uint32) string {
 			f := newFleet(uint64(seed), 10, teams...)
+			f.version = 3
+			f.configure(teams...)
 			f.refunds = seed%2 == 0
 			began := f.now
 			between := 8 * time.Second / time.Duration(len(events))
