launcher: the ports of marigold-entry share one count of sockets

Cause: the ports for instances (1,024 connections), administration and health (no limit) took descriptors beside the callers' port.

Change: the ports share max_fds less 150, with reserves for instances, administration and health. The latter two keep 24 connections each, the oldest makes room; on the port for instances 256 may be open on which nothing has been answered. Connections that the instance opens are not counted.

--- a/internal/launcher/components.go
+++ b/internal/launcher/components.go
@@ -41,7 +41,7 @@
 	cfg.MaxPerAddress = maxCallsPerPeer
 	i.peers = messenger.NewPool(cfg)
 	i.server = messenger.NewServer(messenger.ServerConfig{
-		Listener: listener, TLS: i.tls.peerTLS(), Registry: i.registry, Log: i.componentLog("messenger"),
+		Listener: listener, TLS: i.tls.peerTLS(), MaxUnanswered: maxUnanswered, Registry: i.registry, Log: i.componentLog("messenger"),
 	})
 }
 
--- a/internal/launcher/instance.go
+++ b/internal/launcher/instance.go
@@ -83,6 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
+	i.limitSockets(&listeners)
 	if err := i.startComponents(listeners); err != nil {
 		listeners.close()
 		return nil, err
--- a/internal/launcher/limits.go
+++ b/internal/launcher/limits.go
@@ -1,7 +1,10 @@
 package launcher
 
 import (
+	"net"
+
 	"marigoldhub.example/hub/internal/budgeter"
+	"marigoldhub.example/hub/internal/limiter"
 )
 
 const (
@@ -17,6 +20,19 @@
 	memoryLimitShare = 0.5
 	// reservedFDs are kept for connections to servers, instances, operators and the store.
 	reservedFDs = 300
+	// outgoingFDs are those of reservedFDs that the ports may not take: files, and the
+	// connections that the instance opens.
+	outgoingFDs = 150
+	// refusedCallers is the number of callers beyond the limit that may be told so at the
+	// same time.
+	refusedCallers = 32
+	// peerReserve and adminConnections are kept for connections of other instances, and for
+	// the administration and the health port each.
+	peerReserve      = 48
+	adminConnections = 24
+	// maxUnanswered is the number of connections of other instances on which nothing has
+	// been answered. All of 64 members may connect several times at the same moment.
+	maxUnanswered = 256
 )
 
 // newBudget returns the budget of the memory limit.
@@ -27,4 +43,20 @@
 	})
 }
 
+// limitSockets makes the ports share one count of sockets.
+func (i *Instance) limitSockets(l *listeners) {
+	s := limiter.New(limiter.Config{
+		Max: i.settings.MaxFDs - outgoingFDs, Clock: i.clock, Metrics: i.registry, Refusals: i.budget.Refusals(),
+	})
+	callers := i.settings.MaxFDs - reservedFDs
+	l.callers = s.NewUse("callers", 0, callers+refusedCallers).Listen(l.callers)
+	peers := s.NewUse("peers", peerReserve, 0).Listen(l.peers)
+	peers.OnFull(func() bool { return i.server != nil && i.server.CloseUnanswered() })
+	l.peers = peers
+	for name, listener := range map[string]*net.Listener{"admin": &l.admin, "health": &l.health} {
+		u := s.NewUse(name, adminConnections, adminConnections+1)
+		*listener = budgeter.NewListener(u.Listen(*listener), adminConnections, i.clock, i.budget.Refusals())
+	}
+}
+
 func (s Settings) memoryBytes() int64 { return int64(s.MemoryMB) << 20 }
--- a/internal/relayer/peer.go
+++ b/internal/relayer/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 )
 
@@ -14,7 +15,7 @@
 	if c, ok := raw.(interface{ NetConn() net.Conn }); ok {
 		raw = c.NetConn() // below TLS
 	}
-	tcp, ok := raw.(*net.TCPConn)
+	tcp, ok := raw.(syscall.Conn)
 	if !ok {
 		return func() {}
 	}
--- a/internal/relayer/peer_linux.go
+++ b/internal/relayer/peer_linux.go
@@ -1,7 +1,7 @@
 package relayer
 
 import (
-	"net"
+	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -11,7 +11,7 @@
 
 // peerClosed reports whether the peer has closed the connection, even if bytes that it sent
 // before are not read.
-func peerClosed(conn *net.TCPConn) bool {
+func peerClosed(conn syscall.Conn) bool {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return false
--- a/internal/relayer/peer_other.go
+++ b/internal/relayer/peer_other.go
@@ -2,7 +2,7 @@
 
 package relayer
 
-import "net"
+import "syscall"
 
 // peerClosed is known on Linux only.
-func peerClosed(*net.TCPConn) bool { return false }
+func peerClosed(syscall.Conn) bool { return false }
