dispatcher: a gateway without a share asks servers for their status through the first one

Cause: in the first 0.4 s the third gateway of a server has no connection, and its status queries failed at once.

Change: without a share of its own a gateway forwards the query, as others do.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -218,7 +218,8 @@
 // they do not depend on another one.
 func (d *Dispatcher) askServer(b *backend, s exchanger.Statement, deadline time.Time) ([]exchanger.Answer, error) {
 	cr := connRequest{isOwn: true, priority: probePriority, waitDeadline: deadline, remaining: deadline.Sub(d.cfg.Clock.Now())}
-	if s.Kind == exchanger.Status && b.usesGateways() && !b.isGateway() && !d.cfg.IsCoordinator() {
+	hasShare := b.isGateway() && b.Limit() > 0
+	if s.Kind == exchanger.Status && b.usesGateways() && !hasShare && !d.cfg.IsCoordinator() {
 		c := d.newForwardedConn(b, cr)
 		answers, err := c.RunPlain(deadline, s)
 		b.release(c, err == nil && answers[0].State == exchanger.Idle)
