registrar, noder: an instance that the store turns away learns the others from one of them

Cause: an instance that starts while the store turns it away knew no other instance. It took the seeds for the gateways of all servers, which refuse, and then opened connections of its own, which no share accounts for.

Change: an instance tells one that has no list of servers of the instances, too, in the same message, unless its own list is about to change. They stand in for the list until the store answers; the instance does not count itself among them, as the others do not.

--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -217,14 +217,15 @@
 	return near + far
 }
 
-// instances returns all listed instances, this one included unless it has left the others.
+// instances returns all listed instances, this one included if the others count it in: it has
+// a list of the store, and has not left them.
 func (n *Node) instances() []placer.Peer {
 	n.mu.Lock()
 	hasLeft := n.hasLeft
 	n.mu.Unlock()
 	others := n.registrar.Others()
 	var peers []placer.Peer
-	if !hasLeft || len(others) == 0 {
+	if !hasLeft && !n.registrar.IsOffered() || len(others) == 0 {
 		peers = append(peers, n.self())
 	}
 	for _, o := range others {
--- a/internal/noder/view.go
+++ b/internal/noder/view.go
@@ -1,11 +1,14 @@
 package noder
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/informer"
 	"marigoldhub.example/hub/internal/messenger/wire"
+	"marigoldhub.example/hub/internal/registrar"
 	"marigoldhub.example/hub/internal/storer"
 	"marigoldhub.example/hub/internal/tracker"
 )
@@ -56,7 +59,12 @@
 	if other == nil || other.GetServersRevision() >= list.Revision || other.GetServersDigest() == list.Digest {
 		return
 	}
-	for _, e := range list.Entries {
+	entries := list.Entries
+	if other.GetServersRevision() == 0 {
+		// One that has no list of servers has just started, and may have none of the instances.
+		entries = slices.Concat(entries, v.registrar.Entries())
+	}
+	for _, e := range entries {
 		s.Servers = append(s.Servers, &wire.ServerEntry{Key: e.Key, Value: e.Value})
 	}
 }
@@ -77,11 +85,17 @@
 		v.learnProof(s.GetConfigurationProof(), asked)
 	}
 	if len(s.GetServers()) > 0 {
-		entries := make([]storer.Entry, 0, len(s.GetServers()))
+		var servers, instances []storer.Entry
 		for _, e := range s.GetServers() {
-			entries = append(entries, storer.Entry{Key: e.GetKey(), Value: e.GetValue()})
+			entry := storer.Entry{Key: e.GetKey(), Value: e.GetValue()}
+			if strings.HasPrefix(entry.Key, registrar.Prefix) {
+				instances = append(instances, entry)
+				continue
+			}
+			servers = append(servers, entry)
 		}
-		v.informer.OfferList(informer.List{Revision: s.GetServersRevision(), Entries: entries})
+		v.informer.OfferList(informer.List{Revision: s.GetServersRevision(), Entries: servers})
+		v.registrar.Offer(instances)
 		state = v.informer.State()
 	}
 	list := v.informer.List()
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -7,6 +7,9 @@
 // When the store was restored from an older copy, instances that the copy lacks stay
 // listed for the lifetime of an entry.
 //
+// Until the first list, the instances that another one knows stand in for it ([Registrar.Offer]):
+// the store may turn this instance away for long.
+//
 // An instance that tells that it is stopping is removed from the list at once, and stays
 // removed until its next start is listed.
 package registrar
@@ -112,6 +115,8 @@
 	// while others are about to be.
 	removed    time.Time
 	isRemoving bool
+	// isOffered is set when others are those that another instance told of.
+	isOffered bool
 	// started is when this registrar started, asked when it last asked for a list, listed
 	// when it last got a newer one, and unsettled when many instances last came or went.
 	started, asked, listed, unsettled time.Time
@@ -143,13 +148,85 @@
 	return r.others
 }
 
-// HasList reports whether the instances have been listed at least once.
+// HasList reports whether the instances have been listed at least once, or another instance
+// has told of them.
 func (r *Registrar) HasList() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.listed.IsZero() || r.isOffered
+}
+
+// hasListed reports whether the instances have been listed at least once.
+func (r *Registrar) hasListed() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return !r.listed.IsZero()
 }
 
+// IsOffered reports whether the instances are those that another one told of. This one is not
+// known to be in the store then, and the others do not count it among them.
+func (r *Registrar) IsOffered() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isOffered
+}
+
+// Entries returns the known instances, this one included, as the store has them; none while
+// they are likely to come and go, because the list may lack many then.
+func (r *Registrar) Entries() []storer.Entry {
+	r.mu.Lock()
+	isSettled := r.cfg.Clock.Since(r.unsettled) >= togetherTime
+	r.mu.Unlock()
+	if !isSettled {
+		return nil
+	}
+	var entries []storer.Entry
+	for _, o := range append([]Instance{r.cfg.Self}, r.Others()...) {
+		value, err := json.Marshal(o)
+		if err != nil {
+			r.cfg.Log.WithError(err).Error("registrar: instance cannot be encoded")
+			continue
+		}
+		entries = append(entries, storer.Entry{Key: Prefix + o.Name, Value: value})
+	}
+	return entries
+}
+
+// Offer takes the entries that another instance knows for the list of instances if this one
+// has none. The next list replaces them.
+func (r *Registrar) Offer(entries []storer.Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.listed.IsZero() || r.isOffered {
+		return
+	}
+	others := r.decode(entries)
+	if len(others) == 0 {
+		return
+	}
+	r.isOffered = true
+	r.cfg.Log.WithField("others", len(others)).Info("registrar: instances are known from another one")
+	r.setOthers(others)
+}
+
+// decode returns the other instances that the entries describe, in order of their names. The
+// caller holds mu.
+func (r *Registrar) decode(entries []storer.Entry) []Instance {
+	var others []Instance
+	for _, e := range entries {
+		var o Instance
+		if err := json.Unmarshal(e.Value, &o); err != nil || o.Name != strings.TrimPrefix(e.Key, Prefix) {
+			r.cfg.Log.WithField("key", e.Key).Warn("registrar: entry does not describe an instance")
+			continue
+		}
+		if o.Name != r.cfg.Self.Name {
+			others = append(others, o)
+		}
+	}
+	sort.Slice(others, func(i, j int) bool { return others[i].Name < others[j].Name })
+	return others
+}
+
 // Changed returns a channel that is closed at the next change of the list.
 func (r *Registrar) Changed() <-chan struct{} {
 	r.mu.Lock()
@@ -248,7 +325,7 @@
 		err := r.update(ctx, &renewal)
 		wait := min(r.cfg.Clock.Until(renewal), r.untilList())
 		switch {
-		case err != nil && !r.HasList():
+		case err != nil && !r.hasListed():
 			wait = firstRetry
 			firstRetry = min(2*firstRetry, retryInterval)
 		case err != nil:
@@ -265,7 +342,7 @@
 // update renews the entry's lease and lists the instances if they are due. It sets when the
 // lease is to be renewed next.
 func (r *Registrar) update(ctx context.Context, renewal *time.Time) error {
-	if !r.HasList() {
+	if !r.hasListed() {
 		first, cancel := context.WithTimeout(ctx, firstCallTimeout)
 		defer cancel()
 		ctx = first
@@ -405,19 +482,14 @@
 	}
 	isFirst := r.listed.IsZero()
 	now := r.cfg.Clock.Now()
-	r.listed = now
-	r.carry.begin(revision, r.others, now)
-	var others []Instance
-	for _, e := range entries {
-		var o Instance
-		if err := json.Unmarshal(e.Value, &o); err != nil || o.Name != strings.TrimPrefix(e.Key, Prefix) {
-			r.cfg.Log.WithField("key", e.Key).Warn("registrar: entry does not describe an instance")
-			continue
-		}
-		if o.Name != r.cfg.Self.Name {
-			others = append(others, o)
-		}
+	r.listed, r.isOffered = now, false
+	if isFirst {
+		// What another instance told of is no list of before.
+		r.carry.begin(revision, nil, now)
+	} else {
+		r.carry.begin(revision, r.others, now)
 	}
+	others := r.decode(entries)
 	others = r.withoutStopping(r.carry.merge(others, now))
 	sort.Slice(others, func(i, j int) bool { return others[i].Name < others[j].Name })
 	if len(others) != len(r.others) {
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldhub.example/hub/internal/registrar"
+	"marigoldhub.example/hub/internal/storer"
 	"marigoldhub.example/hub/internal/storer/storertest"
 )
 
@@ -127,3 +128,35 @@
 		t.Errorf("%d instances are left after %d changes", left, changes)
 	}
 }
+
+// Guards against an instance that the store turns away and that takes no other's word for who
+// the others are, and against such word that stays when the store has another list.
+func TestInstancesKnownFromAnother(t *testing.T) {
+	store := storertest.New()
+	store.SetDown(true)
+	a := start(t, store, "a", "z1")
+	defer a.Close()
+	entry := func(name string) storer.Entry {
+		return storer.Entry{Key: registrar.Prefix + name, Value: fmt.Appendf(nil, `{"name":%q,"address":%q,"incarnation":1}`, name, name)}
+	}
+	a.Offer(nil)
+	if a.HasList() {
+		t.Error("a has a list without entries")
+	}
+	a.Offer([]storer.Entry{entry("a"), entry("b"), {Key: registrar.Prefix + "odd", Value: []byte("{")}, entry("c")})
+	if others := a.Others(); !a.HasList() || !a.IsOffered() || len(others) != 2 || others[0].Name != "b" || others[1].Name != "c" {
+		t.Errorf("a knows %v", others)
+	}
+	a.Offer([]storer.Entry{entry("d")})
+	if len(a.Others()) != 2 {
+		t.Errorf("a later word replaced the first: %v", a.Others())
+	}
+	e := entry("e")
+	store.Put(e.Key, e.Value)
+	store.SetDown(false)
+	eventually(t, "a has the store's list alone", func() bool { return len(a.Others()) == 1 && a.Others()[0].Name == "e" && !a.IsOffered() })
+	a.Offer([]storer.Entry{entry("b")})
+	if len(a.Others()) != 1 {
+		t.Errorf("word of others replaced the list: %v", a.Others())
+	}
+}
