--- a/internal/querier/querier.go
+++ b/internal/querier/querier.go
@@ -128,7 +128,8 @@
 // they do not depend on another one.
 func (q *Querier) Ask(b *connector.Backend, s exchanger.Statement, deadline time.Time) ([]exchanger.Answer, error) {
 	r := connector.Request{IsOwn: true, Priority: probePriority, WaitDeadline: deadline, Remaining: deadline.Sub(q.cfg.Clock.Now())}
-	if s.Kind == exchanger.Status && b.UsesGateways() && !b.IsGateway() && !q.cfg.IsCoordinator() {
+	hasShare := b.IsGateway() && b.Limit() > 0
+	if s.Kind == exchanger.Status && b.UsesGateways() && !hasShare && !q.cfg.IsCoordinator() {
 		c := q.cfg.Delegator.NewConn(b, r)
 		answers, err := c.RunPlain(deadline, s)
 		c.Release(err == nil && answers[0].State == exchanger.Idle)
