informer, platform: checks of the configuration read only what has changed

Cause: each reader, and the coordinator where keys may be withdrawn, read the whole configuration at each check, a megabyte with thousands of routes. Change: storer.Poller asks for the changes after a revision, one linearizable call as before. If the store has dropped that history, the whole configuration is read. Result: TestChecksReadOnlyChanges: 0 full reads over changes, an unreadable configuration and dropped history; without Poller it fails.

--- /dev/null
+++ b/internal/informer/check_test.go
@@ -0,0 +1,52 @@
+package informer_test
+
+import (
+	"testing"
+	"time"
+
+	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/storer/storertest"
+)
+
+// Guards against checks that read a large configuration again and again, and against a
+// change that a check misses because the store dropped its history.
+func TestChecksReadOnlyChanges(t *testing.T) {
+	store := storertest.NewPolling()
+	put := func(version int64) { store.Put("config/now", encode(t, informer.Configuration{Version: version})) }
+	put(1)
+	store.SetSilentWatch(true)
+	f := start(t, func(c *informer.Config) {
+		c.Store = store
+		c.CheckInterval = func() time.Duration { return 5 * time.Millisecond }
+	})
+	var checks, reads int
+	await := func(version int64) {
+		t.Helper()
+		eventually(t, "the version is in force", func() bool { return f.version() == version })
+		checks = store.Calls("poll")
+		eventually(t, "it is checked again", func() bool { return store.Calls("poll") > checks+5 })
+	}
+	await(1)
+	reads = store.Calls("get")
+	for _, step := range []struct {
+		name    string
+		do      func()
+		version int64
+	}{
+		{"change", func() { put(2) }, 2},
+		{"another key", func() { store.Put("config/other", []byte("{")) }, 2},
+		{"a configuration that cannot be read", func() { store.Put("config/now", []byte("{")) }, 2},
+		{"the next one", func() { put(3) }, 3},
+		{"change in a history that is dropped", func() { put(4); store.Compact() }, 4},
+		{"dropped history without a change", store.Compact, 4},
+	} {
+		step.do()
+		await(step.version)
+		if f.informer.Current().Proof.Version != step.version {
+			t.Errorf("%s: the proof is for version %d, want %d", step.name, f.informer.Current().Proof.Version, step.version)
+		}
+	}
+	if n := store.Calls("get") - reads; n > 0 {
+		t.Errorf("the configuration was read %d times in full", n)
+	}
+}
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -35,6 +35,8 @@
 	mu            sync.Mutex
 	configuration *Configuration
 	proofs        prover.Ledger
+	// checked is what the last check of the configuration found.
+	checked check
 	servers       map[string]Server
 	// versions has the newest known entry of each server, removed ones included.
 	versions map[string]entryVersion
@@ -323,7 +325,7 @@
 		if !n.cfg.IsReader() {
 			continue
 		}
-		if _, adopted, err := n.readConfiguration(ctx, "check"); err == nil && adopted && ctx.Err() == nil {
+		if adopted, err := n.checkForChange(ctx, "check"); err == nil && adopted && ctx.Err() == nil {
 			n.cfg.OnChange()
 		}
 	}
--- a/internal/informer/proof.go
+++ b/internal/informer/proof.go
@@ -93,7 +93,7 @@
 		case prover.AskPeers:
 			go n.cfg.AskPeers()
 		case prover.ReadStore:
-			_, adopted, err := n.readConfiguration(ctx, "proof")
+			adopted, err := n.checkForChange(ctx, "proof")
 			if err != nil {
 				n.cfg.Log.WithError(err).Debug("informer: configuration could not be read to prove that it is current")
 			}
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -59,3 +59,12 @@
 	// ListStale is List with a result that may be seconds old.
 	ListStale(ctx context.Context, prefix string) ([]Entry, int64, error)
 }
+
+// Poller is implemented by stores that tell at once what has changed, without a watch. The
+// answer is linearizable.
+type Poller interface {
+	// Poll returns the changes of keys with the prefix at the revision from or later, and
+	// the revision up to which it looked. It returns a [CompactedError] if the store does
+	// not have that history any more.
+	Poll(ctx context.Context, prefix string, from int64) (Batch, error)
+}
