informer, noder: proofs spare instances that are no readers their own reads

Cause: in a fleet of more than 16, each instance that is no reader read the whole configuration every 4 s, however large, though readers tell it of changes. Change: proofs that the configuration is current pass between instances also where no keys can be withdrawn, up to an age of 10 s. An instance that is no reader reads only when its newest proof is 4 s old. The coordinator checks each second in such a fleet, and readers half as often while its proofs arrive, so that the calls to the store do not rise. Result: TestProofsSpareStaleReads fails without the pause (the configuration is read beside fresh proofs). TestProofsOfOtherInstances: "no limit" expected that no proof counts there; it counts now, and "no limit, too old" guards its age.

--- a/internal/informer/check_test.go
+++ b/internal/informer/check_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"marigoldhub.example/hub/internal/informer"
+	"marigoldhub.example/hub/internal/prover"
 	"marigoldhub.example/hub/internal/storer/storertest"
 )
 
@@ -50,3 +51,24 @@
 		t.Errorf("the configuration was read %d times in full", n)
 	}
 }
+
+// Guards against an instance that reads the whole configuration although others prove that it
+// is current, and against one that does not read it when the proofs end.
+func TestProofsSpareStaleReads(t *testing.T) {
+	const interval = 100 * time.Millisecond
+	f := start(t, func(c *informer.Config) {
+		c.IsReader, c.StaleInterval = func() bool { return false }, interval
+		c.ListInterval = func() time.Duration { return time.Hour }
+	})
+	f.store.Put("config/now", encode(t, informer.Configuration{Version: 1}))
+	eventually(t, "the first configuration is in force", func() bool { return f.version() == 1 })
+	f.informer.OfferProof(prover.Proof{Version: 1, At: time.Now()})
+	f.store.Put("config/now", encode(t, informer.Configuration{Version: 2}))
+	for end := time.Now().Add(10 * interval); time.Now().Before(end); time.Sleep(interval / 10) {
+		f.informer.OfferProof(prover.Proof{Version: 1, At: time.Now()})
+	}
+	if f.version() != 1 {
+		t.Fatal("the configuration was read beside fresh proofs")
+	}
+	eventually(t, "the configuration is read without proofs", func() bool { return f.version() == 2 })
+}
--- a/internal/informer/config.go
+++ b/internal/informer/config.go
@@ -52,6 +52,10 @@
 	// CheckInterval returns the mean pause between two reads of the configuration by
 	// a reader whose watch shows no change: a watch may miss one.
 	CheckInterval func() time.Duration
+	// RootCheckInterval returns the mean pause between two such reads by the root of the
+	// proofs, whose proofs spare the instances that are no readers their own reads; 0 or
+	// nil if all instances are readers.
+	RootCheckInterval func() time.Duration
 	// MaxProofAge is how old a proof that the configuration is current may be; see package
 	// prover. 0 means that no proofs are needed.
 	MaxProofAge time.Duration
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -37,7 +37,7 @@
 	proofs        prover.Ledger
 	// checked is what the last check of the configuration found.
 	checked check
-	servers       map[string]Server
+	servers map[string]Server
 	// versions has the newest known entry of each server, removed ones included.
 	versions map[string]entryVersion
 	rejected *rejections
@@ -65,6 +65,9 @@
 	if cfg.RetryPause == nil {
 		cfg.RetryPause = func() time.Duration { return retryPause }
 	}
+	if cfg.RootCheckInterval == nil {
+		cfg.RootCheckInterval = func() time.Duration { return 0 }
+	}
 	if cfg.IsProofRoot == nil {
 		cfg.IsProofRoot = func() bool { return false }
 	}
@@ -282,15 +285,50 @@
 	return nil
 }
 
-// pollConfiguration reads the configuration by a stale read, which the store charges
-// least for. Readers tell this instance of changes sooner.
+// pollConfiguration reads the configuration by stale reads, which the store charges least
+// for, while this instance is no reader. Readers tell it of changes sooner, and their proofs
+// show that there is none: it reads only when the newest proof is as old as the interval.
 func (n *Informer) pollConfiguration(ctx context.Context) error {
-	return n.poll(ctx, n.cfg.StaleInterval)
+	due := n.cfg.Clock.Now()
+	for ctx.Err() == nil && !n.cfg.IsReader() {
+		interval := n.cfg.StaleInterval
+		due = due.Add(interval*3/4 + rand.N(interval/2))
+		n.pauseUntilUnproved(ctx, due, interval)
+		if n.cfg.IsReader() {
+			return nil
+		}
+		if err := n.readStale(ctx); err != nil {
+			return err
+		}
+		due = n.cfg.Clock.Now()
+	}
+	return nil
+}
+
+// pauseUntilUnproved returns at the time due, or later when the newest proof has the age, or
+// when this instance is a reader.
+func (n *Informer) pauseUntilUnproved(ctx context.Context, due time.Time, age time.Duration) {
+	for ctx.Err() == nil && !n.cfg.IsReader() {
+		until := due
+		if p := n.Current().Proof; p.At.Add(age).After(until) {
+			until = p.At.Add(age)
+		}
+		wait := n.cfg.Clock.Until(until)
+		if wait <= 0 {
+			return
+		}
+		n.pause(ctx, wait)
+	}
 }
 
 // poll reads the configuration by a stale read after a pause.
 func (n *Informer) poll(ctx context.Context, interval time.Duration) error {
 	n.pause(ctx, interval*3/4+rand.N(interval/2))
+	return n.readStale(ctx)
+}
+
+// readStale adopts the configuration of a stale read.
+func (n *Informer) readStale(ctx context.Context) error {
 	entries, _, err := n.lister(true)(ctx, n.cfg.Schema.ConfigurationKey)
 	if err != nil {
 		return err
@@ -312,17 +350,14 @@
 	return n.cfg.Store.List
 }
 
-// checkConfiguration reads the configuration now and then if this instance is a
-// reader. The store may compact its history, and a watch then does not show changes
-// that were made before.
+// checkConfiguration checks the configuration now and then if this instance is a reader or
+// the root of the proofs. The store may compact its history, and a watch then does not show
+// changes that were made before.
 func (n *Informer) checkConfiguration(ctx context.Context) {
 	for ctx.Err() == nil {
-		interval := n.cfg.CheckInterval()
-		if n.NeedsProof() {
-			interval *= provedCheckFactor
-		}
+		interval, isDue := n.nextCheck()
 		n.pause(ctx, interval*3/4+rand.N(interval/2))
-		if !n.cfg.IsReader() {
+		if !isDue || ctx.Err() != nil {
 			continue
 		}
 		if adopted, err := n.checkForChange(ctx, "check"); err == nil && adopted && ctx.Err() == nil {
@@ -331,6 +366,21 @@
 	}
 }
 
+// nextCheck returns the mean pause before the next check of the configuration, and whether
+// this instance makes it. While the root proves that the configuration is current, the
+// readers check it less often.
+func (n *Informer) nextCheck() (interval time.Duration, isDue bool) {
+	interval = n.cfg.CheckInterval()
+	needsProof := n.NeedsProof()
+	if root := n.cfg.RootCheckInterval(); root > 0 && !needsProof && n.cfg.IsProofRoot() {
+		return root, true
+	}
+	if p := n.Current().Proof; needsProof || n.cfg.RootCheckInterval() > 0 && n.cfg.Clock.Since(p.At) < freshProof {
+		interval *= provedCheckFactor
+	}
+	return interval, n.cfg.IsReader()
+}
+
 func (n *Informer) followServers(ctx context.Context) {
 	// The first lists are linearizable reads. Later ones are spread over instances.
 	for i := 0; ctx.Err() == nil; i++ {
--- a/internal/informer/proof.go
+++ b/internal/informer/proof.go
@@ -71,9 +71,13 @@
 	return e.ModRevision, adopted, nil
 }
 
-// provedCheckFactor lengthens [Config.CheckInterval] while proofs are needed: the reads of
-// the root show changes as well.
-const provedCheckFactor = 2
+const (
+	// provedCheckFactor lengthens [Config.CheckInterval] while the root proves that the
+	// configuration is current: its reads show changes as well.
+	provedCheckFactor = 2
+	// freshProof is the age up to which a proof shows that the root reads the store.
+	freshProof = 2 * time.Second
+)
 
 // proofCheckInterval is how often the age of the proof is looked at.
 const proofCheckInterval = 200 * time.Millisecond
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -158,8 +158,9 @@
 		Store: n.store, Schema: platform.Schema(), Clock: n.clock, Log: n.log,
 		ListInterval: n.listInterval, LinearizableEvery: n.linearizableEvery, RemoveAfter: removeServerAfter, EntryTTL: entryTTLHeartbeats * settings.ServerHeartbeatInterval,
 		CheckInterval: n.checkInterval, IsReader: n.isReader, StaleInterval: nonReaderCheckInterval,
-		RetryPause:  func() time.Duration { return n.scaleInterval(retryPause) },
-		MaxProofAge: settings.RevocationLimit, IsProofRoot: n.isProofRoot, AskPeers: n.refreshFromPeers,
+		RootCheckInterval: n.rootCheckInterval,
+		RetryPause:        func() time.Duration { return n.scaleInterval(retryPause) },
+		MaxProofAge:       settings.RevocationLimit, IsProofRoot: n.isProofRoot, AskPeers: n.refreshFromPeers,
 		ProofRetryPause: func() time.Duration { return n.scaleInterval(proofRetryPause) }, OnChange: n.broadcast,
 	})
 	n.peers = messenger.NewPool(messenger.PoolConfig{
@@ -327,6 +328,15 @@
 	return readers * fleetCheckInterval
 }
 
+// rootCheckInterval returns the coordinator's mean pause between two reads of the
+// configuration; 0 in a small fleet, in which all instances are readers.
+func (n *Node) rootCheckInterval() time.Duration {
+	if n.fleetSize() <= smallFleet {
+		return 0
+	}
+	return 2 * fleetCheckInterval
+}
+
 // broadcast exchanges state with all other instances.
 func (n *Node) broadcast() {
 	<-n.built
--- a/internal/noder/proof.go
+++ b/internal/noder/proof.go
@@ -1,17 +1,22 @@
 package noder
 
 import (
+	"cmp"
 	"time"
 
 	"marigoldhub.example/hub/internal/messenger/wire"
 	"marigoldhub.example/hub/internal/prover"
 )
 
+// maxProofAge is the age up to which proofs count where there is no limit for withdrawals.
+// They only spare an instance its own reads then.
+const maxProofAge = 10 * time.Second
+
 // proof returns the proof that this instance's configuration is current, as it is sent to
-// other instances; nil if there is none or none is needed.
+// other instances; nil if there is none.
 func (v view) proof() *wire.ConfigurationProof {
 	p := v.informer.Current().Proof
-	if p.IsZero() || !v.informer.NeedsProof() {
+	if p.IsZero() {
 		return nil
 	}
 	// The age is rounded up, so that the proof is not taken for newer than it is.
@@ -22,7 +27,7 @@
 // reports whether the proof is for a newer configuration than the one in force. The age
 // is counted from before the request was sent, because the time on the way is unknown.
 func (v view) learnProof(p *wire.ConfigurationProof, asked time.Time) (lacks bool) {
-	limit := v.settings.RevocationLimit
+	limit := cmp.Or(v.settings.RevocationLimit, maxProofAge)
 	if p == nil || p.GetVersion() <= 0 || p.GetAgeUs() >= uint64(limit.Microseconds()) {
 		return false
 	}
--- a/internal/noder/proof_test.go
+++ b/internal/noder/proof_test.go
@@ -39,7 +39,7 @@
 }
 
 // Guards against a proof that is taken for newer than it is, by the time on the way or by
-// an age that no instance sends, and against one that is used where there is no limit.
+// an age that no instance sends, and against an old one that counts where there is no limit.
 func TestProofsOfOtherInstances(t *testing.T) {
 	const limit = 5 * time.Second
 	asked := time.Now().Add(-100 * time.Millisecond)
@@ -57,7 +57,8 @@
 		{"too old", limit, &wire.ConfigurationProof{Version: 5, AgeUs: 5_000_000}, prover.Proof{}, false},
 		{"age that overflows", limit, &wire.ConfigurationProof{Version: 5, AgeUs: math.MaxUint64 - 10_000_000}, prover.Proof{}, false},
 		{"age that overflows when it is a duration", limit, &wire.ConfigurationProof{Version: 5, AgeUs: math.MaxInt64 / 900}, prover.Proof{}, false},
-		{"no limit", 0, &wire.ConfigurationProof{Version: 5, AgeUs: 0}, prover.Proof{}, false},
+		{"no limit", 0, &wire.ConfigurationProof{Version: 5, AgeUs: 1_000_000}, prover.Proof{Version: 5, At: asked.Add(-time.Second)}, false},
+		{"no limit, too old", 0, &wire.ConfigurationProof{Version: 5, AgeUs: 10_000_000}, prover.Proof{}, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			v := newView(t, tc.limit)
