registrar: each call until the first list has a time limit of its own

The 0.3 s until the first list covered GrantLease, Commit and List together. With a store that is 60 times slower than usual, 240 ms a call, an instance never registered. Each call now has its own limit, which doubles after each failure up to 1 s, the limit of a call to the store.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -60,10 +60,13 @@
 	// too.
 	retryInterval    = 500 * time.Millisecond
 	retryPerInstance = 25 * time.Millisecond
-	// firstCallTimeout limits a call until the first list. It covers a slow store. A silent
-	// one that is back answers the next call, and without a list the instance has hardly
-	// any connections.
+	// firstCallTimeout limits each call until the first list. It covers a call to a store that
+	// is 60 times slower than usual, which takes 240 ms. It is short because a silent store
+	// that is back answers the next call, and without a list the instance has hardly any
+	// connections. It doubles after each failure, up to maxCallTimeout, which is the limit of
+	// later calls (platform.storeTimeout).
 	firstCallTimeout = 300 * time.Millisecond
+	maxCallTimeout   = time.Second
 	// firstRetryInterval is the pause after the first failed call before that list; it
 	// doubles up to retryInterval.
 	firstRetryInterval = 100 * time.Millisecond
@@ -122,6 +125,9 @@
 	started, asked, listed, unsettled time.Time
 	changed                           chan struct{}
 
+	// callTimeout limits each call until the first list. Only run and what it calls use it.
+	callTimeout time.Duration
+
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -132,7 +138,7 @@
 	now := cfg.Clock.Now()
 	r := &Registrar{
 		cfg: cfg, order: storer.NewListOrder(Prefix, cfg.Clock, cfg.Log), stopping: map[string]int64{}, started: now, unsettled: now,
-		changed: make(chan struct{}), cancel: cancel, done: make(chan struct{}),
+		callTimeout: firstCallTimeout, changed: make(chan struct{}), cancel: cancel, done: make(chan struct{}),
 	}
 	go func() {
 		defer close(r.done)
@@ -328,6 +334,7 @@
 		case err != nil && !r.hasListed():
 			wait = firstRetry
 			firstRetry = min(2*firstRetry, retryInterval)
+			r.callTimeout = min(2*r.callTimeout, maxCallTimeout)
 		case err != nil:
 			wait = max(retryInterval, time.Duration(len(r.Others()))*retryPerInstance)
 		}
@@ -342,11 +349,6 @@
 // update renews the entry's lease and lists the instances if they are due. It sets when the
 // lease is to be renewed next.
 func (r *Registrar) update(ctx context.Context, renewal *time.Time) error {
-	if !r.hasListed() {
-		first, cancel := context.WithTimeout(ctx, firstCallTimeout)
-		defer cancel()
-		ctx = first
-	}
 	if now := r.cfg.Clock.Now(); !now.Before(*renewal) {
 		if err := r.renew(ctx); err != nil {
 			return err
@@ -359,6 +361,14 @@
 	return r.list(ctx)
 }
 
+// callContext returns the context of one call to the store.
+func (r *Registrar) callContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if r.hasListed() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, r.callTimeout)
+}
+
 // logStoreState logs when the store becomes unreachable and when it is back. It returns
 // since when it has been unreachable; zero if it is not.
 func (r *Registrar) logStoreState(ctx context.Context, err error, unreachableSince time.Time) time.Time {
@@ -380,7 +390,9 @@
 	lease := r.lease
 	r.mu.Unlock()
 	if lease != 0 {
-		_, err := r.cfg.Store.KeepAlive(ctx, lease)
+		callCtx, cancel := r.callContext(ctx)
+		_, err := r.cfg.Store.KeepAlive(callCtx, lease)
+		cancel()
 		if !errors.Is(err, storer.ErrLeaseNotFound) {
 			return err
 		}
@@ -390,7 +402,9 @@
 
 // register writes this instance's entry with a new lease.
 func (r *Registrar) register(ctx context.Context) error {
-	lease, err := r.cfg.Store.GrantLease(ctx, leaseTime)
+	grantCtx, cancelGrant := r.callContext(ctx)
+	defer cancelGrant()
+	lease, err := r.cfg.Store.GrantLease(grantCtx, leaseTime)
 	if err != nil {
 		return err
 	}
@@ -399,7 +413,9 @@
 		return err
 	}
 	tx := storer.Transaction{}.WithLeasedPut(Prefix+r.cfg.Self.Name, value, lease)
-	if _, err := r.cfg.Store.Commit(ctx, tx); err != nil {
+	commitCtx, cancelCommit := r.callContext(ctx)
+	defer cancelCommit()
+	if _, err := r.cfg.Store.Commit(commitCtx, tx); err != nil {
 		return err
 	}
 	r.mu.Lock()
@@ -465,6 +481,8 @@
 	r.mu.Lock()
 	r.asked = r.cfg.Clock.Now()
 	r.mu.Unlock()
+	ctx, cancel := r.callContext(ctx)
+	defer cancel()
 	entries, revision, err := list(ctx, Prefix)
 	if err != nil {
 		return err
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -1,6 +1,7 @@
 package registrar_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"slices"
@@ -15,7 +16,7 @@
 	"marigoldhub.example/hub/internal/storer/storertest"
 )
 
-func start(t *testing.T, store *storertest.Memory, name, zone string) *registrar.Registrar {
+func start(t *testing.T, store storer.Store, name, zone string) *registrar.Registrar {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -160,3 +161,69 @@
 		t.Errorf("word of others replaced the list: %v", a.Others())
 	}
 }
+
+// slowStore answers each call after the delay.
+type slowStore struct {
+	*storertest.Memory
+	delay time.Duration
+}
+
+func (s slowStore) wait(ctx context.Context) error {
+	select {
+	case <-time.After(s.delay):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s slowStore) GrantLease(ctx context.Context, ttl time.Duration) (int64, error) {
+	if err := s.wait(ctx); err != nil {
+		return 0, err
+	}
+	return s.Memory.GrantLease(ctx, ttl)
+}
+
+func (s slowStore) Commit(ctx context.Context, tx storer.Transaction) (storer.Result, error) {
+	if err := s.wait(ctx); err != nil {
+		return storer.Result{}, err
+	}
+	return s.Memory.Commit(ctx, tx)
+}
+
+func (s slowStore) KeepAlive(ctx context.Context, lease int64) (time.Duration, error) {
+	if err := s.wait(ctx); err != nil {
+		return 0, err
+	}
+	return s.Memory.KeepAlive(ctx, lease)
+}
+
+func (s slowStore) List(ctx context.Context, prefix string) ([]storer.Entry, int64, error) {
+	if err := s.wait(ctx); err != nil {
+		return nil, 0, err
+	}
+	return s.Memory.List(ctx, prefix)
+}
+
+// Guards against an instance that never registers while the store is slow, because all calls
+// until the first list share one time limit.
+func TestInstanceRegistersWithSlowStore(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		delay time.Duration
+	}{
+		{"60 times slower than usual", 240 * time.Millisecond},
+		{"slower than the first limit", 500 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			store := slowStore{storertest.New(), tc.delay}
+			a := start(t, store, "a", "z1")
+			defer a.Close()
+			eventually(t, "a knows the list", a.HasList)
+			if _, ok, err := store.Get(t.Context(), registrar.Prefix+"a"); err != nil || !ok {
+				t.Errorf("entry of a: %v, %v", ok, err)
+			}
+		})
+	}
+}
