relayer: a server connection is discarded after a panic inside an exchange

The end of a session sent ROLLBACK on the retained connection and took the first ReadyForQuery for its answer. After a panic inside an exchange that one ends the interrupted statement; the connection was released with the answer to ROLLBACK unread, and the next caller got it. A session now notes that an exchange runs until it returns, and discards the connection otherwise. The answer to ROLLBACK must have its tag.

--- a/internal/relayer/abandoned_test.go
+++ b/internal/relayer/abandoned_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/guarder"
+	"marigoldhub.example/hub/internal/relayer"
 )
 
 // hijack returns the connection of an authenticated caller.
@@ -86,3 +91,40 @@
 		})
 	}
 }
+
+// Guards against a server connection that is used again after a panic inside an exchange, with
+// the answer to an earlier statement unread: the next caller would get that answer.
+func TestServerConnectionIsDiscardedAfterPanic(t *testing.T) {
+	for _, tc := range []struct{ name, sql string }{
+		{"statement that ends the transaction", "commit"},
+		{"rollback", "rollback"},
+		{"statement in the transaction", "select 1"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			fx := newFixture(t)
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			c := fx.startRawSession(t, func(s *relayer.Session) {
+				defer guarder.Recover(log, "session")
+				s.Run()
+			})
+			c.send("begin")
+			if got := c.answers(); got != "BEGIN; ready T" {
+				t.Fatal(got)
+			}
+			fx.pool.mu.Lock()
+			fx.pool.panicOnReceive = true
+			fx.pool.mu.Unlock()
+			c.send(tc.sql)
+			if got := c.answers(); got != "closed" {
+				t.Errorf("answer after the panic: %s", got)
+			}
+			<-c.done
+			fx.pool.mu.Lock()
+			defer fx.pool.mu.Unlock()
+			if fx.pool.discarded != 1 || len(fx.pool.idle["a"]) != 0 {
+				t.Errorf("%d server connections were discarded and %d released, want 1 and 0", fx.pool.discarded, len(fx.pool.idle["a"]))
+			}
+		})
+	}
+}
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -172,13 +172,13 @@
 	x.s.setRunning(x.conn)
 	defer x.s.setRunning(nil)
 	x.ranBefore, x.s.quota.ran = x.s.quota.ran, true
-	if err := x.sendBatch(); err != nil {
-		return err
-	}
-	if x.batch.flushed {
-		return nil
+	x.s.exchanging = true
+	err := x.sendBatch()
+	if err == nil && !x.batch.flushed {
+		err = x.finish()
 	}
-	return x.finish()
+	x.s.exchanging = false // not deferred, so that it stays set after a panic
+	return err
 }
 
 // finish reads up to ReadyForQuery, and the status row if one was asked for.
--- a/internal/relayer/fixture_test.go
+++ b/internal/relayer/fixture_test.go
@@ -39,6 +39,8 @@
 	// discarded counts connections that were closed.
 	discarded int
 	refuse    map[string]bool
+	// panicOnReceive makes the next Receive of any connection panic.
+	panicOnReceive bool
 }
 
 func (p *fakePool) Acquire(ctx context.Context, req pooler.Request) (pooler.Conn, error) {
@@ -83,12 +85,22 @@
 		c.fe.Send(m)
 	}
 }
-func (c *fakeConn) Flush() error                              { return c.fe.Flush() }
-func (c *fakeConn) Receive() (pgproto3.BackendMessage, error) { return c.fe.Receive() }
-func (c *fakeConn) SetReadDeadline(t time.Time) error         { return c.c.SetReadDeadline(t) }
-func (c *fakeConn) HasStatement(name string) bool             { return c.stmts[name] }
-func (c *fakeConn) AddStatement(name string)                  { c.stmts[name] = true }
-func (c *fakeConn) RemoveStatement(name string)               { delete(c.stmts, name) }
+func (c *fakeConn) Flush() error                      { return c.fe.Flush() }
+func (c *fakeConn) SetReadDeadline(t time.Time) error { return c.c.SetReadDeadline(t) }
+func (c *fakeConn) HasStatement(name string) bool     { return c.stmts[name] }
+func (c *fakeConn) AddStatement(name string)          { c.stmts[name] = true }
+func (c *fakeConn) RemoveStatement(name string)       { delete(c.stmts, name) }
+
+func (c *fakeConn) Receive() (pgproto3.BackendMessage, error) {
+	c.p.mu.Lock()
+	fails := c.p.panicOnReceive
+	c.p.panicOnReceive = false
+	c.p.mu.Unlock()
+	if fails {
+		panic("test of a panic inside an exchange")
+	}
+	return c.fe.Receive()
+}
 
 func (c *fakeConn) Cancel(context.Context) error {
 	c.f.cancels <- struct{}{}
--- a/internal/relayer/revoke_test.go
+++ b/internal/relayer/revoke_test.go
@@ -21,6 +21,12 @@
 }
 
 func (fx *fixture) newRawSession(t *testing.T) *rawSession {
+	t.Helper()
+	return fx.startRawSession(t, (*relayer.Session).Run)
+}
+
+// startRawSession returns a session that run serves.
+func (fx *fixture) startRawSession(t *testing.T, run func(*relayer.Session)) *rawSession {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -46,7 +52,7 @@
 	r := &rawSession{Session: s, t: t, fe: pgproto3.NewFrontend(client, client), done: make(chan struct{})}
 	go func() {
 		defer close(r.done)
-		s.Run()
+		run(s)
 	}()
 	return r
 }
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -87,6 +87,9 @@
 	startupStatements []string
 
 	retained retainedConn
+	// exchanging is set while an exchange runs. After a panic inside one it stays set: the
+	// answer on the server connection has not been read to its end.
+	exchanging bool
 	// pinReserved is set while a batch that pins its connection runs.
 	pinReserved bool
 	// inFlight is set while the session counts as in flight on the primary.
@@ -300,13 +303,13 @@
 // returnRetained gives the server connection that the session retains back at its end. An
 // open transaction is rolled back first: a new connection costs the server more, and callers
 // that leave in transactions would take all connections from others. A connection with state
-// of the session is discarded.
+// of the session, or in the middle of an answer, is discarded.
 func (s *Session) returnRetained() {
 	r := s.retained
 	if r.conn == nil {
 		return
 	}
-	if r.pinned || r.discardAfterTx || r.openExchange != nil || !rollBack(r.conn) {
+	if s.exchanging || r.pinned || r.discardAfterTx || r.openExchange != nil || !rollBack(r.conn) {
 		s.discardRetained()
 		return
 	}
@@ -318,20 +321,24 @@
 const rollBackTimeout = 500 * time.Millisecond
 
 // rollBack ends the transaction of a connection and reports whether the server has answered
-// that none is open.
+// the ROLLBACK, and that no transaction is open.
 func rollBack(c pooler.Conn) bool {
 	_ = c.SetReadDeadline(time.Now().Add(rollBackTimeout))
 	c.Send(&pgproto3.Query{String: "ROLLBACK"})
 	if err := c.Flush(); err != nil {
 		return false
 	}
+	rolledBack := false
 	for {
 		msg, err := c.Receive()
 		if err != nil {
 			return false
 		}
-		if ready, ok := msg.(*pgproto3.ReadyForQuery); ok {
-			return ready.TxStatus == 'I'
+		switch m := msg.(type) {
+		case *pgproto3.CommandComplete:
+			rolledBack = string(m.CommandTag) == "ROLLBACK"
+		case *pgproto3.ReadyForQuery:
+			return rolledBack && m.TxStatus == 'I'
 		}
 	}
 }
