limiter: other ports take sockets from callers

Dial closed connections of any port to make room, but a listener only asked its own port: while idle callers had all sockets, other instances could not connect to the control port. Now a listener asks all ports, those with callers first. The port of the callers still asks only itself, and so does a use at its own limit, such as the readiness port: with a check of all ports, three connections to one with a limit of one closed all four idle callers.

Before, TestPortsTakeSocketsFromCallers accepted none of the connections within 5 s; now the package passes three times with the race detector.

--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -215,3 +216,77 @@
 		(<-open).Close()
 	}
 }
+
+// Guards against a control port that stays closed to other instances while idle callers have all
+// sockets, and against a port at its own limit that closes callers in vain.
+func TestPortsTakeSocketsFromCallers(t *testing.T) {
+	const idle = 4
+	for _, tc := range []struct {
+		name string
+		// limit is that of the other port; 0 means none.
+		limit, crowd int
+		// wantClosed is how many idle connections of the callers and of the other port are
+		// closed, want how many of the crowd are accepted.
+		wantCallers, wantOwn, want int
+	}{
+		{"no limit of its own", 0, 2, 2, 0, 2},
+		{"more than the callers have", 0, 6, 4, 2, 6},
+		{"own limit", 1, 3, 1, 0, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s, _ := newSockets(idle + 4)
+			closer := func(open chan net.Conn, closed *atomic.Int64) func() bool {
+				return func() bool {
+					select {
+					case conn := <-open:
+						closed.Add(1)
+						conn.Close()
+						return true
+					default:
+						return false
+					}
+				}
+			}
+			var callersClosed, ownClosed atomic.Int64
+			callersOpen, ownOpen := make(chan net.Conn, 16), make(chan net.Conn, 16)
+			other := s.NewUse("control", 0, tc.limit)
+			callers := s.NewUse("callers", 0, 0).CloseFirst()
+			// The order of the calls to Listen does not matter.
+			control := other.Listen(listen(t))
+			defer control.Close()
+			control.OnFull(closer(ownOpen, &ownClosed))
+			l := callers.Listen(listen(t))
+			defer l.Close()
+			l.OnFull(closer(callersOpen, &callersClosed))
+			accepted := accept(l)
+			connect(t, l.Addr().String(), idle)
+			for range idle {
+				callersOpen <- <-accepted
+			}
+			others := accept(control)
+			connect(t, control.Addr().String(), tc.crowd)
+			for i := range tc.want {
+				select {
+				case conn := <-others:
+					if tc.limit == 0 {
+						ownOpen <- conn
+					} else {
+						defer conn.Close()
+					}
+				case <-time.After(5 * time.Second):
+					t.Fatalf("%d of %d connections were accepted", i, tc.want)
+				}
+			}
+			// The rest of the crowd waits for maxAcceptWait each.
+			time.Sleep(100 * time.Millisecond)
+			if callersClosed.Load() != int64(tc.wantCallers) || ownClosed.Load() != int64(tc.wantOwn) || len(others) > 0 {
+				t.Errorf("%d callers and %d others were closed, want %d and %d; %d more were accepted", callersClosed.Load(), ownClosed.Load(), tc.wantCallers, tc.wantOwn, len(others))
+			}
+			for _, open := range []chan net.Conn{callersOpen, ownOpen} {
+				for len(open) > 0 {
+					(<-open).Close()
+				}
+			}
+		})
+	}
+}
--- a/internal/limiter/listener.go
+++ b/internal/limiter/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -42,7 +43,12 @@
 		u.limit += listenerSockets
 	}
 	u.add(listenerSockets)
-	s.listeners = append(s.listeners, listener)
+	// Others may be reading the old slice.
+	if u.closedFirst {
+		s.listeners = slices.Concat([]*Listener{listener}, s.listeners)
+	} else {
+		s.listeners = slices.Concat(s.listeners, []*Listener{listener})
+	}
 	return listener
 }
 
@@ -55,6 +61,16 @@
 	return spare != nil && (*spare)()
 }
 
+// makeRoom closes a connection in favor of one that waits; false if there is none. It is one
+// of this port if the connections of the use are the first to be closed, and if the use has
+// reached its own limit, because another use's socket does not help then.
+func (l *Listener) makeRoom() bool {
+	if l.use.closedFirst || l.use.isAtLimit() {
+		return l.spareOne()
+	}
+	return l.use.sockets.makeRoom()
+}
+
 // Accept implements [net.Listener].
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
@@ -83,7 +99,7 @@
 		switch {
 		case waited >= maxAcceptWait || l.closed.Load():
 			return false
-		case waited >= minAcceptWait && l.spareOne():
+		case waited >= minAcceptWait && l.makeRoom():
 			continue
 		}
 		clock.Sleep(acceptInterval)
--- a/internal/limiter/sockets.go
+++ b/internal/limiter/sockets.go
@@ -32,7 +32,7 @@
 
 	mu   sync.Mutex
 	uses []*Use
-	// listeners are those of all uses.
+	// listeners are those of all uses, in the order in which their connections are closed.
 	listeners []*Listener
 	// taken is what all uses have taken, listening sockets included.
 	taken int
@@ -55,6 +55,8 @@
 	open    metrics.Gauge
 	reserve int
 	limit   int
+	// closedFirst is set by CloseFirst.
+	closedFirst bool
 
 	// The sockets' mutex guards taken.
 	taken int
@@ -71,6 +73,20 @@
 	return u
 }
 
+// CloseFirst makes the connections of the use the first that are closed in favor of other
+// uses. In favor of its own new ones it closes no others. It must be called before Listen.
+func (u *Use) CloseFirst() *Use {
+	u.closedFirst = true
+	return u
+}
+
+// isAtLimit reports whether the use has taken as many sockets as its own limit.
+func (u *Use) isAtLimit() bool {
+	u.sockets.mu.Lock()
+	defer u.sockets.mu.Unlock()
+	return u.limit > 0 && u.taken >= u.limit
+}
+
 // take takes a socket if one is left for the use.
 func (u *Use) take() bool {
 	s := u.sockets
--- a/internal/noder/sockets.go
+++ b/internal/noder/sockets.go
@@ -45,7 +45,7 @@
 	}
 	s := limiter.New(limiter.Config{Max: total, Clock: n.clock, Metrics: n.metrics, Refusals: n.budget.Refusals()})
 	return sockets{
-		callers:   s.NewUse("callers", minSessions, maxSessions(n.settings)+refusedCallers),
+		callers:   s.NewUse("callers", minSessions, maxSessions(n.settings)+refusedCallers).CloseFirst(),
 		control:   s.NewUse("control", controlReserve, 0),
 		readiness: s.NewUse("readiness", probeSockets, probeSockets),
 		metrics:   s.NewUse("metrics", probeSockets, probeSockets),
