sessioner: a session does not count as idle during the pause after a refusal

The session counted as idle before the pause, although its next statement had arrived. It could be closed in favor of others, and the statement got no answer. It now counts as idle after the pause.

Before, TestRefusedStatementsSentAheadPause saw the session idle in all five pauses; now the package passes.

--- a/internal/sessioner/ahead_test.go
+++ b/internal/sessioner/ahead_test.go
@@ -41,7 +41,8 @@
 }
 
 // Guards against callers whose statements are refused as fast as the process can, which keeps
-// it from serving others.
+// it from serving others, and against a session that is closed as idle during the pause, with
+// its next statement unanswered.
 func TestRefusedStatementsSentAheadPause(t *testing.T) {
 	const statements = 6
 	for _, tc := range []struct {
@@ -61,7 +62,11 @@
 				onAnswer: func(exchanger.Answer) {},
 			}
 			s := newTestSession(c)
-			clock := &sleepClock{Clock: s.Clock}
+			clock := &sleepClock{Clock: s.Clock, onSleep: func() {
+				if s.nanos.Load() != 0 {
+					t.Error("the session counts as idle during a pause, with a statement to answer")
+				}
+			}}
 			s.Clock = clock
 			for range statements {
 				if !s.serveStatement() {
@@ -78,7 +83,11 @@
 // sleepClock notes the time of sleeps and does not sleep.
 type sleepClock struct {
 	clockwork.Clock
-	slept time.Duration
+	slept   time.Duration
+	onSleep func()
 }
 
-func (c *sleepClock) Sleep(d time.Duration) { c.slept += d }
+func (c *sleepClock) Sleep(d time.Duration) {
+	c.slept += d
+	c.onSleep()
+}
--- a/internal/sessioner/session.go
+++ b/internal/sessioner/session.go
@@ -83,12 +83,13 @@
 	s.record(st, a, began)
 	pause := s.afterAnswer(a.Code, s.conn.HasNext())
 	err = s.conn.WriteAnswer(a)
-	if s.tx == nil {
-		s.setQuiet(s.Clock.Now())
-	}
 	if err == nil && pause > 0 {
 		s.Clock.Sleep(pause)
 	}
+	// Not before the pause: the next statement has arrived and must be answered.
+	if s.tx == nil {
+		s.setQuiet(s.Clock.Now())
+	}
 	return err == nil
 }
 
