noder: a stopping instance keeps its share of the connections when the others leave

An instance that has left its fleet does not list itself. With no or one other instance left it took the whole connection limit of each server, and so did each of the others when all stopped together. It now keeps its last list of at least two instances.

--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -129,7 +129,9 @@
 	draining bool
 	// hasLeft is set when the other instances have been told that this one is stopping.
 	hasLeft bool
-	done    chan struct{}
+	// lastPeers is what instances last returned.
+	lastPeers []placer.Peer
+	done      chan struct{}
 }
 
 // New starts an instance that writes its log to out.
@@ -225,18 +227,25 @@
 
 // instances returns all listed instances, this one included if the others count it in: it has
 // a list of the store, and has not left them.
+//
+// A stopping instance keeps its last list when fewer than two would be left: with a shorter one
+// it would take the whole connection limit of each server, and when all instances stop together,
+// each of them would.
 func (n *Node) instances() []placer.Peer {
 	n.mu.Lock()
-	hasLeft := n.hasLeft
-	n.mu.Unlock()
+	defer n.mu.Unlock()
 	others := n.registrar.Others()
 	var peers []placer.Peer
-	if !hasLeft && !n.registrar.IsOffered() || len(others) == 0 {
+	if !n.hasLeft && !n.registrar.IsOffered() || len(others) == 0 {
 		peers = append(peers, n.self())
 	}
 	for _, o := range others {
 		peers = append(peers, placer.Peer{Name: o.Name, Zone: o.Zone, Address: o.Address, Processor: o.Processor})
 	}
+	if n.draining && len(peers) < 2 && len(n.lastPeers) > 0 {
+		return n.lastPeers
+	}
+	n.lastPeers = peers
 	return peers
 }
 
