registrar: an instance without an incarnation stays when another one stops

The removal of stopping instances compared incarnations without a check that the name is among them, so that an entry without an incarnation was removed with any other instance.

Before, TestInstanceWithoutIncarnationStays saw an empty list; now it passes with the tests of stopping instances.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -304,7 +304,7 @@
 	r.isRemoving, r.removed = false, r.cfg.Clock.Now()
 	var names []string
 	others := slices.DeleteFunc(slices.Clone(r.others), func(o Instance) bool {
-		if r.stopping[o.Name] != o.Incarnation {
+		if incarnation, ok := r.stopping[o.Name]; !ok || incarnation != o.Incarnation {
 			return false
 		}
 		names = append(names, o.Name)
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -98,6 +98,20 @@
 	eventually(t, "a knows that b has started again", func() bool { return len(a.Others()) == 2 })
 }
 
+// Guards against an entry without an incarnation that is removed when another instance stops.
+func TestInstanceWithoutIncarnationStays(t *testing.T) {
+	store := storertest.New()
+	store.Put(registrar.Prefix+"b", []byte(`{"name":"b"}`))
+	store.Put(registrar.Prefix+"c", []byte(`{"name":"c","incarnation":1}`))
+	a := start(t, store, "a", "z1")
+	defer a.Close()
+	eventually(t, "a knows the others", func() bool { return len(a.Others()) == 2 })
+	a.Remove("c")
+	if others := a.Others(); len(others) != 1 || others[0].Name != "b" {
+		t.Errorf("a uses %v, want b", others)
+	}
+}
+
 // Guards against a change of the list for each of many instances that stop together, after
 // each of which the fleet chooses all gateways again.
 func TestStoppingInstancesAreRemovedTogether(t *testing.T) {
