registrar: a failed list is repeated after the pause of a retry

A failed list counted as asked, so that the next one came after the full interval, up to 9.5 s in a large fleet. Now only a list that was received counts.

--- a/internal/registrar/list_interval_test.go
+++ b/internal/registrar/list_interval_test.go
@@ -1,8 +1,15 @@
 package registrar
 
 import (
+	"io"
 	"testing"
 	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/storer"
+	"marigoldhub.example/hub/internal/storer/storertest"
 )
 
 // Guards against instances that start together, list each other once while some are still
@@ -83,3 +90,32 @@
 		}
 	}
 }
+
+// Guards against a failed list after which the next one comes a whole interval later, up to
+// 9.5 s in a large fleet.
+func TestFailedListIsRepeated(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		isDown bool
+		// want reports whether another list is due at once.
+		want bool
+	}{
+		{"listed", false, false},
+		{"store is down", true, true},
+	} {
+		clock, store, log := clockwork.NewFakeClock(), storertest.New(), logrus.New()
+		log.SetOutput(io.Discard)
+		r := &Registrar{
+			cfg:   Config{Store: store, Self: Instance{Name: "a"}, Clock: clock, Log: log},
+			order: storer.NewListOrder(Prefix, clock, log), listed: clock.Now(), asked: clock.Now(), changed: make(chan struct{}),
+		}
+		clock.Advance(r.untilList())
+		store.SetDown(tc.isDown)
+		if err := r.list(t.Context()); (err != nil) != tc.isDown {
+			t.Errorf("%s: error %v", tc.name, err)
+		}
+		if due := r.untilList() <= 0; due != tc.want {
+			t.Errorf("%s: the next list is due in %v", tc.name, r.untilList())
+		}
+	}
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -120,8 +120,9 @@
 	isRemoving bool
 	// isOffered is set when others are those that another instance told of.
 	isOffered bool
-	// started is when this registrar started, asked when it last asked for a list, listed
-	// when it last got a newer one, and unsettled when many instances last came or went.
+	// started is when this registrar started, asked when it asked for the last list that it
+	// got, listed when it last got a newer one, and unsettled when many instances last came or
+	// went.
 	started, asked, listed, unsettled time.Time
 	changed                           chan struct{}
 
@@ -478,15 +479,17 @@
 	if stale, ok := r.cfg.Store.(storer.StaleLister); ok && len(r.Others()) > 0 && r.cfg.Clock.Since(r.started) > freshTime {
 		list = stale.ListStale
 	}
-	r.mu.Lock()
-	r.asked = r.cfg.Clock.Now()
-	r.mu.Unlock()
+	asked := r.cfg.Clock.Now()
 	ctx, cancel := r.callContext(ctx)
 	defer cancel()
 	entries, revision, err := list(ctx, Prefix)
 	if err != nil {
 		return err
 	}
+	// After an error the next list is due after the pause of a retry, not after the interval.
+	r.mu.Lock()
+	r.asked = asked
+	r.mu.Unlock()
 	r.apply(entries, revision)
 	return nil
 }
