--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -236,7 +236,7 @@
 	defer n.mu.Unlock()
 	others := n.registrar.Others()
 	var peers []placer.Peer
-	if !n.hasLeft && !n.registrar.IsOffered() || len(others) == 0 {
+	if !n.hasLeft && !n.registrar.IsListFromInstance() || len(others) == 0 {
 		peers = append(peers, n.self())
 	}
 	for _, o := range others {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -7,8 +7,8 @@
 // When the store was restored from an older copy, instances that the copy lacks stay
 // listed for the lifetime of an entry.
 //
-// Until the first list, the instances that another one knows stand in for it ([Registrar.Offer]):
-// the store may turn this instance away for long.
+// Until the first list, the instances that another one knows are used instead
+// ([Registrar.Offer]): the store may refuse this instance's calls for long.
 //
 // An instance that tells that it is stopping is removed from the list at once, and stays
 // removed until its next start is listed.
@@ -118,8 +118,8 @@
 	// while others are about to be.
 	removed    time.Time
 	isRemoving bool
-	// isOffered is set when others are those that another instance told of.
-	isOffered bool
+	// isListFromInstance is set when others are those that another instance told of.
+	isListFromInstance bool
 	// started is when this registrar started, asked when it asked for the last list that it
 	// got, listed when it last got a newer one, and unsettled when many instances last came or
 	// went.
@@ -160,7 +160,7 @@
 func (r *Registrar) HasList() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.listed.IsZero() || r.isOffered
+	return !r.listed.IsZero() || r.isListFromInstance
 }
 
 // hasListed reports whether the instances have been listed at least once.
@@ -170,12 +170,12 @@
 	return !r.listed.IsZero()
 }
 
-// IsOffered reports whether the instances are those that another one told of. This one is not
+// IsListFromInstance reports whether the instances are those that another one told of. This one is not
 // known to be in the store then, and the others do not count it among them.
-func (r *Registrar) IsOffered() bool {
+func (r *Registrar) IsListFromInstance() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.isOffered
+	return r.isListFromInstance
 }
 
 // Entries returns the known instances, this one included, as the store has them; none while
@@ -204,14 +204,14 @@
 func (r *Registrar) Offer(entries []storer.Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.listed.IsZero() || r.isOffered {
+	if !r.listed.IsZero() || r.isListFromInstance {
 		return
 	}
 	others := r.decode(entries)
 	if len(others) == 0 {
 		return
 	}
-	r.isOffered = true
+	r.isListFromInstance = true
 	r.cfg.Log.WithField("others", len(others)).Info("registrar: instances are known from another one")
 	r.setOthers(others)
 }
@@ -503,7 +503,7 @@
 	}
 	isFirst := r.listed.IsZero()
 	now := r.cfg.Clock.Now()
-	r.listed, r.isOffered = now, false
+	r.listed, r.isListFromInstance = now, false
 	if isFirst {
 		// What another instance told of is no list of before.
 		r.carry.begin(revision, nil, now)
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -144,8 +144,9 @@
 	}
 }
 
-// Guards against an instance that the store turns away and that takes no other's word for who
-// the others are, and against such word that stays when the store has another list.
+// Guards against an instance that knows no others while the store refuses its calls, although
+// another instance has sent its list, and against such a list that is kept after the store has
+// returned one.
 func TestInstancesKnownFromAnother(t *testing.T) {
 	store := storertest.New()
 	store.SetDown(true)
@@ -159,20 +160,20 @@
 		t.Error("a has a list without entries")
 	}
 	a.Offer([]storer.Entry{entry("a"), entry("b"), {Key: registrar.Prefix + "odd", Value: []byte("{")}, entry("c")})
-	if others := a.Others(); !a.HasList() || !a.IsOffered() || len(others) != 2 || others[0].Name != "b" || others[1].Name != "c" {
+	if others := a.Others(); !a.HasList() || !a.IsListFromInstance() || len(others) != 2 || others[0].Name != "b" || others[1].Name != "c" {
 		t.Errorf("a knows %v", others)
 	}
 	a.Offer([]storer.Entry{entry("d")})
 	if len(a.Others()) != 2 {
-		t.Errorf("a later word replaced the first: %v", a.Others())
+		t.Errorf("a later list of an instance replaced the first: %v", a.Others())
 	}
 	e := entry("e")
 	store.Put(e.Key, e.Value)
 	store.SetDown(false)
-	eventually(t, "a has the store's list alone", func() bool { return len(a.Others()) == 1 && a.Others()[0].Name == "e" && !a.IsOffered() })
+	eventually(t, "a has the store's list alone", func() bool { return len(a.Others()) == 1 && a.Others()[0].Name == "e" && !a.IsListFromInstance() })
 	a.Offer([]storer.Entry{entry("b")})
 	if len(a.Others()) != 1 {
-		t.Errorf("word of others replaced the list: %v", a.Others())
+		t.Errorf("a list of an instance replaced that of the store: %v", a.Others())
 	}
 }
 
