noder: the log says that other instances were told of the stop

The line said that they use this instance no longer, which is not known: it also counts those that were not reached. withdrawAsGateway replaces the name leavePlans.

--- a/internal/noder/stop.go
+++ b/internal/noder/stop.go
@@ -40,7 +40,7 @@
 			defer close(departed)
 			n.leave()
 		}()
-		n.leavePlans()
+		n.withdrawAsGateway()
 		drain := time.Duration(float64(n.settings.StopGracePeriod) * drainShare)
 		n.sessions.Drain(drain - n.clock.Since(began))
 		n.clock.Sleep(drain - n.clock.Since(began))
@@ -57,10 +57,10 @@
 	}()
 }
 
-// leavePlans makes all other instances leave this one out of their plans of gateways, and
+// withdrawAsGateway makes all other instances leave this one out of their plans of gateways, and
 // then refuses new work of those that did not get the message. Until then it runs what they
 // send.
-func (n *Node) leavePlans() {
+func (n *Node) withdrawAsGateway() {
 	unreached := n.gossiper.Leave(context.Background())
 	if len(n.registrar.Others()) > 0 {
 		n.clock.Sleep(registrar.RemovalInterval)
@@ -69,7 +69,7 @@
 	n.hasLeft = true
 	n.mu.Unlock()
 	n.dispatcher.StopForwarding()
-	n.log.WithField("unreached", unreached).Info("noder: other instances use this one no longer")
+	n.log.WithField("unreached", unreached).Info("noder: other instances were told that this one is stopping")
 }
 
 // close closes the components that need neither the store nor other instances to
