limiter: closeOne replaces the name spareOne

"Spare" was a figure of speech for a connection that may be closed. The design page also says that other ports take sockets from callers. No change of behavior; the tests of limiter and sessioner pass.

--- a/internal/limiter/conn.go
+++ b/internal/limiter/conn.go
@@ -24,7 +24,7 @@
 }
 
 // Dial opens a connection with the function and counts its socket. If none is left, a port
-// closes a connection that can be spared; otherwise it fails with [ErrNoSocket]. Only TCP
+// closes a connection that may be closed; otherwise it fails with [ErrNoSocket]. Only TCP
 // connections are counted.
 func (u *Use) Dial(dial func() (net.Conn, error)) (net.Conn, error) {
 	if u == nil {
--- a/internal/limiter/doc.go
+++ b/internal/limiter/doc.go
@@ -7,7 +7,8 @@
 //
 // A [Listener] takes a socket for each connection that it accepts. A socket is given back
 // when its descriptor is closed, not when the close is requested, so that connections that
-// are being closed count, too. While no socket is free, the listener asks its owner to close
-// a connection that can be spared; otherwise further connections wait in the kernel's
-// queue, where they take no descriptor of the process.
+// are being closed count, too. While no socket is free, the listener asks the owners of the
+// ports to close a connection that may be closed, callers' ones first (see [Use.CloseFirst]);
+// otherwise further connections wait in the kernel's queue, where they take no descriptor of
+// the process.
 package limiter
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -178,8 +178,8 @@
 }
 
 // Guards against callers that are kept out, and connections to servers that fail, while the
-// port has connections that can be spared.
-func TestSparedConnectionsMakeRoom(t *testing.T) {
+// port has connections that may be closed.
+func TestClosedConnectionsMakeRoom(t *testing.T) {
 	const most, crowd = 4, 12
 	server := listen(t).Addr().String()
 	s, r := newSockets(most + 2)
--- a/internal/limiter/listener.go
+++ b/internal/limiter/listener.go
@@ -27,8 +27,8 @@
 type Listener struct {
 	net.Listener
 	use *Use
-	// spare closes a connection that can be spared; nil if there is no way.
-	spare  atomic.Pointer[func() bool]
+	// onFull closes a connection that may be closed; nil if OnFull was not called.
+	onFull atomic.Pointer[func() bool]
 	closed atomic.Bool
 }
 
@@ -53,12 +53,13 @@
 }
 
 // OnFull sets the function that is called when no socket is left. It closes a connection of
-// the port that can be spared, and reports whether it did.
-func (l *Listener) OnFull(spare func() bool) { l.spare.Store(&spare) }
+// the port that may be closed, and reports whether it did.
+func (l *Listener) OnFull(closeOne func() bool) { l.onFull.Store(&closeOne) }
 
-func (l *Listener) spareOne() bool {
-	spare := l.spare.Load()
-	return spare != nil && (*spare)()
+// closeOne closes a connection of the port that may be closed; false if there is none.
+func (l *Listener) closeOne() bool {
+	onFull := l.onFull.Load()
+	return onFull != nil && (*onFull)()
 }
 
 // makeRoom closes a connection in favor of one that waits; false if there is none. It is one
@@ -66,7 +67,7 @@
 // reached its own limit, because another use's socket does not help then.
 func (l *Listener) makeRoom() bool {
 	if l.use.closedFirst || l.use.isAtLimit() {
-		return l.spareOne()
+		return l.closeOne()
 	}
 	return l.use.sockets.makeRoom()
 }
--- a/internal/limiter/sockets.go
+++ b/internal/limiter/sockets.go
@@ -125,12 +125,12 @@
 	}
 }
 
-// makeRoom closes a connection of a port that can be spared; false if there is none.
+// makeRoom closes a connection that may be closed, of any port; false if there is none.
 func (s *Sockets) makeRoom() bool {
 	s.mu.Lock()
 	listeners := s.listeners
 	s.mu.Unlock()
-	return slices.ContainsFunc(listeners, (*Listener).spareOne)
+	return slices.ContainsFunc(listeners, (*Listener).closeOne)
 }
 
 // give gives sockets back.
--- a/internal/sessioner/displace.go
+++ b/internal/sessioner/displace.go
@@ -61,9 +61,9 @@
 	return true
 }
 
-// spareOne closes a connection whose session has not started, or the session that has been
+// closeOne closes a connection whose session has not started, or the session that has been
 // idle for longest; false if there is none that may be closed.
-func (s *Server) spareOne() bool {
+func (s *Server) closeOne() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	idle, unstarted := s.quietest(s.Clock.Now())
--- a/internal/sessioner/server.go
+++ b/internal/sessioner/server.go
@@ -24,8 +24,8 @@
 	// Listener accepts callers' connections.
 	Listener net.Listener
 	// OnFull sets the function that the listener calls when no socket is left: it closes a
-	// session that can be spared, and reports whether it did. It may be nil.
-	OnFull func(spare func() bool)
+	// session that may be closed, and reports whether it did. It may be nil.
+	OnFull func(closeOne func() bool)
 	// NewConn wraps an accepted connection in the codec of the callers' protocol.
 	NewConn    func(net.Conn) Conn
 	Informer   *informer.Informer
@@ -62,7 +62,7 @@
 func NewServer(cfg Config) *Server {
 	s := &Server{Config: cfg, count: newCounters(cfg.Metrics), sessions: map[*session]struct{}{}, done: make(chan struct{})}
 	if cfg.OnFull != nil {
-		cfg.OnFull(s.spareOne)
+		cfg.OnFull(s.closeOne)
 	}
 	go func() {
 		defer close(s.done)
