--- a/internal/sessioner/ahead.go
+++ b/internal/sessioner/ahead.go
@@ -18,9 +18,9 @@
 	maxAheadPause = 500 * time.Millisecond
 )
 
-// sender tells whether a caller sends statements ahead, before it has received the answers to
-// those before.
-type sender struct {
+// aheadState tells whether a caller sends statements ahead, before it has received the answers
+// to those before.
+type aheadState struct {
 	// isAhead is set when the next statement had begun to arrive before the last answer was
 	// written.
 	isAhead bool
@@ -30,7 +30,7 @@
 
 // afterAnswer returns how long the next statement waits, if the present one was sent ahead and
 // had the code; next tells whether that one has been sent ahead.
-func (s *sender) afterAnswer(code exchanger.Code, next bool) time.Duration {
+func (s *aheadState) afterAnswer(code exchanger.Code, next bool) time.Duration {
 	refused := s.isAhead && code == exchanger.Busy
 	s.isAhead = next
 	if !refused {
--- a/internal/sessioner/session.go
+++ b/internal/sessioner/session.go
@@ -51,8 +51,8 @@
 	// minPositionAt is when that commit was acknowledged.
 	minPositionAt time.Time
 	// left is closed when the caller leaves while a statement runs.
-	left <-chan struct{}
-	sender
+	left  <-chan struct{}
+	ahead aheadState
 	// quietSince tells the server since when the session may be closed in favor of others.
 	quietSince
 }
@@ -81,7 +81,7 @@
 	a := s.handle(st, began)
 	stopWatch()
 	s.record(st, a, began)
-	pause := s.afterAnswer(a.Code, s.conn.HasNext())
+	pause := s.ahead.afterAnswer(a.Code, s.conn.HasNext())
 	err = s.conn.WriteAnswer(a)
 	if err == nil && pause > 0 {
 		s.Clock.Sleep(pause)
@@ -397,7 +397,7 @@
 // statement names an unknown prepared statement.
 func (s *session) request(st exchanger.Statement, now time.Time) (dispatcher.Request, bool) {
 	route := s.route
-	if s.isAhead {
+	if s.ahead.isAhead {
 		route.Priority += aheadPriority
 	}
 	req := dispatcher.Request{
