--- a/internal/relayer/quota.go
+++ b/internal/relayer/quota.go
@@ -22,8 +22,8 @@
 
 // Operation is an admitted operation of a team. Its first Done or Refund counts.
 type Operation interface {
-	// IsExpired reports whether too much time has passed to begin the operation: the quota
-	// has given out its token again.
+	// IsExpired reports whether too much time has passed to begin the operation: its token has
+	// expired and may have been granted to another operation.
 	IsExpired() bool
 	// Done records that the operation has run or may have.
 	Done()
@@ -105,7 +105,8 @@
 
 // acquireAdmitted returns a connection to the primary for the session's operation while its
 // token is valid, if it needs one. The token is confirmed before the wait for a connection, too,
-// so that none is kept from others during a wait for a token unless it was waited for for long.
+// so that none is kept from others during a wait for a token unless the wait for the connection
+// outlasted the token.
 func (s *Session) acquireAdmitted(w *primaryWait, class pooler.Class) (pooler.Conn, *pgproto3.ErrorResponse) {
 	if failure := s.beginPrimaryUse(w); failure != nil {
 		return nil, failure
