--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -118,7 +118,7 @@
 	// while others are about to be.
 	removed    time.Time
 	isRemoving bool
-	// isListFromInstance is set when others are those that another instance told of.
+	// isListFromInstance is set when others came from another instance, not from the store.
 	isListFromInstance bool
 	// started is when this registrar started, asked when it asked for the last list that it
 	// got, listed when it last got a newer one, and unsettled when many instances last came or
@@ -170,8 +170,9 @@
 	return !r.listed.IsZero()
 }
 
-// IsListFromInstance reports whether the instances are those that another one told of. This one is not
-// known to be in the store then, and the others do not count it among them.
+// IsListFromInstance reports whether the list of instances came from another instance, not from
+// the store. This one is not known to be in the store then, and the others do not count it among
+// them.
 func (r *Registrar) IsListFromInstance() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
