informer: checks read a small configuration in full, and a large one every 10 s

Cause, by review: after its first list a reader or the root trusted that the store tells of each change; watches have missed changes whose history was dropped. An instance that last checked long ago asked for every version written since, more than a response may hold. The pause of readers was doubled by their own checks, and a new coordinator made its first check only after the pause of its former role. Change: configurations below 64 KB are read in full as before; of larger ones all of it is read when the last full read is 10 s old. Only proofs of a read after the own check count as those of another instance, and the role is looked at each second.

--- a/internal/informer/check.go
+++ b/internal/informer/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -9,29 +10,37 @@
 	"marigoldhub.example/hub/internal/storer"
 )
 
-// check is what a check of the configuration found: the version in the store, and the
-// revision from which on its history was not looked at. It is zero before the first one.
+// fullReadInterval is how long checks may ask only for changes. Watches have missed changes
+// whose history was dropped, so the whole configuration is read now and then. It also limits
+// how many versions the answer to such a question holds.
+const fullReadInterval = 10 * time.Second
+
+// check is what a check of the configuration found. It is zero before the first one.
 type check struct {
+	// version is the one in the store, next the revision from which on its history was not
+	// looked at.
 	version, next int64
+	// fullRead is when the whole configuration was last read.
+	fullRead time.Time
 }
 
 // checkForChange finds out by a linearizable call whether the store has a newer
 // configuration, adopts it, and records the proof. A configuration of thousands of routes
-// takes up to a megabyte, so the store is asked only for what changed since the last check,
-// if it can tell.
+// takes up to a megabyte, so that for a large one the store is asked only for what changed
+// since the last check, if it can tell.
 func (n *Informer) checkForChange(ctx context.Context, source string) (adopted bool, err error) {
 	p, ok := n.cfg.Store.(storer.Poller)
-	if !ok {
+	if c := n.Current().Configuration; !ok || c == nil || len(c.Raw) < n.cfg.LargeConfiguration {
 		_, adopted, err = n.readConfiguration(ctx, source)
 		return adopted, err
 	}
 	n.mu.Lock()
 	last := n.checked
 	n.mu.Unlock()
-	if last.next == 0 {
+	began := n.cfg.Clock.Now()
+	if began.Sub(last.fullRead) > fullReadInterval {
 		return n.listConfiguration(ctx, source)
 	}
-	began := n.cfg.Clock.Now()
 	batch, err := p.Poll(ctx, n.cfg.Schema.ConfigurationPrefix, last.next)
 	var compacted *storer.CompactedError
 	switch {
@@ -48,7 +57,7 @@
 			adopted = adopted || isNewer
 		}
 	}
-	n.recordCheck(check{version, batch.Revision + 1}, prover.Read{Began: began, Epoch: storer.Epoch(batch.Revision), Version: version})
+	n.recordCheck(check{version, batch.Revision + 1, last.fullRead}, prover.Read{Began: began, Epoch: storer.Epoch(batch.Revision), Version: version})
 	return adopted, nil
 }
 
@@ -62,7 +71,7 @@
 	for _, e := range entries {
 		if e.Key == n.cfg.Schema.ConfigurationKey {
 			version, isNewer := n.offer(e.Value, source)
-			n.recordCheck(check{version, revision + 1}, prover.Read{Began: began, Epoch: storer.Epoch(revision), Version: version})
+			n.recordCheck(check{version, revision + 1, began}, prover.Read{Began: began, Epoch: storer.Epoch(revision), Version: version})
 			adopted = isNewer
 		}
 	}
--- a/internal/informer/config.go
+++ b/internal/informer/config.go
@@ -52,6 +52,9 @@
 	// CheckInterval returns the mean pause between two reads of the configuration by
 	// a reader whose watch shows no change: a watch may miss one.
 	CheckInterval func() time.Duration
+	// LargeConfiguration is the size in bytes from which on checks ask the store for changes
+	// instead of the whole configuration.
+	LargeConfiguration int
 	// RootCheckInterval returns the mean pause between two such reads by the root of the
 	// proofs, whose proofs spare the instances that are no readers their own reads; 0 or
 	// nil if all instances are readers.
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -354,10 +354,18 @@
 // the root of the proofs. The store may compact its history, and a watch then does not show
 // changes that were made before.
 func (n *Informer) checkConfiguration(ctx context.Context) {
+	checked := n.cfg.Clock.Now()
+	jitter := rand.Float64()
 	for ctx.Err() == nil {
-		interval, isDue := n.nextCheck()
-		n.pause(ctx, interval*3/4+rand.N(interval/2))
-		if !isDue || ctx.Err() != nil {
+		interval, isDue := n.nextCheck(checked)
+		interval = time.Duration(float64(interval) * (0.75 + jitter/2))
+		if wait := interval - n.cfg.Clock.Since(checked); wait > 0 {
+			// The role of this instance may change meanwhile.
+			n.pause(ctx, min(wait, roleInterval))
+			continue
+		}
+		checked, jitter = n.cfg.Clock.Now(), rand.Float64()
+		if !isDue {
 			continue
 		}
 		if adopted, err := n.checkForChange(ctx, "check"); err == nil && adopted && ctx.Err() == nil {
@@ -366,16 +374,22 @@
 	}
 }
 
-// nextCheck returns the mean pause before the next check of the configuration, and whether
-// this instance makes it. While the root proves that the configuration is current, the
-// readers check it less often.
-func (n *Informer) nextCheck() (interval time.Duration, isDue bool) {
+// roleInterval is how often an instance looks whether it has to check the configuration.
+const roleInterval = time.Second
+
+// nextCheck returns the mean time from the last check of the configuration to the next one,
+// and whether this instance makes it. While another instance, the root, proves that the
+// configuration is current, readers check it less often.
+func (n *Informer) nextCheck(last time.Time) (interval time.Duration, isDue bool) {
 	interval = n.cfg.CheckInterval()
 	needsProof := n.NeedsProof()
-	if root := n.cfg.RootCheckInterval(); root > 0 && !needsProof && n.cfg.IsProofRoot() {
+	root := n.cfg.RootCheckInterval()
+	if root > 0 && !needsProof && n.cfg.IsProofRoot() {
 		return root, true
 	}
-	if p := n.Current().Proof; needsProof || n.cfg.RootCheckInterval() > 0 && n.cfg.Clock.Since(p.At) < freshProof {
+	p := n.Current().Proof
+	isProvedByOther := root > 0 && p.At.After(last.Add(roleInterval)) && n.cfg.Clock.Since(p.At) < freshProof
+	if needsProof || isProvedByOther {
 		interval *= provedCheckFactor
 	}
 	return interval, n.cfg.IsReader()
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -74,6 +74,9 @@
 	// without a sign of a change. With the time to tell the others, it must be well
 	// within the 3 s in which a configuration must be in force.
 	fleetCheckInterval = 500 * time.Millisecond
+	// largeConfiguration is some hundred routes, in bytes. Reading less costs the store and
+	// the links hardly more than asking whether it has changed.
+	largeConfiguration = 64 << 10
 	// proofRetryPause is the mean pause in a small fleet between two reads of the
 	// configuration by an instance that lacks a proof that it is current.
 	proofRetryPause = 4 * time.Second
@@ -158,9 +161,9 @@
 		Store: n.store, Schema: platform.Schema(), Clock: n.clock, Log: n.log,
 		ListInterval: n.listInterval, LinearizableEvery: n.linearizableEvery, RemoveAfter: removeServerAfter, EntryTTL: entryTTLHeartbeats * settings.ServerHeartbeatInterval,
 		CheckInterval: n.checkInterval, IsReader: n.isReader, StaleInterval: nonReaderCheckInterval,
-		RootCheckInterval: n.rootCheckInterval,
-		RetryPause:        func() time.Duration { return n.scaleInterval(retryPause) },
-		MaxProofAge:       settings.RevocationLimit, IsProofRoot: n.isProofRoot, AskPeers: n.refreshFromPeers,
+		RootCheckInterval: n.rootCheckInterval, LargeConfiguration: largeConfiguration,
+		RetryPause:  func() time.Duration { return n.scaleInterval(retryPause) },
+		MaxProofAge: settings.RevocationLimit, IsProofRoot: n.isProofRoot, AskPeers: n.refreshFromPeers,
 		ProofRetryPause: func() time.Duration { return n.scaleInterval(proofRetryPause) }, OnChange: n.broadcast,
 	})
 	n.peers = messenger.NewPool(messenger.PoolConfig{
