informer: proofs for the withdrawal of keys rest on full reads

Since the root asked only for changes, and the store of the test, whose watches are silent for a while, told of none, so that proofs for the former configuration went on. Change: where keys may be withdrawn, the whole configuration is read, as before.

--- a/internal/informer/check.go
+++ b/internal/informer/check.go
@@ -27,10 +27,11 @@
 // checkForChange finds out by a linearizable call whether the store has a newer
 // configuration, adopts it, and records the proof. A configuration of thousands of routes
 // takes up to a megabyte, so that for a large one the store is asked only for what changed
-// since the last check, if it can tell.
+// since the last check, if it can tell. Where keys may be withdrawn, all of it is read: a
+// proof must not rest on the history of changes, which stores have been seen to leave out.
 func (n *Informer) checkForChange(ctx context.Context, source string) (adopted bool, err error) {
 	p, ok := n.cfg.Store.(storer.Poller)
-	if c := n.Current().Configuration; !ok || c == nil || len(c.Raw) < n.cfg.LargeConfiguration {
+	if c := n.Current().Configuration; !ok || c == nil || len(c.Raw) < n.cfg.LargeConfiguration || n.NeedsProof() {
 		_, adopted, err = n.readConfiguration(ctx, source)
 		return adopted, err
 	}
