attempter: return times rest on how long a fault lasts

Cause: for a silent primary, a statement that was not sent and a term that was not confirmed, the outage was taken to be as old as the last answer or sample. An instance that asks a primary once a second finds that 1 to 5 s old, so callers of a fault of 0.3 s were told to return after their timeout.

Change: a statement that was not sent says nothing about the server and gets observer.AvoidAfterRefusal. A silent primary counts from the oldest unanswered request, and without one, like an unconfirmed term, from StallTimeout ago.

--- a/internal/attempter/return_time.go
+++ b/internal/attempter/return_time.go
@@ -85,13 +85,17 @@
 // commits are confirmed again. There is no estimate if nothing is known of it. B is nil
 // while no primary is known.
 func (t *Attempter) estimatesAtPrimary(g *attester.Group, b *connector.Backend, err error, allowed time.Duration) []time.Duration {
-	now := t.cfg.Clock.Now()
+	if elapsed, usual, isMissing := g.Outage(); isMissing {
+		return []time.Duration{placer.OutageLeft(elapsed, usual)}
+	}
+	return estimatesAt(t.cfg.Clock.Now(), b, err, allowed)
+}
+
+// estimatesAt is [Attempter.estimatesAtPrimary] while a primary is known.
+func estimatesAt(now time.Time, b *connector.Backend, err error, allowed time.Duration) []time.Duration {
 	var o connector.Overload
 	var since time.Time
-	elapsed, usual, isMissing := g.Outage()
 	switch {
-	case isMissing:
-		return []time.Duration{placer.OutageLeft(elapsed, usual)}
 	case errors.As(err, &o) && o.Wait > 0:
 		return []time.Duration{o.Wait - allowed}
 	case errors.Is(err, ErrRefused), errors.Is(err, ErrNoRetries), errors.Is(err, connector.ErrOverloaded):
@@ -100,17 +104,18 @@
 		return nil
 	case errors.Is(err, connector.ErrStalled):
 		since, _ = b.Writes.Oldest()
-	case errors.Is(err, connector.ErrSilent), errors.Is(err, ErrNotSent):
-		since = b.Health().Answered
+	case errors.Is(err, connector.ErrSilent):
+		// The last answer may be seconds older than the fault, as no request was sent meanwhile.
+		since, _ = b.Exchanges.Oldest()
+	case errors.Is(err, ErrNotSent):
+		// A closed connection, or a gateway that was not reached, says nothing about the server.
+		return []time.Duration{observer.AvoidAfterRefusal}
 	case errors.Is(err, attester.ErrNotConfirmed):
-		if s, ok := g.LatestSample(); ok {
-			since = s.At
-		}
 	default:
 		return nil
 	}
 	if since.IsZero() {
-		// The gateway has noticed it, which takes that long.
+		// Nothing tells when it began; to notice it takes that long.
 		since = now.Add(-observer.StallTimeout)
 	}
 	return []time.Duration{placer.OutageLeft(now.Sub(since), 0)}
