placer: callers that cannot come back in time take no place

Cause: a caller whose request could not be served before its timeout still moved the first free place by an interval, up to 7.5 s ahead, and pushed back the return of callers who could be served in time. A request whose caller had left booked a place as well, since ErrCallerLeft matches ErrOverloaded.

Change: Returns.Book moves the next place only for a place before the caller's timeout, and RefuseWithTime names no time to a caller that has left.

Measured: TestLateCallersTakeNoPlaces, 100 late callers before one in time: it returned after 725 ms before, within 75 ms now. TestCallersThatLeftTakeNoPlaces found one place before, none now.

--- a/internal/attempter/return_time.go
+++ b/internal/attempter/return_time.go
@@ -48,9 +48,10 @@
 }
 
 // RefuseWithTime refuses a request of which nothing ran and tells the caller when to come
-// back, if there is an estimate. The servers are those that could run it.
+// back, if there is an estimate and the caller waits for the answer. The servers are those
+// that could run it.
 func (t *Attempter) RefuseWithTime(req Request, reason string, err error, servers []*connector.Backend, estimates ...time.Duration) exchanger.Answer {
-	if len(estimates) == 0 {
+	if len(estimates) == 0 || errors.Is(err, connector.ErrCallerLeft) {
 		return t.refuse(req, exchanger.Busy, reason, err)
 	}
 	now := t.cfg.Clock.Now()
--- a/internal/attempter/return_time_test.go
+++ b/internal/attempter/return_time_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"errors"
+	"io"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/connector"
 	"marigoldhub.example/hub/internal/informer"
 	"marigoldhub.example/hub/internal/observer"
+	"marigoldhub.example/hub/internal/placer"
 )
 
 // Guards against callers who are told to return after their timeout because the primary,
@@ -40,3 +44,27 @@
 		}
 	}
 }
+
+// Guards against places that are taken for callers who have left and do not return.
+func TestCallersThatLeftTakeNoPlaces(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		err  error
+		want int
+	}{
+		{"the caller waits", connector.ErrOverloaded, 1},
+		{"the caller has left", errors.Join(ErrNotSent, connector.ErrCallerLeft), 0},
+	} {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		a := New(Config{
+			Instances: func() []placer.Peer { return nil }, Clock: clockwork.NewFakeClockAt(time.Unix(9, 0)),
+			Metrics: metrics.NewRegistry(), Log: log,
+		})
+		req := Request{Route: informer.Route{StatementTimeout: time.Second}, Received: time.Unix(9, 0)}
+		a.RefuseWithTime(req, "test", tc.err, nil, 100*time.Millisecond)
+		if n := len(a.returns.byKey); n != tc.want {
+			t.Errorf("%s: places at %d services, want %d", tc.name, n, tc.want)
+		}
+	}
+}
--- a/internal/placer/returns.go
+++ b/internal/placer/returns.go
@@ -47,7 +47,8 @@
 // Book returns after what time the caller of the refused request should come back. It is
 // not earlier than the first estimate, and not later than the caller's patience if the
 // request could be served before its end: callers that find no place before come back at
-// any time before. Random is in [0, 1).
+// any time before. Those that cannot come back in time take no place from others. Random is
+// in [0, 1).
 func (r *Returns) Book(now time.Time, f Refusal, random float64) time.Duration {
 	least := time.Duration(maxRetryDelay)
 	for _, e := range f.Estimates {
@@ -62,7 +63,9 @@
 	if place >= horizon {
 		return least + time.Duration(random*float64(horizon-least))
 	}
-	r.next = now.Add(place + f.Interval)
+	if place < f.Patience {
+		r.next = now.Add(place + f.Interval)
+	}
 	// What the estimate rests on is known to some part of it only, and callers of other
 	// instances have the same estimate.
 	spread := min(max(f.Interval, least/2), horizon-place)
--- a/internal/placer/returns_test.go
+++ b/internal/placer/returns_test.go
@@ -59,6 +59,31 @@
 	}
 }
 
+// Guards against places that callers take who cannot be served before their timeout: they
+// would delay the return of those who can.
+func TestLateCallersTakeNoPlaces(t *testing.T) {
+	ms := time.Millisecond
+	now := time.Unix(9, 0)
+	for _, tc := range []struct {
+		name string
+		late placer.Refusal
+	}{
+		{"the estimate is after the timeout", placer.Refusal{Estimates: []time.Duration{time.Second}, Patience: 800 * ms, Interval: 20 * ms}},
+		{"the estimate is the timeout", placer.Refusal{Estimates: []time.Duration{800 * ms}, Patience: 800 * ms, Interval: 20 * ms}},
+		{"the timeout has passed", placer.Refusal{Estimates: []time.Duration{0}, Patience: -ms, Interval: 20 * ms}},
+	} {
+		var r placer.Returns
+		for range 100 {
+			if d := r.Book(now, tc.late, 0.5); d < 50*ms || d > 7500*ms {
+				t.Errorf("%s: a late caller returns after %v", tc.name, d)
+			}
+		}
+		if d := r.Book(now, placer.Refusal{Estimates: []time.Duration{0}, Patience: 800 * ms, Interval: 20 * ms}, 0.9); d > 75*ms {
+			t.Errorf("%s: a caller in time returns after %v, want at most 75ms", tc.name, d)
+		}
+	}
+}
+
 // Guards against callers of an outage who return at a constant rate however long it lasts,
 // or much later than its usual end.
 func TestOutageLeft(t *testing.T) {
