connector: a lack of connections is not reported as a short wait

Cause: a request that got no connection was refused with the expected wait of the queue, at least 1 µs. With an empty queue, as when no connection can be opened, the caller's instance took the server for nearly idle: hedged reads asked it again as the least loaded one without paying, and callers were told to return after 50 ms.

Change: the refusal names a wait only if the queue has one, and otherwise is ErrOverloaded alone. A hedged read does not ask a server again whose refusal names no wait, as it arrives from a gateway.

That a hedged read passes the server over has no test of its own.

--- a/internal/connector/backend.go
+++ b/internal/connector/backend.go
@@ -140,7 +140,13 @@
 	case errors.Is(err, linker.ErrLeft):
 		err = ErrCallerLeft
 	case errors.Is(err, linker.ErrNoConn):
-		err = errors.Join(b.overload(r), err)
+		// The queue does not explain it if it is empty: no connection can be opened, and
+		// nothing tells when that ends.
+		refusal := ErrOverloaded
+		if b.Load(r).Wait() > 0 {
+			refusal = b.overload(r)
+		}
+		err = errors.Join(refusal, err)
 	}
 	return nil, nil, err
 }
--- a/internal/dispatcher/hedged_read.go
+++ b/internal/dispatcher/hedged_read.go
@@ -181,7 +181,7 @@
 	case errors.Is(result.err, attempter.ErrNotSent):
 		d.attempts.LogRetry(r.req, b.ID, "not sent", result.err)
 		r.shortestWait = attempter.ShorterWait(r.shortestWait, result.err)
-		if errors.As(result.err, &o) && result.maySpill && (r.leastLoaded == nil || o.Wait < r.leastLoadedWait) {
+		if errors.As(result.err, &o) && o.Wait > 0 && result.maySpill && (r.leastLoaded == nil || o.Wait < r.leastLoadedWait) {
 			r.leastLoaded, r.leastLoadedWait = b, o.Wait
 		}
 	case result.err != nil:
