dispatcher: reads of the primary that ran are not refused as if nothing ran

Cause: a read of the primary that was answered but not confirmed, or whose answer was lost before no primary was known, was refused as Busy with "nothing ran, retry in N ms", and the team got its token back though a server ran it.

Change: readAtLeader remembers it. A lost answer ends in Failed "the answer was lost", as for reads of any server. A read that was answered but not proved ends in Aborted "the primary is not proved to lead; nothing is kept", as transactions do: callers may repeat it, its rows are not delivered, and the token is not given back. These answers name no time to return.

The token is not tested: sessioner's settle keeps it for Failed and Aborted.

--- a/internal/dispatcher/leader_read.go
+++ b/internal/dispatcher/leader_read.go
@@ -10,6 +10,10 @@
 	"marigoldhub.example/hub/internal/exchanger"
 )
 
+// errNotProved marks reads that the server answered, but that it was not proved to be the
+// primary then.
+var errNotProved = errors.New("the read ran, but its server was not proved to lead")
+
 // readAtLeader runs a read that must show every acknowledged commit: at the primary,
 // confirmed as primary after the read arrived.
 func (d *Dispatcher) readAtLeader(req Request) exchanger.Answer {
@@ -17,11 +21,20 @@
 	deadline := req.Deadline(req.Received)
 	waitDeadline := req.PrimaryWaitDeadline(req.Received)
 	var reason error
+	// ended is the answer to a read that a server ran, or may have. Refusals promise that
+	// nothing ran, and the team gets its token back.
+	var ended *exchanger.Answer
+	refuse := func(text string, err error) exchanger.Answer {
+		if ended != nil {
+			return *ended
+		}
+		return d.attempts.RefuseAtPrimary(req, text, err, req.Route.Objective/2)
+	}
 	d.attempts.EarnRetry(req.Route.Service)
 	for range attempter.MaxAttempts {
 		l, err := g.AwaitLeader(waitDeadline)
 		if err != nil {
-			return d.attempts.RefuseAtPrimary(req, "no primary is known", errors.Join(err, reason), req.Route.Objective/2)
+			return refuse("no primary is known", errors.Join(err, reason))
 		}
 		a, err := d.confirmedRead(g, l, req, deadline)
 		if err == nil {
@@ -30,16 +43,24 @@
 		if errors.Is(err, connector.ErrCallerLeft) {
 			return attempter.CallerLeftAnswer
 		}
+		switch {
+		case errors.Is(err, errNotProved):
+			if ended == nil {
+				ended = &exchanger.Answer{Code: exchanger.Aborted, Text: "the primary is not proved to lead; nothing is kept"}
+			}
+		case !errors.Is(err, attempter.ErrNotSent) && !errors.Is(err, attempter.ErrRefused) && !errors.Is(err, attempter.ErrUnknownServer):
+			ended = &exchanger.Answer{Code: exchanger.Failed, Text: "the answer was lost"}
+		}
 		reason = err
 		d.attempts.LogRetry(req, l.Server.ID, "read at the primary failed", err)
 		if errors.Is(err, connector.ErrOverloaded) || errors.Is(err, connector.ErrSilent) || !d.cfg.Clock.Now().Before(deadline) {
 			break
 		}
 		if errors.Is(err, attempter.ErrServerFull) && !d.attempts.SpendRetry(req.Route.Service) {
-			return d.attempts.RefuseAtPrimary(req, "the primary's queue is full", attempter.ErrNoRetries, req.Route.Objective/2)
+			return refuse("the primary's queue is full", attempter.ErrNoRetries)
 		}
 	}
-	return d.attempts.RefuseAtPrimary(req, "the primary could not run the read", reason, req.Route.Objective/2)
+	return refuse("the primary could not run the read", reason)
 }
 
 // confirmedRead runs a read at the primary and confirms at the same time that the
@@ -63,13 +84,16 @@
 	}
 	a, report := answers[0], answers[1]
 	if !report.OK() || report.Report == nil {
-		return a, g.Confirm(l, deadline)
+		if err := g.Confirm(l, deadline); err != nil {
+			return exchanger.Answer{}, errors.Join(errNotProved, err)
+		}
+		return a, nil
 	}
 	if !g.IsLeading(l, *report.Report) {
-		return exchanger.Answer{}, attester.ErrSuperseded
+		return exchanger.Answer{}, errors.Join(errNotProved, attester.ErrSuperseded)
 	}
 	if err := awaitConfirmation(deadline); err != nil {
-		return exchanger.Answer{}, err
+		return exchanger.Answer{}, errors.Join(errNotProved, err)
 	}
 	g.AddSample(attester.Sample{At: began, Position: report.Report.Received, Term: l.Term})
 	return a, nil
