transactor: a begin that was not sent costs no token when its caller leaves

Cause: every begin whose caller had left was answered as Failed, after which the team's token is kept, also while the begin still waited and nothing was sent.

Change: the answer is Busy if the error says that the begin was not sent. Errors of getting a connection say so now, as they do for single statements.

--- a/internal/dispatcher/left_test.go
+++ b/internal/dispatcher/left_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -167,3 +168,46 @@
 		t.Errorf("ran at %v", at)
 	}
 }
+
+// Guards against a team that pays for a transaction of a caller who left before its begin was
+// sent.
+func TestBeginThatWasNotSentIsNotPaid(t *testing.T) {
+	f := newFixture(t)
+	blocked, release := make(chan struct{}), make(chan struct{})
+	f.OnStatement = func(_ string, s exchanger.Statement) {
+		if strings.HasPrefix(s.ID, "block") {
+			blocked <- struct{}{}
+			<-release
+		}
+	}
+	if a := f.d.Run(request("warm", exchanger.Write, informer.PrimaryReads)); !a.OK() {
+		t.Fatal(a.Code, a.Text)
+	}
+	const slots = 3
+	var all sync.WaitGroup
+	for i := range slots {
+		all.Go(func() { f.d.Run(request(fmt.Sprint("block", i), exchanger.Write, informer.PrimaryReads)) })
+		<-blocked
+	}
+	left, ended := make(chan struct{}), make(chan exchanger.Answer, 1)
+	go func() {
+		tx := f.d.Begin(request("begin", exchanger.Begin, informer.PrimaryReads))
+		defer tx.Abandon()
+		req := request("x", exchanger.Write, informer.PrimaryReads)
+		req.Left = left
+		ended <- tx.Run(req)
+	}()
+	for deadline := time.Now().Add(5 * time.Second); f.d.Waiting("a") == 0 && len(ended) == 0; {
+		if time.Now().After(deadline) {
+			t.Fatal("the begin does not wait")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	close(left)
+	a := <-ended
+	close(release)
+	all.Wait()
+	if a.Code != exchanger.Busy || a.Text != "the caller has left" {
+		t.Errorf("%v %q, want busy", a.Code, a.Text)
+	}
+}
--- a/internal/transactor/begin.go
+++ b/internal/transactor/begin.go
@@ -51,7 +51,7 @@
 			return a, true
 		}
 		if errors.Is(err, connector.ErrCallerLeft) {
-			return attempter.CallerLeftAnswer, false
+			return callerLeftAnswer(err), false
 		}
 		if err == nil && a.Code == exchanger.Behind {
 			t.cfg.Chooser.RecordBehind(req, b, pos, a.Position)
@@ -92,7 +92,7 @@
 			return a, true
 		}
 		if errors.Is(err, connector.ErrCallerLeft) {
-			return attempter.CallerLeftAnswer, false
+			return callerLeftAnswer(err), false
 		}
 		if errors.Is(err, connector.ErrSilent) || errors.Is(err, connector.ErrOverloaded) {
 			t.cfg.Attempter.RecheckPrimary(g, l)
@@ -112,6 +112,16 @@
 	return t.cfg.Attempter.RefuseAtPrimary(req, "the primary could not begin the transaction", reason, t.begin.Route.Objective), false
 }
 
+// callerLeftAnswer ends a begin whose caller has left. If the begin was not sent, the team does
+// not pay for it.
+func callerLeftAnswer(err error) exchanger.Answer {
+	a := attempter.CallerLeftAnswer
+	if errors.Is(err, attempter.ErrNotSent) || errors.Is(err, exchanger.ErrNotSent) {
+		a.Code = exchanger.Busy
+	}
+	return a
+}
+
 // beginStatement returns the statement that begins the transaction at the primary.
 // Routes with a staleness bound need a position that is recent enough; a server that
 // does not cover it is a former primary.
@@ -155,7 +165,7 @@
 	open.Received, open.Context, open.Left = now, req.Context, req.Left
 	c, releaseSlot, err := t.cfg.Delegator.Acquire(b, t.cfg.Attempter.NewConnRequest(open, attempter.WriteWaitFactor))
 	if err != nil {
-		return exchanger.Answer{}, err
+		return exchanger.Answer{}, errors.Join(attempter.ErrNotSent, err)
 	}
 	answers, err := b.Exchange(c, false, func() ([]exchanger.Answer, error) { return c.Run(deadline, req.Context, begin) })
 	releaseSlot()
