chooser: a refused begin is told and logged as its caller's statement

Cause: a begin may wait at a server for a whole objective, but its return time was computed with half of one, so it was half an objective too late. The time that the caller still waits was counted from the attempt to begin, and the log named the begin with the time since that attempt.

Change: RefuseRead gets the allowed wait, and begins pass the request of the caller's statement.

The allowed wait has no test of its own.

--- a/internal/dispatcher/hedged_read.go
+++ b/internal/dispatcher/hedged_read.go
@@ -80,7 +80,7 @@
 	if r.lastFailure != nil {
 		return *r.lastFailure
 	}
-	return r.d.places.RefuseRead(r.req, r.minPosition, "no backend server could run the read", nil, r.shortestWait)
+	return r.d.places.RefuseRead(r.req, r.minPosition, "no backend server could run the read", nil, r.shortestWait, r.req.Route.Objective/2)
 }
 
 // hedge asks a second server while the first has not answered.
--- a/internal/transactor/begin.go
+++ b/internal/transactor/begin.go
@@ -36,6 +36,8 @@
 	}
 	tried := map[string]bool{}
 	wait, wasFull := time.Duration(0), false
+	// As in [attempter.Attempter.NewConnRequest] with the factor of a begin.
+	allowed := attempter.WriteWaitFactor * open.Route.Objective / 2
 	t.cfg.Attempter.EarnRetry(t.begin.Route.Service)
 	for range attempter.MaxAttempts {
 		c := t.cfg.Chooser.Choose(open, pos, tried, false)
@@ -43,8 +45,8 @@
 		if b == nil {
 			break
 		}
-		if wasFull && c.IsFull(attempter.WriteWaitFactor*open.Route.Objective/2) && !t.cfg.Attempter.SpendRetry(t.begin.Route.Service) {
-			return t.cfg.Chooser.RefuseRead(open, pos, "the servers' queues are full", attempter.ErrNoRetries, wait), false
+		if wasFull && c.IsFull(allowed) && !t.cfg.Attempter.SpendRetry(t.begin.Route.Service) {
+			return t.cfg.Chooser.RefuseRead(req, pos, "the servers' queues are full", attempter.ErrNoRetries, wait, allowed), false
 		}
 		a, err := t.beginAt(b, req, exchanger.Statement{Kind: exchanger.BeginReadOnly, MinPosition: pos.Position})
 		if err == nil && a.OK() {
@@ -61,7 +63,7 @@
 		tried[b.ID] = true
 		wait, wasFull = attempter.ShorterWait(wait, err), attempter.IsFull(a.Code, err)
 	}
-	return t.cfg.Chooser.RefuseRead(open, pos, "no backend server could begin the transaction", nil, wait), false
+	return t.cfg.Chooser.RefuseRead(req, pos, "no backend server could begin the transaction", nil, wait, allowed), false
 }
 
 func (t *Transaction) beginAtLeader(req attempter.Request) (exchanger.Answer, bool) {
