dispatcher: reads that run out of retries are told when to return

Cause: a read that found no further try in the retry budget was refused without a reason, and so without a time to return, unlike writes and begins.

Change: the read remembers that the budget refused and passes ErrNoRetries, so the servers' avoidance after a refusal is the estimate.

--- a/internal/dispatcher/hedged_read.go
+++ b/internal/dispatcher/hedged_read.go
@@ -42,6 +42,8 @@
 	// mayHaveRun is set when the last result was no truthful refusal, wasFull when it was
 	// a refusal at a full queue.
 	mayHaveRun, wasFull bool
+	// refusal is [attempter.ErrNoRetries] after a try that the budget of retries did not pay.
+	refusal error
 	// lastFailure is set when an answer was lost or a server failed to run the read.
 	lastFailure *exchanger.Answer
 }
@@ -80,7 +82,7 @@
 	if r.lastFailure != nil {
 		return *r.lastFailure
 	}
-	return r.d.places.RefuseRead(r.req, r.minPosition, "no backend server could run the read", nil, r.shortestWait, r.req.Route.Objective/2)
+	return r.d.places.RefuseRead(r.req, r.minPosition, "no backend server could run the read", r.refusal, r.shortestWait, r.req.Route.Objective/2)
 }
 
 // hedge asks a second server while the first has not answered.
@@ -149,7 +151,11 @@
 	if r.mayHaveRun {
 		return r.pay()
 	}
-	return !r.wasFull || !isFull || r.d.attempts.SpendRetry(r.req.Route.Service)
+	if !r.wasFull || !isFull || r.d.attempts.SpendRetry(r.req.Route.Service) {
+		return true
+	}
+	r.refusal = attempter.ErrNoRetries
+	return false
 }
 
 // send starts an attempt at the server. With a spillWait, the read may be tried at
