selector: a ranking without gateways names this instance none

Cause: the zero Ranking has rank 0, so an instance took itself for a gateway of a server that had no gateways set yet.

Change: IsGateway requires gateways.

Measured: TestRankingWithoutGateways found a gateway before, none now; the tests of internal/selector pass.

--- a/internal/selector/ranking.go
+++ b/internal/selector/ranking.go
@@ -34,7 +34,7 @@
 func (r *Ranking) IsGateway() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.rank >= 0
+	return len(r.gateways) > 0 && r.rank >= 0
 }
 
 // ChooseGateway returns the first gateway of the server, in order, that was not
--- a/internal/selector/ranking_test.go
+++ b/internal/selector/ranking_test.go
@@ -95,3 +95,12 @@
 		}
 	}
 }
+
+// Guards against a server without gateways, as before its first ranking, of which this
+// instance takes itself for a gateway.
+func TestRankingWithoutGateways(t *testing.T) {
+	var r Ranking
+	if r.IsGateway() || r.UsesGateways() {
+		t.Errorf("gateway: %v, uses gateways: %v, want neither", r.IsGateway(), r.UsesGateways())
+	}
+}
