--- a/internal/dispatcher/doc.go
+++ b/internal/dispatcher/doc.go
@@ -26,12 +26,12 @@
 // its commit was sent is aborted: its server rolls back when the connection
 // closes.
 //
-// Parts. The way of a statement goes from top to bottom: this package decides whether a
-// statement runs at the primary or anywhere, and how often it is tried; package transactor
-// does so for transactions. Package chooser finds the server of a read, attempter makes one
-// attempt and words refusals, committer answers commits. Below them, delegator gives a
-// connection, of this instance (connector) or through a gateway that selector knows;
-// executor is the gateway's side. Package reconciler keeps the servers, observer what their
-// answers show; appraiser grades them, inspector reports replicas that are behind, querier
-// asks them on behalf of the instance. [Dispatcher] builds these parts.
+// The packages, in the order in which a statement passes through them: this package decides
+// whether a statement runs at the primary or anywhere, and how often it is tried; package
+// transactor does so for transactions. Package chooser finds the server of a read,
+// attempter makes one attempt and words refusals, committer answers commits. Below them,
+// delegator gives a connection, of this instance (connector) or through a gateway that
+// selector knows; executor is the gateway's side. Package reconciler keeps the servers,
+// observer what their answers show; appraiser grades them, inspector reports replicas that
+// are behind, querier asks them on behalf of the instance. [Dispatcher] builds these parts.
 package dispatcher
--- a/internal/placer/returns.go
+++ b/internal/placer/returns.go
@@ -40,7 +40,7 @@
 // one interval after the last one, so the delay rises while requests are refused again and
 // falls as time passes without refusals. It does no locking.
 type Returns struct {
-	// next is the first place that nobody has.
+	// next is the earliest return time not yet assigned.
 	next time.Time
 }
 
@@ -66,8 +66,8 @@
 	if place < f.Patience {
 		r.next = now.Add(place + f.Interval)
 	}
-	// What the estimate rests on is known to some part of it only, and callers of other
-	// instances have the same estimate.
+	// The estimate is inexact in proportion to its length, and callers of other instances
+	// have the same one.
 	spread := min(max(f.Interval, least/2), horizon-place)
 	return place + time.Duration(random*float64(spread))
 }
--- a/internal/placer/share.go
+++ b/internal/placer/share.go
@@ -19,7 +19,7 @@
 	settlingDivisor = 10
 	// settlingGateways is how many of a server's gateways open a connection before
 	// settlingTime. With all three, a fleet of 300 could open one more than a server with a
-	// limit of 23 accepts besides the connections of before.
+	// limit of 23 accepts besides the connections opened before the power loss.
 	settlingGateways = 2
 	// startupDivisor is the part of its share that a gateway may open after that.
 	startupDivisor = 2
@@ -28,8 +28,8 @@
 // StartupShare returns how many connections to a server an instance may open that started
 // the given time ago, has the given rank among the server's gateways, -1 for none, and will
 // have the given share of the limit. It holds until the servers have dropped the
-// connections of before: after a loss of all power they still count them, and all instances
-// start together.
+// connections opened before the power loss: they still count them, and all instances start
+// together.
 //
 //   - At first, instances do not know all others yet, and several take themselves for the
 //     same gateway: each of the first ones may open one connection, and a little later the
--- a/internal/reconciler/doc.go
+++ b/internal/reconciler/doc.go
@@ -7,6 +7,6 @@
 // package placer computes how many. Idle connections beyond the share are closed.
 //
 // A server that returns with another address, or after a restart, is a new one. The health
-// of a server that is not listed is kept for a while: its primary may have failed without
-// an entry, and package replacer asks for it.
+// of a server that is not listed is kept for a while: the service's primary may have failed
+// while it was not listed; package replacer reads this health.
 package reconciler
--- a/internal/throttler/chooser.go
+++ b/internal/throttler/allocator_choice.go
@@ -19,16 +19,16 @@
 	// one that was not asked yet.
 	usedShare = 0.2
 	// While none gets most of the refill, a later candidate must get largerBy times what the
-	// present one gets, an earlier one lessBy times. The gap between the two keeps instances of
-	// two candidates from changing places.
+	// present one gets, an earlier one lessBy times. The gap between the two keeps instances
+	// from switching back and forth between two candidates.
 	largerBy = 1.5
 	lessBy   = 0.75
 )
 
-// chooser chooses the candidate to send requests to. It stays with one that answers, because
-// each change scatters the refill over several candidates, and a team gets tokens only where
-// the refill is.
-type chooser struct {
+// allocatorChoice chooses the candidate to send requests to. It stays with one that answers,
+// because each change splits the refill over several candidates, and a team gets tokens only
+// where the refill is.
+type allocatorChoice struct {
 	reached map[string]*reachability
 	// current is the candidate that this instance contributes to; nil before the first answer.
 	current *reachability
@@ -38,7 +38,7 @@
 }
 
 // candidates returns what is known of the chosen instances, and forgets others.
-func (c *chooser) candidates(chosen []placer.Peer) []*reachability {
+func (c *allocatorChoice) candidates(chosen []placer.Peer) []*reachability {
 	reached := map[string]*reachability{}
 	known := make([]*reachability, len(chosen))
 	for i, p := range chosen {
@@ -53,7 +53,7 @@
 }
 
 // adopt makes the candidate the current one after it has answered.
-func (c *chooser) adopt(r *reachability, now time.Time) {
+func (c *allocatorChoice) adopt(r *reachability, now time.Time) {
 	if r != c.current && c.current != nil {
 		c.changed = now
 	}
@@ -66,7 +66,7 @@
 // The current candidate is kept while it answers and gets most of the refill. If it gets less,
 // others are probed, and one that gets more replaces it: while lists of instances differ, those
 // that list a new first candidate early would share only their own part of the refill there.
-func (c *chooser) choose(known []*reachability, isUrgent bool, now time.Time) (chosen int, isProbe bool) {
+func (c *allocatorChoice) choose(known []*reachability, isUrgent bool, now time.Time) (chosen int, isProbe bool) {
 	current := slices.Index(known, c.current)
 	if current < 0 || known[current].isAway(now) {
 		return chooseAnew(known, isUrgent, now)
--- a/internal/throttler/chooser_test.go
+++ b/internal/throttler/allocator_choice_test.go
@@ -53,7 +53,7 @@
 		{"one answer of the present one was slow", []*reachability{{timeouts: 1, share: 0.9, shareAt: lately}, usable(0.1), {}}, 0, time.Minute, true, 0, false},
 	}
 	for _, c := range cases {
-		ch := chooser{}
+		ch := allocatorChoice{}
 		if c.current != none {
 			ch.current = c.known[c.current]
 		}
--- a/internal/throttler/candidates.go
+++ b/internal/throttler/candidates.go
@@ -24,8 +24,8 @@
 	// that an instance is gone.
 	minAvoid = time.Second
 	maxAvoid = 4 * time.Second
-	// formerValid is for how long a pause counts after it began, though the candidate has
-	// answered since.
+	// formerValid is how long after its start a pause lengthens the next one, though the
+	// candidate has answered since.
 	formerValid = 2 * maxAvoid
 	// suspectPause is the least time between requests to candidates that did not answer
 	// before. Each of them delays the operations that arrive meanwhile.
@@ -78,7 +78,7 @@
 	// 0 if the candidate could not tell.
 	share   float64
 	shareAt time.Time
-	// former is the last pause, which began at formerAt. It counts on after an answer.
+	// former is the last pause, which began at formerAt. It is kept after an answer.
 	former   time.Duration
 	formerAt time.Time
 }
--- a/internal/throttler/fleet_test.go
+++ b/internal/throttler/fleet_test.go
@@ -65,7 +65,7 @@
 	peers     []placer.Peer
 	ledger    *ledger
 	allocator *allocator.Allocator
-	chooser   chooser
+	chooser   allocatorChoice
 	roster    roster
 	regular   time.Time
 	pending   *message
@@ -172,7 +172,7 @@
 		return reserveCapacity(team, in.name, limits, in.peers, len(in.peers))
 	}}
 	in.roster = roster{}
-	in.chooser, in.pending, in.inbox, in.waiting = chooser{}, nil, nil, nil
+	in.chooser, in.pending, in.inbox, in.waiting = allocatorChoice{}, nil, nil, nil
 	in.regular = f.now.Add(time.Duration(f.rng.Int64N(int64(allocator.PollInterval))))
 	in.ledger.observe(len(in.peers), f.now)
 }
--- a/internal/throttler/link.go
+++ b/internal/throttler/link.go
@@ -49,7 +49,7 @@
 	chosenAt time.Time
 	// listAt is when to look for the first list of instances again.
 	listAt  time.Time
-	chooser chooser
+	chooser allocatorChoice
 	// current is the name of the allocator; empty if none is reached. It is known after
 	// the first exchange.
 	current        string
