--- a/internal/transactor/begin.go
+++ b/internal/transactor/begin.go
@@ -36,6 +36,8 @@
 	}
 	tried := map[string]bool{}
 	wait, wasFull := time.Duration(0), false
+	// As in [attempter.Attempter.NewConnRequest] with the factor of a begin.
+	allowed := attempter.WriteWaitFactor * open.Route.Objective / 2
 	t.cfg.Attempter.EarnRetry(t.begin.Route.Service)
 	for range attempter.MaxAttempts {
 		c := t.cfg.Chooser.Choose(open, pos, tried, false)
@@ -43,15 +45,15 @@
 		if b == nil {
 			break
 		}
-		if wasFull && c.IsFull(attempter.WriteWaitFactor*open.Route.Objective/2) && !t.cfg.Attempter.SpendRetry(t.begin.Route.Service) {
-			return t.cfg.Chooser.RefuseRead(open, pos, "the servers' queues are full", attempter.ErrNoRetries, wait), false
+		if wasFull && c.IsFull(allowed) && !t.cfg.Attempter.SpendRetry(t.begin.Route.Service) {
+			return t.cfg.Chooser.RefuseRead(req, pos, "the servers' queues are full", attempter.ErrNoRetries, wait, allowed), false
 		}
 		a, err := t.beginAt(b, req, exchanger.Statement{Kind: exchanger.BeginReadOnly, MinPosition: pos.Position})
 		if err == nil && a.OK() {
 			return a, true
 		}
 		if errors.Is(err, connector.ErrCallerLeft) {
-			return attempter.CallerLeftAnswer, false
+			return callerLeftAnswer(err), false
 		}
 		if err == nil && a.Code == exchanger.Behind {
 			t.cfg.Chooser.RecordBehind(req, b, pos, a.Position)
@@ -61,7 +63,7 @@
 		tried[b.ID] = true
 		wait, wasFull = attempter.ShorterWait(wait, err), attempter.IsFull(a.Code, err)
 	}
-	return t.cfg.Chooser.RefuseRead(open, pos, "no backend server could begin the transaction", nil, wait), false
+	return t.cfg.Chooser.RefuseRead(req, pos, "no backend server could begin the transaction", nil, wait, allowed), false
 }
 
 func (t *Transaction) beginAtLeader(req attempter.Request) (exchanger.Answer, bool) {
@@ -92,7 +94,7 @@
 			return a, true
 		}
 		if errors.Is(err, connector.ErrCallerLeft) {
-			return attempter.CallerLeftAnswer, false
+			return callerLeftAnswer(err), false
 		}
 		if errors.Is(err, connector.ErrSilent) || errors.Is(err, connector.ErrOverloaded) {
 			t.cfg.Attempter.RecheckPrimary(g, l)
@@ -112,6 +114,16 @@
 	return t.cfg.Attempter.RefuseAtPrimary(req, "the primary could not begin the transaction", reason, t.begin.Route.Objective), false
 }
 
+// callerLeftAnswer ends a begin whose caller has left. If the begin was not sent, the team does
+// not pay for it.
+func callerLeftAnswer(err error) exchanger.Answer {
+	a := attempter.CallerLeftAnswer
+	if errors.Is(err, attempter.ErrNotSent) || errors.Is(err, exchanger.ErrNotSent) {
+		a.Code = exchanger.Busy
+	}
+	return a
+}
+
 // beginStatement returns the statement that begins the transaction at the primary.
 // Routes with a staleness bound need a position that is recent enough; a server that
 // does not cover it is a former primary.
@@ -155,7 +167,7 @@
 	open.Received, open.Context, open.Left = now, req.Context, req.Left
 	c, releaseSlot, err := t.cfg.Delegator.Acquire(b, t.cfg.Attempter.NewConnRequest(open, attempter.WriteWaitFactor))
 	if err != nil {
-		return exchanger.Answer{}, err
+		return exchanger.Answer{}, errors.Join(attempter.ErrNotSent, err)
 	}
 	answers, err := b.Exchange(c, false, func() ([]exchanger.Answer, error) { return c.Run(deadline, req.Context, begin) })
 	releaseSlot()
