gatekeeper, relayer: a panic ends one connection, not the process

Cause: nothing on the PostgreSQL path recovered from a panic in the work for a caller, so that one message whose handling panics ended marigold-entry. Change: the goroutines of a connection, of its reader and of the confirmation of a read recover (package guarder). The session knows the server connections that it holds: those left after a panic are closed, and it no longer counts as in flight on the primary. The connection, its place and its process id are given back by deferred calls. Without closing the connections one slot is not released, without the end of the count one transaction stays in flight, without the guard of the reader the process ends.

--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldhub.example/hub/internal/budgeter"
+	"marigoldhub.example/hub/internal/guarder"
 	"marigoldhub.example/hub/internal/relayer"
 )
 
@@ -170,20 +171,35 @@
 
 // serve handles one connection from startup until it is closed.
 func (g *Gatekeeper) serve(conn net.Conn) {
+	defer guarder.Recover(g.log, "connection of a caller")
 	l := &login{g: g, conn: conn, raw: conn}
-	id, c := l.run()
-	g.mu.Lock()
-	delete(g.pending, conn)
-	g.mu.Unlock()
+	defer func() {
+		if l.id != 0 {
+			g.unregister(l.id, l.caller.Name)
+		}
+	}()
+	c := g.logIn(l)
 	if c == nil {
-		_ = l.conn.Close()
-		l.in.Close()
 		return
 	}
 	g.deps.Meter.Opened(l.caller.Name, l.group)
+	defer g.deps.Meter.Closed(l.caller.Name, l.group)
 	c.session.Run()
-	g.deps.Meter.Closed(l.caller.Name, l.group)
-	g.unregister(id, l.caller.Name)
+}
+
+// logIn returns the session of an authenticated caller. Otherwise, and after a panic, it closes
+// the connection and returns nil.
+func (g *Gatekeeper) logIn(l *login) (c *authenticatedConn) {
+	defer func() {
+		g.mu.Lock()
+		delete(g.pending, l.raw)
+		g.mu.Unlock()
+		if c == nil {
+			_ = l.conn.Close()
+			l.in.Close()
+		}
+	}()
+	return l.run()
 }
 
 // register adds a session and returns its process id. It returns false when the
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -59,6 +59,11 @@
 }
 
 func start(t *testing.T, cfg Config, forward func(context.Context, uint32, []byte) error) (*Gatekeeper, string) {
+	return startAt(t, cfg, forward, func(l net.Listener) net.Listener { return l })
+}
+
+// startAt is start with a listener that wrap returns.
+func startAt(t *testing.T, cfg Config, forward func(context.Context, uint32, []byte) error, wrap func(net.Listener) net.Listener) (*Gatekeeper, string) {
 	catalog := source{checker.NewCatalog(checker.Manifest{
 		Groups: []checker.Group{{Name: "g", Database: "db"}, {Name: "h", Database: "other"}},
 		Callers: []checker.Caller{
@@ -78,7 +83,7 @@
 		t.Fatal(err)
 	}
 	cfg.Instance = "entry-1"
-	g := New(cfg, Dependencies{Catalogs: catalog, Relayer: r, ForwardCancel: forward, Log: log}, l)
+	g := New(cfg, Dependencies{Catalogs: catalog, Relayer: r, ForwardCancel: forward, Log: log}, wrap(l))
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
--- a/internal/gatekeeper/login.go
+++ b/internal/gatekeeper/login.go
@@ -35,6 +35,8 @@
 	startup startup
 	caller  checker.Caller
 	group   string
+	// id is the process id of the registered session; 0 before.
+	id uint32
 	// teamKey is the key of a member of a team.
 	teamKey teamKey
 }
@@ -47,22 +49,22 @@
 
 func (e *loginError) Error() string { return e.message }
 
-// run returns the process id and the session of an authenticated caller, or nil
-// if the connection is to be closed.
-func (l *login) run() (uint32, *authenticatedConn) {
+// run returns the session of an authenticated caller, or nil if the connection is to be
+// closed.
+func (l *login) run() *authenticatedConn {
 	_ = l.conn.SetDeadline(time.Now().Add(l.g.cfg.AuthTimeout))
 	l.newBackend()
-	id, c, err := l.handshake()
+	c, err := l.handshake()
 	var failure *loginError
 	if errors.As(err, &failure) {
 		l.g.deps.Meter.Refused(l.caller.Name, failure.code)
 		l.write(resolver.Fatal(failure.code, failure.message))
 	}
 	if err != nil {
-		return 0, nil
+		return nil
 	}
 	_ = l.conn.SetDeadline(time.Time{})
-	return id, c
+	return c
 }
 
 func (l *login) newBackend() {
@@ -79,19 +81,19 @@
 }
 
 // handshake performs all steps from the first message to the open session.
-func (l *login) handshake() (uint32, *authenticatedConn, error) {
+func (l *login) handshake() (*authenticatedConn, error) {
 	msg, err := l.negotiate()
 	if err != nil {
-		return 0, nil, err
+		return nil, err
 	}
 	if l.startup, err = parseStartup(msg); err != nil {
-		return 0, nil, err
+		return nil, err
 	}
 	if len(l.startup.unsupportedOptions) > 0 || msg.ProtocolVersion != pgproto3.ProtocolVersion30 {
 		l.write(&pgproto3.NegotiateProtocolVersion{UnrecognizedOptions: l.startup.unsupportedOptions})
 	}
 	if err := l.authenticate(); err != nil {
-		return 0, nil, err
+		return nil, err
 	}
 	return l.openSession()
 }
@@ -152,13 +154,13 @@
 
 // openSession checks that the authenticated caller may use the database, and
 // opens its session.
-func (l *login) openSession() (uint32, *authenticatedConn, error) {
+func (l *login) openSession() (*authenticatedConn, error) {
 	if l.caller.TLSRequired && !l.usesTLS {
-		return 0, nil, &loginError{resolver.CodeInvalidLogin, "this caller must connect with TLS"}
+		return nil, &loginError{resolver.CodeInvalidLogin, "this caller must connect with TLS"}
 	}
 	group, ok := l.g.deps.Catalogs.Catalog().GroupOfDatabase(l.startup.database)
 	if !ok || !slices.Contains(l.caller.Groups, group.Name) {
-		return 0, nil, &loginError{resolver.CodeUnknownDatabase, "database \"" + l.startup.database + "\" does not exist"}
+		return nil, &loginError{resolver.CodeUnknownDatabase, "database \"" + l.startup.database + "\" does not exist"}
 	}
 	l.group = group.Name
 	session, err := l.g.deps.Relayer.NewSession(relayer.AuthenticatedConn{
@@ -166,19 +168,18 @@
 		Settings: l.startup.settings,
 	})
 	if err != nil {
-		return 0, nil, &loginError{resolver.CodeInvalidLogin, err.Error()}
+		return nil, &loginError{resolver.CodeInvalidLogin, err.Error()}
 	}
 	c := &authenticatedConn{session: session, secret: randomBytes(secretBytes), group: group.Name, teamKey: l.teamKey}
-	id, ok := l.g.register(l.caller.Name, l.caller.ConnectionLimit, c)
-	if !ok {
-		return 0, nil, &loginError{resolver.CodeTooManyConnections, "too many connections for caller \"" + l.caller.Name + "\""}
+	if l.id, ok = l.g.register(l.caller.Name, l.caller.ConnectionLimit, c); !ok {
+		return nil, &loginError{resolver.CodeTooManyConnections, "too many connections for caller \"" + l.caller.Name + "\""}
 	}
 	// A manifest that came into force since the login is not reviewed for this session.
 	if !c.mayContinue(l.g.deps.Catalogs.Catalog()) {
 		c.session.Revoke()
 	}
-	l.completeStartup(id, c.secret)
-	return id, c, nil
+	l.completeStartup(l.id, c.secret)
+	return c, nil
 }
 
 // completeStartup sends the messages that complete the startup. If a write
--- a/internal/relayer/acquire.go
+++ b/internal/relayer/acquire.go
@@ -198,7 +198,7 @@
 	}
 	s.setCancelAcquire(nil)
 	if err == nil {
-		return conn, nil
+		return s.take(conn), nil
 	}
 	if cause := context.Cause(ctx); errors.Is(cause, errCanceled) || errors.Is(cause, errReplaced) || errors.Is(cause, errPeerClosed) {
 		return nil, cause
--- a/internal/relayer/confirm.go
+++ b/internal/relayer/confirm.go
@@ -1,11 +1,13 @@
 package relayer
 
 import (
+	"errors"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"marigoldhub.example/hub/internal/confirmer"
+	"marigoldhub.example/hub/internal/guarder"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/tracker"
 )
@@ -19,10 +21,15 @@
 	err  error
 }
 
+// errConfirmationEnded is the outcome of a confirmation that ended by a panic.
+var errConfirmationEnded = errors.New("the confirmation ended unexpectedly")
+
 func (s *Session) startFreshConfirmation() *freshConfirmation {
 	p := &freshConfirmation{done: make(chan struct{})}
 	go func() {
 		defer close(p.done)
+		defer guarder.Recover(s.r.log, "confirmation of a read")
+		p.err = errConfirmationEnded
 		p.res, p.err = s.confirm(tracker.Position{}, true)
 	}()
 	return p
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -13,6 +13,7 @@
 	"marigoldhub.example/hub/internal/checker"
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/framer"
+	"marigoldhub.example/hub/internal/guarder"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/preparer"
 	"marigoldhub.example/hub/internal/resolver"
@@ -87,6 +88,8 @@
 	startupStatements []string
 
 	retained retainedConn
+	// taken are the server connections that the session holds, the retained one included.
+	taken []*takenConn
 	// exchanging is set while an exchange runs. After a panic inside one it stays set: the
 	// answer on the server connection has not been read to its end.
 	exchanging bool
@@ -222,7 +225,15 @@
 	defer s.finish()
 	go func() {
 		defer close(s.readDone)
+		defer guarder.Recover(s.r.log, "messages of a caller")
+		ended := false
+		defer func() {
+			if !ended {
+				s.handleDisconnect()
+			}
+		}()
 		s.readLoop()
+		ended = true
 	}()
 	for {
 		b, err := s.nextBatch()
@@ -268,6 +279,8 @@
 	_ = s.conn.Close()
 	s.setRunning(nil)
 	s.returnRetained()
+	s.discardTaken()
+	s.endPrimaryUse()
 	s.quota.settle(true)
 	s.in.Interrupt()
 	<-s.readDone
