messenger, limiter: listed instances keep places at the port between instances

Cause: a connection that completes a call left the 256 that may be closed, and counted as an instance. A crowd of such connections held all free places, and connections of instances waited behind it in the accept loop, up to 500 ms for each of the crowd.

Change: instances are known by the addresses of the list (the seeds while none is listed), and connect from the address at which they listen. All other connections share 256, at most a quarter of the sockets; the address with most of them loses the one that has been idle for longest (limits.peer_displaced). While no socket is left, the listener lets no connection without a place wait in front of those with one.

Without the preference in the listener TestConnectionsWithPlacesDoNotWaitBehindOthers fails.

--- a/internal/budgeter/refusals.go
+++ b/internal/budgeter/refusals.go
@@ -31,12 +31,16 @@
 	ConnectionDisplaced
 	// NoSocket means that the process had no socket left for a connection.
 	NoSocket
+	// PeerDisplaced means that a connection at the port for instances was closed in favor of
+	// another one. Its address was not that of a listed instance, or had more connections
+	// than places.
+	PeerDisplaced
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"no_memory", "evicted", "slow_message", "slow_reader", "too_many_sessions", "idle_displaced", "start_displaced", "connection_displaced",
-	"no_socket",
+	"no_socket", "peer_displaced",
 }
 
 // String returns the name that logs and metrics use.
--- a/internal/launcher/limits.go
+++ b/internal/launcher/limits.go
@@ -2,9 +2,11 @@
 
 import (
 	"net"
+	"net/netip"
 
 	"marigoldhub.example/hub/internal/budgeter"
 	"marigoldhub.example/hub/internal/limiter"
+	"marigoldhub.example/hub/internal/messenger"
 )
 
 const (
@@ -30,9 +32,14 @@
 	// the administration and the health port each.
 	peerReserve      = 48
 	adminConnections = 24
-	// maxUnanswered is the number of connections of other instances on which nothing has
-	// been answered. All of 64 members may connect several times at the same moment.
-	maxUnanswered = 256
+	// maxSharedPlaces is the number of connections to the port for instances from addresses
+	// of no member. All of 64 may connect several times before they are members. It is at most
+	// the share sharedPlacesShare of the sockets.
+	maxSharedPlaces   = 256
+	sharedPlacesShare = 1.0 / 4
+	// placesPerInstance is what a member has places for: the connections of its pools, and
+	// some that are being closed.
+	placesPerInstance = 2 * maxCallsPerPeer
 )
 
 // newBudget returns the budget of the memory limit.
@@ -51,7 +58,8 @@
 	callers := i.settings.MaxFDs - reservedFDs
 	l.callers = s.NewUse("callers", 0, callers+refusedCallers).Listen(l.callers)
 	peers := s.NewUse("peers", peerReserve, 0).Listen(l.peers)
-	peers.OnFull(func() bool { return i.server != nil && i.server.CloseUnanswered() })
+	peers.OnFull(func() bool { return i.server != nil && i.server.CloseOne() })
+	peers.HavePlaces(func(a net.Addr) bool { return i.server != nil && i.server.HasPlace(a) })
 	l.peers = peers
 	for name, listener := range map[string]*net.Listener{"admin": &l.admin, "health": &l.health} {
 		u := s.NewUse(name, adminConnections, adminConnections+1)
@@ -59,4 +67,24 @@
 	}
 }
 
+// places returns who has places at the port for instances.
+func (i *Instance) places() messenger.Places {
+	sockets := i.settings.MaxFDs - outgoingFDs
+	return messenger.Places{
+		Instances: i.countMembers, PerInstance: placesPerInstance,
+		Shared: min(maxSharedPlaces, int(float64(sockets)*sharedPlacesShare)), Refusals: i.budget.Refusals(),
+	}
+}
+
+// countMembers returns how many other members have the address.
+func (i *Instance) countMembers(a netip.Addr) int {
+	var addresses []string
+	for _, m := range i.membership.Members() {
+		if m.Instance != i.settings.Instance {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	return messenger.CountAddresses(addresses)[a]
+}
+
 func (s Settings) memoryBytes() int64 { return int64(s.MemoryMB) << 20 }
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -290,3 +291,67 @@
 		})
 	}
 }
+
+// Guards against connections with places of their own at a port that wait behind a crowd without
+// ones for as long as each of the crowd waits.
+func TestConnectionsWithPlacesDoNotWaitBehindOthers(t *testing.T) {
+	const most, crowd = 4, 50
+	r := metrics.NewRegistry()
+	clock := clockwork.NewFakeClock()
+	s := limiter.New(limiter.Config{Max: most + 2, Clock: clock, Metrics: r, Refusals: budgeter.NewRefusals(r, logrus.New())})
+	l := s.NewUse("control", 0, 0).Listen(listen(t))
+	defer l.Close()
+	var mu sync.Mutex
+	var open []net.Conn
+	closeOne := func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if len(open) == 0 {
+			return false
+		}
+		open[0].Close()
+		open = open[1:]
+		return true
+	}
+	l.OnFull(closeOne)
+	instance := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}
+	l.HavePlaces(func(a net.Addr) bool { return a.(*net.TCPAddr).IP.Equal(instance.IP) })
+	connect(t, l.Addr().String(), crowd)
+	conn, err := (&net.Dialer{LocalAddr: instance}).Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	// The connection with a place itself waits until others have had time to end.
+	go func() {
+		if clock.BlockUntilContext(t.Context(), 1) == nil {
+			clock.Advance(time.Second / 4)
+		}
+	}()
+	isIn := make(chan struct{})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			open = append(open, c)
+			mu.Unlock()
+			if c.RemoteAddr().String() == conn.LocalAddr().String() {
+				close(isIn)
+				return
+			}
+		}
+	}()
+	select {
+	case <-isIn:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a connection without a place of its own waits for a socket")
+	}
+	for closeOne() {
+	}
+	if peak := r.Get("sockets.peak").(metrics.Gauge).Value(); peak > most+2 {
+		t.Errorf("%d sockets were open, want at most %d", peak, most+2)
+	}
+}
--- a/internal/limiter/listener.go
+++ b/internal/limiter/listener.go
@@ -29,7 +29,10 @@
 	use *Use
 	// onFull closes a connection that may be closed; nil if OnFull was not called.
 	onFull atomic.Pointer[func() bool]
-	closed atomic.Bool
+	// hasPlace reports whether connections from the address have places of their own at the
+	// port; nil if HavePlaces was not called.
+	hasPlace atomic.Pointer[func(net.Addr) bool]
+	closed   atomic.Bool
 }
 
 // Listen returns a listener whose connections take sockets of the use.
@@ -56,6 +59,18 @@
 // the port that may be closed, and reports whether it did.
 func (l *Listener) OnFull(closeOne func() bool) { l.onFull.Store(&closeOne) }
 
+// HavePlaces sets the function that reports whether connections from the address have places of
+// their own at the port. While no socket is left, one without a place takes the socket of another
+// of the port, if there is one to close, and does not wait for others, so that connections with
+// places do not wait behind it.
+func (l *Listener) HavePlaces(hasPlace func(net.Addr) bool) { l.hasPlace.Store(&hasPlace) }
+
+// mayWait reports whether a connection from the address may wait for a socket.
+func (l *Listener) mayWait(a net.Addr) bool {
+	hasPlace := l.hasPlace.Load()
+	return hasPlace == nil || (*hasPlace)(a)
+}
+
 // closeOne closes a connection of the port that may be closed; false if there is none.
 func (l *Listener) closeOne() bool {
 	onFull := l.onFull.Load()
@@ -83,7 +98,7 @@
 		if !ok {
 			return conn, nil
 		}
-		if l.await() {
+		if l.await(conn.RemoteAddr()) {
 			return &Conn{TCPConn: tcp, use: l.use}, nil
 		}
 		l.use.sockets.cfg.Refusals.Add(budgeter.NoSocket)
@@ -91,8 +106,14 @@
 	}
 }
 
-// await waits until the use has a socket, and takes it.
-func (l *Listener) await() bool {
+// await waits until the use has a socket for a connection from the address, and takes it.
+func (l *Listener) await(a net.Addr) bool {
+	if l.use.take() {
+		return true
+	}
+	if !l.mayWait(a) && l.closeOne() {
+		return l.use.take()
+	}
 	clock := l.use.sockets.cfg.Clock
 	began := clock.Now()
 	for !l.use.take() {
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -46,9 +46,8 @@
 	// MaxConnections limits the open connections; further ones are closed at
 	// once. 0 means DefaultMaxConnections.
 	MaxConnections int
-	// MaxUnanswered limits the open connections on which nothing has been answered yet:
-	// when one more is accepted, the oldest of them is closed. 0 means no limit.
-	MaxUnanswered int
+	// Places keeps places for the connections of instances.
+	Places Places
 	// Wrap wraps an accepted connection, for example to limit its memory. Nil leaves it as
 	// it is.
 	Wrap func(net.Conn) net.Conn
@@ -73,8 +72,7 @@
 	conns   sync.WaitGroup
 	slots   chan struct{}
 	start   sync.Once
-	// unanswered are connections on which nothing has been answered.
-	unanswered unanswered
+	places  *places
 }
 
 // NewServer returns a server that does not accept connections yet. Services
@@ -95,6 +93,7 @@
 		counter: newByteCounter(cfg.Registry),
 		done:    make(chan struct{}),
 		slots:   make(chan struct{}, cfg.MaxConnections),
+		places:  newPlaces(cfg.Places),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.rpc = drpcserver.NewWithOptions(s.mux, drpcserver.Options{Manager: drpcmanager.Options{
@@ -147,9 +146,9 @@
 		}
 		select {
 		case s.slots <- struct{}{}:
-			// The oldest one is closed before the next is accepted. Otherwise those whose
+			// Another one is closed before the next is accepted. Otherwise those whose
 			// goroutines have not run yet exceed the limit.
-			conn = s.unanswered.add(s.counter.wrap(conn), s.cfg.MaxUnanswered)
+			conn = s.places.add(s.counter.wrap(conn))
 			s.conns.Go(func() { s.serve(conn) })
 		default:
 			s.cfg.Log.WithField("remote", conn.RemoteAddr()).Warn("messenger: connection limit reached")
@@ -158,9 +157,11 @@
 	}
 }
 
-// CloseUnanswered closes the oldest connection on which nothing has been answered, in favor
-// of others; false if there is none.
-func (s *Server) CloseUnanswered() bool { return s.unanswered.closeOldest() }
+// CloseOne closes a connection in a shared place in favor of others; false if there is none.
+func (s *Server) CloseOne() bool { return s.places.closeOne() }
+
+// HasPlace reports whether a listed instance has the address and a free place.
+func (s *Server) HasPlace(a net.Addr) bool { return s.places.hasFree(addressOf(a)) }
 
 func (s *Server) serve(conn net.Conn) {
 	defer func() { <-s.slots }()
--- a/internal/noder/coordination.go
+++ b/internal/noder/coordination.go
@@ -44,10 +44,15 @@
 		Clock: n.clock, Metrics: n.metrics, Log: n.log,
 	})
 	n.control = messenger.NewServer(messenger.ServerConfig{
-		Listener: l, Registry: n.metrics, Log: n.log, MaxUnanswered: maxUnanswered, MaxMessageBytes: maxCall,
+		Listener: l, Registry: n.metrics, Log: n.log, MaxMessageBytes: maxCall,
+		MaxConnections: messenger.DefaultMaxConnections + n.sharedPlaces(),
+		Places: messenger.Places{
+			Instances: n.listed.count, PerInstance: placesPerInstance, Shared: n.sharedPlaces(), Refusals: n.budget.Refusals(),
+		},
 		Wrap: func(c net.Conn) net.Conn { return n.budget.NewConn(c) },
 	})
-	l.OnFull(n.control.CloseUnanswered)
+	l.OnFull(n.control.CloseOne)
+	l.HavePlaces(n.control.HasPlace)
 	if err := wire.DRPCRegisterPeers(n.control.Mux(), gossiper.Service{Name: n.settings.Instance, View: v, Gossiper: n.gossiper}); err != nil {
 		return errors.Wrap(err, "register the service for instances")
 	}
--- a/internal/noder/limits.go
+++ b/internal/noder/limits.go
@@ -10,6 +10,7 @@
 
 	"marigoldhub.example/hub/internal/budgeter"
 	"marigoldhub.example/hub/internal/limiter"
+	"marigoldhub.example/hub/internal/messenger"
 	"marigoldhub.example/hub/platform"
 )
 
@@ -33,9 +34,14 @@
 	// maxCall is the largest call of another instance in bytes. It holds a statement of the
 	// largest size with session values, and the configuration with the list of servers.
 	maxCall = 4 << 20
-	// maxUnanswered is the number of connections to the control port on which no call has
-	// been answered yet. All instances of a large fleet may connect at the same time.
-	maxUnanswered = 256
+	// maxSharedPlaces is the number of connections to the control port from addresses that
+	// are not in the list of instances. All instances of a large fleet may connect before
+	// they are listed. It is at most the share sharedPlacesShare of the sockets.
+	maxSharedPlaces   = 256
+	sharedPlacesShare = 1.0 / 4
+	// placesPerInstance is what a listed instance has places for: the connections of its
+	// pool, and as many that are being closed.
+	placesPerInstance = 2 * messenger.DefaultMaxPerAddress
 	// maxLoggedText limits a text in a log line, in bytes: callers choose their ids.
 	maxLoggedText = 512
 )
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -113,6 +113,7 @@
 	allocator     *allocator.Allocator
 	surveyor      *surveyor.Surveyor
 	registrar     *registrar.Registrar
+	listed        *listedAddresses
 	sessions      *sessioner.Server
 	control       *messenger.Server
 	peers         *messenger.Pool
@@ -159,6 +160,7 @@
 			Name: settings.Instance, Address: settings.ControlAddress, Zone: settings.Zone, Processor: settings.CPUMillicores, Incarnation: time.Now().UnixNano(),
 		},
 	})
+	n.listed = &listedAddresses{registrar: n.registrar, seeds: settings.Seeds}
 	n.informer = informer.New(informer.Config{
 		Store: n.store, Schema: platform.Schema(), Clock: n.clock, Log: n.log,
 		ListInterval: n.listInterval, LinearizableEvery: n.linearizableEvery, RemoveAfter: removeServerAfter, EntryTTL: entryTTLHeartbeats * settings.ServerHeartbeatInterval,
@@ -169,7 +171,7 @@
 		ProofRetryPause: func() time.Duration { return n.scaleInterval(proofRetryPause) }, OnChange: n.broadcast,
 	})
 	n.peers = messenger.NewPool(messenger.PoolConfig{
-		Registry: n.metrics, DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout, Sockets: n.sockets.peers, Clock: n.clock,
+		LocalIP: controlIP(settings), Registry: n.metrics, DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout, Sockets: n.sockets.peers, Clock: n.clock,
 	})
 	n.surveyor = surveyor.New(n.clock)
 	n.dispatcher = dispatcher.New(dispatcher.Config{
--- a/internal/noder/sockets.go
+++ b/internal/noder/sockets.go
@@ -29,6 +29,8 @@
 
 // sockets are the uses of the process's sockets.
 type sockets struct {
+	// total is the number of all sockets.
+	total                                                       int
 	callers, control, readiness, metrics, servers, peers, store *limiter.Use
 }
 
@@ -45,6 +47,7 @@
 	}
 	s := limiter.New(limiter.Config{Max: total, Clock: n.clock, Metrics: n.metrics, Refusals: n.budget.Refusals()})
 	return sockets{
+		total:     total,
 		callers:   s.NewUse("callers", minSessions, maxSessions(n.settings)+refusedCallers).CloseFirst(),
 		control:   s.NewUse("control", controlReserve, 0),
 		readiness: s.NewUse("readiness", probeSockets, probeSockets),
