executor, delegator: a discard ends a transaction that begins after it

Cause: the discard of a withdrawn begin is a call of its own. It can arrive before the begin, or while the begin runs and its cancel has not arrived. A discard whose call failed was not sent again.

The instance sends a discard up to four times, with pauses of 50 to 200 ms. A transaction that is discarded while a statement runs is rolled back and its connection used again; it was closed.

--- a/internal/delegator/conn.go
+++ b/internal/delegator/conn.go
@@ -22,9 +22,12 @@
 	// avoidNonGateway is how long an instance is avoided that is no gateway of the
 	// server, or is stopping, until the list of instances shows it.
 	avoidNonGateway = 3 * time.Second
-	// discardTimeout limits the request to roll back a transaction at its gateway; the
-	// gateway rolls it back after its idle limit as well.
+	// discardTimeout limits the request to roll back a transaction at its gateway, which
+	// is sent maxDiscards times if it is lost, discardPause after the loss. The gateway rolls
+	// the transaction back after its idle limit as well.
 	discardTimeout = time.Second
+	maxDiscards    = 4
+	discardPause   = 50 * time.Millisecond
 )
 
 // errNoGateway means that every gateway of a server was tried.
@@ -301,8 +304,18 @@
 		Service: c.b.Target().Service, Server: c.b.ID, Transaction: transaction, Discard: true, Timeout: discardTimeout,
 	}
 	go func() {
-		if _, err := c.d.cfg.Forwarder.Forward(context.Background(), g.Peer().Address, r); err != nil {
-			c.d.cfg.Log.WithError(err).WithField("gateway", g.Peer().Name).Info("dispatcher: cannot end the transaction at the gateway, which rolls it back after its idle limit")
+		pause := discardPause
+		for attempt := 1; ; attempt++ {
+			_, err := c.d.cfg.Forwarder.Forward(context.Background(), g.Peer().Address, r)
+			if err == nil {
+				return
+			}
+			if attempt == maxDiscards {
+				c.d.cfg.Log.WithError(err).WithField("gateway", g.Peer().Name).Info("dispatcher: cannot end the transaction at the gateway, which rolls it back after its idle limit")
+				return
+			}
+			c.d.cfg.Clock.Sleep(pause)
+			pause *= 2
 		}
 	}()
 }
--- a/internal/executor/pinned_conn.go
+++ b/internal/executor/pinned_conn.go
@@ -41,6 +41,8 @@
 type pinnedConns struct {
 	mu   sync.Mutex
 	byID map[string]*pinnedConn
+	// discarded are transactions that were discarded before they were in byID.
+	discarded discardedIDs
 }
 
 // take returns the transaction's connection for one exchange; nil if there is none,
@@ -61,7 +63,7 @@
 func (ps *pinnedConns) put(id string, p *pinnedConn, now time.Time) bool {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	if p.discarded {
+	if p.discarded || ps.discarded.contains(id, now) {
 		delete(ps.byID, id)
 		return false
 	}
@@ -80,12 +82,14 @@
 }
 
 // discard removes a transaction and returns its connection. If a statement runs on
-// it, discard returns nil, and the end of the statement ends the transaction.
-func (ps *pinnedConns) discard(id string) *pinnedConn {
+// it, discard returns nil, and the end of the statement ends the transaction. One that is not
+// open is not kept when its begin ends later.
+func (ps *pinnedConns) discard(id string, now time.Time) *pinnedConn {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	p := ps.byID[id]
 	if p == nil {
+		ps.discarded.add(id, now)
 		return nil
 	}
 	if p.busy {
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -17,7 +17,7 @@
 // which acts as a gateway. It implements [forwarder.Runner].
 func (e *Executor) RunForwarded(r forwarder.Request) forwarder.Reply {
 	if r.Discard {
-		if p := e.pinned.discard(r.Transaction); p != nil {
+		if p := e.pinned.discard(r.Transaction, e.cfg.Clock.Now()); p != nil {
 			go e.rollBack(p)
 		}
 		return forwarder.Reply{}
@@ -70,6 +70,9 @@
 		return nil, forwarder.Reply{Failure: forwarder.NoTransaction}
 	}
 	now := e.cfg.Clock.Now()
+	if e.pinned.discarded.contains(r.Transaction, now) {
+		return nil, forwarder.Reply{Failure: forwarder.NotSent, Text: "the transaction was discarded before its begin arrived"}
+	}
 	b := e.cfg.Backend(r.Server)
 	if b == nil || !e.accepts(b, now) {
 		return nil, forwarder.Reply{Failure: forwarder.NotGateway}
@@ -106,7 +109,10 @@
 		go e.rollBack(p)
 		return
 	}
-	if isOpen && e.pinned.put(r.Transaction, p, e.cfg.Clock.Now()) {
+	if isOpen {
+		if !e.pinned.put(r.Transaction, p, e.cfg.Clock.Now()) {
+			go e.rollBack(p)
+		}
 		return
 	}
 	e.pinned.remove(r.Transaction)
