--- a/internal/dispatcher/discard_test.go
+++ b/internal/dispatcher/discard_test.go
@@ -1,30 +1,13 @@
 package dispatcher_test
 
 import (
-	"errors"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/forwarder"
-	"marigoldhub.example/hub/internal/informer"
 )
 
-// lateCancelRunner runs begins whose cancel does not arrive. It tells when they were canceled.
-type lateCancelRunner struct {
-	forwarder.Runner
-	canceled chan<- (<-chan struct{})
-}
-
-func (r lateCancelRunner) RunForwarded(req forwarder.Request) forwarder.Reply {
-	if len(req.Statements) > 0 && req.Statements[0].Kind == exchanger.Begin {
-		r.canceled <- req.Left
-	}
-	req.Left = nil
-	return r.Runner.RunForwarded(req)
-}
-
 // Guards against a transaction that stays open at its gateway until its idle limit because the
 // discard arrived before the begin, or while the begin ran.
 func TestDiscardThatOvertakesItsBegin(t *testing.T) {
@@ -78,71 +61,3 @@
 		})
 	}
 }
-
-// Guards against a transaction of a caller that has left, which stays open because the
-// request to discard it was lost.
-func TestLostDiscardIsSentAgain(t *testing.T) {
-	for _, tc := range []struct {
-		name string
-		lost int32
-	}{
-		{"none is lost", 0},
-		{"the first two are lost", 2},
-	} {
-		t.Run(tc.name, func(t *testing.T) {
-			f := newFleet(t)
-			begun, release := make(chan struct{}), make(chan struct{})
-			f.OnStatement = func(_ string, s exchanger.Statement) {
-				if s.Kind == exchanger.Begin {
-					close(begun)
-					<-release
-				}
-			}
-			for deadline := time.Now().Add(5 * time.Second); ; {
-				a := f.caller.Run(request("warm", exchanger.Write, informer.PrimaryReads))
-				if a.OK() {
-					break
-				}
-				if time.Now().After(deadline) {
-					t.Fatal(a.Code, a.Text)
-				}
-			}
-			canceled := make(chan (<-chan struct{}), 1)
-			f.net.mu.Lock()
-			for address, runner := range f.net.runners {
-				f.net.runners[address] = lateCancelRunner{runner, canceled}
-			}
-			f.net.mu.Unlock()
-			var discards atomic.Int32
-			f.net.setHook(func(_ string, r forwarder.Request) (before, after error) {
-				if r.Discard && discards.Add(1) <= tc.lost {
-					return errors.New("connection reset"), nil
-				}
-				return nil, nil
-			})
-			left, ended := make(chan struct{}), make(chan struct{})
-			go func() {
-				defer close(ended)
-				tx := f.caller.Begin(request("begin", exchanger.Begin, informer.PrimaryReads))
-				defer tx.Abandon()
-				req := request("x", exchanger.Write, informer.PrimaryReads)
-				req.Left = left
-				tx.Run(req)
-			}()
-			<-begun
-			close(left)
-			<-<-canceled
-			close(release)
-			<-ended
-			for deadline := time.Now().Add(5 * time.Second); discards.Load() <= tc.lost; time.Sleep(time.Millisecond) {
-				if time.Now().After(deadline) {
-					t.Fatalf("%d discards were sent, want %d", discards.Load(), tc.lost+1)
-				}
-			}
-			// The idle limit without a configured one is 10 s.
-			if n := f.gatewayOf(t, "a").AwaitForwardedTransactions(time.Second); n != 0 {
-				t.Errorf("%d transactions are open for a caller that has left", n)
-			}
-		})
-	}
-}
