deployer: the test of quotas waits for the last answers

Cause: the test cancelled the statements that its members had in flight. Ruled out: a refusal that is counted twice; the three rates held in that run. Change: members end between two statements and wait for the answer to the last one. The sums are compared as exactly as before.

--- a/internal/deployer/quotas_test.go
+++ b/internal/deployer/quotas_test.go
@@ -28,13 +28,16 @@
 	refused, other, untimely int
 }
 
-// run sends statements until ctx ends.
-func (c *crowd) run(ctx context.Context, exec func(context.Context) error) {
-	for ctx.Err() == nil {
-		err := exec(ctx)
-		if ctx.Err() != nil {
+// run sends statements until stop is closed. It waits for the answer to the last one: a
+// statement that its caller abandons is counted by the instance alone.
+func (c *crowd) run(stop <-chan struct{}, exec func() error) {
+	for {
+		select {
+		case <-stop:
 			return
+		default:
 		}
+		err := exec()
 		c.mu.Lock()
 		switch {
 		case err == nil:
@@ -79,10 +82,10 @@
 		}
 	}
 	publish(0, 0)
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
+	stop := make(chan struct{})
 	c := &crowd{}
 	var members sync.WaitGroup
+	cancel := sync.OnceFunc(func() { close(stop) })
 	defer members.Wait()
 	defer cancel()
 	for _, e := range d.Entries {
@@ -94,7 +97,9 @@
 				}
 				t.Cleanup(func() { _ = conn.Close(context.Background()) })
 				members.Go(func() {
-					c.run(ctx, func(ctx context.Context) error {
+					c.run(stop, func() error {
+						ctx, done := context.WithTimeout(context.Background(), 20*time.Second)
+						defer done()
 						_, err := conn.Exec(ctx, "select 1")
 						return err
 					})
