steward: check warns about parts of the manifest and compares them

Cause: marigoldctl check found only what propose refuses. Operators saw that a read rule never holds, that a quota admits nothing or that a name belongs to another part only after both co-owners had been asked. Errors ended with 1 before: three checks of tests say 2 now, and diff and propose keep their codes. Result: TestCheck, TestCheckAgainstStore, TestAdvise and TestCompare pass; the two examples have no findings.

--- a/internal/approver/content.go
+++ b/internal/approver/content.go
@@ -36,6 +36,16 @@
 	return conflicts.Err()
 }
 
+// ActiveDocuments returns the active content of all parts but that of the co-owners' keys.
+// It leaves out parts that do not verify or do not pass the checks.
+func (p *Proposals) ActiveDocuments(ctx context.Context) ([]checker.Document, error) {
+	s, err := p.load(ctx, ownersPart)
+	if err != nil {
+		return nil, err
+	}
+	return p.otherDocuments(ctx, s.chain, ownersPart)
+}
+
 // otherDocuments returns the active content of the other parts. It leaves out
 // parts that do not verify or do not pass the checks.
 func (p *Proposals) otherDocuments(ctx context.Context, chain *Chain, part string) ([]checker.Document, error) {
--- a/internal/steward/app.go
+++ b/internal/steward/app.go
@@ -46,7 +46,8 @@
 A change of a manifest part takes effect when both co-owners have approved it.
 
 Exit codes: 0 done, 1 findings or refusal, 2 wrong usage, 3 store or instance
-unreachable, 4 outcome unknown (run status, then repeat the command).`,
+unreachable, 4 outcome unknown (run status, then repeat the command). The
+command check uses 1 for warnings and 2 for errors.`,
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
--- a/internal/steward/exit.go
+++ b/internal/steward/exit.go
@@ -20,6 +20,22 @@
 	ExitUnknown = 4
 )
 
+// Exit codes of check, which finds more than a refusal.
+const (
+	// ExitWarnings means that there are warnings and no errors.
+	ExitWarnings = 1
+	// ExitErrors means that there are errors.
+	ExitErrors = 2
+)
+
+// codeError is an error with an exit code of its own.
+type codeError struct {
+	code int
+	error
+}
+
+func (e codeError) Unwrap() error { return e.error }
+
 // errInstanceUnreachable means that at least one instance did not respond.
 var errInstanceUnreachable = errors.New("not all instances answered")
 
@@ -32,9 +48,12 @@
 // exitCode returns the exit code for the result of the command line.
 func exitCode(err error) int {
 	var cmdErr commandError
+	var codeErr codeError
 	switch {
 	case err == nil:
 		return ExitOK
+	case errors.As(err, &codeErr):
+		return codeErr.code
 	case !errors.As(err, &cmdErr):
 		return ExitUsage
 	case storer.IsUnknownOutcome(err):
