responder: buffers and writes the answers of a session

Change: the output buffer, its reservation of memory, the writes in pieces and the rule for slow readers are package responder, with the errors that end a session. A session says whether it holds a server connection and whether others are starved by two functions.

--- a/internal/relayer/batch.go
+++ b/internal/relayer/batch.go
@@ -10,6 +10,7 @@
 
 	"marigoldhub.example/hub/internal/budgeter"
 	"marigoldhub.example/hub/internal/resolver"
+	"marigoldhub.example/hub/internal/responder"
 )
 
 // callerMessage is one message of the caller, or the error that ended reading.
@@ -151,7 +152,7 @@
 		}
 		b.size += in.size
 		if b.size > s.r.cfg.BatchLimit {
-			return nil, fatal(resolver.CodeLimitExceeded, "batch of messages is too large")
+			return nil, responder.Fatal(resolver.CodeLimitExceeded, "batch of messages is too large")
 		}
 		done, err := s.addMessage(b, in.msg)
 		s.batchTaken = done
@@ -167,7 +168,7 @@
 	switch m := msg.(type) {
 	case *pgproto3.Query:
 		if len(b.msgs) > 0 || s.retained.openExchange != nil {
-			return false, fatal(resolver.CodeProtocolViolation, "simple query inside an extended-protocol batch")
+			return false, responder.Fatal(resolver.CodeProtocolViolation, "simple query inside an extended-protocol batch")
 		}
 		b.query = m
 		return true, nil
@@ -178,7 +179,7 @@
 		return true, nil
 	case *pgproto3.FunctionCall:
 		if len(b.msgs) > 0 || s.retained.openExchange != nil {
-			return false, fatal(resolver.CodeProtocolViolation, "function call inside an extended-protocol batch")
+			return false, responder.Fatal(resolver.CodeProtocolViolation, "function call inside an extended-protocol batch")
 		}
 		b.unsupported = resolver.Error(resolver.CodeNotSupported, "function call messages are not supported by the proxy", "")
 		return true, nil
@@ -204,7 +205,7 @@
 	case in := <-s.incoming:
 		return in, s.messageError(in.err)
 	case <-s.disconnected:
-		return callerMessage{}, errClosed
+		return callerMessage{}, responder.ErrClosed
 	case <-draining:
 		return callerMessage{}, s.endError(false)
 	case <-s.expired:
@@ -218,13 +219,13 @@
 	case err == nil:
 		return nil
 	case isDisconnect(err):
-		return errClosed
+		return responder.ErrClosed
 	case errors.Is(err, budgeter.ErrExhausted):
-		return fatal(resolver.CodeOutOfMemory, "request was not run: "+err.Error())
+		return responder.Fatal(resolver.CodeOutOfMemory, "request was not run: "+err.Error())
 	case errors.Is(err, budgeter.ErrEvicted):
-		return errClosed
+		return responder.ErrClosed
 	case errors.As(err, &tooLarge):
-		return fatal(resolver.CodeLimitExceeded, "message is too large")
+		return responder.Fatal(resolver.CodeLimitExceeded, "message is too large")
 	}
-	return fatal(resolver.CodeProtocolViolation, "malformed message")
+	return responder.Fatal(resolver.CodeProtocolViolation, "malformed message")
 }
--- a/internal/relayer/confirm.go
+++ b/internal/relayer/confirm.go
@@ -120,7 +120,7 @@
 func (s *Session) sendToken(p tracker.Position) {
 	token := s.r.deps.Tokener.Sign(s.caller.Name, s.groupName, p)
 	if token != "" {
-		s.send(&pgproto3.ParameterStatus{Name: TokenParameter, Value: token})
+		s.out.Send(&pgproto3.ParameterStatus{Name: TokenParameter, Value: token})
 	}
 }
 
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -13,6 +13,7 @@
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/preparer"
 	"marigoldhub.example/hub/internal/resolver"
+	"marigoldhub.example/hub/internal/responder"
 	"marigoldhub.example/hub/internal/tracker"
 )
 
@@ -224,24 +225,24 @@
 	if !x.callerGoneAt.IsZero() {
 		return x.dropOutput()
 	}
-	if err := x.s.reserveOutput(); err != nil {
+	if err := x.s.out.Reserve(); err != nil {
 		return connLost("answer of backend server %s: %w", x.conn.Server(), err)
 	}
-	limit := flushBytes
+	limit := responder.PieceBytes
 	if !x.mayStream && !x.partlySent {
 		limit = x.s.r.cfg.ResponseBufferLimit
 	}
-	if len(x.s.out) < limit {
+	if x.s.out.Len() < limit {
 		return nil
 	}
 	if x.withhold {
-		if len(x.s.out) > x.s.r.cfg.BatchLimit {
+		if x.s.out.Len() > x.s.r.cfg.BatchLimit {
 			return connLost("answer after a commit is too large to be withheld")
 		}
 		return nil
 	}
 	x.partlySent = true
-	if err := x.s.flush(); err != nil {
+	if err := x.s.out.Flush(); err != nil {
 		x.callerGoneAt = time.Now()
 	}
 	return nil
@@ -259,8 +260,8 @@
 // dropOutput drops the buffered output of a caller that has gone. It fails when too much of
 // the answer is left; the server connection is discarded then.
 func (x *exchange) dropOutput() error {
-	x.droppedBytes += len(x.s.out)
-	x.s.out = x.s.out[:0]
+	x.droppedBytes += x.s.out.Len()
+	x.s.out.Drop()
 	return x.checkDrop()
 }
 
--- a/internal/relayer/finalize.go
+++ b/internal/relayer/finalize.go
@@ -27,7 +27,7 @@
 
 // replaceAnswer drops the buffered answer and returns an error in its place.
 func (x *exchange) replaceAnswer(failure *pgproto3.ErrorResponse, retry bool) attemptResult {
-	x.s.out = x.s.out[:0]
+	x.s.out.Drop()
 	return attemptResult{failure: failure, retry: retry && !x.partlySent}
 }
 
--- a/internal/relayer/flushed.go
+++ b/internal/relayer/flushed.go
@@ -14,7 +14,7 @@
 	s.retained.openExchange = x
 	x.applyStatementChanges()
 	x.partlySent = true
-	return s.flush()
+	return s.out.Flush()
 }
 
 // continueFlushed runs the next batch of an exchange that awaits Sync.
--- a/internal/relayer/local.go
+++ b/internal/relayer/local.go
@@ -37,7 +37,7 @@
 		return s.fail(b, failure)
 	}
 	if b.flushed {
-		return s.flush()
+		return s.out.Flush()
 	}
 	return s.ready()
 }
@@ -73,7 +73,7 @@
 			return failure
 		}
 		if a.column != "" {
-			l.s.send(rowDescription(a.column, 0))
+			l.s.out.Send(rowDescription(a.column, 0))
 		}
 		l.answer(a)
 	}
@@ -88,7 +88,7 @@
 		if err := s.stmts.Put(m.Name, st); err != nil {
 			return resolver.Error(resolver.CodeLimitExceeded, err.Error(), "")
 		}
-		s.send(&pgproto3.ParseComplete{})
+		s.out.Send(&pgproto3.ParseComplete{})
 	case *pgproto3.Bind:
 		return l.bind(m)
 	case *pgproto3.Describe:
@@ -99,7 +99,7 @@
 		if m.ObjectType == 'S' {
 			s.stmts.Remove(m.Name)
 		}
-		s.send(&pgproto3.CloseComplete{})
+		s.out.Send(&pgproto3.CloseComplete{})
 	}
 	return nil
 }
@@ -117,7 +117,7 @@
 		p.format = m.ResultFormatCodes[0]
 	}
 	l.portals[m.DestinationPortal] = p
-	l.s.send(&pgproto3.BindComplete{})
+	l.s.out.Send(&pgproto3.BindComplete{})
 	return nil
 }
 
@@ -127,14 +127,14 @@
 		if !ok {
 			return unknownPortal(m.Name)
 		}
-		l.s.send(describeLocal(p.result, p.format))
+		l.s.out.Send(describeLocal(p.result, p.format))
 		return nil
 	}
 	st, ok := l.s.stmts.Get(m.Name)
 	if !ok {
 		return unknownStatement(m.Name)
 	}
-	l.s.send(&pgproto3.ParameterDescription{}, describeLocal(st.Result, 0))
+	l.s.out.Send(&pgproto3.ParameterDescription{}, describeLocal(st.Result, 0))
 	return nil
 }
 
@@ -145,7 +145,7 @@
 	}
 	st, ok := p.result.Single()
 	if !ok {
-		l.s.send(&pgproto3.EmptyQueryResponse{})
+		l.s.out.Send(&pgproto3.EmptyQueryResponse{})
 		return nil
 	}
 	a, failure := l.run(st)
@@ -158,12 +158,12 @@
 
 func (l *localExchange) answer(a localAnswer) {
 	if a.column != "" {
-		l.s.send(&pgproto3.DataRow{Values: [][]byte{[]byte(a.value)}})
+		l.s.out.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(a.value)}})
 	}
 	if a.status != nil {
-		l.s.send(a.status)
+		l.s.out.Send(a.status)
 	}
-	l.s.send(&pgproto3.CommandComplete{CommandTag: []byte(a.tag)})
+	l.s.out.Send(&pgproto3.CommandComplete{CommandTag: []byte(a.tag)})
 }
 
 func describeLocal(r *classifier.Result, format int16) pgproto3.BackendMessage {
--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -6,6 +6,7 @@
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
+	"marigoldhub.example/hub/internal/responder"
 	"marigoldhub.example/hub/internal/router"
 )
 
@@ -75,11 +76,11 @@
 // primary.
 func (s *Session) checkPinnedServer() error {
 	if failure := s.beginPrimaryUse(s.newPrimaryWait()); failure != nil {
-		return &fatalError{resolver.Fatal(failure.Code, failure.Message)}
+		return responder.Fatal(failure.Code, failure.Message)
 	}
 	v, ok := s.r.deps.Views.View(s.groupName)
 	if ok && v.Primary != "" && v.Primary != s.retained.conn.Server() {
-		return fatal(resolver.CodeShutdown, "the primary that held this session's settings was replaced, connect again")
+		return responder.Fatal(resolver.CodeShutdown, "the primary that held this session's settings was replaced, connect again")
 	}
 	return nil
 }
--- a/internal/relayer/receive.go
+++ b/internal/relayer/receive.go
@@ -17,7 +17,7 @@
 		if e.onSuccess != nil {
 			e.onSuccess()
 		}
-		x.s.send(e.synthetic)
+		x.s.out.Send(e.synthetic)
 	}
 }
 
@@ -31,12 +31,12 @@
 func (x *exchange) handle(msg pgproto3.BackendMessage) error {
 	switch m := msg.(type) {
 	case *pgproto3.DataRow:
-		x.s.send(m)
+		x.s.out.Send(m)
 		return x.streamOutput()
 	case *pgproto3.ParseComplete, *pgproto3.BindComplete, *pgproto3.CloseComplete:
 		return x.handleComplete(m)
 	case *pgproto3.RowDescription, *pgproto3.NoData:
-		x.s.send(m)
+		x.s.out.Send(m)
 		if x.batch.query == nil && len(x.expected) > 0 && x.expected[0].kind == 'D' {
 			x.pop()
 		}
@@ -44,7 +44,7 @@
 	case *pgproto3.CommandComplete:
 		return x.handleTag(m)
 	case *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
-		x.s.send(m)
+		x.s.out.Send(m)
 		return x.completeExecution()
 	case *pgproto3.ErrorResponse:
 		return x.handleError(m)
@@ -55,7 +55,7 @@
 		}
 		return nil
 	case *pgproto3.ParameterDescription, *pgproto3.NoticeResponse, *pgproto3.ParameterStatus, *pgproto3.NotificationResponse:
-		x.s.send(m)
+		x.s.out.Send(m)
 		return x.streamOutput()
 	}
 	return connLost("unexpected message %T from backend server %s", msg, x.conn.Server())
@@ -71,7 +71,7 @@
 		e.onSuccess()
 	}
 	if !e.hidden {
-		x.s.send(m)
+		x.s.out.Send(m)
 	}
 	return nil
 }
@@ -113,7 +113,7 @@
 		tag = "SET"
 	}
 	x.withhold = x.withhold || (x.plan.MayCommit && !x.mayStream)
-	x.s.send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	x.s.out.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
 	if err := x.streamOutput(); err != nil {
 		return err
 	}
@@ -136,7 +136,7 @@
 	if resolver.IsFatal(&e) {
 		return connLost("backend server %s: %s (%s)", x.conn.Server(), e.Message, e.Code)
 	}
-	x.s.send(&e)
+	x.s.out.Send(&e)
 	return nil
 }
 
--- a/internal/relayer/replica.go
+++ b/internal/relayer/replica.go
@@ -113,11 +113,11 @@
 		x.recordRefusal()
 	}
 	if !x.partlySent && (err != nil || x.status != 'I' || x.blamesReplica()) {
-		s.out = s.out[:0]
+		s.out.Drop()
 		return false, nil
 	}
 	if err != nil {
-		s.out = s.out[:0]
+		s.out.Drop()
 		return true, s.fail(x.batch, resolver.NotRunError("the answer of a replica was cut off: "+err.Error()))
 	}
 	s.r.counts.replicaReads.Inc(1)
@@ -183,7 +183,7 @@
 	for x.status == 0 {
 		x.answerSynthetic()
 		msg, err := x.conn.Receive()
-		if err != nil || x.handle(msg) != nil || len(x.s.out) > maxDiscardBytes {
+		if err != nil || x.handle(msg) != nil || x.s.out.Len() > maxDiscardBytes {
 			return false
 		}
 	}
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -6,6 +6,7 @@
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/resolver"
+	"marigoldhub.example/hub/internal/responder"
 )
 
 // serve runs one batch and answers it.
@@ -35,7 +36,7 @@
 		return s.serveLocal(b)
 	case s.retained.conn == nil && b.query != nil && len(p.Executed) == 0:
 		// Drivers use empty queries to check connections; they need no server.
-		s.send(&pgproto3.EmptyQueryResponse{})
+		s.out.Send(&pgproto3.EmptyQueryResponse{})
 		return s.ready()
 	}
 	if err := s.admit(b, p); err != nil {
@@ -81,11 +82,11 @@
 // end sends the last error of a session, as FATAL.
 func (s *Session) end(e *pgproto3.ErrorResponse) error {
 	e.Severity, e.SeverityUnlocalized = "FATAL", "FATAL"
-	s.send(e)
-	if err := s.flush(); err != nil {
+	s.out.Send(e)
+	if err := s.out.Flush(); err != nil {
 		return err
 	}
-	return errClosed
+	return responder.ErrClosed
 }
 
 // fail answers a batch with an error.
@@ -102,9 +103,9 @@
 	if s.endOnError {
 		return s.end(e)
 	}
-	s.send(e)
+	s.out.Send(e)
 	if b.flushed {
-		if err := s.flush(); err != nil {
+		if err := s.out.Flush(); err != nil {
 			return err
 		}
 		return s.skipToSync()
@@ -121,7 +122,7 @@
 			return err
 		}
 		if b.query != nil {
-			return fatal(resolver.CodeProtocolViolation, "simple query inside an extended-protocol batch")
+			return responder.Fatal(resolver.CodeProtocolViolation, "simple query inside an extended-protocol batch")
 		}
 		if !b.flushed {
 			return s.ready()
@@ -135,10 +136,10 @@
 		if c, ok := m.(*pgproto3.Close); ok && c.ObjectType == 'S' {
 			s.stmts.Remove(c.Name)
 		}
-		s.send(&pgproto3.CloseComplete{})
+		s.out.Send(&pgproto3.CloseComplete{})
 	}
 	if b.flushed {
-		return s.flush()
+		return s.out.Flush()
 	}
 	return s.ready()
 }
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -17,6 +17,7 @@
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/preparer"
 	"marigoldhub.example/hub/internal/resolver"
+	"marigoldhub.example/hub/internal/responder"
 	"marigoldhub.example/hub/internal/tracker"
 )
 
@@ -105,12 +106,10 @@
 	endOnError bool
 	// quota is the present operation in the quota of the team.
 	quota quotaUse
-	// out is the buffered output to the caller.
-	out []byte
-	// outReserved is the capacity of out for which memory is reserved, and batchTaken is
-	// set while a batch holds memory.
-	outReserved int
-	batchTaken  bool
+	// out is the output to the caller.
+	out *responder.Output
+	// batchTaken is set while a batch holds memory.
+	batchTaken bool
 }
 
 // retainedConn is the server connection that the session retains between
@@ -158,6 +157,10 @@
 		}
 		s.minPosition, s.minPositionSet = p, true
 	}
+	s.out = responder.New(responder.Config{
+		Conn: a.Conn, Inbound: a.Inbound, WriteWait: r.cfg.WriteWait,
+		HoldsServer: s.holdsServerConn, IsStarved: func() bool { return s.group.starved.Load() > 0 },
+	})
 	s.backend.SetMaxBodyLen(r.cfg.MessageLimit)
 	s.in.Start(r.cfg.MessageLimit)
 	s.stmts.Keep = s.in.Keep
@@ -217,9 +220,6 @@
 // cancelTimeout bounds the time for sending a cancel request to the server.
 const cancelTimeout = 2 * time.Second
 
-// errClosed ends a session whose caller has disconnected or terminated.
-var errClosed = errors.New("caller connection is closed")
-
 // Run serves the caller until the connection ends.
 func (s *Session) Run() {
 	defer s.finish()
@@ -238,15 +238,15 @@
 	for {
 		b, err := s.nextBatch()
 		if err == nil && s.revoked.Load() {
-			err = fatal(resolver.CodeInvalidLogin, "request was not run: "+revokedText)
+			err = responder.Fatal(resolver.CodeInvalidLogin, "request was not run: "+revokedText)
 		}
 		if err == nil {
 			err = s.serve(b)
 		}
-		var fatal *fatalError
+		var fatal *responder.FatalError
 		if errors.As(err, &fatal) {
-			s.send(fatal.response)
-			_ = s.flush()
+			s.out.Send(fatal.Response)
+			_ = s.out.Flush()
 		}
 		if err != nil {
 			return
@@ -260,16 +260,16 @@
 	inTransaction := s.retained.tx.active || s.retained.openExchange != nil
 	switch {
 	case s.revoked.Load() && inTransaction:
-		return fatal(resolver.CodeInvalidLogin, "transaction was not run: "+revokedText)
+		return responder.Fatal(resolver.CodeInvalidLogin, "transaction was not run: "+revokedText)
 	case s.revoked.Load():
-		return fatal(resolver.CodeInvalidLogin, revokedText)
+		return responder.Fatal(resolver.CodeInvalidLogin, revokedText)
 	case expired && inTransaction:
-		return fatal(resolver.CodeNotRun, "transaction was not run: this proxy is shutting down")
+		return responder.Fatal(resolver.CodeNotRun, "transaction was not run: this proxy is shutting down")
 	}
 	if s.displaced.Load() {
-		return fatal(resolver.CodeShutdown, "this idle session ended in favor of a new connection, connect again")
+		return responder.Fatal(resolver.CodeShutdown, "this idle session ended in favor of a new connection, connect again")
 	}
-	return fatal(resolver.CodeShutdown, "this proxy is shutting down, connect again")
+	return responder.Fatal(resolver.CodeShutdown, "this proxy is shutting down, connect again")
 }
 
 const revokedText = "the access of this connection was withdrawn"
@@ -287,13 +287,6 @@
 	s.in.Close()
 }
 
-// fatalError ends the session with a FATAL response.
-type fatalError struct{ response *pgproto3.ErrorResponse }
-
-func (e *fatalError) Error() string { return e.response.Message }
-
-func fatal(code, message string) error { return &fatalError{resolver.Fatal(code, message)} }
-
 // setRunning sets the server connection that cancel requests are for. It waits
 // for a cancel request in progress.
 func (s *Session) setRunning(c pooler.Conn) {
@@ -388,28 +381,15 @@
 	return 'I'
 }
 
-// flushBytes is the amount of buffered output from which on it is written.
-const flushBytes = 16 << 10
-
-// maxIdleBufferBytes is the largest output buffer that an idle session keeps.
-const maxIdleBufferBytes = 1 << 10
-
-func (s *Session) send(msgs ...pgproto3.BackendMessage) {
-	for _, m := range msgs {
-		s.out = encode(s.out, m)
-	}
-}
-
 // ready ends the answer to a batch with ReadyForQuery.
 func (s *Session) ready() error {
-	s.send(&pgproto3.ReadyForQuery{TxStatus: s.status()})
-	return s.flush()
+	s.out.Send(&pgproto3.ReadyForQuery{TxStatus: s.status()})
+	return s.out.Flush()
 }
 
-func encode(b []byte, m pgproto3.BackendMessage) []byte {
-	encoded, err := m.Encode(b)
-	if err != nil {
-		return b // only messages of more than 1 GB fail
-	}
-	return encoded
+// holdsServerConn reports whether the session uses or retains a server connection.
+func (s *Session) holdsServerConn() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running != nil || s.retained.conn != nil
 }
--- a/internal/relayer/settings.go
+++ b/internal/relayer/settings.go
@@ -10,6 +10,7 @@
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
+	"marigoldhub.example/hub/internal/responder"
 )
 
 // maxStartupSettings is the largest number of settings in one startup message.
@@ -47,12 +48,12 @@
 // message to it. A failure ends the session.
 func (s *Session) applySettings() error {
 	if !s.r.reservePin(s.caller.Name, s.caller.PinnedLimit) {
-		return fatal(resolver.CodeTooManyConnections, "caller may not pin more server connections for its startup settings")
+		return responder.Fatal(resolver.CodeTooManyConnections, "caller may not pin more server connections for its startup settings")
 	}
 	conn, failure := s.acquirePrimary(s.newPrimaryWait(), pooler.Write)
 	if failure != nil {
 		s.r.releasePin(s.caller.Name)
-		return fatal(failure.Code, failure.Message)
+		return responder.Fatal(failure.Code, failure.Message)
 	}
 	s.retained = retainedConn{conn: conn, pinned: true}
 	defer s.endPrimaryUse()
@@ -60,10 +61,10 @@
 	for _, statement := range s.startupStatements {
 		r, err := x.query(statement)
 		if err != nil {
-			return fatal(resolver.CodeNotRun, "startup settings were not applied: "+err.Error())
+			return responder.Fatal(resolver.CodeNotRun, "startup settings were not applied: "+err.Error())
 		}
 		if r.err != nil {
-			return fatal(r.err.Code, r.err.Message)
+			return responder.Fatal(r.err.Code, r.err.Message)
 		}
 	}
 	return nil
