batcher, terminator: read a session's batches and end it

Cause: reading the caller's messages and the ways to end a session were methods of the session, on its fields. Change: package batcher reads one message ahead and builds batches; package terminator holds who told the session to end and what its caller is told. The session passes in the state in which it waits for a batch. Session.Idle, which nothing called, is gone; IdleSince stays.

--- a/internal/relayer/acquire.go
+++ b/internal/relayer/acquire.go
@@ -40,7 +40,7 @@
 	select {
 	case <-changed:
 	case <-t.Chan():
-	case <-s.disconnected:
+	case <-s.reader.Disconnected():
 	}
 }
 
@@ -95,7 +95,7 @@
 
 func (s *Session) isDisconnected() bool {
 	select {
-	case <-s.disconnected:
+	case <-s.reader.Disconnected():
 		return true
 	default:
 		return false
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/batcher"
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
@@ -21,7 +22,7 @@
 type exchange struct {
 	s     *Session
 	conn  pooler.Conn
-	batch *batch
+	batch *batcher.Batch
 	plan  *planner.Plan
 	// replica is set for a read on a replica, nil on the primary.
 	replica *replicaRead
@@ -94,7 +95,7 @@
 // request for a disconnected caller.
 const disconnectTimeout = 5 * time.Second
 
-func (s *Session) newExchange(conn pooler.Conn, b *batch, p *planner.Plan) *exchange {
+func (s *Session) newExchange(conn pooler.Conn, b *batcher.Batch, p *planner.Plan) *exchange {
 	x := &exchange{s: s, conn: conn, batch: b, plan: p, lowerBound: s.group.knownPosition()}
 	_ = conn.SetReadDeadline(time.Now().Add(checkInterval))
 	if s.retained.tx.active {
@@ -136,7 +137,7 @@
 // checkWait returns an error if it is useless to wait longer for the server.
 func (x *exchange) checkWait() error {
 	select {
-	case <-x.s.disconnected:
+	case <-x.s.reader.Disconnected():
 		if x.disconnectSeenAt.IsZero() {
 			x.disconnectSeenAt = time.Now()
 			// The caller may have left before the statement was sent. The cancel request at
@@ -175,7 +176,7 @@
 	x.ranBefore, x.s.quota.ran = x.s.quota.ran, true
 	x.s.exchanging = true
 	err := x.sendBatch()
-	if err == nil && !x.batch.flushed {
+	if err == nil && !x.batch.Flushed {
 		err = x.finish()
 	}
 	x.s.exchanging = false // not deferred, so that it stays set after a panic
@@ -299,7 +300,7 @@
 
 // current returns the statement that the server is executing.
 func (x *exchange) current() (classifier.Statement, bool) {
-	if x.batch.query == nil {
+	if x.batch.Query == nil {
 		if len(x.expected) == 0 {
 			return classifier.Statement{}, false
 		}
--- a/internal/relayer/flushed.go
+++ b/internal/relayer/flushed.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"marigoldhub.example/hub/internal/batcher"
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/resolver"
 )
@@ -18,7 +19,7 @@
 }
 
 // continueFlushed runs the next batch of an exchange that awaits Sync.
-func (s *Session) continueFlushed(b *batch) error {
+func (s *Session) continueFlushed(b *batcher.Batch) error {
 	x := s.retained.openExchange
 	p := s.plan(b)
 	if p.Refusal != nil {
@@ -30,7 +31,7 @@
 	if err := x.run(); err != nil {
 		return s.answerFlushed(x, x.finalizeLost(err))
 	}
-	if b.flushed {
+	if b.Flushed {
 		return s.retainFlushed(x)
 	}
 	s.retained.openExchange = nil
@@ -47,7 +48,7 @@
 
 // refuseFlushed ends an exchange that awaits Sync with an error. Nothing of it
 // is committed, because Sync was not sent.
-func (s *Session) refuseFlushed(b *batch, p *planner.Plan) error {
+func (s *Session) refuseFlushed(b *batcher.Batch, p *planner.Plan) error {
 	s.txLost = s.retained.tx.active
 	s.discardRetained()
 	if p.Refusal.Code == resolver.CodeNotSupported {
--- a/internal/relayer/keys.go
+++ b/internal/relayer/keys.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/batcher"
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
@@ -130,7 +131,7 @@
 		return "", failure
 	}
 	p := &planner.Plan{MayCommit: true, ImplicitWrite: true}
-	x := s.newExchange(conn, &batch{query: &pgproto3.Query{}}, p)
+	x := s.newExchange(conn, &batcher.Batch{Query: &pgproto3.Query{}}, p)
 	return x.closeKey(s.requestKey)
 }
 
--- a/internal/relayer/local.go
+++ b/internal/relayer/local.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/batcher"
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/resolver"
 )
@@ -20,7 +21,7 @@
 }
 
 // serveLocal answers a batch of statements that the proxy runs itself.
-func (s *Session) serveLocal(b *batch) error {
+func (s *Session) serveLocal(b *batcher.Batch) error {
 	if s.retained.tx.failed {
 		return s.fail(b, resolver.Error(resolver.CodeFailedTransaction,
 			"current transaction is aborted, commands ignored until end of transaction block", ""))
@@ -31,12 +32,12 @@
 type localRunner func(classifier.Statement) (localAnswer, *pgproto3.ErrorResponse)
 
 // answerLocal answers a batch by running each statement with run.
-func (s *Session) answerLocal(b *batch, run localRunner) error {
+func (s *Session) answerLocal(b *batcher.Batch, run localRunner) error {
 	l := localExchange{s: s, run: run, portals: make(map[string]localPortal)}
 	if failure := l.serve(b); failure != nil {
 		return s.fail(b, failure)
 	}
-	if b.flushed {
+	if b.Flushed {
 		return s.out.Flush()
 	}
 	return s.ready()
@@ -54,11 +55,11 @@
 	format int16
 }
 
-func (l *localExchange) serve(b *batch) *pgproto3.ErrorResponse {
-	if b.query != nil {
-		return l.query(b.query)
+func (l *localExchange) serve(b *batcher.Batch) *pgproto3.ErrorResponse {
+	if b.Query != nil {
+		return l.query(b.Query)
 	}
-	for _, m := range b.msgs {
+	for _, m := range b.Messages {
 		if failure := l.message(m); failure != nil {
 			return failure
 		}
--- a/internal/relayer/plan.go
+++ b/internal/relayer/plan.go
@@ -1,15 +1,16 @@
 package relayer
 
 import (
+	"marigoldhub.example/hub/internal/batcher"
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/planner"
 )
 
 // plan analyzes a batch in the present state of the session.
-func (s *Session) plan(b *batch) *planner.Plan {
+func (s *Session) plan(b *batcher.Batch) *planner.Plan {
 	return planner.Make(planner.Input{
-		Query:         b.query,
-		Messages:      b.msgs,
+		Query:         b.Query,
+		Messages:      b.Messages,
 		InTransaction: s.retained.tx.active || s.txLost,
 		HasServer:     s.retained.conn != nil,
 		Classifier:    s.r.deps.Classifier,
--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/batcher"
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
@@ -23,7 +24,7 @@
 }
 
 // serveOnPrimary runs a batch that starts outside a transaction on the primary.
-func (s *Session) serveOnPrimary(b *batch, p *planner.Plan) error {
+func (s *Session) serveOnPrimary(b *batcher.Batch, p *planner.Plan) error {
 	class := s.classOf(p)
 	w := s.newPrimaryWait()
 	for n := 1; ; n++ {
@@ -34,7 +35,7 @@
 		}
 		x := s.newExchange(conn, b, p)
 		a := s.runOnce(x)
-		if b.flushed && a.failure == nil {
+		if b.Flushed && a.failure == nil {
 			return s.retainFlushed(x)
 		}
 		if a.failure == nil {
@@ -50,7 +51,7 @@
 }
 
 // serveOnRetained runs a batch on the connection that the session retains.
-func (s *Session) serveOnRetained(b *batch, p *planner.Plan) error {
+func (s *Session) serveOnRetained(b *batcher.Batch, p *planner.Plan) error {
 	if !s.retained.tx.active {
 		if err := s.checkPinnedServer(); err != nil {
 			return err
@@ -65,7 +66,7 @@
 	switch {
 	case a.failure != nil:
 		return s.fail(b, a.failure)
-	case b.flushed:
+	case b.Flushed:
 		return s.retainFlushed(x)
 	}
 	x.applyStatementChanges()
@@ -98,13 +99,13 @@
 // runOnce runs a batch once and finalizes the exchange.
 func (s *Session) runOnce(x *exchange) attemptResult {
 	var p *freshConfirmation
-	if x.plan.ReturnsData && !x.plan.MayCommit && !x.batch.flushed {
+	if x.plan.ReturnsData && !x.plan.MayCommit && !x.batch.Flushed {
 		p = s.startFreshConfirmation()
 	}
 	if err := x.run(); err != nil {
 		return x.finalizeLost(err)
 	}
-	if x.batch.flushed {
+	if x.batch.Flushed {
 		return attemptResult{}
 	}
 	return x.finalize(p)
--- a/internal/relayer/quota.go
+++ b/internal/relayer/quota.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/batcher"
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
@@ -68,8 +69,8 @@
 // quota, except one that ends the transaction and begins another. A batch that executes
 // nothing needs none either, but one that ends with Flush does: what follows it belongs to
 // the same operation, and holds a server connection.
-func (s *Session) admit(b *batch, p *planner.Plan) *pgproto3.ErrorResponse {
-	if s.team == "" || len(p.Executed) == 0 && !b.flushed {
+func (s *Session) admit(b *batcher.Batch, p *planner.Plan) *pgproto3.ErrorResponse {
+	if s.team == "" || len(p.Executed) == 0 && !b.Flushed {
 		return nil
 	}
 	if s.quota.isAdmitted() {
--- a/internal/relayer/receive.go
+++ b/internal/relayer/receive.go
@@ -37,7 +37,7 @@
 		return x.handleComplete(m)
 	case *pgproto3.RowDescription, *pgproto3.NoData:
 		x.s.out.Send(m)
-		if x.batch.query == nil && len(x.expected) > 0 && x.expected[0].kind == 'D' {
+		if x.batch.Query == nil && len(x.expected) > 0 && x.expected[0].kind == 'D' {
 			x.pop()
 		}
 		return nil
@@ -88,7 +88,7 @@
 
 // completeExecution records the end of a statement.
 func (x *exchange) completeExecution() error {
-	if x.batch.query != nil {
+	if x.batch.Query != nil {
 		x.statementIndex++
 		return nil
 	}
@@ -127,7 +127,7 @@
 		x.err = &e
 	}
 	x.expected = nil
-	x.skipping = x.batch.query == nil
+	x.skipping = x.batch.Query == nil
 	x.checkStatementError(&e)
 	if known && setsRequestKey(st) && e.Code == resolver.CodeUniqueViolation {
 		x.keyConflict = st.Value
--- a/internal/relayer/replica.go
+++ b/internal/relayer/replica.go
@@ -5,6 +5,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/batcher"
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/prober"
@@ -42,7 +43,7 @@
 
 // serveRead runs a batch of proved reads outside a transaction, on a replica if
 // the tables allow bounded reads.
-func (s *Session) serveRead(b *batch, p *planner.Plan) error {
+func (s *Session) serveRead(b *batcher.Batch, p *planner.Plan) error {
 	tables := p.Tables()
 	if _, bounded := s.r.router.Bounded(s.groupName, tables); bounded {
 		s.r.counts.boundedReads.Inc(1)
@@ -57,7 +58,7 @@
 }
 
 // tryReplicas reports whether a replica served the batch.
-func (s *Session) tryReplicas(b *batch, p *planner.Plan, tables []string) (bool, error) {
+func (s *Session) tryReplicas(b *batcher.Batch, p *planner.Plan, tables []string) (bool, error) {
 	req := router.Request{Group: s.groupName, Tables: tables, MinPosition: s.minPosition, HasMinPosition: s.minPositionSet, MinPositionAt: s.minPositionAt, Previous: s.previousReplica}
 	for range maxReplicas {
 		choice := s.r.router.Choose(req, s.r.clock.Now())
@@ -77,7 +78,7 @@
 
 // tryReplica reports whether the replica served the batch. If not, nothing of
 // its answer was passed on.
-func (s *Session) tryReplica(b *batch, p *planner.Plan, choice router.Choice) (bool, error) {
+func (s *Session) tryReplica(b *batcher.Batch, p *planner.Plan, choice router.Choice) (bool, error) {
 	s.group.addRead(choice.Replica, 1)
 	defer s.group.addRead(choice.Replica, -1)
 	conn, err := s.acquire(s.ctx, pooler.Request{
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -32,12 +32,12 @@
 // sendBatch sends the batch. Unless it ends with Flush, Sync and the status
 // query follow.
 func (x *exchange) sendBatch() error {
-	if x.batch.query != nil {
-		x.conn.Send(&pgproto3.Query{String: x.s.rewriteRequestKeys(x.batch.query.String, x.plan.Executed)})
+	if x.batch.Query != nil {
+		x.conn.Send(&pgproto3.Query{String: x.s.rewriteRequestKeys(x.batch.Query.String, x.plan.Executed)})
 		return x.sendEnd(false)
 	}
 	pending := 0
-	for _, m := range x.batch.msgs {
+	for _, m := range x.batch.Messages {
 		size := messageSize(m)
 		if pending > 0 && pending+size > segmentBytes {
 			if err := x.drainSegment(); err != nil {
@@ -51,7 +51,7 @@
 		x.translate(m)
 		pending += size
 	}
-	if x.batch.flushed {
+	if x.batch.Flushed {
 		return x.drainSegment()
 	}
 	return x.sendEnd(true)
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/batcher"
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/resolver"
@@ -10,13 +11,13 @@
 )
 
 // serve runs one batch and answers it.
-func (s *Session) serve(b *batch) error {
+func (s *Session) serve(b *batcher.Batch) error {
 	defer s.settleQuota()
 	if s.retained.openExchange != nil {
 		return s.continueFlushed(b)
 	}
-	if b.unsupported != nil {
-		return s.refuse(b, b.unsupported)
+	if b.Unsupported != nil {
+		return s.refuse(b, b.Unsupported)
 	}
 	s.r.counts.batches.Inc(1)
 	defer s.finalizePin()
@@ -34,7 +35,7 @@
 		return s.serveLostTx(b, p)
 	case local:
 		return s.serveLocal(b)
-	case s.retained.conn == nil && b.query != nil && len(p.Executed) == 0:
+	case s.retained.conn == nil && b.Query != nil && len(p.Executed) == 0:
 		// Drivers use empty queries to check connections; they need no server.
 		s.out.Send(&pgproto3.EmptyQueryResponse{})
 		return s.ready()
@@ -57,7 +58,7 @@
 	switch {
 	case s.retained.conn != nil:
 		return s.serveOnRetained(b, p)
-	case p.ReadOnly() && !b.flushed:
+	case p.ReadOnly() && !b.Flushed:
 		return s.serveRead(b, p)
 	}
 	return s.serveOnPrimary(b, p)
@@ -65,7 +66,7 @@
 
 // refuse answers a batch with an error without running it. An open transaction
 // fails, as it would on a server.
-func (s *Session) refuse(b *batch, e *pgproto3.ErrorResponse) error {
+func (s *Session) refuse(b *batcher.Batch, e *pgproto3.ErrorResponse) error {
 	if s.retained.tx.active {
 		s.failTransaction()
 	}
@@ -90,7 +91,7 @@
 }
 
 // fail answers a batch with an error.
-func (s *Session) fail(b *batch, e *pgproto3.ErrorResponse) error {
+func (s *Session) fail(b *batcher.Batch, e *pgproto3.ErrorResponse) error {
 	switch e.Code {
 	case resolver.CodeNotRun:
 		s.r.counts.notRun.Inc(1)
@@ -104,7 +105,7 @@
 		return s.end(e)
 	}
 	s.out.Send(e)
-	if b.flushed {
+	if b.Flushed {
 		if err := s.out.Flush(); err != nil {
 			return err
 		}
@@ -121,24 +122,24 @@
 		if err != nil {
 			return err
 		}
-		if b.query != nil {
+		if b.Query != nil {
 			return responder.Fatal(resolver.CodeProtocolViolation, "simple query inside an extended-protocol batch")
 		}
-		if !b.flushed {
+		if !b.Flushed {
 			return s.ready()
 		}
 	}
 }
 
 // serveWithoutServer answers a batch that needs no server.
-func (s *Session) serveWithoutServer(b *batch) error {
-	for _, m := range b.msgs {
+func (s *Session) serveWithoutServer(b *batcher.Batch) error {
+	for _, m := range b.Messages {
 		if c, ok := m.(*pgproto3.Close); ok && c.ObjectType == 'S' {
 			s.stmts.Remove(c.Name)
 		}
 		s.out.Send(&pgproto3.CloseComplete{})
 	}
-	if b.flushed {
+	if b.Flushed {
 		return s.out.Flush()
 	}
 	return s.ready()
@@ -146,7 +147,7 @@
 
 // serveLostTx answers a batch of a caller whose transaction has failed and no
 // longer has a server connection. Only the end of the transaction is accepted.
-func (s *Session) serveLostTx(b *batch, p *planner.Plan) error {
+func (s *Session) serveLostTx(b *batcher.Batch, p *planner.Plan) error {
 	if !endsTransaction(p.Executed) || !endsTransaction(p.Parsed) {
 		return s.fail(b, resolver.Error(resolver.CodeFailedTransaction,
 			"current transaction is aborted, commands ignored until end of transaction block", ""))
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -5,19 +5,19 @@
 	"errors"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/batcher"
 	"marigoldhub.example/hub/internal/checker"
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/framer"
-	"marigoldhub.example/hub/internal/guarder"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/preparer"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/responder"
+	"marigoldhub.example/hub/internal/terminator"
 	"marigoldhub.example/hub/internal/tracker"
 )
 
@@ -42,29 +42,21 @@
 // Session serves one caller connection. Cancel, Drain, Expire, Revoke and Idle may be
 // called while Run runs.
 type Session struct {
-	r       *Relayer
-	conn    net.Conn
-	backend *pgproto3.Backend
-	in      *framer.Inbound
-	caller  checker.Caller
+	// Terminator ends the session.
+	*terminator.Terminator
+	r    *Relayer
+	conn net.Conn
+	in   *framer.Inbound
+	// reader reads the caller's batches.
+	reader *batcher.Reader
+	caller checker.Caller
 	// team is the caller's team; empty if it has none.
 	team      string
 	groupName string
 	group     *group
 
-	ctx          context.Context
-	cancel       context.CancelFunc
-	incoming     chan callerMessage
-	disconnected chan struct{} // closed when the caller disconnects or terminates
-	draining     chan struct{} // closed by Drain
-	expired      chan struct{} // closed by Expire
-	once         struct{ drain, expire sync.Once }
-	readDone     chan struct{} // closed when nothing is read any more
-	// idleSince is the Unix time in nanoseconds since when the session has been idle; 0
-	// while it is not.
-	idleSince atomic.Int64
-	revoked   atomic.Bool // set by Revoke
-	displaced atomic.Bool // set by Displace
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	// mu guards running and cancelAcquire. It is held while a cancel request is
 	// sent, until the server has received it.
@@ -108,8 +100,6 @@
 	quota quotaUse
 	// out is the output to the caller.
 	out *responder.Output
-	// batchTaken is set while a batch holds memory.
-	batchTaken bool
 }
 
 // retainedConn is the server connection that the session retains between
@@ -140,8 +130,7 @@
 // is not valid or there are too many settings.
 func (r *Relayer) NewSession(a AuthenticatedConn) (*Session, error) {
 	s := &Session{
-		r: r, conn: a.Conn, backend: a.Backend, in: a.Inbound, caller: a.Caller, groupName: a.Group, group: r.group(a.Group),
-		incoming: make(chan callerMessage), disconnected: make(chan struct{}), draining: make(chan struct{}), expired: make(chan struct{}), readDone: make(chan struct{}),
+		Terminator: terminator.New(), r: r, conn: a.Conn, in: a.Inbound, caller: a.Caller, groupName: a.Group, group: r.group(a.Group),
 	}
 	if team, ok := checker.TeamOfUser(a.Caller.Name); ok {
 		s.team = team
@@ -161,48 +150,16 @@
 		Conn: a.Conn, Inbound: a.Inbound, WriteWait: r.cfg.WriteWait,
 		HoldsServer: s.holdsServerConn, IsStarved: func() bool { return s.group.starved.Load() > 0 },
 	})
-	s.backend.SetMaxBodyLen(r.cfg.MessageLimit)
+	s.reader = batcher.New(batcher.Config{
+		Backend: a.Backend, Inbound: a.Inbound, Limit: r.cfg.BatchLimit, Terminator: s.Terminator, OnDisconnect: s.handleDisconnect, Log: r.log,
+	})
+	a.Backend.SetMaxBodyLen(r.cfg.MessageLimit)
 	s.in.Start(r.cfg.MessageLimit)
 	s.stmts.Keep = s.in.Keep
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s, nil
 }
 
-// Drain ends the session with 57P01 as soon as it is idle.
-func (s *Session) Drain() { s.once.drain.Do(func() { close(s.draining) }) }
-
-// Displace ends the session like Drain, in favor of a new connection.
-func (s *Session) Displace() {
-	s.displaced.Store(true)
-	s.Drain()
-}
-
-// Expire ends the session as soon as no statement is running, even inside a
-// transaction, which is then rolled back.
-func (s *Session) Expire() {
-	s.Drain()
-	s.once.expire.Do(func() { close(s.expired) })
-}
-
-// Revoke ends the session before it runs another request, because the caller may no
-// longer use it. An open transaction is rolled back. A request that runs is answered.
-func (s *Session) Revoke() {
-	s.revoked.Store(true)
-	s.Expire()
-}
-
-// Idle reports whether the session waits for the caller's next request, with no
-// transaction open.
-func (s *Session) Idle() bool { return s.idleSince.Load() != 0 }
-
-// IdleSince returns since when the session has been idle; the zero time if it is not.
-func (s *Session) IdleSince() time.Time {
-	if nanos := s.idleSince.Load(); nanos != 0 {
-		return time.Unix(0, nanos)
-	}
-	return time.Time{}
-}
-
 // Cancel asks the server to cancel the statement that the session runs, and
 // ends a wait for a server connection. Otherwise it does nothing.
 func (s *Session) Cancel(ctx context.Context) error {
@@ -223,22 +180,11 @@
 // Run serves the caller until the connection ends.
 func (s *Session) Run() {
 	defer s.finish()
-	go func() {
-		defer close(s.readDone)
-		defer guarder.Recover(s.r.log, "messages of a caller")
-		ended := false
-		defer func() {
-			if !ended {
-				s.handleDisconnect()
-			}
-		}()
-		s.readLoop()
-		ended = true
-	}()
+	go s.reader.Run(s.ctx)
 	for {
 		b, err := s.nextBatch()
-		if err == nil && s.revoked.Load() {
-			err = responder.Fatal(resolver.CodeInvalidLogin, "request was not run: "+revokedText)
+		if err == nil {
+			err = s.RequestError()
 		}
 		if err == nil {
 			err = s.serve(b)
@@ -254,25 +200,25 @@
 	}
 }
 
-// endError returns why the session ends that was told to; a drained one ends only
-// outside transactions.
-func (s *Session) endError(expired bool) error {
-	inTransaction := s.retained.tx.active || s.retained.openExchange != nil
-	switch {
-	case s.revoked.Load() && inTransaction:
-		return responder.Fatal(resolver.CodeInvalidLogin, "transaction was not run: "+revokedText)
-	case s.revoked.Load():
-		return responder.Fatal(resolver.CodeInvalidLogin, revokedText)
-	case expired && inTransaction:
-		return responder.Fatal(resolver.CodeNotRun, "transaction was not run: this proxy is shutting down")
-	}
-	if s.displaced.Load() {
-		return responder.Fatal(resolver.CodeShutdown, "this idle session ended in favor of a new connection, connect again")
-	}
-	return responder.Fatal(resolver.CodeShutdown, "this proxy is shutting down, connect again")
+// nextBatch reads the next batch.
+func (s *Session) nextBatch() (*batcher.Batch, error) {
+	awaitsSync := s.retained.openExchange != nil
+	inTransaction := s.retained.tx.active || awaitsSync
+	return s.reader.Next(batcher.State{IsIdle: !inTransaction && !s.txLost, InTransaction: inTransaction, AwaitsSync: awaitsSync})
 }
 
-const revokedText = "the access of this connection was withdrawn"
+// handleDisconnect cancels what runs for a caller that has disconnected.
+func (s *Session) handleDisconnect() {
+	s.cancel()
+	s.cancelRunning()
+}
+
+// cancelRunning cancels what the session runs, if anything.
+func (s *Session) cancelRunning() {
+	ctx, cancel := detachedContext(cancelTimeout)
+	defer cancel()
+	_ = s.Cancel(ctx)
+}
 
 func (s *Session) finish() {
 	s.cancel()
@@ -283,7 +229,7 @@
 	s.endPrimaryUse()
 	s.quota.settle(true)
 	s.in.Interrupt()
-	<-s.readDone
+	<-s.reader.Done()
 	s.in.Close()
 }
 
--- a/internal/relayer/settings.go
+++ b/internal/relayer/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/batcher"
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
@@ -57,7 +58,7 @@
 	}
 	s.retained = retainedConn{conn: conn, pinned: true}
 	defer s.endPrimaryUse()
-	x := s.newExchange(conn, &batch{query: &pgproto3.Query{}}, &planner.Plan{})
+	x := s.newExchange(conn, &batcher.Batch{Query: &pgproto3.Query{}}, &planner.Plan{})
 	for _, statement := range s.startupStatements {
 		r, err := x.query(statement)
 		if err != nil {
--- a/internal/responder/output_test.go
+++ b/internal/responder/output_test.go
@@ -50,7 +50,9 @@
 // Guards against a dropped answer, or a part of it, that reaches the caller, and against
 // output that is cut at the border of two pieces.
 func TestOutput(t *testing.T) {
-	row := func(n int) *pgproto3.DataRow { return &pgproto3.DataRow{Values: [][]byte{bytes.Repeat([]byte("x"), n)}} }
+	row := func(n int) *pgproto3.DataRow {
+		return &pgproto3.DataRow{Values: [][]byte{bytes.Repeat([]byte("x"), n)}}
+	}
 	cases := []struct {
 		name          string
 		dropped, sent []pgproto3.BackendMessage
