rewriter: words the SQL of request keys and startup settings

Cause: what SQL the proxy runs for a caller was spread over four files of relayer. Change: the pure part is package rewriter: valid keys, the INSERT that replaces SET LOCAL, the settings of a startup message and their check. FuzzSetKey and its corpus move with it.

--- a/internal/gatekeeper/startup.go
+++ b/internal/gatekeeper/startup.go
@@ -9,6 +9,7 @@
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/relayer"
 	"marigoldhub.example/hub/internal/resolver"
+	"marigoldhub.example/hub/internal/rewriter"
 )
 
 // maxParameterBytes is the maximum length of a name or value of a startup
@@ -44,7 +45,7 @@
 			s.unsupportedOptions = append(s.unsupportedOptions, name)
 		case name == "options" && strings.TrimSpace(value) == "":
 		case planner.NonPinningSetting(name, value):
-		case relayer.ValidStartupSetting(name, value):
+		case rewriter.ValidStartupSetting(name, value):
 			if s.settings == nil {
 				s.settings = make(map[string]string)
 			}
--- a/internal/relayer/keys.go
+++ b/internal/relayer/keys.go
@@ -1,9 +1,6 @@
 package relayer
 
 import (
-	"strings"
-	"unicode"
-
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"marigoldhub.example/hub/internal/batcher"
@@ -11,91 +8,20 @@
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
+	"marigoldhub.example/hub/internal/rewriter"
 	"marigoldhub.example/hub/internal/tracker"
 )
 
-const (
-	requestKeySetting     = "marigold.request_key"
-	requestOutcomeSetting = "marigold.request_outcome"
-	// maxRequestKeyBytes is the length of the longest request key.
-	maxRequestKeyBytes = 200
-
-	// outcomeDone and outcomeNotRun are the values of column outcome of table
-	// marigold_request, and the answers to SHOW marigold.request_outcome.
-	outcomeDone   = "done"
-	outcomeNotRun = "not_run"
-)
-
-// ValidRequestKey reports whether key may be a request key: 1 to 200 bytes of
-// printable characters without backslash.
-func ValidRequestKey(key string) bool {
-	if key == "" || len(key) > maxRequestKeyBytes {
-		return false
-	}
-	for _, r := range key {
-		if r == '\\' || r == unicode.ReplacementChar || !unicode.IsPrint(r) {
-			return false
-		}
-	}
-	return true
-}
-
-func checkRequestKey(key string) *pgproto3.ErrorResponse {
-	if ValidRequestKey(key) {
-		return nil
-	}
-	return resolver.Error(resolver.CodeInvalidValue, "invalid value for marigold.request_key",
-		"A request key has 1 to 200 bytes of printable characters without backslash.")
-}
-
-func unknownSetting(name string) *pgproto3.ErrorResponse {
-	return resolver.Error(resolver.CodeUnknownSetting, "unrecognized configuration parameter \""+name+"\"", "")
-}
-
-// quoteLiteral returns an SQL string literal. Values have no backslash, so the
-// literal is the same under every setting of standard_conforming_strings.
-func quoteLiteral(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
-
-func (s *Session) insertKeySQL(key, outcome string) string {
-	caller := strings.ReplaceAll(s.caller.Name, `\`, "")
-	return "INSERT INTO marigold_request (request_key, outcome, caller) VALUES (" +
-		quoteLiteral(key) + ", " + quoteLiteral(outcome) + ", " + quoteLiteral(caller) + ")"
-}
-
-func selectKeySQL(key string) string {
-	return "SELECT outcome FROM marigold_request WHERE request_key = " + quoteLiteral(key)
-}
-
-// rewriteRequestKeys replaces each SET LOCAL marigold.request_key by the INSERT
-// of the request key.
-func (s *Session) rewriteRequestKeys(text string, list []classifier.Statement) string {
-	var b strings.Builder
-	last := 0
-	for _, st := range list {
-		if !setsRequestKey(st) {
-			continue
-		}
-		b.WriteString(text[last:st.Start])
-		b.WriteString(s.insertKeySQL(st.Value, outcomeDone))
-		last = st.End
-	}
-	if last == 0 {
-		return text
-	}
-	b.WriteString(text[last:])
-	return b.String()
-}
-
 // setMarigoldSetting runs SET or RESET of a marigold setting for the session.
 func (s *Session) setMarigoldSetting(st classifier.Statement) (localAnswer, *pgproto3.ErrorResponse) {
-	if st.Setting != requestKeySetting {
-		return localAnswer{}, unknownSetting(st.Setting)
+	if st.Setting != rewriter.KeySetting {
+		return localAnswer{}, rewriter.UnknownSetting(st.Setting)
 	}
 	if !st.HasValue {
 		s.requestKey = ""
 		return localAnswer{tag: "RESET"}, nil
 	}
-	if failure := checkRequestKey(st.Value); failure != nil {
+	if failure := rewriter.CheckKey(st.Value); failure != nil {
 		return localAnswer{}, failure
 	}
 	s.requestKey = st.Value
@@ -105,15 +31,15 @@
 func (s *Session) showMarigoldSetting(st classifier.Statement) (localAnswer, *pgproto3.ErrorResponse) {
 	a := localAnswer{column: st.Setting, tag: "SHOW"}
 	switch st.Setting {
-	case requestKeySetting:
+	case rewriter.KeySetting:
 		a.value = s.requestKey
 		return a, nil
-	case requestOutcomeSetting:
+	case rewriter.OutcomeSetting:
 		var failure *pgproto3.ErrorResponse
 		a.value, failure = s.requestOutcome()
 		return a, failure
 	}
-	return a, unknownSetting(st.Setting)
+	return a, rewriter.UnknownSetting(st.Setting)
 }
 
 // requestOutcome returns the outcome of the request with the session's key. It
@@ -139,14 +65,14 @@
 	s := x.s
 	defer s.endPrimaryUse()
 	s.setRunning(x.conn)
-	r, err := x.query(s.insertKeySQL(key, outcomeNotRun))
+	r, err := x.query(s.keys.Insert(key, rewriter.OutcomeNotRun))
 	switch {
 	case err != nil:
 		x.finishInternal(false)
 		return "", resolver.UnknownError(err.Error())
 	case r.err == nil:
 		x.evidence = resolver.ProvedWrite
-		return outcomeNotRun, x.confirmInternal()
+		return rewriter.OutcomeNotRun, x.confirmInternal()
 	case resolver.ProvesNotRun(r.err):
 		x.finishInternal(true)
 		return "", resolver.NotRunError(r.err.Message)
@@ -160,7 +86,7 @@
 // readOutcome reads the outcome that is stored for a key, as a strict read, and
 // ends the use of the connection.
 func (x *exchange) readOutcome(key string) (string, *pgproto3.ErrorResponse) {
-	r, err := x.query(selectKeySQL(key))
+	r, err := x.query(x.s.keys.Select(key))
 	if err != nil {
 		x.finishInternal(false)
 		return "", resolver.UnknownError(err.Error())
@@ -231,7 +157,7 @@
 	switch {
 	case failure != nil:
 		return x.replaceAnswer(failure, false)
-	case outcome == outcomeDone:
+	case outcome == rewriter.OutcomeDone:
 		return x.replaceAnswer(resolver.Error(resolver.CodeAlreadyRan, "request already ran", "Its first run is done and survives."), false)
 	}
 	return x.replaceAnswer(resolver.NotRunError("its request key was closed as not run; a new request needs a new key"), false)
--- a/internal/relayer/receive.go
+++ b/internal/relayer/receive.go
@@ -8,6 +8,7 @@
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/preparer"
 	"marigoldhub.example/hub/internal/resolver"
+	"marigoldhub.example/hub/internal/rewriter"
 )
 
 // answerSynthetic sends the proxy's own responses that are next in order.
@@ -109,7 +110,7 @@
 		x.committed = true
 	}
 	x.evidence = x.evidence.With(st.Kind, tag)
-	if setsRequestKey(st) {
+	if rewriter.SetsKey(st) {
 		tag = "SET"
 	}
 	x.withhold = x.withhold || (x.plan.MayCommit && !x.mayStream)
@@ -129,7 +130,7 @@
 	x.expected = nil
 	x.skipping = x.batch.Query == nil
 	x.checkStatementError(&e)
-	if known && setsRequestKey(st) && e.Code == resolver.CodeUniqueViolation {
+	if known && rewriter.SetsKey(st) && e.Code == resolver.CodeUniqueViolation {
 		x.keyConflict = st.Value
 		return nil
 	}
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -33,7 +33,7 @@
 // query follow.
 func (x *exchange) sendBatch() error {
 	if x.batch.Query != nil {
-		x.conn.Send(&pgproto3.Query{String: x.s.rewriteRequestKeys(x.batch.Query.String, x.plan.Executed)})
+		x.conn.Send(&pgproto3.Query{String: x.s.keys.Rewrite(x.batch.Query.String, x.plan.Executed)})
 		return x.sendEnd(false)
 	}
 	pending := 0
@@ -128,7 +128,7 @@
 // newStatement returns the statement of a Parse message.
 func (s *Session) newStatement(m *pgproto3.Parse) *preparer.Statement {
 	r := s.r.deps.Classifier.Classify(m.Query)
-	return preparer.NewStatement(m, s.rewriteRequestKeys(m.Query, r.Statements), r)
+	return preparer.NewStatement(m, s.keys.Rewrite(m.Query, r.Statements), r)
 }
 
 func (x *exchange) sendParse(m *pgproto3.Parse) {
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -8,6 +8,7 @@
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/responder"
+	"marigoldhub.example/hub/internal/rewriter"
 )
 
 // serve runs one batch and answers it.
@@ -48,7 +49,7 @@
 			return err
 		}
 	}
-	if err := s.checkMarigoldSettings(p); err != nil {
+	if err := rewriter.CheckSettings(p.Executed, s.retained.tx.active); err != nil {
 		return s.refuse(b, err)
 	}
 	if err := s.checkPin(p); err != nil {
@@ -197,37 +198,3 @@
 
 // pinned reports whether the server connection is pinned to the session.
 func (s *Session) pinned() bool { return s.retained.pinned || s.pinReserved }
-
-// setsRequestKey reports whether a statement is SET LOCAL marigold.request_key.
-func setsRequestKey(st classifier.Statement) bool {
-	return st.Kind == classifier.HubSet && st.Local && st.Setting == requestKeySetting
-}
-
-// checkMarigoldSettings refuses SET LOCAL of marigold settings that cannot take
-// effect.
-func (s *Session) checkMarigoldSettings(p *planner.Plan) *pgproto3.ErrorResponse {
-	inTx := s.retained.tx.active
-	for _, st := range p.Executed {
-		switch st.Kind {
-		case classifier.Begin:
-			inTx = true
-		case classifier.Commit, classifier.Rollback:
-			inTx = false
-		case classifier.HubSet:
-			if e := checkSetLocal(st, inTx); e != nil {
-				return e
-			}
-		}
-	}
-	return nil
-}
-
-func checkSetLocal(st classifier.Statement, inTx bool) *pgproto3.ErrorResponse {
-	switch {
-	case !setsRequestKey(st):
-		return unknownSetting(st.Setting)
-	case !inTx:
-		return resolver.Error(resolver.CodeNoTransaction, "SET LOCAL marigold.request_key can only be used in transaction blocks", "")
-	}
-	return checkRequestKey(st.Value)
-}
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -17,6 +17,7 @@
 	"marigoldhub.example/hub/internal/preparer"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/responder"
+	"marigoldhub.example/hub/internal/rewriter"
 	"marigoldhub.example/hub/internal/terminator"
 	"marigoldhub.example/hub/internal/tracker"
 )
@@ -75,6 +76,7 @@
 
 	stmts      preparer.Set
 	portals    map[string]*classifier.Result
+	keys       rewriter.Keys
 	requestKey string // marigold.request_key
 	// startupStatements must be run on a server connection before any other
 	// statement of the session.
@@ -130,13 +132,13 @@
 // is not valid or there are too many settings.
 func (r *Relayer) NewSession(a AuthenticatedConn) (*Session, error) {
 	s := &Session{
-		Terminator: terminator.New(), r: r, conn: a.Conn, in: a.Inbound, caller: a.Caller, groupName: a.Group, group: r.group(a.Group),
+		Terminator: terminator.New(), r: r, conn: a.Conn, in: a.Inbound, caller: a.Caller, keys: rewriter.Keys(a.Caller.Name), groupName: a.Group, group: r.group(a.Group),
 	}
 	if team, ok := checker.TeamOfUser(a.Caller.Name); ok {
 		s.team = team
 	}
 	var err error
-	if s.startupStatements, err = startupStatements(a.Settings); err != nil {
+	if s.startupStatements, err = rewriter.StartupStatements(a.Settings); err != nil {
 		return nil, err
 	}
 	if a.Token != "" {
--- a/internal/relayer/settings.go
+++ b/internal/relayer/settings.go
@@ -1,10 +1,6 @@
 package relayer
 
 import (
-	"fmt"
-	"slices"
-	"strings"
-
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"marigoldhub.example/hub/internal/batcher"
@@ -14,37 +10,6 @@
 	"marigoldhub.example/hub/internal/responder"
 )
 
-// maxStartupSettings is the largest number of settings in one startup message.
-const maxStartupSettings = 16
-
-// ValidStartupSetting reports whether a startup parameter can be applied to a
-// server connection as a session setting.
-func ValidStartupSetting(name, value string) bool {
-	if name == "" || name == "options" || name == "replication" || strings.HasPrefix(name, "marigold.") {
-		return false
-	}
-	for _, c := range name {
-		if !(c == '_' || c == '.' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9') {
-			return false
-		}
-	}
-	return !strings.ContainsAny(value, "\\\x00")
-}
-
-// startupStatements returns the statements that apply the settings of a
-// startup message, in a fixed order.
-func startupStatements(settings map[string]string) ([]string, error) {
-	if len(settings) > maxStartupSettings {
-		return nil, fmt.Errorf("more than %d settings in startup message", maxStartupSettings)
-	}
-	list := make([]string, 0, len(settings))
-	for name, value := range settings {
-		list = append(list, "SELECT set_config("+quoteLiteral(name)+", "+quoteLiteral(value)+", false)")
-	}
-	slices.Sort(list)
-	return list, nil
-}
-
 // applySettings pins a connection and applies the settings of the startup
 // message to it. A failure ends the session.
 func (s *Session) applySettings() error {
--- a/internal/relayer/fuzz_test.go
+++ b/internal/rewriter/fuzz_test.go
@@ -1,9 +1,8 @@
-package relayer
+package rewriter
 
 import (
 	"testing"
 
-	"marigoldhub.example/hub/internal/checker"
 	"marigoldhub.example/hub/internal/classifier"
 )
 
@@ -13,10 +12,10 @@
 	for _, key := range []string{"k", "a'b", "a\\", "x'); delete from t; --", "ü", "\x00", ""} {
 		f.Add(key)
 	}
-	s := &Session{caller: checker.Caller{Name: "o'web"}}
+	keys := Keys("o'web")
 	c := classifier.New(classifier.Config{})
 	f.Fuzz(func(t *testing.T, key string) {
-		if !ValidRequestKey(key) {
+		if !ValidKey(key) {
 			return
 		}
 		text := "begin; set local marigold.request_key = " + quoteLiteral(key) + "; commit"
@@ -24,7 +23,7 @@
 		if len(r.Statements) != 3 || r.Statements[1].Value != key {
 			t.Fatalf("key %q is read as %+v", key, r.Statements)
 		}
-		rewritten := c.Classify(s.rewriteRequestKeys(text, r.Statements))
+		rewritten := c.Classify(keys.Rewrite(text, r.Statements))
 		if len(rewritten.Statements) != 3 || rewritten.Statements[1].Kind != classifier.Write {
 			t.Errorf("key %q makes %+v", key, rewritten.Statements)
 		}
