charger: charges a session's work to the quota of its team

Cause: which batches take a token, and when one is given back, was decided by methods that read and set fields of the session. Change: package charger owns the present operation. The session passes in the statements of the batch; an exchange says that it sends, and takes that back if the server proves that it ran nothing. Quotas and Operation are its interfaces now, which launcher implements.

--- a/internal/launcher/quotas.go
+++ b/internal/launcher/quotas.go
@@ -4,10 +4,10 @@
 	"time"
 
 	"marigoldhub.example/hub/internal/allocator"
+	"marigoldhub.example/hub/internal/charger"
 	"marigoldhub.example/hub/internal/checker"
 	"marigoldhub.example/hub/internal/distributor"
 	"marigoldhub.example/hub/internal/placer"
-	"marigoldhub.example/hub/internal/relayer"
 	"marigoldhub.example/hub/internal/throttler"
 )
 
@@ -39,11 +39,11 @@
 	return s.Quotas()
 }
 
-// quotaGate implements [relayer.Quotas].
+// quotaGate implements [charger.Quotas].
 type quotaGate struct{ *throttler.Throttler }
 
-// Admit implements [relayer.Quotas].
-func (g quotaGate) Admit(team string, deadline time.Time) (relayer.Operation, error) {
+// Admit implements [charger.Quotas].
+func (g quotaGate) Admit(team string, deadline time.Time) (charger.Operation, error) {
 	return g.Throttler.Admit(team, deadline)
 }
 
--- a/internal/relayer/config.go
+++ b/internal/relayer/config.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"marigoldhub.example/hub/internal/charger"
 	"marigoldhub.example/hub/internal/checker"
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/confirmer"
@@ -104,7 +105,7 @@
 	// Tokener signs and verifies session tokens.
 	Tokener *tokener.Tokener
 	// Quotas keeps teams within their quotas; nil means that there are none.
-	Quotas   Quotas
+	Quotas   charger.Quotas
 	Clock    clockwork.Clock
 	Recorder *recorder.Recorder
 	Metrics  metrics.Registry
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -68,9 +68,8 @@
 	// disconnectSeenAt is when checkWait first saw that the caller has
 	// disconnected.
 	disconnectSeenAt time.Time
-	// ranBefore is set when a server had run a part of the caller's operation before, or may
-	// have.
-	ranBefore bool
+	// undoCharge takes back that a server may have run a part of the caller's operation.
+	undoCharge func()
 	// callerGoneAt is when a write to the caller failed; the rest of the answer, of which
 	// droppedBytes were read since then, is dropped.
 	callerGoneAt time.Time
@@ -173,7 +172,7 @@
 func (x *exchange) run() error {
 	x.s.setRunning(x.conn)
 	defer x.s.setRunning(nil)
-	x.ranBefore, x.s.quota.ran = x.s.quota.ran, true
+	x.undoCharge = x.s.quota.Send()
 	x.s.exchanging = true
 	err := x.sendBatch()
 	if err == nil && !x.batch.Flushed {
@@ -286,7 +285,7 @@
 // of several statements may have run some of them before.
 func (x *exchange) recordRefusal() {
 	if len(x.plan.Executed) <= 1 {
-		x.s.quota.ran = x.ranBefore
+		x.undoCharge()
 	}
 }
 
--- a/internal/relayer/fixture_test.go
+++ b/internal/relayer/fixture_test.go
@@ -20,6 +20,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"marigoldhub.example/hub/internal/charger"
 	"marigoldhub.example/hub/internal/checker"
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/confirmer"
@@ -221,7 +222,7 @@
 	gate    *gatekeeper.Gatekeeper
 	addr    string
 	cfg     relayer.Config
-	quotas  relayer.Quotas
+	quotas  charger.Quotas
 }
 
 func newFixture(t testing.TB, change ...func(*fixture)) *fixture {
--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -56,7 +56,7 @@
 		if err := s.checkPinnedServer(); err != nil {
 			return err
 		}
-		if failure := s.confirmQuota(); failure != nil {
+		if failure := s.quota.Confirm(); failure != nil {
 			s.endPrimaryUse()
 			return s.fail(b, failure)
 		}
--- a/internal/relayer/quota_test.go
+++ b/internal/relayer/quota_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"marigoldhub.example/hub/internal/relayer"
+	"marigoldhub.example/hub/internal/charger"
 	"marigoldhub.example/hub/internal/throttler"
 	"marigoldhub.example/hub/internal/tracker"
 )
@@ -24,7 +24,7 @@
 	last *fakeOperation
 }
 
-func (q *fakeQuotas) Admit(team string, _ time.Time) (relayer.Operation, error) {
+func (q *fakeQuotas) Admit(team string, _ time.Time) (charger.Operation, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.asked++
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"marigoldhub.example/hub/internal/charger"
 	"marigoldhub.example/hub/internal/router"
 	"marigoldhub.example/hub/internal/tracker"
 )
@@ -57,7 +58,7 @@
 		deps.Log = logrus.StandardLogger()
 	}
 	if deps.Quotas == nil {
-		deps.Quotas = noQuotas{}
+		deps.Quotas = charger.Unlimited{}
 	}
 	r := &Relayer{
 		cfg: cfg.withDefaults(), deps: deps, clock: deps.Clock, log: deps.Log,
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -41,7 +41,7 @@
 		s.out.Send(&pgproto3.EmptyQueryResponse{})
 		return s.ready()
 	}
-	if err := s.admit(b, p); err != nil {
+	if err := s.quota.Admit(p.Executed, b.Flushed); err != nil {
 		return s.refuse(b, err)
 	}
 	if len(s.startupStatements) > 0 && s.retained.conn == nil {
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -10,6 +10,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"marigoldhub.example/hub/internal/batcher"
+	"marigoldhub.example/hub/internal/charger"
 	"marigoldhub.example/hub/internal/checker"
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/framer"
@@ -49,10 +50,8 @@
 	conn net.Conn
 	in   *framer.Inbound
 	// reader reads the caller's batches.
-	reader *batcher.Reader
-	caller checker.Caller
-	// team is the caller's team; empty if it has none.
-	team      string
+	reader    *batcher.Reader
+	caller    checker.Caller
 	groupName string
 	group     *group
 
@@ -98,8 +97,8 @@
 	// endOnError is set when a pinned connection, and with it state of the
 	// session, was lost. The next error ends the session.
 	endOnError bool
-	// quota is the present operation in the quota of the team.
-	quota quotaUse
+	// quota is charged for the present operation.
+	quota *charger.Charger
 	// out is the output to the caller.
 	out *responder.Output
 }
@@ -134,9 +133,11 @@
 	s := &Session{
 		Terminator: terminator.New(), r: r, conn: a.Conn, in: a.Inbound, caller: a.Caller, keys: rewriter.Keys(a.Caller.Name), groupName: a.Group, group: r.group(a.Group),
 	}
-	if team, ok := checker.TeamOfUser(a.Caller.Name); ok {
-		s.team = team
+	team, ok := checker.TeamOfUser(a.Caller.Name)
+	if !ok {
+		team = ""
 	}
+	s.quota = charger.New(charger.Config{Quotas: r.deps.Quotas, Team: team, Wait: r.cfg.PrimaryWait, Clock: r.clock, Refused: r.counts.overQuota})
 	var err error
 	if s.startupStatements, err = rewriter.StartupStatements(a.Settings); err != nil {
 		return nil, err
@@ -229,7 +230,7 @@
 	s.returnRetained()
 	s.discardTaken()
 	s.endPrimaryUse()
-	s.quota.settle(true)
+	s.quota.Settle(true)
 	s.in.Interrupt()
 	<-s.reader.Done()
 	s.in.Close()
