certifier: confirms a group's commits and strict reads for its sessions

Cause: confirmations, the rule that stops new work while none succeeds, and the minimum position of a session were methods of the session on fields of two structs. Change: one Certifier a database group holds what its sessions share; the minimum position is an immutable value of the session that the certifier's results raise. Ruled out: one decision with package committer (the prepared machines). There a lease or a replica proves the primary of a term, here a majority stores a position; only the name of the three outcomes is common.

--- a/internal/relayer/acquire.go
+++ b/internal/relayer/acquire.go
@@ -109,7 +109,7 @@
 		if failure := s.beginPrimaryUse(w); failure != nil {
 			return nil, failure
 		}
-		if failure := s.checkConfirmations(); failure != nil {
+		if failure := s.certifier.Check(); failure != nil {
 			s.endPrimaryUse()
 			return nil, failure
 		}
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -95,7 +95,7 @@
 const disconnectTimeout = 5 * time.Second
 
 func (s *Session) newExchange(conn pooler.Conn, b *batcher.Batch, p *planner.Plan) *exchange {
-	x := &exchange{s: s, conn: conn, batch: b, plan: p, lowerBound: s.group.knownPosition()}
+	x := &exchange{s: s, conn: conn, batch: b, plan: p, lowerBound: s.certifier.KnownPosition()}
 	_ = conn.SetReadDeadline(time.Now().Add(checkInterval))
 	if s.retained.tx.active {
 		x.evidence, x.mustDiscard = s.retained.tx.evidence, s.retained.discardAfterTx
--- a/internal/relayer/finalize.go
+++ b/internal/relayer/finalize.go
@@ -5,6 +5,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/certifier"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/tracker"
 )
@@ -33,7 +34,7 @@
 
 // finalize decides, after ReadyForQuery, what becomes of the connection and of
 // the answer.
-func (x *exchange) finalize(p *freshConfirmation) attemptResult {
+func (x *exchange) finalize(p *certifier.Fresh) attemptResult {
 	s := x.s
 	if x.keyConflict != "" {
 		return x.finalizeKeyConflict()
@@ -115,7 +116,7 @@
 }
 
 // finalizeConfirmed waits for the confirmation of a commit or a strict read.
-func (x *exchange) finalizeConfirmed(p *freshConfirmation) attemptResult {
+func (x *exchange) finalizeConfirmed(p *certifier.Fresh) attemptResult {
 	s := x.s
 	commit := x.evidence.ApplyTo(resolver.Commit{Lower: x.lowerBound, Upper: x.statusRow.Log})
 	// A server that is not the primary may have returned old data. Only a proved
@@ -127,7 +128,7 @@
 		return x.finalizeStrictRead(p, commit)
 	}
 	fresh := x.committed || x.evidence != resolver.ProvedWrite
-	res, err := s.confirm(x.statusRow.Log, fresh)
+	res, err := s.certifier.Confirm(x.statusRow.Log, fresh)
 	if err != nil {
 		if x.evidence == resolver.ProvedReadOnly {
 			return x.replaceAnswer(resolver.NotRunError("position was not confirmed: "+err.Error()), false)
@@ -137,7 +138,7 @@
 	switch commit.Resolve(res) {
 	case resolver.Done:
 		s.r.counts.commits.Inc(1)
-		s.raiseMinPosition(x.statusRow.Log)
+		s.minimum = s.minimum.WithCommit(x.statusRow.Log, s.r.clock.Now())
 		s.sendToken(x.statusRow.Log)
 		return attemptResult{}
 	case resolver.NotRun:
@@ -156,11 +157,11 @@
 	return x.replaceAnswer(resolver.UnknownError(why), false)
 }
 
-func (x *exchange) finalizeStrictRead(p *freshConfirmation, commit resolver.Commit) attemptResult {
+func (x *exchange) finalizeStrictRead(p *certifier.Fresh, commit resolver.Commit) attemptResult {
 	if p == nil {
-		p = x.s.startFreshConfirmation()
+		p = x.s.certifier.StartFresh()
 	}
-	res, err := x.s.confirmRead(p, x.statusRow.Log)
+	res, err := x.s.certifier.ConfirmRead(p, x.statusRow.Log)
 	if err != nil {
 		return x.replaceAnswer(resolver.NotRunError("position was not confirmed: "+err.Error()), false)
 	}
@@ -170,3 +171,15 @@
 	}
 	return x.replaceAnswer(resolver.NotRunError(fmt.Sprintf("term %d was replaced", x.statusRow.Log.Term)), true)
 }
+
+// sendToken sends the caller a session token with the position of its commit.
+func (s *Session) sendToken(p tracker.Position) {
+	token := s.r.deps.Tokener.Sign(s.caller.Name, s.groupName, p)
+	if token != "" {
+		s.out.Send(&pgproto3.ParameterStatus{Name: TokenParameter, Value: token})
+	}
+}
+
+// TokenParameter names the session token, as a startup parameter and in
+// ParameterStatus.
+const TokenParameter = "marigold.session_token"
--- a/internal/relayer/keys.go
+++ b/internal/relayer/keys.go
@@ -115,7 +115,7 @@
 	case x.statusRow.Role != tracker.RolePrimary && x.evidence != resolver.ProvedWrite:
 		return resolver.UnknownError("backend server " + x.conn.Server() + " is not the primary")
 	}
-	res, err := x.s.confirm(x.statusRow.Log, x.evidence != resolver.ProvedWrite)
+	res, err := x.s.certifier.Confirm(x.statusRow.Log, x.evidence != resolver.ProvedWrite)
 	if err != nil {
 		return resolver.UnknownError(err.Error())
 	}
@@ -123,7 +123,7 @@
 	if commit.Resolve(res) != resolver.Done {
 		return resolver.UnknownError("the primary was replaced")
 	}
-	x.s.raiseMinPosition(x.statusRow.Log)
+	x.s.minimum = x.s.minimum.WithCommit(x.statusRow.Log, x.s.r.clock.Now())
 	return nil
 }
 
--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -4,6 +4,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"marigoldhub.example/hub/internal/batcher"
+	"marigoldhub.example/hub/internal/certifier"
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
@@ -98,9 +99,9 @@
 
 // runOnce runs a batch once and finalizes the exchange.
 func (s *Session) runOnce(x *exchange) attemptResult {
-	var p *freshConfirmation
+	var p *certifier.Fresh
 	if x.plan.ReturnsData && !x.plan.MayCommit && !x.batch.Flushed {
-		p = s.startFreshConfirmation()
+		p = s.certifier.StartFresh()
 	}
 	if err := x.run(); err != nil {
 		return x.finalizeLost(err)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -8,9 +8,9 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"marigoldhub.example/hub/internal/certifier"
 	"marigoldhub.example/hub/internal/charger"
 	"marigoldhub.example/hub/internal/router"
-	"marigoldhub.example/hub/internal/tracker"
 )
 
 // Relayer creates sessions and keeps their shared state.
@@ -34,16 +34,12 @@
 	// starved counts sessions that have waited longer than starvedWait for a server
 	// connection.
 	starved atomic.Int64
-	// confirmationsSuspect is set while confirmations of the group fail or are
-	// late.
-	confirmationsSuspect atomic.Bool
+	// certifier confirms the answers of the group.
+	certifier *certifier.Certifier
 
 	mu sync.Mutex
 	// reads counts reads in flight by replica.
 	reads map[string]int
-	// highestPosition is the highest position that a primary reported to this
-	// instance.
-	highestPosition tracker.Position
 }
 
 // New returns a relayer. It needs no Close.
@@ -79,7 +75,9 @@
 	defer r.mu.Unlock()
 	g, ok := r.groups[name]
 	if !ok {
-		g = &group{reads: make(map[string]int)}
+		g = &group{reads: make(map[string]int), certifier: certifier.New(certifier.Config{
+			Group: name, Confirmer: r.deps.Confirmer, Wait: r.cfg.ConfirmWait, CheckWait: r.cfg.PrimaryWait, Log: r.log,
+		})}
 		r.groups[name] = g
 	}
 	return g
@@ -98,26 +96,6 @@
 	g.reads[server] += n
 }
 
-// recordPosition records the position that a primary reported.
-func (g *group) recordPosition(s tracker.Status) {
-	if s.Role != tracker.RolePrimary {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if s.Log.Compare(g.highestPosition) > 0 {
-		g.highestPosition = s.Log
-	}
-}
-
-// knownPosition returns a position that the primary had reached before the
-// call.
-func (g *group) knownPosition() tracker.Position {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.highestPosition
-}
-
 // reservePin counts one more pinned connection of the caller unless the limit
 // is reached.
 func (r *Relayer) reservePin(caller string, limit int) bool {
--- a/internal/relayer/replica.go
+++ b/internal/relayer/replica.go
@@ -48,7 +48,7 @@
 	if _, bounded := s.r.router.Bounded(s.groupName, tables); bounded {
 		s.r.counts.boundedReads.Inc(1)
 		if s.r.router.Policy().UsesMinPosition() {
-			s.initMinPosition()
+			s.minimum = s.certifier.Minimum(s.minimum, s.r.clock)
 		}
 		if done, err := s.tryReplicas(b, p, tables); done {
 			return err
@@ -59,7 +59,7 @@
 
 // tryReplicas reports whether a replica served the batch.
 func (s *Session) tryReplicas(b *batcher.Batch, p *planner.Plan, tables []string) (bool, error) {
-	req := router.Request{Group: s.groupName, Tables: tables, MinPosition: s.minPosition, HasMinPosition: s.minPositionSet, MinPositionAt: s.minPositionAt, Previous: s.previousReplica}
+	req := router.Request{Group: s.groupName, Tables: tables, MinPosition: s.minimum.Position, HasMinPosition: s.minimum.IsSet, MinPositionAt: s.minimum.At, Previous: s.previousReplica}
 	for range maxReplicas {
 		choice := s.r.router.Choose(req, s.r.clock.Now())
 		if choice.Replica == "" {
@@ -91,7 +91,7 @@
 	x.mayStream = true
 	x.replica = &replicaRead{choice: choice, sentAt: s.r.clock.Now()}
 	if s.r.router.Policy().UsesMinPosition() {
-		x.replica.minPosition = s.minPosition
+		x.replica.minPosition = s.minimum.Position
 	}
 	conn.Send(&pgproto3.Query{String: prober.StatusQuery})
 	return s.finalizeReplicaRead(x, x.run())
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -100,7 +100,7 @@
 		s.r.counts.unknown.Inc(1)
 		s.r.deps.Recorder.Record("relayer", "outcome_unknown", s.groupName, "caller", s.caller.Name)
 		// The commit may have happened at a position above the minimum.
-		s.minPositionSet = false
+		s.minimum = s.minimum.WithUnknownCommit()
 	}
 	if s.endOnError {
 		return s.end(e)
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -10,6 +10,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"marigoldhub.example/hub/internal/batcher"
+	"marigoldhub.example/hub/internal/certifier"
 	"marigoldhub.example/hub/internal/charger"
 	"marigoldhub.example/hub/internal/checker"
 	"marigoldhub.example/hub/internal/classifier"
@@ -20,7 +21,6 @@
 	"marigoldhub.example/hub/internal/responder"
 	"marigoldhub.example/hub/internal/rewriter"
 	"marigoldhub.example/hub/internal/terminator"
-	"marigoldhub.example/hub/internal/tracker"
 )
 
 // AuthenticatedConn is the connection of a caller after authentication.
@@ -64,13 +64,10 @@
 	running       pooler.Conn        // receives cancel requests
 	cancelAcquire context.CancelFunc // ends the wait for a connection
 
-	// minPosition is the position that a replica must have applied before it
+	// certifier confirms for the group; minimum is what a replica must have applied before it
 	// may answer a read of this session.
-	minPosition    tracker.Position
-	minPositionSet bool
-	// minPositionAt is when minPosition was confirmed; zero if it comes from a
-	// token.
-	minPositionAt   time.Time
+	certifier       *certifier.Certifier
+	minimum         certifier.Minimum
 	previousReplica string // replica that served the last read
 
 	stmts      preparer.Set
@@ -131,7 +128,7 @@
 // is not valid or there are too many settings.
 func (r *Relayer) NewSession(a AuthenticatedConn) (*Session, error) {
 	s := &Session{
-		Terminator: terminator.New(), r: r, conn: a.Conn, in: a.Inbound, caller: a.Caller, keys: rewriter.Keys(a.Caller.Name), groupName: a.Group, group: r.group(a.Group),
+		Terminator: terminator.New(), r: r, conn: a.Conn, in: a.Inbound, caller: a.Caller, keys: rewriter.Keys(a.Caller.Name), groupName: a.Group, group: r.group(a.Group), certifier: r.group(a.Group).certifier,
 	}
 	team, ok := checker.TeamOfUser(a.Caller.Name)
 	if !ok {
@@ -147,7 +144,7 @@
 		if err != nil {
 			return nil, err
 		}
-		s.minPosition, s.minPositionSet = p, true
+		s.minimum = certifier.Minimum{Position: p, IsSet: true}
 	}
 	s.out = responder.New(responder.Config{
 		Conn: a.Conn, Inbound: a.Inbound, WriteWait: r.cfg.WriteWait,
@@ -218,7 +215,7 @@
 
 // cancelRunning cancels what the session runs, if anything.
 func (s *Session) cancelRunning() {
-	ctx, cancel := detachedContext(cancelTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
 	_ = s.Cancel(ctx)
 }
--- a/internal/relayer/status.go
+++ b/internal/relayer/status.go
@@ -21,7 +21,7 @@
 		}
 		if row != nil {
 			x.statusRow = row
-			x.s.group.recordPosition(*row)
+			x.s.certifier.RecordStatus(*row)
 			return nil
 		}
 		x.conn.Send(&pgproto3.Query{String: prober.StatusQuery})
