acquirer: acquires and gives back the server connections of a session

Cause: the wait for a primary, the wait for a connection, cancel requests, the count of transactions in flight and the list of held connections were spread over five files of relayer. Change: package acquirer owns them; what the sessions of a group share is its Group. The end of the use of a connection no longer unsets and restores the count in flight: clearing what is retained does not touch it, and whoever ends the use does.

--- a/internal/relayer/peer.go
+++ b/internal/acquirer/peer.go
@@ -1,4 +1,4 @@
-package relayer
+package acquirer
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 // watchPeer interrupts a wait for a server connection when the caller has closed its
 // connection. The read loop does not notice that while it holds a message of the next batch,
 // and callers that connect, send and close in a loop would fill the queue.
-func (s *Session) watchPeer(interrupt context.CancelCauseFunc) (stop func()) {
-	raw := s.conn
+func (a *Acquirer) watchPeer(interrupt context.CancelCauseFunc) (stop func()) {
+	raw := a.cfg.Conn
 	if c, ok := raw.(interface{ NetConn() net.Conn }); ok {
 		raw = c.NetConn() // below TLS
 	}
--- a/internal/relayer/peer_linux.go
+++ b/internal/acquirer/peer_linux.go
@@ -1,4 +1,4 @@
-package relayer
+package acquirer
 
 import (
 	"syscall"
--- a/internal/relayer/peer_other.go
+++ b/internal/acquirer/peer_other.go
@@ -1,6 +1,6 @@
 //go:build !linux
 
-package relayer
+package acquirer
 
 import "syscall"
 
--- a/internal/relayer/taken_conn.go
+++ b/internal/acquirer/taken_conn.go
@@ -1,4 +1,4 @@
-package relayer
+package acquirer
 
 import (
 	"slices"
@@ -10,36 +10,28 @@
 // until it is given back, so that a panic does not keep it from others for ever.
 type takenConn struct {
 	pooler.Conn
-	s *Session
+	a *Acquirer
 }
 
 // Release implements [pooler.Conn].
 func (c *takenConn) Release() {
-	c.s.forgetTaken(c)
+	c.a.forget(c)
 	c.Conn.Release()
 }
 
 // Discard implements [pooler.Conn].
 func (c *takenConn) Discard() {
-	c.s.forgetTaken(c)
+	c.a.forget(c)
 	c.Conn.Discard()
 }
 
 // take records a connection that the session has acquired.
-func (s *Session) take(conn pooler.Conn) pooler.Conn {
-	c := &takenConn{conn, s}
-	s.taken = append(s.taken, c)
+func (a *Acquirer) take(conn pooler.Conn) pooler.Conn {
+	c := &takenConn{conn, a}
+	a.taken = append(a.taken, c)
 	return c
 }
 
-func (s *Session) forgetTaken(c *takenConn) {
-	s.taken = slices.DeleteFunc(s.taken, func(t *takenConn) bool { return t == c })
-}
-
-// discardTaken closes the connections that are still held at the end of the session. There are
-// none unless it ends by a panic.
-func (s *Session) discardTaken() {
-	for len(s.taken) > 0 {
-		s.taken[0].Discard()
-	}
+func (a *Acquirer) forget(c *takenConn) {
+	a.taken = slices.DeleteFunc(a.taken, func(t *takenConn) bool { return t == c })
 }
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -141,7 +141,7 @@
 			x.disconnectSeenAt = time.Now()
 			// The caller may have left before the statement was sent. The cancel request at
 			// that time had nothing to cancel.
-			x.s.cancelRunning()
+			x.s.acquirer.CancelRunning()
 		}
 		if time.Since(x.disconnectSeenAt) > disconnectTimeout {
 			return connLost("caller has disconnected and backend server %s did not stop", x.conn.Server())
@@ -170,8 +170,8 @@
 
 // run sends the batch and reads its answer up to ReadyForQuery.
 func (x *exchange) run() error {
-	x.s.setRunning(x.conn)
-	defer x.s.setRunning(nil)
+	x.s.acquirer.SetRunning(x.conn)
+	defer x.s.acquirer.SetRunning(nil)
 	x.undoCharge = x.s.quota.Send()
 	x.s.exchanging = true
 	err := x.sendBatch()
--- a/internal/relayer/finalize.go
+++ b/internal/relayer/finalize.go
@@ -54,7 +54,7 @@
 	}
 	inTx := s.retained.tx.active
 	s.endConnUse(x)
-	defer s.endPrimaryUse()
+	defer s.acquirer.EndUse()
 	if confirm {
 		return x.finalizeConfirmed(p)
 	}
@@ -93,7 +93,7 @@
 }
 
 // endConnUse ends the use of a connection outside a transaction. A pinned
-// connection is retained.
+// connection is retained. The session still counts as in flight on the primary.
 func (s *Session) endConnUse(x *exchange) {
 	if s.pinned() {
 		s.retained.conn = x.conn
@@ -102,17 +102,14 @@
 		s.portals = nil
 		return
 	}
-	inFlight := s.inFlight
-	s.inFlight = false // the caller of endConnUse calls endPrimaryUse later
 	s.retained.conn = x.conn
-	s.setRunning(nil)
+	s.acquirer.SetRunning(nil)
 	if x.mustDiscard {
 		x.conn.Discard()
 	} else {
 		x.conn.Release()
 	}
 	s.clearRetained()
-	s.inFlight = inFlight
 }
 
 // finalizeConfirmed waits for the confirmation of a commit or a strict read.
--- a/internal/relayer/keys.go
+++ b/internal/relayer/keys.go
@@ -52,7 +52,7 @@
 	case s.retained.tx.active:
 		return "", resolver.Error("25001", "SHOW marigold.request_outcome cannot run inside a transaction block", "")
 	}
-	conn, failure := s.acquirePrimary(s.newPrimaryWait(), pooler.Write)
+	conn, failure := s.acquirer.Primary(s.acquirer.NewWait(), pooler.Write)
 	if failure != nil {
 		return "", failure
 	}
@@ -63,8 +63,8 @@
 
 func (x *exchange) closeKey(key string) (string, *pgproto3.ErrorResponse) {
 	s := x.s
-	defer s.endPrimaryUse()
-	s.setRunning(x.conn)
+	defer s.acquirer.EndUse()
+	s.acquirer.SetRunning(x.conn)
 	r, err := x.query(s.keys.Insert(key, rewriter.OutcomeNotRun))
 	switch {
 	case err != nil:
@@ -130,7 +130,7 @@
 // finishInternal ends the use of a connection by the proxy's own statements.
 func (x *exchange) finishInternal(clean bool) {
 	s := x.s
-	s.setRunning(nil)
+	s.acquirer.SetRunning(nil)
 	switch {
 	case x.onPinnedConn && clean:
 		s.retained.conn = x.conn
@@ -149,7 +149,7 @@
 func (x *exchange) finalizeKeyConflict() attemptResult {
 	s := x.s
 	s.txLost = true
-	defer s.endPrimaryUse()
+	defer s.acquirer.EndUse()
 	x.onPinnedConn = s.pinned()
 	s.retained = retainedConn{pinned: s.retained.pinned}
 	s.portals = nil
--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -27,11 +27,11 @@
 // serveOnPrimary runs a batch that starts outside a transaction on the primary.
 func (s *Session) serveOnPrimary(b *batcher.Batch, p *planner.Plan) error {
 	class := s.classOf(p)
-	w := s.newPrimaryWait()
+	w := s.acquirer.NewWait()
 	for n := 1; ; n++ {
-		conn, failure := s.acquireAdmitted(w, class)
+		conn, failure := s.acquirer.Admitted(w, class, s.quota.Confirm)
 		if failure != nil {
-			s.endPrimaryUse()
+			s.acquirer.EndUse()
 			return s.fail(b, failure)
 		}
 		x := s.newExchange(conn, b, p)
@@ -43,11 +43,11 @@
 			x.applyStatementChanges()
 			return s.ready()
 		}
-		if !a.retry || n == maxAttempts || w.expired() || !s.r.deps.RetryBudget.AllowRetry() {
+		if !a.retry || n == maxAttempts || w.IsExpired() || !s.r.deps.RetryBudget.AllowRetry() {
 			return s.fail(b, a.failure)
 		}
 		s.r.counts.retries.Inc(1)
-		w.beforeRetry(s)
+		s.acquirer.BeforeRetry()
 	}
 }
 
@@ -58,7 +58,7 @@
 			return err
 		}
 		if failure := s.quota.Confirm(); failure != nil {
-			s.endPrimaryUse()
+			s.acquirer.EndUse()
 			return s.fail(b, failure)
 		}
 	}
@@ -77,7 +77,7 @@
 // checkPinnedServer ends a session whose pinned connection is not to the
 // primary.
 func (s *Session) checkPinnedServer() error {
-	if failure := s.beginPrimaryUse(s.newPrimaryWait()); failure != nil {
+	if failure := s.acquirer.BeginUse(s.acquirer.NewWait()); failure != nil {
 		return responder.Fatal(failure.Code, failure.Message)
 	}
 	v, ok := s.r.deps.Views.View(s.groupName)
--- a/internal/relayer/replica.go
+++ b/internal/relayer/replica.go
@@ -7,7 +7,6 @@
 
 	"marigoldhub.example/hub/internal/batcher"
 	"marigoldhub.example/hub/internal/planner"
-	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/prober"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/router"
@@ -79,11 +78,9 @@
 // tryReplica reports whether the replica served the batch. If not, nothing of
 // its answer was passed on.
 func (s *Session) tryReplica(b *batcher.Batch, p *planner.Plan, choice router.Choice) (bool, error) {
-	s.group.addRead(choice.Replica, 1)
-	defer s.group.addRead(choice.Replica, -1)
-	conn, err := s.acquire(s.ctx, pooler.Request{
-		Group: s.groupName, Server: choice.Replica, Class: pooler.BoundedRead, Caller: s.caller.Name,
-	}, s.r.cfg.ReplicaWait)
+	s.group.AddReads(choice.Replica, 1)
+	defer s.group.AddReads(choice.Replica, -1)
+	conn, err := s.acquirer.Replica(choice.Replica, s.r.cfg.ReplicaWait)
 	if err != nil {
 		return false, nil
 	}
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -65,6 +65,12 @@
 	return s.serveOnPrimary(b, p)
 }
 
+// settleQuota ends the session's operation unless a transaction, or a batch that awaits
+// Sync, goes on.
+func (s *Session) settleQuota() {
+	s.quota.Settle(!s.retained.tx.active && s.retained.openExchange == nil && !s.txLost)
+}
+
 // refuse answers a batch with an error without running it. An open transaction
 // fails, as it would on a server.
 func (s *Session) refuse(b *batcher.Batch, e *pgproto3.ErrorResponse) error {
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/acquirer"
 	"marigoldhub.example/hub/internal/batcher"
 	"marigoldhub.example/hub/internal/certifier"
 	"marigoldhub.example/hub/internal/charger"
@@ -53,17 +53,13 @@
 	reader    *batcher.Reader
 	caller    checker.Caller
 	groupName string
-	group     *group
+	group     *acquirer.Group
+	// acquirer acquires server connections and cancels what runs on them.
+	acquirer *acquirer.Acquirer
 
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	// mu guards running and cancelAcquire. It is held while a cancel request is
-	// sent, until the server has received it.
-	mu            sync.Mutex
-	running       pooler.Conn        // receives cancel requests
-	cancelAcquire context.CancelFunc // ends the wait for a connection
-
 	// certifier confirms for the group; minimum is what a replica must have applied before it
 	// may answer a read of this session.
 	certifier       *certifier.Certifier
@@ -79,15 +75,11 @@
 	startupStatements []string
 
 	retained retainedConn
-	// taken are the server connections that the session holds, the retained one included.
-	taken []*takenConn
 	// exchanging is set while an exchange runs. After a panic inside one it stays set: the
 	// answer on the server connection has not been read to its end.
 	exchanging bool
 	// pinReserved is set while a batch that pins its connection runs.
 	pinReserved bool
-	// inFlight is set while the session counts as in flight on the primary.
-	inFlight bool
 	// txLost is set while the caller's transaction has failed and has no server
 	// connection any more.
 	txLost bool
@@ -127,8 +119,9 @@
 // NewSession returns a session that [Session.Run] serves. It fails if the token
 // is not valid or there are too many settings.
 func (r *Relayer) NewSession(a AuthenticatedConn) (*Session, error) {
+	g := r.group(a.Group)
 	s := &Session{
-		Terminator: terminator.New(), r: r, conn: a.Conn, in: a.Inbound, caller: a.Caller, keys: rewriter.Keys(a.Caller.Name), groupName: a.Group, group: r.group(a.Group), certifier: r.group(a.Group).certifier,
+		Terminator: terminator.New(), r: r, conn: a.Conn, in: a.Inbound, caller: a.Caller, keys: rewriter.Keys(a.Caller.Name), groupName: a.Group, group: g.Group, certifier: g.certifier,
 	}
 	team, ok := checker.TeamOfUser(a.Caller.Name)
 	if !ok {
@@ -146,36 +139,28 @@
 		}
 		s.minimum = certifier.Minimum{Position: p, IsSet: true}
 	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.out = responder.New(responder.Config{
 		Conn: a.Conn, Inbound: a.Inbound, WriteWait: r.cfg.WriteWait,
-		HoldsServer: s.holdsServerConn, IsStarved: func() bool { return s.group.starved.Load() > 0 },
+		HoldsServer: s.holdsServerConn, IsStarved: s.group.IsStarved,
 	})
 	s.reader = batcher.New(batcher.Config{
 		Backend: a.Backend, Inbound: a.Inbound, Limit: r.cfg.BatchLimit, Terminator: s.Terminator, OnDisconnect: s.handleDisconnect, Log: r.log,
 	})
+	s.acquirer = acquirer.New(acquirer.Config{
+		Group: a.Group, Caller: a.Caller.Name, Shared: g.Group, Views: r.deps.Views, Pool: r.deps.Acquirer, Check: g.certifier.Check,
+		Clock: r.clock, PrimaryWait: r.cfg.PrimaryWait, DrainWait: r.cfg.DrainWait,
+		Conn: a.Conn, Disconnected: s.reader.Disconnected(), Context: s.ctx, Waits: r.counts.waitedForPrimary,
+	})
 	a.Backend.SetMaxBodyLen(r.cfg.MessageLimit)
 	s.in.Start(r.cfg.MessageLimit)
 	s.stmts.Keep = s.in.Keep
-	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s, nil
 }
 
 // Cancel asks the server to cancel the statement that the session runs, and
 // ends a wait for a server connection. Otherwise it does nothing.
-func (s *Session) Cancel(ctx context.Context) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.cancelAcquire != nil {
-		s.cancelAcquire()
-	}
-	if s.running == nil {
-		return nil
-	}
-	return s.running.Cancel(ctx)
-}
-
-// cancelTimeout bounds the time for sending a cancel request to the server.
-const cancelTimeout = 2 * time.Second
+func (s *Session) Cancel(ctx context.Context) error { return s.acquirer.Cancel(ctx) }
 
 // Run serves the caller until the connection ends.
 func (s *Session) Run() {
@@ -210,37 +195,22 @@
 // handleDisconnect cancels what runs for a caller that has disconnected.
 func (s *Session) handleDisconnect() {
 	s.cancel()
-	s.cancelRunning()
-}
-
-// cancelRunning cancels what the session runs, if anything.
-func (s *Session) cancelRunning() {
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-	defer cancel()
-	_ = s.Cancel(ctx)
+	s.acquirer.CancelRunning()
 }
 
 func (s *Session) finish() {
 	s.cancel()
 	_ = s.conn.Close()
-	s.setRunning(nil)
+	s.acquirer.SetRunning(nil)
 	s.returnRetained()
-	s.discardTaken()
-	s.endPrimaryUse()
+	s.acquirer.Close()
+	s.acquirer.EndUse()
 	s.quota.Settle(true)
 	s.in.Interrupt()
 	<-s.reader.Done()
 	s.in.Close()
 }
 
-// setRunning sets the server connection that cancel requests are for. It waits
-// for a cancel request in progress.
-func (s *Session) setRunning(c pooler.Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.running = c
-}
-
 // discardRetained discards the server connection that the session retains, if
 // any.
 func (s *Session) discardRetained() {
@@ -250,6 +220,7 @@
 	s.endOnError = s.endOnError || s.retained.pinned
 	s.retained.conn.Discard()
 	s.clearRetained()
+	s.acquirer.EndUse()
 }
 
 // returnRetained gives the server connection that the session retains back at its end. An
@@ -267,6 +238,7 @@
 	}
 	r.conn.Release()
 	s.clearRetained()
+	s.acquirer.EndUse()
 }
 
 // rollBackTimeout is how long a server may take to roll back for a caller that has gone.
@@ -301,19 +273,10 @@
 	if s.retained.pinned {
 		s.r.releasePin(s.caller.Name)
 	}
-	s.endPrimaryUse()
 	s.retained = retainedConn{}
 	s.portals = nil
 }
 
-// endPrimaryUse ends what beginPrimaryUse began.
-func (s *Session) endPrimaryUse() {
-	if s.inFlight {
-		s.inFlight = false
-		s.group.inFlight.Add(-1)
-	}
-}
-
 // status returns the transaction status for ReadyForQuery.
 func (s *Session) status() byte {
 	switch {
@@ -334,8 +297,4 @@
 }
 
 // holdsServerConn reports whether the session uses or retains a server connection.
-func (s *Session) holdsServerConn() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.running != nil || s.retained.conn != nil
-}
+func (s *Session) holdsServerConn() bool { return s.acquirer.IsRunning() || s.retained.conn != nil }
--- a/internal/relayer/settings.go
+++ b/internal/relayer/settings.go
@@ -16,13 +16,13 @@
 	if !s.r.reservePin(s.caller.Name, s.caller.PinnedLimit) {
 		return responder.Fatal(resolver.CodeTooManyConnections, "caller may not pin more server connections for its startup settings")
 	}
-	conn, failure := s.acquirePrimary(s.newPrimaryWait(), pooler.Write)
+	conn, failure := s.acquirer.Primary(s.acquirer.NewWait(), pooler.Write)
 	if failure != nil {
 		s.r.releasePin(s.caller.Name)
 		return responder.Fatal(failure.Code, failure.Message)
 	}
 	s.retained = retainedConn{conn: conn, pinned: true}
-	defer s.endPrimaryUse()
+	defer s.acquirer.EndUse()
 	x := s.newExchange(conn, &batcher.Batch{Query: &pgproto3.Query{}}, &planner.Plan{})
 	for _, statement := range s.startupStatements {
 		r, err := x.query(statement)
