retainer: keeps the server connection of a session between batches

Cause: ten fields of the session said which connection it retains and why; six files set them, and what belongs together (a discarded connection, its pin, its portals, the transaction) was kept in step by convention. Change: package retainer owns them behind the steps that happen: kept in a transaction, until Sync or pinned, finished, lost, returned. The pin for startup settings is a reserved one until the connection is there, so that a panic meanwhile gives it back.

--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -97,13 +97,14 @@
 func (s *Session) newExchange(conn pooler.Conn, b *batcher.Batch, p *planner.Plan) *exchange {
 	x := &exchange{s: s, conn: conn, batch: b, plan: p, lowerBound: s.certifier.KnownPosition()}
 	_ = conn.SetReadDeadline(time.Now().Add(checkInterval))
-	if s.retained.tx.active {
-		x.evidence, x.mustDiscard = s.retained.tx.evidence, s.retained.discardAfterTx
+	tx := s.retainer.Transaction()
+	if tx.IsOpen {
+		x.evidence, x.mustDiscard = tx.Evidence, tx.MustDiscard
 	}
 	if p.RunsProcedure {
 		x.evidence = resolver.Unproved
 	}
-	x.mayStream = p.LeavesTransactionOpen || (s.retained.tx.active && !p.MayCommit)
+	x.mayStream = p.LeavesTransactionOpen || (tx.IsOpen && !p.MayCommit)
 	return x
 }
 
@@ -173,12 +174,12 @@
 	x.s.acquirer.SetRunning(x.conn)
 	defer x.s.acquirer.SetRunning(nil)
 	x.undoCharge = x.s.quota.Send()
-	x.s.exchanging = true
+	x.s.retainer.SetExchanging(true)
 	err := x.sendBatch()
 	if err == nil && !x.batch.Flushed {
 		err = x.finish()
 	}
-	x.s.exchanging = false // not deferred, so that it stays set after a panic
+	x.s.retainer.SetExchanging(false) // not deferred, so that it stays set after a panic
 	return err
 }
 
--- a/internal/relayer/finalize.go
+++ b/internal/relayer/finalize.go
@@ -7,20 +7,20 @@
 
 	"marigoldhub.example/hub/internal/certifier"
 	"marigoldhub.example/hub/internal/resolver"
+	"marigoldhub.example/hub/internal/retainer"
 	"marigoldhub.example/hub/internal/tracker"
 )
 
 // finalizeLost finalizes an exchange whose server connection was lost.
 func (x *exchange) finalizeLost(err error) attemptResult {
 	s := x.s
-	wasActive := s.retained.tx.active
-	s.retained.conn = x.conn
-	s.discardRetained()
+	wasActive := s.retainer.Transaction().IsOpen
+	s.retainer.Lose(x.conn)
 	if x.mayHaveCommitted() {
 		return x.replaceAnswer(resolver.UnknownError(err.Error()), false)
 	}
 	if wasActive || (x.plan.LeavesTransactionOpen && len(x.plan.Executed) > 1) || x.partlySent {
-		s.txLost = wasActive || x.plan.LeavesTransactionOpen
+		s.retainer.SetLostTransaction(wasActive || x.plan.LeavesTransactionOpen)
 		return x.replaceAnswer(resolver.NotRunError(err.Error()), false)
 	}
 	return x.replaceAnswer(resolver.NotRunError(err.Error()), true)
@@ -52,8 +52,9 @@
 			return x.finalizeLost(err)
 		}
 	}
-	inTx := s.retained.tx.active
-	s.endConnUse(x)
+	inTx := s.retainer.Transaction().IsOpen
+	s.acquirer.SetRunning(nil)
+	s.retainer.Finish(x.conn, x.mustDiscard)
 	defer s.acquirer.EndUse()
 	if confirm {
 		return x.finalizeConfirmed(p)
@@ -61,7 +62,7 @@
 	if x.err != nil && !inTx && resolver.ProvesNotRun(x.err) {
 		x.recordRefusal()
 	}
-	if x.err != nil && !inTx && resolver.ProvesNotRun(x.err) && !s.pinned() {
+	if x.err != nil && !inTx && resolver.ProvesNotRun(x.err) && !s.retainer.IsPinned() {
 		return x.replaceAnswer(resolver.NotRunError(x.err.Message+" ("+x.err.Code+")"), true)
 	}
 	return attemptResult{}
@@ -69,49 +70,26 @@
 
 // retainInTransaction retains the connection inside a transaction.
 func (s *Session) retainInTransaction(x *exchange) {
-	s.retained.conn = x.conn
-	s.retained.openExchange = nil
-	s.retained.tx.active = true
-	s.retained.discardAfterTx = x.mustDiscard
-	s.retained.tx.failed = x.status == 'E'
-	s.retained.tx.evidence = x.evidence
-	s.retained.tx.readOnly = s.retained.tx.readOnly || x.plan.RequestsReadOnly
+	s.retainer.KeepInTransaction(x.conn, retainer.Transaction{
+		IsOpen: true, HasFailed: x.status == 'E', Evidence: x.evidence,
+		IsReadOnly: s.retainer.Transaction().IsReadOnly || x.plan.RequestsReadOnly, MustDiscard: x.mustDiscard,
+	})
 }
 
 // finalizeInTransaction fails the transaction if an error shows that the server
 // no longer accepts writes, because the transaction could not commit.
 func (x *exchange) finalizeInTransaction() attemptResult {
 	s := x.s
-	if x.err == nil || x.err.Code != resolver.CodeReadOnly || s.pinned() {
+	if x.err == nil || x.err.Code != resolver.CodeReadOnly || s.retainer.IsPinned() {
 		return attemptResult{}
 	}
-	if s.retained.tx.readOnly {
+	if s.retainer.Transaction().IsReadOnly {
 		return attemptResult{}
 	}
-	s.failTransaction()
+	s.retainer.FailTransaction()
 	return x.replaceAnswer(resolver.NotRunError("the primary is being replaced"), false)
 }
 
-// endConnUse ends the use of a connection outside a transaction. A pinned
-// connection is retained. The session still counts as in flight on the primary.
-func (s *Session) endConnUse(x *exchange) {
-	if s.pinned() {
-		s.retained.conn = x.conn
-		s.retained.openExchange = nil
-		s.retained.tx = txState{}
-		s.portals = nil
-		return
-	}
-	s.retained.conn = x.conn
-	s.acquirer.SetRunning(nil)
-	if x.mustDiscard {
-		x.conn.Discard()
-	} else {
-		x.conn.Release()
-	}
-	s.clearRetained()
-}
-
 // finalizeConfirmed waits for the confirmation of a commit or a strict read.
 func (x *exchange) finalizeConfirmed(p *certifier.Fresh) attemptResult {
 	s := x.s
--- a/internal/relayer/flushed.go
+++ b/internal/relayer/flushed.go
@@ -11,8 +11,8 @@
 // provisional: the implicit transaction commits at Sync, and ReadyForQuery is
 // withheld until the position of this commit is confirmed.
 func (s *Session) retainFlushed(x *exchange) error {
-	s.retained.conn = x.conn
-	s.retained.openExchange = x
+	s.retainer.KeepUntilSync(x.conn)
+	s.flushed = x
 	x.applyStatementChanges()
 	x.partlySent = true
 	return s.out.Flush()
@@ -20,7 +20,7 @@
 
 // continueFlushed runs the next batch of an exchange that awaits Sync.
 func (s *Session) continueFlushed(b *batcher.Batch) error {
-	x := s.retained.openExchange
+	x := s.flushed
 	p := s.plan(b)
 	if p.Refusal != nil {
 		return s.refuseFlushed(b, p)
@@ -34,7 +34,7 @@
 	if b.Flushed {
 		return s.retainFlushed(x)
 	}
-	s.retained.openExchange = nil
+	s.retainer.EndSync()
 	return s.answerFlushed(x, x.finalize(nil))
 }
 
@@ -49,8 +49,8 @@
 // refuseFlushed ends an exchange that awaits Sync with an error. Nothing of it
 // is committed, because Sync was not sent.
 func (s *Session) refuseFlushed(b *batcher.Batch, p *planner.Plan) error {
-	s.txLost = s.retained.tx.active
-	s.discardRetained()
+	s.retainer.SetLostTransaction(s.retainer.Transaction().IsOpen)
+	s.retainer.Discard()
 	if p.Refusal.Code == resolver.CodeNotSupported {
 		p.Refusal.Hint = "The batch was rolled back."
 	}
--- a/internal/relayer/keys.go
+++ b/internal/relayer/keys.go
@@ -49,7 +49,7 @@
 	switch {
 	case s.requestKey == "":
 		return "", resolver.Error(resolver.CodeInvalidValue, "marigold.request_key is not set", "")
-	case s.retained.tx.active:
+	case s.retainer.Transaction().IsOpen:
 		return "", resolver.Error("25001", "SHOW marigold.request_outcome cannot run inside a transaction block", "")
 	}
 	conn, failure := s.acquirer.Primary(s.acquirer.NewWait(), pooler.Write)
@@ -133,10 +133,9 @@
 	s.acquirer.SetRunning(nil)
 	switch {
 	case x.onPinnedConn && clean:
-		s.retained.conn = x.conn
+		s.retainer.Keep(x.conn)
 	case x.onPinnedConn:
-		s.retained.conn = x.conn
-		s.discardRetained()
+		s.retainer.Lose(x.conn)
 	case clean:
 		x.conn.Release()
 	default:
@@ -148,11 +147,10 @@
 // transaction is rolled back; the outcome stored for the key decides the answer.
 func (x *exchange) finalizeKeyConflict() attemptResult {
 	s := x.s
-	s.txLost = true
+	s.retainer.SetLostTransaction(true)
 	defer s.acquirer.EndUse()
-	x.onPinnedConn = s.pinned()
-	s.retained = retainedConn{pinned: s.retained.pinned}
-	s.portals = nil
+	x.onPinnedConn = s.retainer.IsPinned()
+	s.retainer.EndTransaction()
 	outcome, failure := x.rollBackAndReadOutcome()
 	switch {
 	case failure != nil:
--- a/internal/relayer/local.go
+++ b/internal/relayer/local.go
@@ -22,7 +22,7 @@
 
 // serveLocal answers a batch of statements that the proxy runs itself.
 func (s *Session) serveLocal(b *batcher.Batch) error {
-	if s.retained.tx.failed {
+	if s.retainer.Transaction().HasFailed {
 		return s.fail(b, resolver.Error(resolver.CodeFailedTransaction,
 			"current transaction is aborted, commands ignored until end of transaction block", ""))
 	}
@@ -242,12 +242,11 @@
 // discardAll resets the session. A pinned connection is discarded, because the
 // session state on it must end.
 func (s *Session) discardAll() (localAnswer, *pgproto3.ErrorResponse) {
-	if s.retained.tx.active {
+	if s.retainer.Transaction().IsOpen {
 		return localAnswer{}, resolver.Error("25001", "DISCARD ALL cannot run inside a transaction block", "")
 	}
 	s.stmts.Clear()
 	s.requestKey = ""
-	s.discardRetained()
-	s.endOnError = false
+	s.retainer.Reset()
 	return localAnswer{tag: "DISCARD ALL"}, nil
 }
--- a/internal/relayer/plan.go
+++ b/internal/relayer/plan.go
@@ -11,11 +11,11 @@
 	return planner.Make(planner.Input{
 		Query:         b.Query,
 		Messages:      b.Messages,
-		InTransaction: s.retained.tx.active || s.txLost,
-		HasServer:     s.retained.conn != nil,
+		InTransaction: s.retainer.InTransaction(),
+		HasServer:     s.retainer.Conn() != nil,
 		Classifier:    s.r.deps.Classifier,
 		Statement:     s.preparedResult,
-		Portal:        s.portalResult,
+		Portal:        s.retainer.Portals.Get,
 	})
 }
 
@@ -27,11 +27,6 @@
 	return st.Result, true
 }
 
-func (s *Session) portalResult(name string) (*classifier.Result, bool) {
-	r, ok := s.portals[name]
-	return r, ok
-}
-
 func setEntry[V any](m *map[string]V, key string, value V) {
 	if *m == nil {
 		*m = make(map[string]V)
--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -53,7 +53,7 @@
 
 // serveOnRetained runs a batch on the connection that the session retains.
 func (s *Session) serveOnRetained(b *batcher.Batch, p *planner.Plan) error {
-	if !s.retained.tx.active {
+	if !s.retainer.Transaction().IsOpen {
 		if err := s.checkPinnedServer(); err != nil {
 			return err
 		}
@@ -62,7 +62,7 @@
 			return s.fail(b, failure)
 		}
 	}
-	x := s.newExchange(s.retained.conn, b, p)
+	x := s.newExchange(s.retainer.Conn(), b, p)
 	a := s.runOnce(x)
 	switch {
 	case a.failure != nil:
@@ -81,7 +81,7 @@
 		return responder.Fatal(failure.Code, failure.Message)
 	}
 	v, ok := s.r.deps.Views.View(s.groupName)
-	if ok && v.Primary != "" && v.Primary != s.retained.conn.Server() {
+	if ok && v.Primary != "" && v.Primary != s.retainer.Conn().Server() {
 		return responder.Fatal(resolver.CodeShutdown, "the primary that held this session's settings was replaced, connect again")
 	}
 	return nil
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -10,6 +10,7 @@
 	"marigoldhub.example/hub/internal/acquirer"
 	"marigoldhub.example/hub/internal/certifier"
 	"marigoldhub.example/hub/internal/charger"
+	"marigoldhub.example/hub/internal/retainer"
 	"marigoldhub.example/hub/internal/router"
 )
 
@@ -22,9 +23,10 @@
 	log    logrus.FieldLogger
 	counts counters
 
-	mu             sync.Mutex
-	groups         map[string]*group
-	pinnedByCaller map[string]int // pinned connections
+	pins retainer.Pins
+
+	mu     sync.Mutex
+	groups map[string]*group
 }
 
 // group is the state that the sessions of one database group share.
@@ -50,7 +52,7 @@
 	}
 	r := &Relayer{
 		cfg: cfg.withDefaults(), deps: deps, clock: deps.Clock, log: deps.Log,
-		groups: make(map[string]*group), pinnedByCaller: make(map[string]int),
+		groups: make(map[string]*group),
 	}
 	r.counts = newCounters(deps.Metrics)
 	r.router = router.New(router.Config{Policy: r.cfg.Policy, Zone: r.cfg.Zone}, deps.Catalogs, deps.Views, func(name, server string) int { return r.group(name).Reads(server) })
@@ -74,24 +76,3 @@
 	}
 	return g
 }
-
-// reservePin counts one more pinned connection of the caller unless the limit
-// is reached.
-func (r *Relayer) reservePin(caller string, limit int) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.pinnedByCaller[caller] >= limit {
-		return false
-	}
-	r.pinnedByCaller[caller]++
-	return true
-}
-
-func (r *Relayer) releasePin(caller string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.pinnedByCaller[caller]--
-	if r.pinnedByCaller[caller] <= 0 {
-		delete(r.pinnedByCaller, caller)
-	}
-}
--- a/internal/relayer/replica.go
+++ b/internal/relayer/replica.go
@@ -103,7 +103,7 @@
 	default:
 		x.conn.Discard()
 	}
-	s.portals = nil
+	s.retainer.Portals.Clear()
 	if err == errNotCovered {
 		s.r.counts.replicaReadsRejected.Inc(1)
 	}
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -229,7 +229,7 @@
 	bind.PreparedStatement = x.serverStatementName(m.PreparedStatement)
 	portal, result := m.DestinationPortal, x.resultOf(m.PreparedStatement)
 	if result != nil {
-		setEntry(&x.s.portals, portal, result)
+		x.s.retainer.Portals.Set(portal, result)
 	}
 	x.send(expectation{kind: 'B'}, &bind)
 }
@@ -243,7 +243,7 @@
 
 // executedStatement returns the statement that Execute runs on the portal.
 func (x *exchange) executedStatement(portal string) classifier.Statement {
-	if r, ok := x.s.portals[portal]; ok {
+	if r, ok := x.s.retainer.Portals.Get(portal); ok {
 		if st, single := r.Single(); single {
 			return st
 		}
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -14,14 +14,14 @@
 // serve runs one batch and answers it.
 func (s *Session) serve(b *batcher.Batch) error {
 	defer s.settleQuota()
-	if s.retained.openExchange != nil {
+	if s.retainer.AwaitsSync() {
 		return s.continueFlushed(b)
 	}
 	if b.Unsupported != nil {
 		return s.refuse(b, b.Unsupported)
 	}
 	s.r.counts.batches.Inc(1)
-	defer s.finalizePin()
+	defer s.retainer.SettlePin()
 	p := s.plan(b)
 	local, mixed := p.AnsweredByProxy()
 	switch {
@@ -32,11 +32,11 @@
 			"marigold settings, DISCARD and DEALLOCATE cannot be combined with other statements in one batch", ""))
 	case !p.NeedsServer:
 		return s.serveWithoutServer(b)
-	case s.txLost:
+	case s.retainer.HasLostTransaction():
 		return s.serveLostTx(b, p)
 	case local:
 		return s.serveLocal(b)
-	case s.retained.conn == nil && b.Query != nil && len(p.Executed) == 0:
+	case s.retainer.Conn() == nil && b.Query != nil && len(p.Executed) == 0:
 		// Drivers use empty queries to check connections; they need no server.
 		s.out.Send(&pgproto3.EmptyQueryResponse{})
 		return s.ready()
@@ -44,12 +44,12 @@
 	if err := s.quota.Admit(p.Executed, b.Flushed); err != nil {
 		return s.refuse(b, err)
 	}
-	if len(s.startupStatements) > 0 && s.retained.conn == nil {
+	if len(s.startupStatements) > 0 && s.retainer.Conn() == nil {
 		if err := s.applySettings(); err != nil {
 			return err
 		}
 	}
-	if err := rewriter.CheckSettings(p.Executed, s.retained.tx.active); err != nil {
+	if err := rewriter.CheckSettings(p.Executed, s.retainer.Transaction().IsOpen); err != nil {
 		return s.refuse(b, err)
 	}
 	if err := s.checkPin(p); err != nil {
@@ -57,7 +57,7 @@
 	}
 	s.r.deps.RetryBudget.CountRequest()
 	switch {
-	case s.retained.conn != nil:
+	case s.retainer.Conn() != nil:
 		return s.serveOnRetained(b, p)
 	case p.ReadOnly() && !b.Flushed:
 		return s.serveRead(b, p)
@@ -68,25 +68,18 @@
 // settleQuota ends the session's operation unless a transaction, or a batch that awaits
 // Sync, goes on.
 func (s *Session) settleQuota() {
-	s.quota.Settle(!s.retained.tx.active && s.retained.openExchange == nil && !s.txLost)
+	s.quota.Settle(!s.retainer.InTransaction() && !s.retainer.AwaitsSync())
 }
 
 // refuse answers a batch with an error without running it. An open transaction
 // fails, as it would on a server.
 func (s *Session) refuse(b *batcher.Batch, e *pgproto3.ErrorResponse) error {
-	if s.retained.tx.active {
-		s.failTransaction()
+	if s.retainer.Transaction().IsOpen {
+		s.retainer.FailTransaction()
 	}
 	return s.fail(b, e)
 }
 
-// failTransaction rolls back the open transaction. The session remains in a
-// failed transaction until the caller ends it.
-func (s *Session) failTransaction() {
-	s.txLost = true
-	s.discardRetained()
-}
-
 // end sends the last error of a session, as FATAL.
 func (s *Session) end(e *pgproto3.ErrorResponse) error {
 	e.Severity, e.SeverityUnlocalized = "FATAL", "FATAL"
@@ -108,7 +101,7 @@
 		// The commit may have happened at a position above the minimum.
 		s.minimum = s.minimum.WithUnknownCommit()
 	}
-	if s.endOnError {
+	if s.retainer.EndsOnError() {
 		return s.end(e)
 	}
 	s.out.Send(e)
@@ -159,7 +152,7 @@
 		return s.fail(b, resolver.Error(resolver.CodeFailedTransaction,
 			"current transaction is aborted, commands ignored until end of transaction block", ""))
 	}
-	s.txLost = len(p.Executed) == 0
+	s.retainer.SetLostTransaction(len(p.Executed) == 0)
 	return s.answerLocal(b, func(classifier.Statement) (localAnswer, *pgproto3.ErrorResponse) {
 		return localAnswer{tag: "ROLLBACK"}, nil
 	})
@@ -177,30 +170,9 @@
 // checkPin refuses a batch that would pin more server connections than the
 // caller may.
 func (s *Session) checkPin(p *planner.Plan) *pgproto3.ErrorResponse {
-	if !p.Pins() || s.retained.pinned {
+	if !p.Pins() || s.retainer.ReservePin() {
 		return nil
 	}
-	if !s.r.reservePin(s.caller.Name, s.caller.PinnedLimit) {
-		return resolver.Error(resolver.CodeTooManyConnections,
-			"caller may not pin more server connections", "Session settings, LISTEN, advisory locks and temporary tables pin a server connection.")
-	}
-	s.pinReserved = true
-	return nil
+	return resolver.Error(resolver.CodeTooManyConnections,
+		"caller may not pin more server connections", "Session settings, LISTEN, advisory locks and temporary tables pin a server connection.")
 }
-
-// finalizePin assigns the reserved pin to the connection that the session
-// retains, or returns it if there is none.
-func (s *Session) finalizePin() {
-	if !s.pinReserved {
-		return
-	}
-	s.pinReserved = false
-	if s.retained.conn == nil {
-		s.r.releasePin(s.caller.Name)
-		return
-	}
-	s.retained.pinned = true
-}
-
-// pinned reports whether the server connection is pinned to the session.
-func (s *Session) pinned() bool { return s.retained.pinned || s.pinReserved }
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -13,12 +12,10 @@
 	"marigoldhub.example/hub/internal/certifier"
 	"marigoldhub.example/hub/internal/charger"
 	"marigoldhub.example/hub/internal/checker"
-	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/framer"
-	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/preparer"
-	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/responder"
+	"marigoldhub.example/hub/internal/retainer"
 	"marigoldhub.example/hub/internal/rewriter"
 	"marigoldhub.example/hub/internal/terminator"
 )
@@ -67,55 +64,22 @@
 	previousReplica string // replica that served the last read
 
 	stmts      preparer.Set
-	portals    map[string]*classifier.Result
 	keys       rewriter.Keys
 	requestKey string // marigold.request_key
 	// startupStatements must be run on a server connection before any other
 	// statement of the session.
 	startupStatements []string
 
-	retained retainedConn
-	// exchanging is set while an exchange runs. After a panic inside one it stays set: the
-	// answer on the server connection has not been read to its end.
-	exchanging bool
-	// pinReserved is set while a batch that pins its connection runs.
-	pinReserved bool
-	// txLost is set while the caller's transaction has failed and has no server
-	// connection any more.
-	txLost bool
-	// endOnError is set when a pinned connection, and with it state of the
-	// session, was lost. The next error ends the session.
-	endOnError bool
+	// retainer keeps the server connection that the session retains between batches.
+	retainer *retainer.Retainer
+	// flushed is the exchange that awaits Sync, if retainer knows of one.
+	flushed *exchange
 	// quota is charged for the present operation.
 	quota *charger.Charger
 	// out is the output to the caller.
 	out *responder.Output
 }
 
-// retainedConn is the server connection that the session retains between
-// batches.
-type retainedConn struct {
-	conn   pooler.Conn
-	pinned bool
-	// discardAfterTx is set when the connection must be closed after the
-	// transaction.
-	discardAfterTx bool
-	tx             txState
-	// openExchange is an exchange whose batch ended with Flush and that awaits
-	// Sync.
-	openExchange *exchange
-}
-
-// txState is the state of the open transaction.
-type txState struct {
-	active bool
-	failed bool
-	// evidence is what the answers to its statements prove.
-	evidence resolver.Evidence
-	// readOnly is set when the caller asked for a read-only transaction.
-	readOnly bool
-}
-
 // NewSession returns a session that [Session.Run] serves. It fails if the token
 // is not valid or there are too many settings.
 func (r *Relayer) NewSession(a AuthenticatedConn) (*Session, error) {
@@ -152,6 +116,7 @@
 		Clock: r.clock, PrimaryWait: r.cfg.PrimaryWait, DrainWait: r.cfg.DrainWait,
 		Conn: a.Conn, Disconnected: s.reader.Disconnected(), Context: s.ctx, Waits: r.counts.waitedForPrimary,
 	})
+	s.retainer = retainer.New(retainer.Config{Pins: &r.pins, Caller: a.Caller.Name, Limit: a.Caller.PinnedLimit, EndUse: s.acquirer.EndUse})
 	a.Backend.SetMaxBodyLen(r.cfg.MessageLimit)
 	s.in.Start(r.cfg.MessageLimit)
 	s.stmts.Keep = s.in.Keep
@@ -187,9 +152,12 @@
 
 // nextBatch reads the next batch.
 func (s *Session) nextBatch() (*batcher.Batch, error) {
-	awaitsSync := s.retained.openExchange != nil
-	inTransaction := s.retained.tx.active || awaitsSync
-	return s.reader.Next(batcher.State{IsIdle: !inTransaction && !s.txLost, InTransaction: inTransaction, AwaitsSync: awaitsSync})
+	awaitsSync := s.retainer.AwaitsSync()
+	return s.reader.Next(batcher.State{
+		IsIdle:        !s.retainer.InTransaction() && !awaitsSync,
+		InTransaction: s.retainer.Transaction().IsOpen || awaitsSync,
+		AwaitsSync:    awaitsSync,
+	})
 }
 
 // handleDisconnect cancels what runs for a caller that has disconnected.
@@ -202,7 +170,7 @@
 	s.cancel()
 	_ = s.conn.Close()
 	s.acquirer.SetRunning(nil)
-	s.returnRetained()
+	s.retainer.Return()
 	s.acquirer.Close()
 	s.acquirer.EndUse()
 	s.quota.Settle(true)
@@ -211,90 +179,11 @@
 	s.in.Close()
 }
 
-// discardRetained discards the server connection that the session retains, if
-// any.
-func (s *Session) discardRetained() {
-	if s.retained.conn == nil {
-		return
-	}
-	s.endOnError = s.endOnError || s.retained.pinned
-	s.retained.conn.Discard()
-	s.clearRetained()
-	s.acquirer.EndUse()
-}
-
-// returnRetained gives the server connection that the session retains back at its end. An
-// open transaction is rolled back first: a new connection costs the server more, and callers
-// that leave in transactions would take all connections from others. A connection with state
-// of the session, or in the middle of an answer, is discarded.
-func (s *Session) returnRetained() {
-	r := s.retained
-	if r.conn == nil {
-		return
-	}
-	if s.exchanging || r.pinned || r.discardAfterTx || r.openExchange != nil || !rollBack(r.conn) {
-		s.discardRetained()
-		return
-	}
-	r.conn.Release()
-	s.clearRetained()
-	s.acquirer.EndUse()
-}
-
-// rollBackTimeout is how long a server may take to roll back for a caller that has gone.
-const rollBackTimeout = 500 * time.Millisecond
-
-// rollBack ends the transaction of a connection and reports whether the server has answered
-// the ROLLBACK, and that no transaction is open.
-func rollBack(c pooler.Conn) bool {
-	_ = c.SetReadDeadline(time.Now().Add(rollBackTimeout))
-	c.Send(&pgproto3.Query{String: "ROLLBACK"})
-	if err := c.Flush(); err != nil {
-		return false
-	}
-	rolledBack := false
-	for {
-		msg, err := c.Receive()
-		if err != nil {
-			return false
-		}
-		switch m := msg.(type) {
-		case *pgproto3.CommandComplete:
-			rolledBack = string(m.CommandTag) == "ROLLBACK"
-		case *pgproto3.ReadyForQuery:
-			return rolledBack && m.TxStatus == 'I'
-		}
-	}
-}
-
-// clearRetained resets the state of a connection that was released or
-// discarded.
-func (s *Session) clearRetained() {
-	if s.retained.pinned {
-		s.r.releasePin(s.caller.Name)
-	}
-	s.retained = retainedConn{}
-	s.portals = nil
-}
-
-// status returns the transaction status for ReadyForQuery.
-func (s *Session) status() byte {
-	switch {
-	case s.txLost:
-		return 'E'
-	case s.retained.tx.failed:
-		return 'E'
-	case s.retained.tx.active:
-		return 'T'
-	}
-	return 'I'
-}
-
 // ready ends the answer to a batch with ReadyForQuery.
 func (s *Session) ready() error {
-	s.out.Send(&pgproto3.ReadyForQuery{TxStatus: s.status()})
+	s.out.Send(&pgproto3.ReadyForQuery{TxStatus: s.retainer.Status()})
 	return s.out.Flush()
 }
 
 // holdsServerConn reports whether the session uses or retains a server connection.
-func (s *Session) holdsServerConn() bool { return s.acquirer.IsRunning() || s.retained.conn != nil }
+func (s *Session) holdsServerConn() bool { return s.acquirer.IsRunning() || s.retainer.Conn() != nil }
--- a/internal/relayer/settings.go
+++ b/internal/relayer/settings.go
@@ -13,17 +13,14 @@
 // applySettings pins a connection and applies the settings of the startup
 // message to it. A failure ends the session.
 func (s *Session) applySettings() error {
-	if !s.r.reservePin(s.caller.Name, s.caller.PinnedLimit) {
-		return responder.Fatal(resolver.CodeTooManyConnections, "caller may not pin more server connections for its startup settings")
-	}
-	conn, failure := s.acquirer.Primary(s.acquirer.NewWait(), pooler.Write)
+	failure := s.retainer.Pin(func() (pooler.Conn, *pgproto3.ErrorResponse) {
+		return s.acquirer.Primary(s.acquirer.NewWait(), pooler.Write)
+	}, resolver.Error(resolver.CodeTooManyConnections, "caller may not pin more server connections for its startup settings", ""))
 	if failure != nil {
-		s.r.releasePin(s.caller.Name)
 		return responder.Fatal(failure.Code, failure.Message)
 	}
-	s.retained = retainedConn{conn: conn, pinned: true}
 	defer s.acquirer.EndUse()
-	x := s.newExchange(conn, &batcher.Batch{Query: &pgproto3.Query{}}, &planner.Plan{})
+	x := s.newExchange(s.retainer.Conn(), &batcher.Batch{Query: &pgproto3.Query{}}, &planner.Plan{})
 	for _, statement := range s.startupStatements {
 		r, err := x.query(statement)
 		if err != nil {
