translator: translates the messages of a batch for its connection

Cause: the exchange of a batch mixed the names of prepared statements with reading, confirming and retrying. Change: package translator sends the messages under the names of the proxy and keeps the responses that are to come; the exchange asks it whether a response was expected.

--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -12,10 +12,10 @@
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
-	"marigoldhub.example/hub/internal/preparer"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/responder"
 	"marigoldhub.example/hub/internal/tracker"
+	"marigoldhub.example/hub/internal/translator"
 )
 
 // exchange is the run of one batch on one server connection.
@@ -29,20 +29,10 @@
 	// mayStream is set when the answer may be passed on before it is confirmed.
 	mayStream bool
 
-	// expected are the responses that are still to come, in order.
-	expected []expectation
+	// messages translates those of the extended protocol.
+	messages *translator.Translator
 	// statementIndex counts the completed statements of a simple query.
 	statementIndex int
-	// prepared are the statements that the batch itself prepares or closes (nil),
-	// by the caller's name. preparedOnConn are the server-side names of
-	// statements that this batch uses and that exist on the connection.
-	prepared       map[string]*preparer.Statement
-	preparedOnConn map[string]bool
-	// changes are applied to the session once the answer is final.
-	changes []statementChange
-	// unnamedPrepared is set when the unnamed statement was prepared for this
-	// batch, by the caller or by the proxy.
-	unnamedPrepared bool
 	// skipping is set after an error until Sync.
 	skipping bool
 
@@ -96,6 +86,7 @@
 
 func (s *Session) newExchange(conn pooler.Conn, b *batcher.Batch, p *planner.Plan) *exchange {
 	x := &exchange{s: s, conn: conn, batch: b, plan: p, lowerBound: s.certifier.KnownPosition()}
+	x.messages = translator.New(translator.Config{Conn: conn, Statements: &s.stmts, Portals: &s.retainer.Portals, Parser: s.parser})
 	_ = conn.SetReadDeadline(time.Now().Add(checkInterval))
 	tx := s.retainer.Transaction()
 	if tx.IsOpen {
@@ -301,13 +292,17 @@
 // current returns the statement that the server is executing.
 func (x *exchange) current() (classifier.Statement, bool) {
 	if x.batch.Query == nil {
-		if len(x.expected) == 0 {
-			return classifier.Statement{}, false
-		}
-		return x.expected[0].statement, true
+		return x.messages.Current()
 	}
 	if x.statementIndex < len(x.plan.Executed) {
 		return x.plan.Executed[x.statementIndex], true
 	}
 	return classifier.Statement{}, false
 }
+
+// applyStatementChanges stores the statements that the batch prepared.
+func (x *exchange) applyStatementChanges() {
+	for range x.messages.Apply() {
+		x.s.r.log.WithField("caller", x.s.caller.Name).Warn("relayer: prepared statement dropped, too many in one session")
+	}
+}
--- a/internal/relayer/keys.go
+++ b/internal/relayer/keys.go
@@ -65,7 +65,7 @@
 	s := x.s
 	defer s.acquirer.EndUse()
 	s.acquirer.SetRunning(x.conn)
-	r, err := x.query(s.keys.Insert(key, rewriter.OutcomeNotRun))
+	r, err := x.query(s.parser.Keys.Insert(key, rewriter.OutcomeNotRun))
 	switch {
 	case err != nil:
 		x.finishInternal(false)
@@ -86,7 +86,7 @@
 // readOutcome reads the outcome that is stored for a key, as a strict read, and
 // ends the use of the connection.
 func (x *exchange) readOutcome(key string) (string, *pgproto3.ErrorResponse) {
-	r, err := x.query(x.s.keys.Select(key))
+	r, err := x.query(x.s.parser.Keys.Select(key))
 	if err != nil {
 		x.finishInternal(false)
 		return "", resolver.UnknownError(err.Error())
--- a/internal/relayer/local.go
+++ b/internal/relayer/local.go
@@ -85,7 +85,7 @@
 	s := l.s
 	switch m := m.(type) {
 	case *pgproto3.Parse:
-		st := s.newStatement(m)
+		st := s.parser.Statement(m)
 		if err := s.stmts.Put(m.Name, st); err != nil {
 			return resolver.Error(resolver.CodeLimitExceeded, err.Error(), "")
 		}
--- a/internal/relayer/plan.go
+++ b/internal/relayer/plan.go
@@ -26,10 +26,3 @@
 	}
 	return st.Result, true
 }
-
-func setEntry[V any](m *map[string]V, key string, value V) {
-	if *m == nil {
-		*m = make(map[string]V)
-	}
-	(*m)[key] = value
-}
--- a/internal/relayer/receive.go
+++ b/internal/relayer/receive.go
@@ -13,21 +13,11 @@
 
 // answerSynthetic sends the proxy's own responses that are next in order.
 func (x *exchange) answerSynthetic() {
-	for len(x.expected) > 0 && x.expected[0].synthetic != nil {
-		e := x.pop()
-		if e.onSuccess != nil {
-			e.onSuccess()
-		}
-		x.s.out.Send(e.synthetic)
+	for m := x.messages.TakeSynthetic(); m != nil; m = x.messages.TakeSynthetic() {
+		x.s.out.Send(m)
 	}
 }
 
-func (x *exchange) pop() expectation {
-	e := x.expected[0]
-	x.expected = x.expected[1:]
-	return e
-}
-
 // handle processes one message of the server.
 func (x *exchange) handle(msg pgproto3.BackendMessage) error {
 	switch m := msg.(type) {
@@ -38,8 +28,8 @@
 		return x.handleComplete(m)
 	case *pgproto3.RowDescription, *pgproto3.NoData:
 		x.s.out.Send(m)
-		if x.batch.Query == nil && len(x.expected) > 0 && x.expected[0].kind == 'D' {
-			x.pop()
+		if x.batch.Query == nil {
+			x.messages.TakeDescription()
 		}
 		return nil
 	case *pgproto3.CommandComplete:
@@ -51,8 +41,8 @@
 		return x.handleError(m)
 	case *pgproto3.ReadyForQuery:
 		x.status = m.TxStatus
-		if len(x.expected) > 0 {
-			return connLost("backend server %s omitted %d responses", x.conn.Server(), len(x.expected))
+		if n := x.messages.Pending(); n > 0 {
+			return connLost("backend server %s omitted %d responses", x.conn.Server(), n)
 		}
 		return nil
 	case *pgproto3.ParameterDescription, *pgproto3.NoticeResponse, *pgproto3.ParameterStatus, *pgproto3.NotificationResponse:
@@ -64,39 +54,25 @@
 
 // handleComplete processes a response without content.
 func (x *exchange) handleComplete(m pgproto3.BackendMessage) error {
-	if len(x.expected) == 0 || x.expected[0].kind != completedKind(m) {
+	hidden, ok := x.messages.TakeCompletion(m)
+	if !ok {
 		return connLost("unexpected message %T from backend server %s", m, x.conn.Server())
 	}
-	e := x.pop()
-	if e.onSuccess != nil {
-		e.onSuccess()
-	}
-	if !e.hidden {
+	if !hidden {
 		x.s.out.Send(m)
 	}
 	return nil
 }
 
-func completedKind(m pgproto3.BackendMessage) byte {
-	switch m.(type) {
-	case *pgproto3.ParseComplete:
-		return 'P'
-	case *pgproto3.BindComplete:
-		return 'B'
-	}
-	return 'C'
-}
-
 // completeExecution records the end of a statement.
 func (x *exchange) completeExecution() error {
 	if x.batch.Query != nil {
 		x.statementIndex++
 		return nil
 	}
-	if len(x.expected) == 0 || x.expected[0].kind != 'E' {
+	if !x.messages.TakeExecution() {
 		return connLost("unexpected end of a statement from backend server %s", x.conn.Server())
 	}
-	x.pop()
 	return nil
 }
 
@@ -127,7 +103,7 @@
 	if x.err == nil {
 		x.err = &e
 	}
-	x.expected = nil
+	x.messages.Fail()
 	x.skipping = x.batch.Query == nil
 	x.checkStatementError(&e)
 	if known && rewriter.SetsKey(st) && e.Code == resolver.CodeUniqueViolation {
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -18,6 +18,7 @@
 	"marigoldhub.example/hub/internal/retainer"
 	"marigoldhub.example/hub/internal/rewriter"
 	"marigoldhub.example/hub/internal/terminator"
+	"marigoldhub.example/hub/internal/translator"
 )
 
 // AuthenticatedConn is the connection of a caller after authentication.
@@ -64,7 +65,7 @@
 	previousReplica string // replica that served the last read
 
 	stmts      preparer.Set
-	keys       rewriter.Keys
+	parser     translator.Parser
 	requestKey string // marigold.request_key
 	// startupStatements must be run on a server connection before any other
 	// statement of the session.
@@ -85,7 +86,7 @@
 func (r *Relayer) NewSession(a AuthenticatedConn) (*Session, error) {
 	g := r.group(a.Group)
 	s := &Session{
-		Terminator: terminator.New(), r: r, conn: a.Conn, in: a.Inbound, caller: a.Caller, keys: rewriter.Keys(a.Caller.Name), groupName: a.Group, group: g.Group, certifier: g.certifier,
+		Terminator: terminator.New(), r: r, conn: a.Conn, in: a.Inbound, caller: a.Caller, parser: translator.Parser{Classifier: r.deps.Classifier, Keys: rewriter.Keys(a.Caller.Name)}, groupName: a.Group, group: g.Group, certifier: g.certifier,
 	}
 	team, ok := checker.TeamOfUser(a.Caller.Name)
 	if !ok {
