runner, concluder: run a batch on a connection, and decide what its answer means

Cause: one struct with 30 fields sent a batch, read the answer, confirmed it and decided about connection, transaction and retry, with access to all of the session. Change: package runner runs the exchange and states what the answers have shown (Result); package concluder decides by it. Both get the parts of the session that they use in their Config. The proxy's own statements on request keys are concluded next to the transactions that use the keys. Result: new tests: TestResult, TestCovers, TestBlamesReplica, TestRun, TestWaits, TestReplicaRead (runner), TestLost (9 cases), TestConclude (24) and TestCloseKey (10). The tests of relayer for outcomes, replicas, request keys, Flush, panics, notices and the stand-in pass unchanged.

--- a/internal/gatekeeper/startup.go
+++ b/internal/gatekeeper/startup.go
@@ -6,8 +6,8 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/concluder"
 	"marigoldhub.example/hub/internal/planner"
-	"marigoldhub.example/hub/internal/relayer"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/rewriter"
 )
@@ -37,7 +37,7 @@
 		case name == "user":
 			s.user = value
 		case name == "database":
-		case name == relayer.TokenParameter:
+		case name == concluder.TokenParameter:
 			s.token = value
 		case name == "application_name":
 			s.application = printable(value)
--- a/internal/relayer/flushed.go
+++ b/internal/relayer/flushed.go
@@ -2,19 +2,21 @@
 
 import (
 	"marigoldhub.example/hub/internal/batcher"
+	"marigoldhub.example/hub/internal/concluder"
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/resolver"
+	"marigoldhub.example/hub/internal/runner"
 )
 
 // retainFlushed passes on the answer to a batch that ended with Flush and
 // retains its connection until Sync. Results that are passed on before Sync are
 // provisional: the implicit transaction commits at Sync, and ReadyForQuery is
 // withheld until the position of this commit is confirmed.
-func (s *Session) retainFlushed(x *exchange) error {
-	s.retainer.KeepUntilSync(x.conn)
+func (s *Session) retainFlushed(x *runner.Exchange) error {
+	s.retainer.KeepUntilSync(x.Conn)
 	s.flushed = x
-	x.applyStatementChanges()
-	x.partlySent = true
+	x.ApplyStatements()
+	x.PartlySent = true
 	return s.out.Flush()
 }
 
@@ -25,24 +27,22 @@
 	if p.Refusal != nil {
 		return s.refuseFlushed(b, p)
 	}
-	x.plan.Merge(p)
-	x.batch = b
-	x.mayStream = true
-	if err := x.run(); err != nil {
-		return s.answerFlushed(x, x.finalizeLost(err))
+	x.Continue(b, p)
+	if err := x.Run(); err != nil {
+		return s.answerFlushed(x, s.concluder.Lost(x, err))
 	}
 	if b.Flushed {
 		return s.retainFlushed(x)
 	}
 	s.retainer.EndSync()
-	return s.answerFlushed(x, x.finalize(nil))
+	return s.answerFlushed(x, s.concluder.Conclude(x, nil))
 }
 
-func (s *Session) answerFlushed(x *exchange, a attemptResult) error {
-	if a.failure != nil {
-		return s.fail(x.batch, a.failure)
+func (s *Session) answerFlushed(x *runner.Exchange, a concluder.Verdict) error {
+	if a.Failure != nil {
+		return s.fail(x.Batch, a.Failure)
 	}
-	x.applyStatementChanges()
+	x.ApplyStatements()
 	return s.ready()
 }
 
--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -1,29 +1,20 @@
 package relayer
 
 import (
-	"github.com/jackc/pgx/v5/pgproto3"
-
 	"marigoldhub.example/hub/internal/batcher"
 	"marigoldhub.example/hub/internal/certifier"
+	"marigoldhub.example/hub/internal/concluder"
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/responder"
 	"marigoldhub.example/hub/internal/router"
+	"marigoldhub.example/hub/internal/runner"
 )
 
 // maxAttempts is how often one batch is run at most.
 const maxAttempts = 4
 
-// attemptResult is the result of one run of a batch. It is zero when the whole
-// answer is in the output buffer.
-type attemptResult struct {
-	// failure is the error for the caller instead of the answer.
-	failure *pgproto3.ErrorResponse
-	// retry is set with failure when the batch may be run again.
-	retry bool
-}
-
 // serveOnPrimary runs a batch that starts outside a transaction on the primary.
 func (s *Session) serveOnPrimary(b *batcher.Batch, p *planner.Plan) error {
 	class := s.classOf(p)
@@ -34,17 +25,17 @@
 			s.acquirer.EndUse()
 			return s.fail(b, failure)
 		}
-		x := s.newExchange(conn, b, p)
+		x := s.runner.New(conn, b, p)
 		a := s.runOnce(x)
-		if b.Flushed && a.failure == nil {
+		if b.Flushed && a.Failure == nil {
 			return s.retainFlushed(x)
 		}
-		if a.failure == nil {
-			x.applyStatementChanges()
+		if a.Failure == nil {
+			x.ApplyStatements()
 			return s.ready()
 		}
-		if !a.retry || n == maxAttempts || w.IsExpired() || !s.r.deps.RetryBudget.AllowRetry() {
-			return s.fail(b, a.failure)
+		if !a.MayRetry || n == maxAttempts || w.IsExpired() || !s.r.deps.RetryBudget.AllowRetry() {
+			return s.fail(b, a.Failure)
 		}
 		s.r.counts.retries.Inc(1)
 		s.acquirer.BeforeRetry()
@@ -62,15 +53,15 @@
 			return s.fail(b, failure)
 		}
 	}
-	x := s.newExchange(s.retainer.Conn(), b, p)
+	x := s.runner.New(s.retainer.Conn(), b, p)
 	a := s.runOnce(x)
 	switch {
-	case a.failure != nil:
-		return s.fail(b, a.failure)
+	case a.Failure != nil:
+		return s.fail(b, a.Failure)
 	case b.Flushed:
 		return s.retainFlushed(x)
 	}
-	x.applyStatementChanges()
+	x.ApplyStatements()
 	return s.ready()
 }
 
@@ -97,17 +88,17 @@
 	return pooler.StrictRead
 }
 
-// runOnce runs a batch once and finalizes the exchange.
-func (s *Session) runOnce(x *exchange) attemptResult {
+// runOnce runs a batch once and concludes the exchange.
+func (s *Session) runOnce(x *runner.Exchange) concluder.Verdict {
 	var p *certifier.Fresh
-	if x.plan.ReturnsData && !x.plan.MayCommit && !x.batch.Flushed {
+	if x.Plan.ReturnsData && !x.Plan.MayCommit && !x.Batch.Flushed {
 		p = s.certifier.StartFresh()
 	}
-	if err := x.run(); err != nil {
-		return x.finalizeLost(err)
+	if err := x.Run(); err != nil {
+		return s.concluder.Lost(x, err)
 	}
-	if x.batch.Flushed {
-		return attemptResult{}
+	if x.Batch.Flushed {
+		return concluder.Verdict{}
 	}
-	return x.finalize(p)
+	return s.concluder.Conclude(x, p)
 }
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -12,11 +12,13 @@
 	"marigoldhub.example/hub/internal/certifier"
 	"marigoldhub.example/hub/internal/charger"
 	"marigoldhub.example/hub/internal/checker"
+	"marigoldhub.example/hub/internal/concluder"
 	"marigoldhub.example/hub/internal/framer"
 	"marigoldhub.example/hub/internal/preparer"
 	"marigoldhub.example/hub/internal/responder"
 	"marigoldhub.example/hub/internal/retainer"
 	"marigoldhub.example/hub/internal/rewriter"
+	"marigoldhub.example/hub/internal/runner"
 	"marigoldhub.example/hub/internal/terminator"
 	"marigoldhub.example/hub/internal/translator"
 )
@@ -74,7 +76,10 @@
 	// retainer keeps the server connection that the session retains between batches.
 	retainer *retainer.Retainer
 	// flushed is the exchange that awaits Sync, if retainer knows of one.
-	flushed *exchange
+	flushed *runner.Exchange
+	// runner runs batches, and concluder decides what their answers mean.
+	runner    *runner.Runner
+	concluder *concluder.Concluder
 	// quota is charged for the present operation.
 	quota *charger.Charger
 	// out is the output to the caller.
@@ -118,6 +123,15 @@
 		Conn: a.Conn, Disconnected: s.reader.Disconnected(), Context: s.ctx, Waits: r.counts.waitedForPrimary,
 	})
 	s.retainer = retainer.New(retainer.Config{Pins: &r.pins, Caller: a.Caller.Name, Limit: a.Caller.PinnedLimit, EndUse: s.acquirer.EndUse})
+	s.runner = runner.New(runner.Config{
+		Group: a.Group, Caller: a.Caller.Name, Output: s.out, Acquirer: s.acquirer, Retainer: s.retainer, Charger: s.quota, Certifier: s.certifier,
+		Views: r.deps.Views, Statements: &s.stmts, Parser: s.parser, Disconnected: s.reader.Disconnected(),
+		ResponseBufferLimit: r.cfg.ResponseBufferLimit, BatchLimit: r.cfg.BatchLimit, Clock: r.clock, Log: r.log,
+	})
+	s.concluder = concluder.New(concluder.Config{
+		Group: a.Group, Caller: a.Caller.Name, Output: s.out, Acquirer: s.acquirer, Retainer: s.retainer, Certifier: s.certifier,
+		Minimum: &s.minimum, Keys: s.parser.Keys, Tokener: r.deps.Tokener, Clock: r.clock, Commits: r.counts.commits,
+	})
 	a.Backend.SetMaxBodyLen(r.cfg.MessageLimit)
 	s.in.Start(r.cfg.MessageLimit)
 	s.stmts.Keep = s.in.Keep
--- a/internal/relayer/settings.go
+++ b/internal/relayer/settings.go
@@ -20,14 +20,14 @@
 		return responder.Fatal(failure.Code, failure.Message)
 	}
 	defer s.acquirer.EndUse()
-	x := s.newExchange(s.retainer.Conn(), &batcher.Batch{Query: &pgproto3.Query{}}, &planner.Plan{})
+	x := s.runner.New(s.retainer.Conn(), &batcher.Batch{Query: &pgproto3.Query{}}, &planner.Plan{})
 	for _, statement := range s.startupStatements {
-		r, err := x.query(statement)
+		r, err := x.Query(statement)
 		if err != nil {
 			return responder.Fatal(resolver.CodeNotRun, "startup settings were not applied: "+err.Error())
 		}
-		if r.err != nil {
-			return responder.Fatal(r.err.Code, r.err.Message)
+		if r.Err != nil {
+			return responder.Fatal(r.Err.Code, r.Err.Message)
 		}
 	}
 	return nil
--- a/internal/relayer/send.go
+++ b/internal/runner/send.go
@@ -1,4 +1,4 @@
-package relayer
+package runner
 
 import (
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -12,14 +12,14 @@
 const segmentBytes = 16 << 10
 
 // sendBatch sends the batch. Unless it ends with Flush, Sync and the status
-// query follow.
-func (x *exchange) sendBatch() error {
-	if x.batch.Query != nil {
-		x.conn.Send(&pgproto3.Query{String: x.s.parser.Keys.Rewrite(x.batch.Query.String, x.plan.Executed)})
+// Query follow.
+func (x *Exchange) sendBatch() error {
+	if x.Batch.Query != nil {
+		x.Conn.Send(&pgproto3.Query{String: x.cfg.Parser.Keys.Rewrite(x.Batch.Query.String, x.Plan.Executed)})
 		return x.sendEnd(false)
 	}
 	pending := 0
-	for _, m := range x.batch.Messages {
+	for _, m := range x.Batch.Messages {
 		size := messageSize(m)
 		if pending > 0 && pending+size > segmentBytes {
 			if err := x.drainSegment(); err != nil {
@@ -33,36 +33,36 @@
 		x.messages.Translate(m)
 		pending += size
 	}
-	if x.batch.Flushed {
+	if x.Batch.Flushed {
 		return x.drainSegment()
 	}
 	return x.sendEnd(true)
 }
 
-func (x *exchange) sendEnd(sync bool) error {
+func (x *Exchange) sendEnd(sync bool) error {
 	if sync {
-		x.conn.Send(&pgproto3.Sync{})
+		x.Conn.Send(&pgproto3.Sync{})
 	}
 	if x.pipelinesStatus() {
-		x.conn.Send(&pgproto3.Query{String: prober.StatusQuery})
+		x.Conn.Send(&pgproto3.Query{String: prober.StatusQuery})
 	}
-	return x.flushConn()
+	return x.flush()
 }
 
-func (x *exchange) flushConn() error {
-	if err := x.conn.Flush(); err != nil {
-		return connLost("connection to backend server %s was lost", x.conn.Server())
+func (x *Exchange) flush() error {
+	if err := x.Conn.Flush(); err != nil {
+		return Lost("connection to backend server %s was lost", x.Conn.Server())
 	}
 	return nil
 }
 
 // drainSegment reads the responses to everything that was sent so far.
-func (x *exchange) drainSegment() error {
+func (x *Exchange) drainSegment() error {
 	if x.skipping {
 		return nil
 	}
-	x.conn.Send(&pgproto3.Flush{})
-	if err := x.flushConn(); err != nil {
+	x.Conn.Send(&pgproto3.Flush{})
+	if err := x.flush(); err != nil {
 		return err
 	}
 	return x.receiveUntil(func() bool { return x.messages.Pending() == 0 })
--- a/internal/relayer/status.go
+++ b/internal/runner/status.go
@@ -1,4 +1,4 @@
-package relayer
+package runner
 
 import (
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -13,28 +13,28 @@
 const maxStatusQueries = 3
 
 // receiveStatus reads the answer to the status query, up to ReadyForQuery.
-func (x *exchange) receiveStatus() error {
+func (x *Exchange) receiveStatus() error {
 	for range maxStatusQueries {
 		row, err := x.readStatus()
 		if err != nil {
 			return err
 		}
 		if row != nil {
-			x.statusRow = row
-			x.s.certifier.RecordStatus(*row)
+			x.Row = row
+			x.cfg.Certifier.RecordStatus(*row)
 			return nil
 		}
-		x.conn.Send(&pgproto3.Query{String: prober.StatusQuery})
-		if err := x.flushConn(); err != nil {
+		x.Conn.Send(&pgproto3.Query{String: prober.StatusQuery})
+		if err := x.flush(); err != nil {
 			return err
 		}
 	}
-	return connLost("backend server %s returned no status row", x.conn.Server())
+	return Lost("backend server %s returned no status row", x.Conn.Server())
 }
 
 // readStatus reads one answer to the status query. The row is nil when the
 // server answered with an error.
-func (x *exchange) readStatus() (*tracker.Status, error) {
+func (x *Exchange) readStatus() (*tracker.Status, error) {
 	var columns prober.StatusColumns
 	var row *tracker.Status
 	for {
@@ -45,18 +45,18 @@
 		switch m := msg.(type) {
 		case *pgproto3.RowDescription:
 			if columns, err = prober.NewStatusColumns(m); err != nil {
-				return nil, &connLostError{err}
+				return nil, &LostError{err}
 			}
 		case *pgproto3.DataRow:
 			s, err := columns.Parse(m)
 			if err != nil {
-				return nil, &connLostError{err}
+				return nil, &LostError{err}
 			}
 			row = &s
 		case *pgproto3.ErrorResponse:
 			row = nil
 			if resolver.IsFatal(m) {
-				return nil, connLost("backend server %s: %s", x.conn.Server(), m.Message)
+				return nil, Lost("backend server %s: %s", x.Conn.Server(), m.Message)
 			}
 		case *pgproto3.ReadyForQuery:
 			return row, nil
@@ -64,36 +64,38 @@
 	}
 }
 
-// rows is the answer to one of the proxy's own queries.
-type rows struct {
-	values [][]string
-	err    *pgproto3.ErrorResponse
-	status byte
+// Rows is the answer to one of the proxy's own queries.
+type Rows struct {
+	Values [][]string
+	// Err is the error of the statement, nil if it succeeded.
+	Err *pgproto3.ErrorResponse
+	// Status is the transaction status after the query.
+	Status byte
 }
 
-// query runs one of the proxy's own statements.
-func (x *exchange) query(text string) (rows, error) {
-	x.conn.Send(&pgproto3.Query{String: text})
-	if err := x.flushConn(); err != nil {
-		return rows{}, err
+// Query runs one of the proxy's own statements.
+func (x *Exchange) Query(text string) (Rows, error) {
+	x.Conn.Send(&pgproto3.Query{String: text})
+	if err := x.flush(); err != nil {
+		return Rows{}, err
 	}
-	var r rows
+	var r Rows
 	for {
 		msg, err := x.receive()
 		if err != nil {
-			return rows{}, err
+			return Rows{}, err
 		}
 		switch m := msg.(type) {
 		case *pgproto3.DataRow:
-			r.values = append(r.values, rowTexts(m))
+			r.Values = append(r.Values, rowTexts(m))
 		case *pgproto3.ErrorResponse:
 			e := *m
-			r.err = &e
+			r.Err = &e
 			if resolver.IsFatal(m) {
-				return rows{}, connLost("backend server %s: %s", x.conn.Server(), m.Message)
+				return Rows{}, Lost("backend server %s: %s", x.Conn.Server(), m.Message)
 			}
 		case *pgproto3.ReadyForQuery:
-			r.status = m.TxStatus
+			r.Status = m.TxStatus
 			return r, nil
 		}
 	}
@@ -107,10 +109,10 @@
 	return row
 }
 
-// askStatus sends a status query and reads its answer.
-func (x *exchange) askStatus() error {
-	x.conn.Send(&pgproto3.Query{String: prober.StatusQuery})
-	if err := x.flushConn(); err != nil {
+// AskStatus sends a status query and reads its answer.
+func (x *Exchange) AskStatus() error {
+	x.Conn.Send(&pgproto3.Query{String: prober.StatusQuery})
+	if err := x.flush(); err != nil {
 		return err
 	}
 	return x.receiveStatus()
