replier: answers batches that need no server

Cause: answers of the proxy's own were methods of the session beside those of servers. Change: package replier answers them, with the request key that the session has set. A flushed exchange is forgotten at its Sync.

--- a/internal/relayer/flushed.go
+++ b/internal/relayer/flushed.go
@@ -23,6 +23,7 @@
 // continueFlushed runs the next batch of an exchange that awaits Sync.
 func (s *Session) continueFlushed(b *batcher.Batch) error {
 	x := s.flushed
+	s.flushed = nil
 	p := s.plan(b)
 	if p.Refusal != nil {
 		return s.refuseFlushed(b, p)
--- a/internal/relayer/primary.go
+++ b/internal/relayer/primary.go
@@ -1,6 +1,8 @@
 package relayer
 
 import (
+	"github.com/jackc/pgx/v5/pgproto3"
+
 	"marigoldhub.example/hub/internal/batcher"
 	"marigoldhub.example/hub/internal/certifier"
 	"marigoldhub.example/hub/internal/concluder"
@@ -102,3 +104,13 @@
 	}
 	return s.concluder.Conclude(x, p)
 }
+
+// requestOutcome settles and returns the outcome of the request with the key.
+func (s *Session) requestOutcome(key string) (string, *pgproto3.ErrorResponse) {
+	conn, failure := s.acquirer.Primary(s.acquirer.NewWait(), pooler.Write)
+	if failure != nil {
+		return "", failure
+	}
+	p := &planner.Plan{MayCommit: true, ImplicitWrite: true}
+	return s.concluder.CloseKey(s.runner.New(conn, &batcher.Batch{Query: &pgproto3.Query{}}, p), key)
+}
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -31,11 +31,12 @@
 		return s.refuse(b, resolver.Error(resolver.CodeNotSupported,
 			"marigold settings, DISCARD and DEALLOCATE cannot be combined with other statements in one batch", ""))
 	case !p.NeedsServer:
-		return s.serveWithoutServer(b)
+		s.replier.ReplyClosed(b)
+		return s.reply(b, nil)
 	case s.retainer.HasLostTransaction():
 		return s.serveLostTx(b, p)
 	case local:
-		return s.serveLocal(b)
+		return s.reply(b, s.replier.Reply(b))
 	case s.retainer.Conn() == nil && b.Query != nil && len(p.Executed) == 0:
 		// Drivers use empty queries to check connections; they need no server.
 		s.out.Send(&pgproto3.EmptyQueryResponse{})
@@ -131,15 +132,12 @@
 	}
 }
 
-// serveWithoutServer answers a batch that needs no server.
-func (s *Session) serveWithoutServer(b *batcher.Batch) error {
-	for _, m := range b.Messages {
-		if c, ok := m.(*pgproto3.Close); ok && c.ObjectType == 'S' {
-			s.stmts.Remove(c.Name)
-		}
-		s.out.Send(&pgproto3.CloseComplete{})
-	}
-	if b.Flushed {
+// reply ends a batch that the proxy has answered itself, unless with a failure.
+func (s *Session) reply(b *batcher.Batch, failure *pgproto3.ErrorResponse) error {
+	switch {
+	case failure != nil:
+		return s.fail(b, failure)
+	case b.Flushed:
 		return s.out.Flush()
 	}
 	return s.ready()
@@ -153,9 +151,7 @@
 			"current transaction is aborted, commands ignored until end of transaction block", ""))
 	}
 	s.retainer.SetLostTransaction(len(p.Executed) == 0)
-	return s.answerLocal(b, func(classifier.Statement) (localAnswer, *pgproto3.ErrorResponse) {
-		return localAnswer{tag: "ROLLBACK"}, nil
-	})
+	return s.reply(b, s.replier.ReplyRollback(b))
 }
 
 func endsTransaction(list []classifier.Statement) bool {
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -15,9 +15,9 @@
 	"marigoldhub.example/hub/internal/concluder"
 	"marigoldhub.example/hub/internal/framer"
 	"marigoldhub.example/hub/internal/preparer"
+	"marigoldhub.example/hub/internal/replier"
 	"marigoldhub.example/hub/internal/responder"
 	"marigoldhub.example/hub/internal/retainer"
-	"marigoldhub.example/hub/internal/rewriter"
 	"marigoldhub.example/hub/internal/runner"
 	"marigoldhub.example/hub/internal/terminator"
 	"marigoldhub.example/hub/internal/translator"
@@ -41,34 +41,35 @@
 	Token string
 }
 
-// Session serves one caller connection. Cancel, Drain, Expire, Revoke and Idle may be
+// Session serves one caller connection. Cancel and the methods of its Terminator may be
 // called while Run runs.
 type Session struct {
 	// Terminator ends the session.
 	*terminator.Terminator
-	r    *Relayer
-	conn net.Conn
-	in   *framer.Inbound
-	// reader reads the caller's batches.
-	reader    *batcher.Reader
+	r         *Relayer
+	conn      net.Conn
+	in        *framer.Inbound
 	caller    checker.Caller
 	groupName string
 	group     *acquirer.Group
-	// acquirer acquires server connections and cancels what runs on them.
-	acquirer *acquirer.Acquirer
 
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	// reader reads the caller's batches, and out takes their answers.
+	reader *batcher.Reader
+	out    *responder.Output
+	// acquirer acquires server connections and cancels what runs on them.
+	acquirer *acquirer.Acquirer
+
 	// certifier confirms for the group; minimum is what a replica must have applied before it
 	// may answer a read of this session.
 	certifier       *certifier.Certifier
 	minimum         certifier.Minimum
 	previousReplica string // replica that served the last read
 
-	stmts      preparer.Set
-	parser     translator.Parser
-	requestKey string // marigold.request_key
+	stmts  preparer.Set
+	parser translator.Parser
 	// startupStatements must be run on a server connection before any other
 	// statement of the session.
 	startupStatements []string
@@ -80,62 +81,10 @@
 	// runner runs batches, and concluder decides what their answers mean.
 	runner    *runner.Runner
 	concluder *concluder.Concluder
+	// replier answers what needs no server.
+	replier *replier.Replier
 	// quota is charged for the present operation.
 	quota *charger.Charger
-	// out is the output to the caller.
-	out *responder.Output
-}
-
-// NewSession returns a session that [Session.Run] serves. It fails if the token
-// is not valid or there are too many settings.
-func (r *Relayer) NewSession(a AuthenticatedConn) (*Session, error) {
-	g := r.group(a.Group)
-	s := &Session{
-		Terminator: terminator.New(), r: r, conn: a.Conn, in: a.Inbound, caller: a.Caller, parser: translator.Parser{Classifier: r.deps.Classifier, Keys: rewriter.Keys(a.Caller.Name)}, groupName: a.Group, group: g.Group, certifier: g.certifier,
-	}
-	team, ok := checker.TeamOfUser(a.Caller.Name)
-	if !ok {
-		team = ""
-	}
-	s.quota = charger.New(charger.Config{Quotas: r.deps.Quotas, Team: team, Wait: r.cfg.PrimaryWait, Clock: r.clock, Refused: r.counts.overQuota})
-	var err error
-	if s.startupStatements, err = rewriter.StartupStatements(a.Settings); err != nil {
-		return nil, err
-	}
-	if a.Token != "" {
-		p, err := r.deps.Tokener.Verify(a.Caller.Name, a.Group, a.Token)
-		if err != nil {
-			return nil, err
-		}
-		s.minimum = certifier.Minimum{Position: p, IsSet: true}
-	}
-	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.out = responder.New(responder.Config{
-		Conn: a.Conn, Inbound: a.Inbound, WriteWait: r.cfg.WriteWait,
-		HoldsServer: s.holdsServerConn, IsStarved: s.group.IsStarved,
-	})
-	s.reader = batcher.New(batcher.Config{
-		Backend: a.Backend, Inbound: a.Inbound, Limit: r.cfg.BatchLimit, Terminator: s.Terminator, OnDisconnect: s.handleDisconnect, Log: r.log,
-	})
-	s.acquirer = acquirer.New(acquirer.Config{
-		Group: a.Group, Caller: a.Caller.Name, Shared: g.Group, Views: r.deps.Views, Pool: r.deps.Acquirer, Check: g.certifier.Check,
-		Clock: r.clock, PrimaryWait: r.cfg.PrimaryWait, DrainWait: r.cfg.DrainWait,
-		Conn: a.Conn, Disconnected: s.reader.Disconnected(), Context: s.ctx, Waits: r.counts.waitedForPrimary,
-	})
-	s.retainer = retainer.New(retainer.Config{Pins: &r.pins, Caller: a.Caller.Name, Limit: a.Caller.PinnedLimit, EndUse: s.acquirer.EndUse})
-	s.runner = runner.New(runner.Config{
-		Group: a.Group, Caller: a.Caller.Name, Output: s.out, Acquirer: s.acquirer, Retainer: s.retainer, Charger: s.quota, Certifier: s.certifier,
-		Views: r.deps.Views, Statements: &s.stmts, Parser: s.parser, Disconnected: s.reader.Disconnected(),
-		ResponseBufferLimit: r.cfg.ResponseBufferLimit, BatchLimit: r.cfg.BatchLimit, Clock: r.clock, Log: r.log,
-	})
-	s.concluder = concluder.New(concluder.Config{
-		Group: a.Group, Caller: a.Caller.Name, Output: s.out, Acquirer: s.acquirer, Retainer: s.retainer, Certifier: s.certifier,
-		Minimum: &s.minimum, Keys: s.parser.Keys, Tokener: r.deps.Tokener, Clock: r.clock, Commits: r.counts.commits,
-	})
-	a.Backend.SetMaxBodyLen(r.cfg.MessageLimit)
-	s.in.Start(r.cfg.MessageLimit)
-	s.stmts.Keep = s.in.Keep
-	return s, nil
 }
 
 // Cancel asks the server to cancel the statement that the session runs, and
