acquirer, responder, relayer: a panic beside or at the end of a session ends only that session

Cause: found while moving the code. Three goroutines of a session (the one that follows the primary during a wait for a connection, the one that follows the caller's connection, the one that follows a slow write) did not recover, so that a panic there ended the process. A panic in the pool left the session counted as starved: later slow readers of the group were cut off after 1 s without need. A panic while a transaction was rolled back at the end of a session kept its server connection and its place among those in flight. Change: the goroutines recover; the count of starved sessions ends by a deferred call; each step at the end of a session is deferred. Result: before, TestPanicBesideWait and TestPanicBesideWrite ended the test process, TestStarvedAfterPanic stayed starved, TestPanicWhileRollingBack left one connection and one transaction in flight; now they pass with -race, as do the other tests of panics.

--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -10,7 +10,9 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 
+	"marigoldhub.example/hub/internal/guarder"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/tracker"
@@ -53,6 +55,7 @@
 	Context      context.Context
 	// Waits counts the waits for a primary.
 	Waits metrics.Counter
+	Log   logrus.FieldLogger
 }
 
 // Acquirer acquires server connections for one session. It is used by one goroutine, except
@@ -216,6 +219,7 @@
 // interruptOnReplacement interrupts the wait when another server becomes the
 // primary.
 func (a *Acquirer) interruptOnReplacement(ctx context.Context, server string, interrupt context.CancelCauseFunc) {
+	defer guarder.Recover(a.cfg.Log, "wait for a connection")
 	for {
 		changed := a.cfg.Views.Changed(a.cfg.Group)
 		v, ok := a.cfg.Views.View(a.cfg.Group)
@@ -242,11 +246,13 @@
 	stop := a.watchPeer(interrupt)
 	defer stop()
 	starved := time.AfterFunc(starvedWait, func() { a.cfg.Shared.starved.Add(1) })
+	defer func() { // also after a panic
+		if !starved.Stop() {
+			a.cfg.Shared.starved.Add(-1)
+		}
+		a.setCancelWait(nil)
+	}()
 	conn, err := a.cfg.Pool.Acquire(ctx, pooler.Request{Group: a.cfg.Group, Server: server, Class: class, Caller: a.cfg.Caller})
-	if !starved.Stop() {
-		a.cfg.Shared.starved.Add(-1)
-	}
-	a.setCancelWait(nil)
 	if err == nil {
 		return a.take(conn), nil
 	}
--- a/internal/acquirer/acquirer_test.go
+++ b/internal/acquirer/acquirer_test.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 
 	"marigoldhub.example/hub/internal/acquirer"
 	"marigoldhub.example/hub/internal/pooler"
@@ -23,9 +26,14 @@
 	mu      sync.Mutex
 	view    tracker.View
 	changed chan struct{}
+	// panics makes View panic.
+	panics atomic.Bool
 }
 
 func (v *views) View(string) (tracker.View, bool) {
+	if v.panics.Load() {
+		panic("test of a panic in the views")
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.view, true
@@ -109,6 +117,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = caller.Close(); _ = c.Close() })
+	log := logrus.New()
+	log.SetOutput(io.Discard)
 	fx := &fixture{
 		group: acquirer.NewGroup(), views: &views{changed: make(chan struct{}), view: tracker.View{Term: 1, Primary: "a"}},
 		pool: &pool{acquire: give}, disconnected: make(chan struct{}), waits: metrics.NewCounter(), caller: caller,
@@ -117,7 +127,7 @@
 		Group: "g", Caller: "web", Shared: fx.group, Views: fx.views, Pool: fx.pool,
 		Check: func() *pgproto3.ErrorResponse { return fx.check }, Clock: clockwork.NewRealClock(),
 		PrimaryWait: time.Second, DrainWait: 100 * time.Millisecond,
-		Conn: c, Disconnected: fx.disconnected, Context: t.Context(), Waits: fx.waits,
+		Conn: c, Disconnected: fx.disconnected, Context: t.Context(), Waits: fx.waits, Log: log,
 	})
 	return fx
 }
@@ -303,3 +313,31 @@
 		t.Error("starved after the wait")
 	}
 }
+
+// Guards against sessions that count as starved for ever after a panic in the pool: from then on
+// slow readers would lose their connections without need.
+func TestStarvedAfterPanic(t *testing.T) {
+	fx := newFixture(t)
+	fx.pool.acquire = func(context.Context, pooler.Request) (pooler.Conn, error) { panic("test of a panic in the pool") }
+	func() {
+		defer func() { _ = recover() }()
+		_, _ = fx.Replica("b", time.Second)
+	}()
+	time.Sleep(700 * time.Millisecond)
+	if fx.group.IsStarved() {
+		t.Error("starved after the panic")
+	}
+}
+
+// Guards against a panic beside the wait for a connection that ends the process.
+func TestPanicBesideWait(t *testing.T) {
+	fx := newFixture(t)
+	fx.pool.acquire = func(ctx context.Context, req pooler.Request) (pooler.Conn, error) {
+		fx.views.panics.Store(true)
+		defer fx.views.panics.Store(false)
+		return wait(ctx, req)
+	}
+	if _, failure := fx.Primary(fx.NewWait(), pooler.Write); failure == nil || failure.Code != resolver.CodeNotRun {
+		t.Errorf("got %v", failure)
+	}
+}
--- a/internal/acquirer/peer.go
+++ b/internal/acquirer/peer.go
@@ -5,6 +5,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"marigoldhub.example/hub/internal/guarder"
 )
 
 // watchPeer interrupts a wait for a server connection when the caller has closed its
@@ -21,6 +23,7 @@
 	}
 	ended := make(chan struct{})
 	watch := time.AfterFunc(checkInterval, func() {
+		defer guarder.Recover(a.cfg.Log, "wait for a connection")
 		ticker := time.NewTicker(checkInterval)
 		defer ticker.Stop()
 		for !peerClosed(tcp) {
--- a/internal/certifier/certifier.go
+++ b/internal/certifier/certifier.go
@@ -83,6 +83,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	late := time.AfterFunc(suspectDelay, func() { c.suspect.Store(true) })
+	defer late.Stop() // after a panic
 	res, err := c.cfg.Confirmer.Confirm(ctx, confirmer.Request{Group: c.cfg.Group, Position: pos, Fresh: fresh})
 	late.Stop()
 	c.suspect.Store(err != nil)
--- a/internal/relayer/new_session.go
+++ b/internal/relayer/new_session.go
@@ -52,12 +52,12 @@
 		Backend: a.Backend, Inbound: a.Inbound, Limit: r.cfg.BatchLimit, Terminator: s.Terminator, OnDisconnect: s.handleDisconnect, Log: r.log,
 	})
 	s.out = responder.New(responder.Config{
-		Conn: a.Conn, Inbound: a.Inbound, WriteWait: r.cfg.WriteWait, HoldsServer: s.holdsServerConn, IsStarved: s.group.IsStarved,
+		Conn: a.Conn, Inbound: a.Inbound, WriteWait: r.cfg.WriteWait, HoldsServer: s.holdsServerConn, IsStarved: s.group.IsStarved, Log: r.log,
 	})
 	s.acquirer = acquirer.New(acquirer.Config{
 		Group: a.Group, Caller: a.Caller.Name, Shared: s.group, Views: r.deps.Views, Pool: r.deps.Acquirer, Check: s.certifier.Check,
 		Clock: r.clock, PrimaryWait: r.cfg.PrimaryWait, DrainWait: r.cfg.DrainWait,
-		Conn: a.Conn, Disconnected: s.reader.Disconnected(), Context: s.ctx, Waits: r.counts.waitedForPrimary,
+		Conn: a.Conn, Disconnected: s.reader.Disconnected(), Context: s.ctx, Waits: r.counts.waitedForPrimary, Log: r.log,
 	})
 	s.retainer = retainer.New(retainer.Config{Pins: &r.pins, Caller: a.Caller.Name, Limit: a.Caller.PinnedLimit, EndUse: s.acquirer.EndUse})
 	s.quota = charger.New(charger.Config{Quotas: r.deps.Quotas, Team: teamOf(a.Caller), Wait: r.cfg.PrimaryWait, Clock: r.clock, Refused: r.counts.overQuota})
--- a/internal/relayer/panic_test.go
+++ b/internal/relayer/panic_test.go
@@ -2,8 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldhub.example/hub/internal/guarder"
+	"marigoldhub.example/hub/internal/relayer"
 )
 
 // Guards against a panic in the work for one caller that ends the process, keeps the caller's
@@ -55,3 +61,29 @@
 		})
 	}
 }
+
+// Guards against a panic at the end of a session, while its transaction is rolled back, that
+// keeps the server connection, the place among those in flight or the reader of the caller's
+// messages. The fixture checks the first two.
+func TestPanicWhileRollingBack(t *testing.T) {
+	fx := newFixture(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c := fx.startRawSession(t, func(s *relayer.Session) {
+		defer guarder.Recover(log, "session")
+		s.Run()
+	})
+	c.send("begin")
+	if got := c.answers(); got != "BEGIN; ready T" {
+		t.Fatal(got)
+	}
+	fx.pool.mu.Lock()
+	fx.pool.panicOnReceive = true
+	fx.pool.mu.Unlock()
+	c.end()
+	fx.pool.mu.Lock()
+	defer fx.pool.mu.Unlock()
+	if fx.pool.discarded != 1 || len(fx.pool.idle["a"]) != 0 {
+		t.Errorf("%d server connections were discarded and %d released, want 1 and 0", fx.pool.discarded, len(fx.pool.idle["a"]))
+	}
+}
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -130,17 +130,20 @@
 	s.acquirer.CancelRunning()
 }
 
+// finish gives back all that the session holds, also if a part of this panics.
 func (s *Session) finish() {
+	defer s.in.Close()
+	defer func() {
+		s.in.Interrupt()
+		<-s.reader.Done()
+	}()
+	defer s.quota.Settle(true)
+	defer s.acquirer.EndUse()
+	defer s.acquirer.Close()
 	s.cancel()
 	_ = s.conn.Close()
 	s.acquirer.SetRunning(nil)
 	s.retainer.Return()
-	s.acquirer.Close()
-	s.acquirer.EndUse()
-	s.quota.Settle(true)
-	s.in.Interrupt()
-	<-s.reader.Done()
-	s.in.Close()
 }
 
 // ready ends the answer to a batch with ReadyForQuery.
--- a/internal/responder/output.go
+++ b/internal/responder/output.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sirupsen/logrus"
 
 	"marigoldhub.example/hub/internal/framer"
+	"marigoldhub.example/hub/internal/guarder"
 )
 
 const (
@@ -35,6 +37,7 @@
 	// IsStarved whether another session has waited too long for one.
 	HoldsServer func() bool
 	IsStarved   func() bool
+	Log         logrus.FieldLogger
 }
 
 // Output is the buffered output to one caller. It is used by one goroutine.
@@ -126,6 +129,7 @@
 
 // abandonSlowReader ends a write as soon as another session of the group is starved.
 func (o *Output) abandonSlowReader(ended <-chan struct{}) {
+	defer guarder.Recover(o.cfg.Log, "answer to a slow caller")
 	ticker := time.NewTicker(starvedInterval)
 	defer ticker.Stop()
 	for !o.cfg.IsStarved() {
--- a/internal/responder/output_test.go
+++ b/internal/responder/output_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sirupsen/logrus"
 
 	"marigoldhub.example/hub/internal/responder"
 )
@@ -90,3 +91,19 @@
 		})
 	}
 }
+
+// Guards against a panic beside a slow write that ends the process.
+func TestPanicBesideWrite(t *testing.T) {
+	conn, caller := net.Pipe()
+	defer caller.Close()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	o := responder.New(responder.Config{
+		Conn: conn, WriteWait: 1500 * time.Millisecond, Log: log,
+		HoldsServer: func() bool { return true }, IsStarved: func() bool { panic("test of a panic beside a write") },
+	})
+	o.Send(&pgproto3.NoData{})
+	if err := o.Flush(); !errors.Is(err, responder.ErrClosed) {
+		t.Errorf("got %v, want %v", err, responder.ErrClosed)
+	}
+}
