runner: an error that ends the connection proves a rollback only if it can

Cause: found while moving the code. Any error counted as proof that the batch was rolled back. A server that crashes while it writes the commit record (severity PANIC), or ends the connection after the last statement was answered, may have committed: the write was reported with 40001 and sent again. Change: such an error is not the error of the batch, so that the write ends as unknown (08007). An administrator's FATAL while a statement runs still proves the rollback; reads are not concerned.

--- a/internal/runner/exchange_test.go
+++ b/internal/runner/exchange_test.go
@@ -241,3 +241,39 @@
 		})
 	}
 }
+
+// Guards against a write that is reported as not run, and run again, though the error that ends
+// the connection does not prove that it was rolled back.
+func TestErrorsThatEndTheConnection(t *testing.T) {
+	fatal := &pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: "57P01"}
+	crash := &pgproto3.ErrorResponse{Severity: "PANIC", SeverityUnlocalized: "PANIC", Code: "XX000"}
+	failed := &pgproto3.ErrorResponse{Severity: "ERROR", Code: "22012"}
+	insert := "insert into kv values ('x')"
+	cases := []struct {
+		name, sql string
+		answers   []pgproto3.BackendMessage
+		// want is set if the batch may have committed.
+		want bool
+	}{
+		{"statement is ended", insert, []pgproto3.BackendMessage{fatal}, false},
+		{"second statement is ended", insert + ";" + insert, []pgproto3.BackendMessage{tag("INSERT 0 1"), fatal}, false},
+		{"after the last statement", insert, []pgproto3.BackendMessage{tag("INSERT 0 1"), fatal}, true},
+		{"server crashes", insert, []pgproto3.BackendMessage{crash}, true},
+		{"server crashes in a commit", "begin; " + insert + "; commit", []pgproto3.BackendMessage{tag("BEGIN"), tag("INSERT 0 1"), crash}, true},
+		{"server crashes after the statement failed", insert, []pgproto3.BackendMessage{failed, crash}, false},
+		{"server crashes in a read", "select w from other", []pgproto3.BackendMessage{crash}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fx := newFixture(t, tracker.View{Term: 1, Primary: "a"})
+			x := fx.exchange(&conn{answers: c.answers, err: io.EOF}, c.sql)
+			var lost *runner.LostError
+			if err := x.Run(); !errors.As(err, &lost) {
+				t.Errorf("got %v", err)
+			}
+			if got := x.MayHaveCommitted(x.Plan); got != c.want {
+				t.Errorf("may have committed: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/runner/receive.go
+++ b/internal/runner/receive.go
@@ -97,10 +97,13 @@
 	return x.completeExecution()
 }
 
+// handleError takes in an error. It counts as the error of the batch, which proves that a batch
+// outside an explicit transaction was rolled back, unless it ends the connection after the last
+// statement, or with a crash of the server: the commit may be in the log then.
 func (x *Exchange) handleError(m *pgproto3.ErrorResponse) error {
 	e := *m
 	st, known := x.current()
-	if x.Err == nil {
+	if x.Err == nil && (known && !isPanic(&e) || !resolver.IsFatal(&e)) {
 		x.Err = &e
 	}
 	x.messages.Fail()
@@ -125,3 +128,8 @@
 		x.MustDiscard = true
 	}
 }
+
+// isPanic reports whether the server crashes with this error.
+func isPanic(e *pgproto3.ErrorResponse) bool {
+	return e.SeverityUnlocalized == "PANIC" || e.SeverityUnlocalized == "" && e.Severity == "PANIC"
+}
