director, relayer: decide where a batch runs, and how often, in a package of its own

Change: package director chooses between the retained connection, replicas and the primary, and returns the failure that the session answers with. Ruled out: one retry decision with attempter (the prepared machines), which pays tries after refusals at full queues from a budget of a service; here a retry needs the proof that nothing ran.

--- a/internal/relayer/config.go
+++ b/internal/relayer/config.go
@@ -11,6 +11,7 @@
 	"marigoldhub.example/hub/internal/checker"
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/confirmer"
+	"marigoldhub.example/hub/internal/director"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/recorder"
 	"marigoldhub.example/hub/internal/router"
@@ -81,14 +82,6 @@
 	}
 }
 
-// RetryBudget limits how many batches are retried inside the proxy.
-type RetryBudget interface {
-	// CountRequest counts a request that is sent for the first time.
-	CountRequest()
-	// AllowRetry reports whether one more retry is allowed, and counts it.
-	AllowRetry() bool
-}
-
 // Dependencies are the other components that a [Relayer] uses. Clock, Recorder,
 // Metrics and Log may be nil.
 type Dependencies struct {
@@ -99,7 +92,7 @@
 	Acquirer pooler.Acquirer
 	// Confirmer confirms log positions of commits and strict reads.
 	Confirmer   confirmer.Confirmer
-	RetryBudget RetryBudget
+	RetryBudget director.RetryBudget
 	// Classifier parses and classifies statements.
 	Classifier *classifier.Classifier
 	// Tokener signs and verifies session tokens.
--- a/internal/relayer/counters.go
+++ b/internal/relayer/counters.go
@@ -1,17 +1,16 @@
 package relayer
 
-import "github.com/rcrowley/go-metrics"
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"marigoldhub.example/hub/internal/director"
+)
 
 // counters are the metrics of a relayer.
 type counters struct {
-	batches metrics.Counter
-	// boundedReads counts reads that accept data of a stated age, replicaReads
-	// those of them that a replica served.
-	boundedReads, replicaReads metrics.Counter
-	// replicaReadsRejected counts answers of replicas that were not used because
-	// the status row did not cover the read.
-	replicaReadsRejected              metrics.Counter
-	commits, unknown, notRun, retries metrics.Counter
+	director.Counters
+	batches                  metrics.Counter
+	commits, unknown, notRun metrics.Counter
 	// overQuota counts batches that were refused because of a team's quota.
 	overQuota metrics.Counter
 	// waitedForPrimary counts waits for a primary. A batch that is retried may wait
@@ -20,16 +19,12 @@
 }
 
 func newCounters(r metrics.Registry) counters {
+	c := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("relayer."+name, r) }
 	return counters{
-		batches:              metrics.GetOrRegisterCounter("relayer.batches", r),
-		boundedReads:         metrics.GetOrRegisterCounter("relayer.bounded_reads", r),
-		replicaReads:         metrics.GetOrRegisterCounter("relayer.replica_reads", r),
-		replicaReadsRejected: metrics.GetOrRegisterCounter("relayer.replica_reads_rejected", r),
-		commits:              metrics.GetOrRegisterCounter("relayer.commits", r),
-		unknown:              metrics.GetOrRegisterCounter("relayer.outcomes_unknown", r),
-		notRun:               metrics.GetOrRegisterCounter("relayer.outcomes_not_run", r),
-		retries:              metrics.GetOrRegisterCounter("relayer.retries", r),
-		overQuota:            metrics.GetOrRegisterCounter("relayer.over_quota", r),
-		waitedForPrimary:     metrics.GetOrRegisterCounter("relayer.batches_held", r),
+		Counters: director.Counters{
+			BoundedReads: c("bounded_reads"), ReplicaReads: c("replica_reads"), ReplicaReadsRejected: c("replica_reads_rejected"), Retries: c("retries"),
+		},
+		batches: c("batches"), commits: c("commits"), unknown: c("outcomes_unknown"), notRun: c("outcomes_not_run"),
+		overQuota: c("over_quota"), waitedForPrimary: c("batches_held"),
 	}
 }
--- a/internal/relayer/new_session.go
+++ b/internal/relayer/new_session.go
@@ -9,6 +9,7 @@
 	"marigoldhub.example/hub/internal/charger"
 	"marigoldhub.example/hub/internal/checker"
 	"marigoldhub.example/hub/internal/concluder"
+	"marigoldhub.example/hub/internal/director"
 	"marigoldhub.example/hub/internal/replier"
 	"marigoldhub.example/hub/internal/responder"
 	"marigoldhub.example/hub/internal/retainer"
@@ -71,6 +72,11 @@
 		Group: a.Group, Caller: a.Caller.Name, Output: s.out, Acquirer: s.acquirer, Retainer: s.retainer, Certifier: s.certifier,
 		Minimum: &s.minimum, Keys: s.parser.Keys, Tokener: r.deps.Tokener, Clock: r.clock, Commits: r.counts.commits,
 	})
+	s.director = director.New(director.Config{
+		Group: a.Group, Router: r.router, Views: r.deps.Views, RetryBudget: r.deps.RetryBudget, Counters: r.counts.Counters, ReplicaWait: r.cfg.ReplicaWait, Clock: r.clock,
+		Shared: s.group, Acquirer: s.acquirer, Retainer: s.retainer, Charger: s.quota, Certifier: s.certifier, Minimum: &s.minimum, Output: s.out,
+		Runner: s.runner, Concluder: s.concluder,
+	})
 }
 
 // teamOf returns the caller's team, empty if it has none.
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -56,14 +56,24 @@
 	if err := s.checkPin(p); err != nil {
 		return s.refuse(b, err)
 	}
-	s.r.deps.RetryBudget.CountRequest()
-	switch {
-	case s.retainer.Conn() != nil:
-		return s.serveOnRetained(b, p)
-	case p.ReadOnly() && !b.Flushed:
-		return s.serveRead(b, p)
+	failure, err := s.director.Run(b, p)
+	if err != nil {
+		return err
+	}
+	return s.reply(b, failure)
+}
+
+// continueFlushed runs the next batch of an exchange that awaits Sync.
+func (s *Session) continueFlushed(b *batcher.Batch) error {
+	p := s.plan(b)
+	if p.Refusal == nil {
+		return s.reply(b, s.director.Continue(b, p))
+	}
+	s.director.Abandon()
+	if p.Refusal.Code == resolver.CodeNotSupported {
+		p.Refusal.Hint = "The batch was rolled back."
 	}
-	return s.serveOnPrimary(b, p)
+	return s.fail(b, p.Refusal)
 }
 
 // settleQuota ends the session's operation unless a transaction, or a batch that awaits
@@ -132,7 +142,7 @@
 	}
 }
 
-// reply ends a batch that the proxy has answered itself, unless with a failure.
+// reply ends the answer to a batch, whose responses are in the output unless it has failed.
 func (s *Session) reply(b *batcher.Batch, failure *pgproto3.ErrorResponse) error {
 	switch {
 	case failure != nil:
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -13,6 +13,7 @@
 	"marigoldhub.example/hub/internal/charger"
 	"marigoldhub.example/hub/internal/checker"
 	"marigoldhub.example/hub/internal/concluder"
+	"marigoldhub.example/hub/internal/director"
 	"marigoldhub.example/hub/internal/framer"
 	"marigoldhub.example/hub/internal/preparer"
 	"marigoldhub.example/hub/internal/replier"
@@ -64,9 +65,8 @@
 
 	// certifier confirms for the group; minimum is what a replica must have applied before it
 	// may answer a read of this session.
-	certifier       *certifier.Certifier
-	minimum         certifier.Minimum
-	previousReplica string // replica that served the last read
+	certifier *certifier.Certifier
+	minimum   certifier.Minimum
 
 	stmts  preparer.Set
 	parser translator.Parser
@@ -76,9 +76,9 @@
 
 	// retainer keeps the server connection that the session retains between batches.
 	retainer *retainer.Retainer
-	// flushed is the exchange that awaits Sync, if retainer knows of one.
-	flushed *runner.Exchange
-	// runner runs batches, and concluder decides what their answers mean.
+	// director decides where batches run, runner runs them, and concluder decides what their
+	// answers mean.
+	director  *director.Director
 	runner    *runner.Runner
 	concluder *concluder.Concluder
 	// replier answers what needs no server.
--- a/internal/relayer/settings.go
+++ b/internal/relayer/settings.go
@@ -32,3 +32,13 @@
 	}
 	return nil
 }
+
+// requestOutcome settles and returns the outcome of the request with the key.
+func (s *Session) requestOutcome(key string) (string, *pgproto3.ErrorResponse) {
+	conn, failure := s.acquirer.Primary(s.acquirer.NewWait(), pooler.Write)
+	if failure != nil {
+		return "", failure
+	}
+	p := &planner.Plan{MayCommit: true, ImplicitWrite: true}
+	return s.concluder.CloseKey(s.runner.New(conn, &batcher.Batch{Query: &pgproto3.Query{}}, p), key)
+}
