--- a/internal/gatekeeper/startup.go
+++ b/internal/gatekeeper/startup.go
@@ -6,9 +6,10 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/concluder"
 	"marigoldhub.example/hub/internal/planner"
-	"marigoldhub.example/hub/internal/relayer"
 	"marigoldhub.example/hub/internal/resolver"
+	"marigoldhub.example/hub/internal/rewriter"
 )
 
 // maxParameterBytes is the maximum length of a name or value of a startup
@@ -36,7 +37,7 @@
 		case name == "user":
 			s.user = value
 		case name == "database":
-		case name == relayer.TokenParameter:
+		case name == concluder.TokenParameter:
 			s.token = value
 		case name == "application_name":
 			s.application = printable(value)
@@ -44,7 +45,7 @@
 			s.unsupportedOptions = append(s.unsupportedOptions, name)
 		case name == "options" && strings.TrimSpace(value) == "":
 		case planner.NonPinningSetting(name, value):
-		case relayer.ValidStartupSetting(name, value):
+		case rewriter.ValidStartupSetting(name, value):
 			if s.settings == nil {
 				s.settings = make(map[string]string)
 			}
--- a/internal/relayer/plan.go
+++ b/internal/relayer/plan.go
@@ -1,20 +1,21 @@
 package relayer
 
 import (
+	"marigoldhub.example/hub/internal/batcher"
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/planner"
 )
 
 // plan analyzes a batch in the present state of the session.
-func (s *Session) plan(b *batch) *planner.Plan {
+func (s *Session) plan(b *batcher.Batch) *planner.Plan {
 	return planner.Make(planner.Input{
-		Query:         b.query,
-		Messages:      b.msgs,
-		InTransaction: s.retained.tx.active || s.txLost,
-		HasServer:     s.retained.conn != nil,
+		Query:         b.Query,
+		Messages:      b.Messages,
+		InTransaction: s.retainer.InTransaction(),
+		HasServer:     s.retainer.Conn() != nil,
 		Classifier:    s.r.deps.Classifier,
 		Statement:     s.preparedResult,
-		Portal:        s.portalResult,
+		Portal:        s.retainer.Portals.Get,
 	})
 }
 
@@ -25,15 +26,3 @@
 	}
 	return st.Result, true
 }
-
-func (s *Session) portalResult(name string) (*classifier.Result, bool) {
-	r, ok := s.portals[name]
-	return r, ok
-}
-
-func setEntry[V any](m *map[string]V, key string, value V) {
-	if *m == nil {
-		*m = make(map[string]V)
-	}
-	(*m)[key] = value
-}
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -3,22 +3,25 @@
 import (
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/batcher"
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/resolver"
+	"marigoldhub.example/hub/internal/responder"
+	"marigoldhub.example/hub/internal/rewriter"
 )
 
 // serve runs one batch and answers it.
-func (s *Session) serve(b *batch) error {
+func (s *Session) serve(b *batcher.Batch) error {
 	defer s.settleQuota()
-	if s.retained.openExchange != nil {
+	if s.retainer.AwaitsSync() {
 		return s.continueFlushed(b)
 	}
-	if b.unsupported != nil {
-		return s.refuse(b, b.unsupported)
+	if b.Unsupported != nil {
+		return s.refuse(b, b.Unsupported)
 	}
 	s.r.counts.batches.Inc(1)
-	defer s.finalizePin()
+	defer s.retainer.SettlePin()
 	p := s.plan(b)
 	local, mixed := p.AnsweredByProxy()
 	switch {
@@ -28,68 +31,78 @@
 		return s.refuse(b, resolver.Error(resolver.CodeNotSupported,
 			"marigold settings, DISCARD and DEALLOCATE cannot be combined with other statements in one batch", ""))
 	case !p.NeedsServer:
-		return s.serveWithoutServer(b)
-	case s.txLost:
+		s.replier.ReplyClosed(b)
+		return s.reply(b, nil)
+	case s.retainer.HasLostTransaction():
 		return s.serveLostTx(b, p)
 	case local:
-		return s.serveLocal(b)
-	case s.retained.conn == nil && b.query != nil && len(p.Executed) == 0:
+		return s.reply(b, s.replier.Reply(b))
+	case s.retainer.Conn() == nil && b.Query != nil && len(p.Executed) == 0:
 		// Drivers use empty queries to check connections; they need no server.
-		s.send(&pgproto3.EmptyQueryResponse{})
+		s.out.Send(&pgproto3.EmptyQueryResponse{})
 		return s.ready()
 	}
-	if err := s.admit(b, p); err != nil {
+	if err := s.quota.Admit(p.Executed, b.Flushed); err != nil {
 		return s.refuse(b, err)
 	}
-	if len(s.startupStatements) > 0 && s.retained.conn == nil {
+	if len(s.startupStatements) > 0 && s.retainer.Conn() == nil {
 		if err := s.applySettings(); err != nil {
 			return err
 		}
 	}
-	if err := s.checkMarigoldSettings(p); err != nil {
+	if err := rewriter.CheckSettings(p.Executed, s.retainer.Transaction().IsOpen); err != nil {
 		return s.refuse(b, err)
 	}
 	if err := s.checkPin(p); err != nil {
 		return s.refuse(b, err)
 	}
-	s.r.deps.RetryBudget.CountRequest()
-	switch {
-	case s.retained.conn != nil:
-		return s.serveOnRetained(b, p)
-	case p.ReadOnly() && !b.flushed:
-		return s.serveRead(b, p)
+	failure, err := s.director.Run(b, p)
+	if err != nil {
+		return err
+	}
+	return s.reply(b, failure)
+}
+
+// continueFlushed runs the next batch of an exchange that awaits Sync.
+func (s *Session) continueFlushed(b *batcher.Batch) error {
+	p := s.plan(b)
+	if p.Refusal == nil {
+		return s.reply(b, s.director.Continue(b, p))
+	}
+	s.director.Abandon()
+	if p.Refusal.Code == resolver.CodeNotSupported {
+		p.Refusal.Hint = "The batch was rolled back."
 	}
-	return s.serveOnPrimary(b, p)
+	return s.fail(b, p.Refusal)
+}
+
+// settleQuota ends the session's operation unless a transaction, or a batch that awaits
+// Sync, goes on.
+func (s *Session) settleQuota() {
+	s.quota.Settle(!s.retainer.InTransaction() && !s.retainer.AwaitsSync())
 }
 
 // refuse answers a batch with an error without running it. An open transaction
 // fails, as it would on a server.
-func (s *Session) refuse(b *batch, e *pgproto3.ErrorResponse) error {
-	if s.retained.tx.active {
-		s.failTransaction()
+func (s *Session) refuse(b *batcher.Batch, e *pgproto3.ErrorResponse) error {
+	if s.retainer.Transaction().IsOpen {
+		s.retainer.FailTransaction()
 	}
 	return s.fail(b, e)
 }
 
-// failTransaction rolls back the open transaction. The session remains in a
-// failed transaction until the caller ends it.
-func (s *Session) failTransaction() {
-	s.txLost = true
-	s.discardRetained()
-}
-
 // end sends the last error of a session, as FATAL.
 func (s *Session) end(e *pgproto3.ErrorResponse) error {
 	e.Severity, e.SeverityUnlocalized = "FATAL", "FATAL"
-	s.send(e)
-	if err := s.flush(); err != nil {
+	s.out.Send(e)
+	if err := s.out.Flush(); err != nil {
 		return err
 	}
-	return errClosed
+	return responder.ErrClosed
 }
 
 // fail answers a batch with an error.
-func (s *Session) fail(b *batch, e *pgproto3.ErrorResponse) error {
+func (s *Session) fail(b *batcher.Batch, e *pgproto3.ErrorResponse) error {
 	switch e.Code {
 	case resolver.CodeNotRun:
 		s.r.counts.notRun.Inc(1)
@@ -97,14 +110,14 @@
 		s.r.counts.unknown.Inc(1)
 		s.r.deps.Recorder.Record("relayer", "outcome_unknown", s.groupName, "caller", s.caller.Name)
 		// The commit may have happened at a position above the minimum.
-		s.minPositionSet = false
+		s.minimum = s.minimum.WithUnknownCommit()
 	}
-	if s.endOnError {
+	if s.retainer.EndsOnError() {
 		return s.end(e)
 	}
-	s.send(e)
-	if b.flushed {
-		if err := s.flush(); err != nil {
+	s.out.Send(e)
+	if b.Flushed {
+		if err := s.out.Flush(); err != nil {
 			return err
 		}
 		return s.skipToSync()
@@ -120,40 +133,35 @@
 		if err != nil {
 			return err
 		}
-		if b.query != nil {
-			return fatal(resolver.CodeProtocolViolation, "simple query inside an extended-protocol batch")
+		if b.Query != nil {
+			return responder.Fatal(resolver.CodeProtocolViolation, "simple query inside an extended-protocol batch")
 		}
-		if !b.flushed {
+		if !b.Flushed {
 			return s.ready()
 		}
 	}
 }
 
-// serveWithoutServer answers a batch that needs no server.
-func (s *Session) serveWithoutServer(b *batch) error {
-	for _, m := range b.msgs {
-		if c, ok := m.(*pgproto3.Close); ok && c.ObjectType == 'S' {
-			s.stmts.Remove(c.Name)
-		}
-		s.send(&pgproto3.CloseComplete{})
-	}
-	if b.flushed {
-		return s.flush()
+// reply ends the answer to a batch, whose responses are in the output unless it has failed.
+func (s *Session) reply(b *batcher.Batch, failure *pgproto3.ErrorResponse) error {
+	switch {
+	case failure != nil:
+		return s.fail(b, failure)
+	case b.Flushed:
+		return s.out.Flush()
 	}
 	return s.ready()
 }
 
 // serveLostTx answers a batch of a caller whose transaction has failed and no
 // longer has a server connection. Only the end of the transaction is accepted.
-func (s *Session) serveLostTx(b *batch, p *planner.Plan) error {
+func (s *Session) serveLostTx(b *batcher.Batch, p *planner.Plan) error {
 	if !endsTransaction(p.Executed) || !endsTransaction(p.Parsed) {
 		return s.fail(b, resolver.Error(resolver.CodeFailedTransaction,
 			"current transaction is aborted, commands ignored until end of transaction block", ""))
 	}
-	s.txLost = len(p.Executed) == 0
-	return s.answerLocal(b, func(classifier.Statement) (localAnswer, *pgproto3.ErrorResponse) {
-		return localAnswer{tag: "ROLLBACK"}, nil
-	})
+	s.retainer.SetLostTransaction(len(p.Executed) == 0)
+	return s.reply(b, s.replier.ReplyRollback(b))
 }
 
 func endsTransaction(list []classifier.Statement) bool {
@@ -168,64 +176,9 @@
 // checkPin refuses a batch that would pin more server connections than the
 // caller may.
 func (s *Session) checkPin(p *planner.Plan) *pgproto3.ErrorResponse {
-	if !p.Pins() || s.retained.pinned {
+	if !p.Pins() || s.retainer.ReservePin() {
 		return nil
 	}
-	if !s.r.reservePin(s.caller.Name, s.caller.PinnedLimit) {
-		return resolver.Error(resolver.CodeTooManyConnections,
-			"caller may not pin more server connections", "Session settings, LISTEN, advisory locks and temporary tables pin a server connection.")
-	}
-	s.pinReserved = true
-	return nil
-}
-
-// finalizePin assigns the reserved pin to the connection that the session
-// retains, or returns it if there is none.
-func (s *Session) finalizePin() {
-	if !s.pinReserved {
-		return
-	}
-	s.pinReserved = false
-	if s.retained.conn == nil {
-		s.r.releasePin(s.caller.Name)
-		return
-	}
-	s.retained.pinned = true
-}
-
-// pinned reports whether the server connection is pinned to the session.
-func (s *Session) pinned() bool { return s.retained.pinned || s.pinReserved }
-
-// setsRequestKey reports whether a statement is SET LOCAL marigold.request_key.
-func setsRequestKey(st classifier.Statement) bool {
-	return st.Kind == classifier.HubSet && st.Local && st.Setting == requestKeySetting
-}
-
-// checkMarigoldSettings refuses SET LOCAL of marigold settings that cannot take
-// effect.
-func (s *Session) checkMarigoldSettings(p *planner.Plan) *pgproto3.ErrorResponse {
-	inTx := s.retained.tx.active
-	for _, st := range p.Executed {
-		switch st.Kind {
-		case classifier.Begin:
-			inTx = true
-		case classifier.Commit, classifier.Rollback:
-			inTx = false
-		case classifier.HubSet:
-			if e := checkSetLocal(st, inTx); e != nil {
-				return e
-			}
-		}
-	}
-	return nil
-}
-
-func checkSetLocal(st classifier.Statement, inTx bool) *pgproto3.ErrorResponse {
-	switch {
-	case !setsRequestKey(st):
-		return unknownSetting(st.Setting)
-	case !inTx:
-		return resolver.Error(resolver.CodeNoTransaction, "SET LOCAL marigold.request_key can only be used in transaction blocks", "")
-	}
-	return checkRequestKey(st.Value)
+	return resolver.Error(resolver.CodeTooManyConnections,
+		"caller may not pin more server connections", "Session settings, LISTEN, advisory locks and temporary tables pin a server connection.")
 }
