steward: check compares the co-owners' keys and names in force

Cause: a review showed that the part of the co-owners' keys passed as ok without the comparison that was asked for, even with a missing file; that two files checked together hid a name that propose refuses because the other part is in force; that a pinned limit was called unreachable which a server with a higher limit allows; and that a negative capacity was ignored. Change: every sound part is compared, the co-owners' part by key IDs; names are also compared with each part in force, as a warning where its file gives them up; the highest limit counts; the capacity holds for all files together.

--- a/internal/adviser/adviser.go
+++ b/internal/adviser/adviser.go
@@ -23,17 +23,26 @@
 	return r.Findings()
 }
 
-// AdviseCapacity returns the advice about the sum of the quotas, if the servers of all
-// groups run perSecond operations in a second, which no part says.
-func AdviseCapacity(file string, data []byte, perSecond float64) checker.Findings {
-	m, r := checker.DecodeWithReport[checker.Manifest](file, data)
+// AdviseCapacity returns the advice about the sum of the parts' quotas, if the servers of
+// all groups run perSecond operations in a second, which no part says.
+func AdviseCapacity(parts []checker.Document, perSecond float64) checker.Findings {
 	sum := 0.0
-	for _, t := range m.Teams {
-		sum += t.RatePerSecond
+	var largest checker.Document
+	most := 0.0
+	for _, d := range parts {
+		quotas := 0.0
+		for _, t := range d.Teams {
+			quotas += t.RatePerSecond
+		}
+		if sum += quotas; quotas > most {
+			most, largest = quotas, d
+		}
 	}
-	if sum > perSecond {
-		r.Add("team", "the quotas add up to %g operations a second, of which the servers run %g: teams inside their quotas are refused", sum, perSecond)
+	if sum <= perSecond {
+		return nil
 	}
+	_, r := checker.DecodeWithReport[checker.Manifest](largest.File, largest.Data)
+	r.Add("team", "the quotas add up to %g operations a second, of which the servers run %g: teams inside their quotas are refused", sum, perSecond)
 	return r.Findings()
 }
 
@@ -125,13 +134,14 @@
 }
 
 // advisePinned compares the server connections that a caller may pin at one instance with
-// those that all instances together may open to the primaries of its groups.
+// those that all instances together may open to the primaries of its groups, if in each
+// group the server with the highest limit leads.
 func (a *adviser) advisePinned(key string, c checker.Caller) {
 	usable := 0
 	for _, name := range c.Groups {
 		if g, ok := a.group(name); ok {
-			lowest, _ := connectionLimits(g)
-			usable += lowest - pooler.ReservedConnections
+			_, highest := connectionLimits(g)
+			usable += highest - pooler.ReservedConnections
 		}
 	}
 	if c.PinnedLimit > usable {
--- a/internal/steward/check.go
+++ b/internal/steward/check.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"slices"
 
 	"github.com/go-faster/errors"
@@ -51,6 +50,8 @@
 			switch {
 			case opts.format != "text" && opts.format != "json":
 				return errors.Errorf("--format is %q, must be text or json", opts.format)
+			case opts.capacity < 0:
+				return errors.Errorf("--capacity is %g, must not be negative", opts.capacity)
 			case opts.against != "" && opts.against != againstStore && len(files) > 1:
 				return errors.New("--against FILE compares one file; --against store compares several")
 			}
@@ -69,7 +70,7 @@
 	}
 	cmd.Flags().StringVar(&opts.against, "against", "", "file to compare with, or store for the revision in force")
 	cmd.Flags().StringVar(&opts.format, "format", "text", "output format: text or json")
-	cmd.Flags().Float64Var(&opts.capacity, "capacity", 0, "operations that the servers run in a second; the quotas of a part are compared with it")
+	cmd.Flags().Float64Var(&opts.capacity, "capacity", 0, "operations that the servers run in a second; the quotas of all files are compared with it")
 	return cmd
 }
 
@@ -90,13 +91,13 @@
 		p.isSound = len(findings) == 0
 		if p.isSound && part != checker.OwnersPart {
 			r.add(checkWarning, adviser.Advise(file, content))
-			if opts.capacity > 0 {
-				r.add(checkWarning, adviser.AdviseCapacity(file, content, opts.capacity))
-			}
 		}
 		parts = append(parts, p)
 		r.Parts = append(r.Parts, partCheck{File: file, Part: part})
 	}
+	if opts.capacity > 0 {
+		r.add(checkWarning, adviser.AdviseCapacity(documentsOf(parts), opts.capacity))
+	}
 	if err := a.compareParts(cmd, r, parts, opts.against); err != nil {
 		return nil, err
 	}
@@ -112,78 +113,95 @@
 	isSound    bool
 }
 
-// hasManifest reports whether the part can be compared by its entries.
-func (p checkedPart) hasManifest() bool { return p.isSound && p.name != checker.OwnersPart }
-
-// compareParts adds the name conflicts between parts, and the differences to what against
-// names.
-func (a *app) compareParts(cmd *cobra.Command, r *checkReport, parts []checkedPart, against string) error {
+// documentsOf returns the documents of the parts without errors. The co-owners' keys are not
+// among them.
+func documentsOf(parts []checkedPart) []checker.Document {
 	var documents []checker.Document
 	for _, p := range parts {
-		if p.hasManifest() {
+		if p.isSound && p.name != checker.OwnersPart {
 			documents = append(documents, p.document)
 		}
 	}
+	return documents
+}
+
+// compareParts adds the name conflicts between parts, and the differences to what against
+// names.
+func (a *app) compareParts(cmd *cobra.Command, r *checkReport, parts []checkedPart, against string) error {
 	if against == againstStore {
 		return a.withStore(cmd, func(ctx context.Context, p *approver.Proposals, _ Settings) error {
-			return r.compareWithStore(ctx, p, parts, documents)
+			return r.compareWithStore(ctx, p, parts)
 		})
 	}
-	_, conflicts := checker.BuildCatalog(documents...)
+	_, conflicts := checker.BuildCatalog(documentsOf(parts)...)
 	r.add(checkError, conflicts)
-	if against == "" || len(documents) == 0 {
+	if against == "" {
 		return nil
 	}
-	content, err := os.ReadFile(against)
+	name, content, err := readPart(against)
 	if err != nil {
 		return err
 	}
-	before, findings := checker.CheckManifest(against, content)
-	switch {
-	case len(findings) > 0:
+	if name != parts[0].name {
+		return errors.Errorf("%s is part %q and %s is part %q: they cannot be compared", against, name, parts[0].file, parts[0].name)
+	}
+	if _, findings := approver.CheckContent(against, name, content); len(findings) > 0 {
 		return errors.Wrap(findings, "the file to compare with")
-	case before.Part != parts[0].name:
-		return errors.Errorf("%s is part %q and %s is part %q: they cannot be compared", against, before.Part, parts[0].file, parts[0].name)
 	}
-	r.Parts[0].compare(against, before, parts[0].document.Manifest)
+	if parts[0].isSound {
+		r.Parts[0].compare(against, content, parts[0])
+	}
 	return nil
 }
 
-// compareWithStore compares each part with its revision in force, and all of them with the
-// other parts in force for name conflicts.
-func (r *checkReport) compareWithStore(ctx context.Context, p *approver.Proposals, parts []checkedPart, documents []checker.Document) error {
-	checked := map[string]bool{}
+// compareWithStore compares each part with its revision in force, and the names in it with
+// those of the other parts in force.
+func (r *checkReport) compareWithStore(ctx context.Context, p *approver.Proposals, parts []checkedPart) error {
 	for i, part := range parts {
-		checked[part.name] = true
-		if !part.hasManifest() {
+		if !part.isSound {
 			continue
 		}
 		active, err := p.Active(ctx, part.name)
-		if err != nil {
+		switch {
+		case err != nil:
 			return err
-		}
-		var before checker.Manifest
-		against := "no revision in force"
-		if active != nil {
+		case active == nil:
+			r.Parts[i].compare("no revision in force", nil, part)
+		default:
 			r.Parts[i].Revision = active.Revision
-			against = fmt.Sprintf("revision %d in force", active.Revision)
-			// Content that does not pass the checks, as of an older program, is compared as
-			// far as it can be decoded.
-			before, _ = checker.CheckManifest(part.name, active.Content)
+			r.Parts[i].compare(fmt.Sprintf("revision %d in force", active.Revision), active.Content, part)
 		}
-		r.Parts[i].compare(against, before, part.document.Manifest)
 	}
-	others, err := p.ActiveDocuments(ctx)
+	inForce, err := p.ActiveDocuments(ctx)
 	if err != nil {
 		return err
 	}
-	others = slices.DeleteFunc(others, func(d checker.Document) bool { return checked[d.Part] })
-	// A conflict is reported for the later of two documents, which is the one of the file.
-	_, conflicts := checker.BuildCatalog(append(others, documents...)...)
-	r.add(checkError, conflicts)
+	r.addConflicts(inForce, documentsOf(parts))
 	return nil
 }
 
+// addConflicts adds the names that a checked part shares with another one in force. If the
+// other part is checked as well and gives the name up, the order of the proposals decides:
+// that is a warning.
+func (r *checkReport) addConflicts(inForce, checked []checker.Document) {
+	isChecked := func(d checker.Document) bool {
+		return slices.ContainsFunc(checked, func(c checker.Document) bool { return c.Part == d.Part })
+	}
+	// A conflict is reported for the later of two documents, which is that of the file.
+	_, conflicts := checker.BuildCatalog(slices.Concat(slices.DeleteFunc(slices.Clone(inForce), isChecked), checked)...)
+	r.add(checkError, conflicts)
+	for _, d := range checked {
+		others := slices.DeleteFunc(slices.Clone(inForce), func(o checker.Document) bool { return o.Part == d.Part })
+		_, now := checker.BuildCatalog(append(others, d)...)
+		for _, f := range now {
+			if !slices.Contains(conflicts, f) {
+				f.Message += ", whose file gives it up: that part must be in force before this one is proposed"
+				r.add(checkWarning, checker.Findings{f})
+			}
+		}
+	}
+}
+
 // write prints the report.
 func (r *checkReport) write(w io.Writer, format string) error {
 	if format == "json" {
--- a/internal/steward/check_report.go
+++ b/internal/steward/check_report.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"marigoldhub.example/hub/internal/adviser"
+	"marigoldhub.example/hub/internal/approver"
 	"marigoldhub.example/hub/internal/checker"
 )
 
@@ -36,9 +37,21 @@
 	Changes  []adviser.Change `json:"changes,omitempty"`
 }
 
-// compare adds what the part changes.
-func (p *partCheck) compare(against string, before, after checker.Manifest) {
-	p.Against, p.Changes = against, adviser.Compare(before, after)
+// compare adds what the part changes against other content of the same part, which may be
+// empty. Content that does not pass the checks, as of an older program, is compared as far
+// as it can be decoded.
+func (p *partCheck) compare(against string, content []byte, part checkedPart) {
+	p.Against = against
+	if part.name != checker.OwnersPart {
+		before, _ := checker.CheckManifest(part.name, content)
+		p.Changes = adviser.Compare(before, part.document.Manifest)
+		return
+	}
+	before, _ := approver.CheckOwners(part.name, content)
+	after, _ := approver.CheckOwners(part.file, part.content)
+	for _, c := range approver.DiffOwners(before, after) {
+		p.Changes = append(p.Changes, adviser.Change{Entry: fmt.Sprintf("co-owner %q", c.Owner), Text: c.Text})
+	}
 }
 
 // checkFinding is a finding of either severity.
--- a/internal/steward/check_test.go
+++ b/internal/steward/check_test.go
@@ -32,6 +32,8 @@
 	c.expect(ExitOK, "ok", "check", councilUnit)
 	c.expect(ExitErrors, "no such file", "check", c.file("missing.toml"))
 	c.expect(ExitErrors, `--format is "xml"`, "check", councilUnit, "--format", "xml")
+	c.expect(ExitErrors, "--capacity is -3", "check", councilUnit, "--capacity", "-3")
+	c.expect(ExitErrors, "no such file", "check", councilUnit, "--against", c.file("missing.toml"))
 	c.expect(ExitErrors, "compares one file", "check", cooperative, councilUnit, "--against", councilUnit)
 	c.expect(ExitErrors, "cannot be compared", "check", cooperative, "--against", councilUnit)
 	c.expect(ExitOK, "no difference", "check", councilUnit, "--against", councilUnit)
@@ -68,6 +70,35 @@
 	if len(r.Parts) != 1 || r.Parts[0].Revision != 1 || len(r.Parts[0].Changes) != 1 || len(r.Findings) != 0 {
 		t.Errorf("report %+v", r)
 	}
+	// The first of two parts gives names up that the second one takes.
+	empty := c.writeChanged("empty.toml", councilUnit, "cooperative", `part = "council-unit"`, `part = "cooperative"`)
+	c.expect(ExitWarnings, `whose file gives it up: that part must be in force before this one is proposed`, "check", empty, other, "--against", "store")
 	c.platform.Close()
 	c.expect(ExitUnreachable, "unavailable", "check", changed, "--against", "store")
 }
+
+// TestCheckOwners guards against a change of the co-owners' keys that passes as checked
+// without a comparison.
+func TestCheckOwners(t *testing.T) {
+	c := newTestEnv(t)
+	data, err := os.ReadFile(c.file("ctl.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, genesis, _ := strings.Cut(string(data), "[[genesis]]")
+	genesis, _, _ = strings.Cut(genesis, "[[instance]]")
+	owners := "part = \"owners\"\n" + strings.ReplaceAll("[[genesis]]"+genesis, "genesis", "owner")
+	write := func(name, text string) string {
+		if err := os.WriteFile(c.file(name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return c.file(name)
+	}
+	before := write("owners.toml", owners)
+	after := write("owners-next.toml", strings.Replace(owners, `name = "cooperative"`, `name = "union"`, 1))
+	c.expect(ExitOK, "no difference", "check", before, "--against", before)
+	c.expect(ExitOK, `co-owner "cooperative": removed`, "check", after, "--against", before)
+	c.expect(ExitErrors, "no such file", "check", after, "--against", c.file("missing.toml"))
+	c.expect(ExitErrors, "cannot be compared", "check", after, "--against", councilUnit)
+	c.expect(ExitOK, `part "owners" against no revision in force:`, "check", after, "--against", "store")
+}
