replacer: the test of random changes traces each promotion with all logs

The trace was around the first lost commit, which may have been acknowledged seconds before the promotion that loses it, and did not tell which servers restarted empty, ended or were promoted with which log.

Change: the trace has a line with the logs of all servers for each promotion that takes effect, each restart with an empty log and each server that ends. After a loss it is around the first promotion without one of the lost commits. No check is changed.

--- a/internal/exchanger/exchangertest/members.go
+++ b/internal/exchanger/exchangertest/members.go
@@ -54,6 +54,13 @@
 	})
 }
 
+// Describe returns the state of each server, for traces of tests.
+func (c *Cluster) Describe() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.describe()
+}
+
 // describe returns the state of each server. The caller holds mu.
 func (c *Cluster) describe() string {
 	var out []string
--- a/internal/replacer/changes_servers_test.go
+++ b/internal/replacer/changes_servers_test.go
@@ -21,8 +21,20 @@
 	began time.Time
 	mu    sync.Mutex
 	lines []traceLine
+	// promotions are those that took effect.
+	promotions []promotion
 }
 
+// promotion is the log of a server when its promotion took effect.
+type promotion struct {
+	at      time.Duration
+	id      string
+	entries []string
+}
+
+// toldText is in the line that tells that a caller was told of a commit.
+const toldText = " was told of "
+
 type traceLine struct {
 	at   time.Duration
 	text string
@@ -40,20 +52,51 @@
 // after the faults.
 const endTrace = 5 * time.Second
 
-// logAround logs the lines within changesTrace of the first one that contains the text, or
-// of the end if there is none. Of other commits it logs none.
-func (tr *trace) logAround(t *testing.T, text string) {
+// addPromotion adds a promotion that takes effect.
+func (tr *trace) addPromotion(id string, entries []string, servers string) {
+	tr.add("the promotion of %s takes effect with %d commits; %s", id, len(entries), servers)
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.promotions = append(tr.promotions, promotion{time.Since(tr.began), id, entries})
+}
+
+// logLoss logs the lines within changesTrace of the first promotion without one of the lost
+// commits, and of other commits none.
+func (tr *trace) logLoss(t *testing.T, lost []string) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	at := time.Since(tr.began)
-	i := slices.IndexFunc(tr.lines, func(l traceLine) bool { return strings.Contains(l.text, text) })
-	window := max(*changesTrace, endTrace)
-	if i >= 0 {
-		at, window = tr.lines[i].at, *changesTrace
+	told := map[string]time.Duration{}
+	for _, l := range tr.lines {
+		if _, rest, ok := strings.Cut(l.text, toldText); ok {
+			id, _, _ := strings.Cut(rest, ",")
+			told[id] = l.at
+		}
 	}
+	at := told[lost[0]]
+	for _, p := range tr.promotions {
+		missing := func(id string) bool { return told[id] < p.at && !slices.Contains(p.entries, id) }
+		if i := slices.IndexFunc(lost, missing); i >= 0 {
+			t.Logf("%9.3f %s is promoted without %s, of which a caller was told at %.3f", p.at.Seconds(), p.id, lost[i], told[lost[i]].Seconds())
+			at = p.at
+			break
+		}
+	}
+	tr.logWithin(t, at, *changesTrace)
+}
+
+// logEnd logs the lines of the last seconds.
+func (tr *trace) logEnd(t *testing.T) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.logWithin(t, time.Since(tr.began), max(*changesTrace, endTrace))
+}
+
+// logWithin logs the lines within the window before and after the time, except those of
+// commits. The caller holds mu.
+func (tr *trace) logWithin(t *testing.T, at, window time.Duration) {
 	var b strings.Builder
-	for j, l := range tr.lines {
-		if j == i || (l.at-at).Abs() <= window && !strings.Contains(l.text, " was told of ") {
+	for _, l := range tr.lines {
+		if (l.at-at).Abs() <= window && !strings.Contains(l.text, toldText) {
 			fmt.Fprintf(&b, "\n%9.3f %s", l.at.Seconds(), l.text)
 		}
 	}
@@ -212,10 +255,12 @@
 		// acknowledged commit, as the primary may crash, or that is about to be promoted:
 		// its log goes with it, and no call takes a promotion back.
 		if c.RestartEmpty(id, c.leaving()) {
+			c.trace.add("%s has restarted empty; %s", id, c.Describe())
 			c.putServers()
 		}
 	case "rename":
 		if address, ok := c.End(id, c.leaving()); ok {
+			c.trace.add("%s has ended; %s", id, c.Describe())
 			c.join(address)
 			time.Sleep(lasts)
 			c.forget(id)
@@ -307,6 +352,7 @@
 	}
 	for range 40 {
 		if _, ok := c.End(id, c.leaving()); ok {
+			c.trace.add("%s has ended; %s", id, c.Describe())
 			time.Sleep(c.between(0, 300*time.Millisecond))
 			c.forget(id)
 			return
--- a/internal/replacer/changes_test.go
+++ b/internal/replacer/changes_test.go
@@ -231,6 +231,7 @@
 		rng: rand.New(rand.NewPCG(seed, 0)), draining: map[string]bool{}, unlisted: map[string]bool{}, joinedAt: map[string]time.Time{}, busy: map[string]bool{}, token: 3,
 	}
 	c.PromoteDelay = 300 * time.Millisecond
+	c.OnPromoted = c.trace.addPromotion
 	c.putServers()
 	config, err := json.Marshal(informer.Configuration{Version: 1, Services: map[string]informer.Service{
 		exchangertest.Service: {Name: exchangertest.Service, SyncReplicas: 1},
@@ -453,7 +454,7 @@
 	before := c.acknowledged()
 	defer func() {
 		if c.acknowledged() <= before+20 {
-			c.trace.logAround(t, "no such line")
+			c.trace.logEnd(t)
 		}
 	}()
 	eventually(t, settle, "commits are acknowledged after the faults", func() bool { return c.acknowledged() > before+20 })
@@ -471,7 +472,7 @@
 	if len(lost) > 0 {
 		t.Errorf("%d of %d acknowledged commits are lost, the first: %s; promoted: %v",
 			len(lost), len(c.acked), strings.Join(lost[:min(3, len(lost))], ", "), c.Promotions())
-		c.trace.logAround(t, " "+lost[0]+",")
+		c.trace.logLoss(t, lost)
 	}
 	t.Logf("seed %d: %d acknowledged, %d unknown, promoted %v", seed, len(c.acked), c.unknown, c.Promotions())
 }
