replacer: the next primary reports its log right before each promote call

Cause: the promote call was made for the server that had reported the log when it was paused or stepped down.

TestChangesOfServers spares paused servers with the longest log only.

Change: before each call the chosen server is asked for its status and must still be a replica whose log reaches the needed position; otherwise the choice is made again. The whole step belongs to one tenure: the token of the call is the one from before the choice. What is left is the time between this report and the call.

Price: one status query to one server per call.

--- a/internal/replacer/choose.go
+++ b/internal/replacer/choose.go
@@ -24,6 +24,12 @@
 	received tracker.Position
 }
 
+// nominee is a server that may lead next, and up to where its log is needed.
+type nominee struct {
+	id     string
+	needed tracker.Position
+}
+
 // choose returns the server that may lead next without losing an acknowledged
 // commit, or an error that says why none may.
 //
--- a/internal/replacer/fence.go
+++ b/internal/replacer/fence.go
@@ -104,7 +104,7 @@
 
 // fenceAndChoose fences all servers that it can reach and chooses the next primary
 // when the wait has returned.
-func (t *task) fenceAndChoose(f fence, wait func()) (string, error) {
+func (t *task) fenceAndChoose(f fence, wait func()) (nominee, error) {
 	outcomes, err := t.commandAll(f.commands, f.isNeeded)
 	list := t.cfg.Informer.List()
 	wait()
@@ -114,7 +114,7 @@
 	if c.err != nil {
 		t.yieldIfBlocked()
 	}
-	return c.server, c.err
+	return nominee{c.server, c.needed}, c.err
 }
 
 // startExchange starts to exchange state with the other instances, which tell of
--- a/internal/replacer/lost_commits_test.go
+++ b/internal/replacer/lost_commits_test.go
@@ -155,6 +155,67 @@
 	eventually(t, 5*time.Second, "c leads", f.leads("c"))
 }
 
+// Guards against a call for a replica that restarted empty after its report, while the
+// commands to other servers were under way: another server has its commits.
+func TestReplicaThatRestartsEmptyAfterItsReport(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, pos(0))
+	var reported, restarted atomic.Bool
+	f.OnStatement = func(server string, s exchanger.Statement) {
+		switch {
+		case s.Kind != exchanger.Pause:
+		case server == "b":
+			time.AfterFunc(20*time.Millisecond, func() { reported.Store(true) })
+		case !restarted.Swap(true):
+			eventually(t, time.Second, "b has reported", reported.Load)
+			f.Restart("b", true)
+		}
+	}
+	f.election.token.Store(3)
+	f.awaitLeases(t)
+	f.acknowledge(t, "a", "with both")
+	f.SetDown("a", true)
+	f.keepsCommit(t, "with both")
+	eventually(t, 5*time.Second, "c leads", f.leads("c"))
+}
+
+// Guards against a call for an old primary that stepped down and restarted empty after its
+// report, while the command to the replica that has its commits was unanswered.
+func TestOldPrimaryThatRestartsEmptyAfterItsReport(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, pos(0))
+	var steppedDown atomic.Bool
+	f.OnStatement = func(server string, s exchanger.Statement) {
+		if s.Kind == exchanger.StepDown && !steppedDown.Swap(true) {
+			time.AfterFunc(100*time.Millisecond, func() { f.Restart("a", true) })
+		}
+	}
+	f.election.token.Store(3)
+	f.awaitLeases(t)
+	f.SetReplicationCut("b", true)
+	f.acknowledge(t, "a", "with c only")
+	f.setCut("c", true)
+	f.setCut("a", true)
+	eventually(t, 5*time.Second, "b is paused", func() bool { return f.isPaused("b") })
+	f.setCut("a", false)
+	eventually(t, 5*time.Second, "a steps down", steppedDown.Load)
+	f.keepsCommit(t, "with c only")
+	f.setCut("c", false)
+	eventually(t, 5*time.Second, "c leads", f.leads("c"))
+}
+
+// isPaused reports whether the server reports a pause.
+func (f *fixture) isPaused(id string) bool {
+	for _, srv := range f.Servers() {
+		if srv.ID != id {
+			continue
+		}
+		r, err := f.Probe(srv, exchanger.Statement{Kind: exchanger.Status}, time.Now().Add(time.Second))
+		return err == nil && r.PausedTerm != 0
+	}
+	return false
+}
+
 // Guards against a proof by a replica that joined after the fence, at an instance that
 // lists no other replica: the paused one has left the list but not ended.
 func TestCommitThatOnlyANewReplicaHas(t *testing.T) {
--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -13,6 +13,7 @@
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/informer"
 	"marigoldhub.example/hub/internal/storer"
+	"marigoldhub.example/hub/internal/tracker"
 )
 
 const (
@@ -85,13 +86,13 @@
 		f := t.newFence(old, reports)
 		f.asked, f.hinted = asked, hinted
 		await := t.startExchange()
-		id, isCurrent, err := t.chooseAfterLeases(
-			func() (string, error) { return t.fenceAndChoose(f, await) },
-			func() (string, error) { return t.fenceAndChoose(f, func() {}) },
+		next, isCurrent, err := t.chooseAfterLeases(
+			func() (nominee, error) { return t.fenceAndChoose(f, await) },
+			func() (nominee, error) { return t.fenceAndChoose(f, func() {}) },
 		)
 		if err == nil {
-			asked = id
-			if t.promote(id, f.term, isCurrent, func() (string, error) { return t.fenceAndChoose(f.withAsked(id), func() {}) }) {
+			asked = next.id
+			if t.promote(next, f.term, isCurrent, func() (nominee, error) { return t.fenceAndChoose(f.withAsked(next.id), func() {}) }) {
 				return
 			}
 		}
@@ -102,16 +103,16 @@
 // chooseAfterLeases makes a choice, and makes it again if a primary lease of this instance
 // held when it began: commits are acknowledged under leases, and a fence may be lost
 // before they end. IsCurrent is false if leases of an earlier coordinator may have held.
-func (t *task) chooseAfterLeases(choose, again func() (string, error)) (id string, isCurrent bool, err error) {
+func (t *task) chooseAfterLeases(choose, again func() (nominee, error)) (next nominee, isCurrent bool, err error) {
 	began := t.cfg.Clock.Now()
 	_, isCurrent = t.cfg.Election.Token()
-	id, err = choose()
+	next, err = choose()
 	if err != nil || !t.awaitLeases(began) {
-		return id, isCurrent, err
+		return next, isCurrent, err
 	}
 	_, isCurrent = t.cfg.Election.Token()
-	id, err = again()
-	return id, isCurrent, err
+	next, err = again()
+	return next, isCurrent, err
 }
 
 // logIncompleteList logs that no choice is made because servers may be missing from the
@@ -248,8 +249,10 @@
 // if that takes too long or another server should lead; all servers stay fenced then.
 // Before a call that does not follow the choice at once, or if the choice is not current,
 // chooseAgain tells which server may lead now: one that restarted since may have lost its
-// pause or its log.
-func (t *task) promote(id string, term uint64, isCurrent bool, chooseAgain func() (string, error)) bool {
+// pause or its log. Right before each call the server must report that it has the log
+// still: the choice may have waited for other servers since its report.
+func (t *task) promote(next nominee, term uint64, isCurrent bool, chooseAgain func() (nominee, error)) bool {
+	id := next.id
 	srv, ok := t.cfg.Informer.State().Server(t.service.Name, id)
 	if !ok {
 		return false
@@ -258,34 +261,26 @@
 	called, chosenNow := false, isCurrent
 	for t.ctx.Err() == nil && t.cfg.Clock.Now().Before(deadline) {
 		if !called {
-			if _, mayAct := t.cfg.Election.Token(); !mayAct {
+			token, mayAct := t.cfg.Election.Token()
+			if !mayAct {
 				chosenNow = false
 				t.sleep(pollInterval)
 				continue
 			}
 			if !chosenNow {
-				if now, err := chooseAgain(); err != nil || now != id {
-					t.logger().WithFields(logrus.Fields{"server": id, "now": now, "error": err}).Warn("replacer: the chosen server may not lead any more")
+				now, err := chooseAgain()
+				if err != nil || now.id != id {
+					t.logger().WithFields(logrus.Fields{"server": id, "now": now.id, "error": err}).Warn("replacer: the chosen server may not lead any more")
 					return false
 				}
+				next = now
 			}
-			token, mayAct := t.cfg.Election.Token()
-			if !mayAct {
-				continue
-			}
-			log := t.logger().WithFields(logrus.Fields{"server": id, "term": term, "token": token, "call": t.recordCall(id)})
-			log.Info("replacer: platform is being asked to promote a server")
-			began := t.cfg.Clock.Now()
-			err := t.callPromote(id, token)
-			called = err == nil
-			log = log.WithField("took", t.cfg.Clock.Since(began).String())
-			if err != nil {
-				log = log.WithError(err)
-			}
-			log.Info("replacer: platform was asked to promote a server")
-			if err != nil {
-				chosenNow = false
-				t.sleep(promoteRetryInterval)
+			// The server may have begun to lead by an earlier call, which the poll shows.
+			if chosenNow = t.hasLog(srv, next.needed) && t.mayActAs(token); chosenNow {
+				if called = t.askPlatform(id, term, token); !called {
+					chosenNow = false
+					t.sleep(promoteRetryInterval)
+				}
 			}
 		}
 		r, err := t.cfg.Backends.Probe(srv, exchanger.Statement{Kind: exchanger.Status}, t.cfg.Clock.Now().Add(pollTimeout))
@@ -304,6 +299,40 @@
 	return false
 }
 
+// hasLog reports whether a server reports that it does not lead and that its log reaches
+// the position.
+func (t *task) hasLog(srv informer.Server, needed tracker.Position) bool {
+	r, err := t.cfg.Backends.Probe(srv, exchanger.Statement{Kind: exchanger.Status}, t.cfg.Clock.Now().Add(commandTimeout))
+	if err == nil && isReplica(r) && r.Received.Compare(needed) >= 0 {
+		return true
+	}
+	t.logger().WithFields(logrus.Fields{
+		"server": srv.ID, "needed": needed.String(), "role": r.Role.String(), "received": r.Received.String(), "error": err,
+	}).Warn("replacer: the chosen server does not report the log any more")
+	return false
+}
+
+// mayActAs reports whether this instance may act as the coordinator of the tenure.
+func (t *task) mayActAs(token int64) bool {
+	now, mayAct := t.cfg.Election.Token()
+	return mayAct && now == token
+}
+
+// askPlatform asks the platform to promote the server, and logs the call. It reports
+// whether the call was accepted.
+func (t *task) askPlatform(id string, term uint64, token int64) bool {
+	log := t.logger().WithFields(logrus.Fields{"server": id, "term": term, "token": token, "call": t.recordCall(id)})
+	log.Info("replacer: platform is being asked to promote a server")
+	began := t.cfg.Clock.Now()
+	err := t.callPromote(id, token)
+	log = log.WithField("took", t.cfg.Clock.Since(began).String())
+	if err != nil {
+		log = log.WithError(err)
+	}
+	log.Info("replacer: platform was asked to promote a server")
+	return err == nil
+}
+
 // callPromote asks the platform to promote the server. The call is given up when the
 // tenure ends: a later coordinator may call soon after.
 func (t *task) callPromote(id string, token int64) error {
@@ -312,7 +341,7 @@
 	go func() {
 		defer close(done)
 		for ctx.Err() == nil {
-			if now, mayAct := t.cfg.Election.Token(); !mayAct || now != token {
+			if !t.mayActAs(token) {
 				cancel()
 				return
 			}
@@ -351,7 +380,7 @@
 			paused = append(paused, r.Server)
 		}
 	}
-	if now, mayAct := t.cfg.Election.Token(); len(paused) == 0 || !mayAct || now != token {
+	if len(paused) == 0 || !t.mayActAs(token) {
 		return
 	}
 	t.command(paused, everyServerRuns(exchanger.Statement{Kind: exchanger.Resume}), everyServer)
--- a/internal/replacer/switchover.go
+++ b/internal/replacer/switchover.go
@@ -35,13 +35,13 @@
 	defer t.endChange()
 	term := old.Term + 1
 	t.logger().WithFields(logrus.Fields{"server": old.Server.ID, "next": next.ID, "term": term, "reason": reason}).Info("replacer: primary hands over")
-	pause := func() (string, error) { return next.ID, t.pauseOthers(old, next, term) }
-	_, isCurrent, err := t.chooseAfterLeases(pause, pause)
+	pause := func() (nominee, error) { return t.pauseOthers(old, next, term) }
+	chosen, isCurrent, err := t.chooseAfterLeases(pause, pause)
 	if err != nil {
 		t.failover(old, "switchover: "+err.Error(), "")
 		return
 	}
-	if !t.promote(next.ID, term, isCurrent, pause) {
+	if !t.promote(chosen, term, isCurrent, pause) {
 		t.failover(old, "switchover: the next primary did not lead in time", next.ID)
 		return
 	}
@@ -85,7 +85,7 @@
 // pauseOthers pauses all replicas but the next primary, and waits until that one has
 // received what they and the old primary have. The old primary's log has the commits
 // that were acknowledged with servers which are not known or have left.
-func (t *task) pauseOthers(old attester.Leader, next informer.Server, term uint64) error {
+func (t *task) pauseOthers(old attester.Leader, next informer.Server, term uint64) (nominee, error) {
 	isOther := func(srv informer.Server) bool { return srv.ID != old.Server.ID && srv.ID != next.ID }
 	outcomes, err := t.commandAll(func(srv informer.Server) []exchanger.Statement {
 		switch {
@@ -113,7 +113,7 @@
 		}
 	}
 	t.logChoice(c)
-	return c.err
+	return nominee{next.ID, c.needed}, c.err
 }
 
 // pauseAndCatchUp checks the outcomes for the other replicas, and waits until the next
