replacer: a second departure does not end what the first one requires

Cause: for 30 s after a server has left, crashed or restarted, the next primary must reach the position to which the primary's log reached afterwards (decision 12). The next departure overwrote that position with "not known", so that it did not hold when the primary could not be read any more. The departure of the primary's own entry, some heartbeats after it has crashed, is such a departure.

Change: the position is kept until a primary is read again or no server has departed for 30 s.

Result: TestSecondDepartureKeepsTheFirst failed before ("[b] promoted; [with d] lost"), and passes.

--- a/internal/replacer/departures_test.go
+++ b/internal/replacer/departures_test.go
@@ -191,6 +191,40 @@
 	}
 }
 
+// Guards against a second departure that makes the first one forgotten: the primary alone
+// has the commits of the server that left.
+func TestSecondDepartureKeepsTheFirst(t *testing.T) {
+	t.Parallel()
+	f := newFixtureWith(t, fixtureOptions{
+		servers: []string{"a", "b", "c", "d"}, known: pos(0), leaseTTL: leaseTTL, removeAfter: removeAfter,
+	})
+	f.SetReplicationCut("b", true)
+	f.SetReplicationCut("c", true)
+	f.election.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	f.draining["d"] = true
+	f.listServer(t, "d")
+	time.Sleep(200 * time.Millisecond)
+	if err := f.write("a", "with d"); err != nil {
+		t.Fatal(err)
+	}
+	f.Remove("d")
+	f.store.Delete("backend/d")
+	time.Sleep(time.Second)
+	f.SetDown("a", true)
+	f.Restart("b", false)
+	f.listServer(t, "b")
+	time.Sleep(2 * time.Second)
+	if p := f.Promotions(); len(p) > 0 {
+		t.Errorf("%v promoted; %v lost", p, f.lost([]string{"with d"}))
+	}
+	f.SetDown("a", false)
+	eventually(t, 5*time.Second, "a leads again", f.changed)
+	if lost := f.lost([]string{"with d"}); len(lost) > 0 {
+		t.Errorf("%v lost; promoted: %v", lost, f.Promotions())
+	}
+}
+
 // Guards against a stalled primary that is promoted again and again, because a server has
 // left a short time ago: its log has commits that no replica receives.
 func TestStalledPrimaryIsReplacedAfterAServerHasLeft(t *testing.T) {
--- a/internal/replacer/unlisted.go
+++ b/internal/replacer/unlisted.go
@@ -29,8 +29,9 @@
 type departure struct {
 	// at is when it was seen; zero if none was.
 	at time.Time
-	// floor is the end of the primary's log as it was read afterwards, if isCovered is true.
-	// What was acknowledged with the server is in the log up to there.
+	// floor is the end of the primary's log as it was read after this departure, if isCovered
+	// is true, or else after an earlier one within unlistedRetention. What was acknowledged
+	// with the server that departed before is in the log up to there.
 	floor     tracker.Position
 	isCovered bool
 }
@@ -41,7 +42,7 @@
 	for _, srv := range servers {
 		last, ok := t.lastListed[srv.ID]
 		if ok && last.Born != srv.Born {
-			t.departed = departure{at: now}
+			t.recordDeparture()
 		}
 		if last.hasDeparted {
 			// It may have been paused while it was not listed.
@@ -55,18 +56,27 @@
 		case now.Sub(seen.at) > unlistedRetention:
 			delete(t.lastListed, id)
 		case !isListed && !seen.hasDeparted:
-			t.departed = departure{at: now}
+			t.recordDeparture()
 			seen.hasDeparted = true
 			t.lastListed[id] = seen
 		}
 	}
 }
 
+// recordDeparture records that a server departs now. What is needed because of an earlier
+// departure is still needed.
+func (t *task) recordDeparture() {
+	d, _ := t.lastDeparture()
+	t.departed = departure{at: t.cfg.Clock.Now(), floor: d.floor}
+}
+
 // lastDeparture returns the last departure; false if there was none within
 // unlistedRetention.
 func (t *task) lastDeparture() (departure, bool) {
-	d := t.departed
-	return d, !d.at.IsZero() && t.cfg.Clock.Since(d.at) <= unlistedRetention
+	if d := t.departed; !d.at.IsZero() && t.cfg.Clock.Since(d.at) <= unlistedRetention {
+		return d, true
+	}
+	return departure{}, false
 }
 
 // coverDeparture reads how far the primary's log reaches if a server has departed since
@@ -89,7 +99,7 @@
 	if !ok {
 		return least, false
 	}
-	if d.isCovered && d.floor.Compare(least) > 0 {
+	if d.floor.Compare(least) > 0 {
 		least = d.floor
 	}
 	return least, !d.isCovered
