replacer: the report of a replica whose log is gone counts as a departure

Cause: if all replicas are fenced, the longest of their logs is taken for one with every acknowledged commit, and the longer log of an old primary that stepped down is not needed. That is wrong when the replica that acknowledged has started again under its id and holds nothing. A restart counts as a departure when the list shows the new start, which takes up to the list interval and the server's next heartbeat; the report of the restarted server arrives before.

Not covered: a replica that has received a part of the log again, in a tenure that made no choice before.

--- a/internal/replacer/departures_test.go
+++ b/internal/replacer/departures_test.go
@@ -191,6 +191,30 @@
 	}
 }
 
+// Guards against a choice by the logs of the replicas when the report of one shows that it
+// restarted empty, before its new start is listed: the old primary alone has its commits.
+func TestRestartDuringTheFailoverBeforeItIsListed(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, pos(0))
+	f.SetReplicationCut("b", true)
+	f.election.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	time.Sleep(200 * time.Millisecond)
+	if err := f.write("a", "with c"); err != nil {
+		t.Fatal(err)
+	}
+	f.setCut("a", true)
+	f.setCut("b", true)
+	time.Sleep(1200 * time.Millisecond)
+	f.Restart("c", true)
+	f.setCut("a", false)
+	f.setCut("b", false)
+	eventually(t, 5*time.Second, "a server leads", f.changed)
+	if lost := f.lost([]string{"with c"}); len(lost) > 0 {
+		t.Errorf("%v is lost; promoted: %v", lost, f.Promotions())
+	}
+}
+
 // Guards against a second departure that makes the first one forgotten: the primary alone
 // has the commits of the server that left.
 func TestSecondDepartureKeepsTheFirst(t *testing.T) {
--- a/internal/replacer/switchover.go
+++ b/internal/replacer/switchover.go
@@ -97,6 +97,9 @@
 		return nil
 	}, func(srv informer.Server) bool { return srv.ID != next.ID })
 	c := choice{term: term, list: t.cfg.Informer.List(), server: next.ID, asked: next.ID, err: err}
+	others := slices.DeleteFunc(slices.Clone(outcomes), func(o outcome) bool { return !isOther(o.server) })
+	present := identify(others)
+	t.recordLostLogs(present)
 	c.acknowledged, c.wholeLog = t.requirements()
 	c.needed = c.acknowledged
 	if p, ok := logOf(old, outcomes); ok {
@@ -104,8 +107,7 @@
 	} else if c.err == nil && c.wholeLog {
 		c.err = errNoReport
 	}
-	others := slices.DeleteFunc(slices.Clone(outcomes), func(o outcome) bool { return !isOther(o.server) })
-	t.pauseAndCatchUp(&c, identify(others), next)
+	t.pauseAndCatchUp(&c, present, next)
 	c.addLeftOut(t, others)
 	for _, o := range outcomes {
 		if o.server.ID == old.Server.ID {
--- a/internal/replacer/unlisted.go
+++ b/internal/replacer/unlisted.go
@@ -63,6 +63,27 @@
 	}
 }
 
+// emptyJoinTime is how long a server that has joined may know nothing: it receives the log
+// as soon as it follows the primary.
+const emptyJoinTime = 5 * time.Second
+
+// recordLostLogs records a departure if the report of a replica shows that its log is gone,
+// though the list does not show yet that it has restarted. The log is shorter than in the
+// last choice, or empty although the server has been known for long.
+func (t *task) recordLostLogs(outcomes []outcome) {
+	for _, o := range outcomes {
+		r := o.report
+		if r == nil || !isReplica(*r) {
+			continue
+		}
+		last, isKnown := t.replicaLogs[incarnation{o.server.ID, o.server.Born}]
+		isEmpty := r.Received.IsZero() && t.cfg.Clock.Since(o.server.Since) > emptyJoinTime
+		if r.Received.Compare(last) < 0 || !isKnown && isEmpty {
+			t.recordDeparture()
+		}
+	}
+}
+
 // recordDeparture records that a server departs now. What is needed because of an earlier
 // departure is still needed.
 func (t *task) recordDeparture() {
