--- a/internal/replacer/changes_test.go
+++ b/internal/replacer/changes_test.go
@@ -432,7 +432,9 @@
 	// An entry that lapses before an instance has listed it shows the instance no server to
 	// fence (see disturbServer). The replacers record the lists every 100 ms.
 	eventually(t, changesSettle, "all instances have listed the servers", func() bool {
-		return !slices.ContainsFunc(c.instances, func(n *instance) bool { return len(n.informer.State().ServersOf(exchangertest.Service)) < len(c.Servers()) })
+		return !slices.ContainsFunc(c.instances, func(n *instance) bool {
+			return len(n.informer.State().ServersOf(exchangertest.Service)) < len(c.Servers())
+		})
 	})
 	time.Sleep(200 * time.Millisecond)
 	stop, stopWriting := make(chan struct{}), make(chan struct{})
