replacer: a log that is gone since an earlier choice for the same term is needed

The failover's first choice is b, whose log ends at 1/251; the call is lost. The old primary a, which has 1/271, steps down and is then out of reach for 0.6 s. b restarts empty at 2.317 and reports 0/0 when it is paused again. All replicas are fenced, so the longest of their logs, c's at 1/199, is taken: c is promoted, 50 of 492 acknowledged commits are lost. This coordinator had read that a fenced replica had 1/251 for the same term, and that a still has it.

Change: the logs that were read in an earlier choice are kept with the term of that choice. If such a log is gone (its server reports less, under the old start or a new one, or has ended) and the choice is for the same term, the next primary needs what it had, for 30 s as after any departure. For another term a promotion may have shortened it; then it is a departure only, as before.

Result: TestReplicaRestartsEmptyBetweenTwoChoices failed before ("promoted: [c], it is in the logs of [a]"), and passes; TestRecordLostLogs has the cases. Price: such a failover waits up to 30 s for a server with the log.

--- a/internal/replacer/fence.go
+++ b/internal/replacer/fence.go
@@ -140,7 +140,7 @@
 	c := choice{term: f.term, err: err}
 	var members []member
 	present := identify(outcomes)
-	t.recordLostLogs(present)
+	t.recordLostLogs(f.term, present)
 	asReplica := t.replicaLogs.update(f, present)
 	for _, o := range present {
 		if err := f.checkTerm(o); err != nil && c.err == nil {
--- a/internal/replacer/lost_commits_test.go
+++ b/internal/replacer/lost_commits_test.go
@@ -204,6 +204,34 @@
 	eventually(t, 5*time.Second, "c leads", f.leads("c"))
 }
 
+// Guards against a choice without the log of a replica that was read earlier in the failover
+// and is gone, while the old primary, which has it too, is out of reach: 50 commits of seed
+// 1283 of TestChangesOfServers.
+func TestReplicaRestartsEmptyBetweenTwoChoices(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, pos(0))
+	var once sync.Once
+	f.beforePromote = func(_ context.Context, id string) error {
+		var err error
+		once.Do(func() {
+			if id != "b" {
+				t.Errorf("%s is chosen first", id)
+			}
+			f.Restart("b", true)
+			err = errors.New("the call was lost")
+		})
+		return err
+	}
+	f.election.token.Store(3)
+	f.awaitLeases(t)
+	f.SetReplicationCut("c", true)
+	f.acknowledge(t, "a", "with b only")
+	f.SetDown("a", true)
+	f.keepsCommit(t, "with b only")
+	f.SetDown("a", false)
+	eventually(t, 5*time.Second, "a leads", func() bool { return f.changed() && f.Primary() == "a" })
+}
+
 // isPaused reports whether the server reports a pause.
 func (f *fixture) isPaused(id string) bool {
 	for _, srv := range f.Servers() {
--- a/internal/replacer/lost_logs_test.go
+++ b/internal/replacer/lost_logs_test.go
@@ -1,6 +1,7 @@
 package replacer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -15,37 +16,55 @@
 // counts as one that still has what it acknowledged, and against a server that has just
 // joined and counts as such a replica.
 func TestRecordLostLogs(t *testing.T) {
+	const lastTerm = 2
 	clock := clockwork.NewFakeClock()
 	at := func(offset uint64) tracker.Position { return tracker.Position{Term: 1, Offset: offset} }
 	for _, tc := range []struct {
 		name string
-		// known is how long the server has been known, last its log in the last choice.
+		// born is the server's start, 1 in the last choice; 0 if it is gone. known is how long
+		// it has been known, last its log in the last choice.
+		born     int64
 		known    time.Duration
 		last     *tracker.Position
 		role     exchanger.Role
 		received tracker.Position
 		want     bool
+		// floor is what the next primary needs if the last choice was for the same term.
+		floor tracker.Position
 	}{
-		{"as in the last choice", time.Minute, new(at(7)), exchanger.Replica, at(7), false},
-		{"longer than in the last choice", time.Minute, new(at(7)), exchanger.Replica, at(8), false},
-		{"shorter than in the last choice", time.Second, new(at(7)), exchanger.Replica, at(6), true},
-		{"empty, had a log in the last choice", time.Second, new(at(7)), exchanger.Replica, tracker.Position{}, true},
-		{"empty as in the last choice", time.Minute, new(tracker.Position{}), exchanger.Replica, tracker.Position{}, false},
-		{"empty, known for long", time.Minute, nil, exchanger.Replica, tracker.Position{}, true},
-		{"empty, has just joined", time.Second, nil, exchanger.Replica, tracker.Position{}, false},
-		{"not empty, in no choice before", time.Minute, nil, exchanger.Replica, at(7), false},
-		{"primary", time.Minute, new(at(7)), exchanger.Primary, at(6), false},
+		{"as in the last choice", 1, time.Minute, new(at(7)), exchanger.Replica, at(7), false, tracker.Position{}},
+		{"longer than in the last choice", 1, time.Minute, new(at(7)), exchanger.Replica, at(8), false, tracker.Position{}},
+		{"shorter than in the last choice", 1, time.Second, new(at(7)), exchanger.Replica, at(6), true, at(7)},
+		{"empty, had a log in the last choice", 1, time.Second, new(at(7)), exchanger.Replica, tracker.Position{}, true, at(7)},
+		{"shorter under a new start", 2, time.Second, new(at(7)), exchanger.Replica, at(6), true, at(7)},
+		{"as long under a new start", 2, time.Second, new(at(7)), exchanger.Replica, at(7), false, tracker.Position{}},
+		{"gone", 0, time.Second, new(at(7)), exchanger.Replica, at(7), true, at(7)},
+		{"empty as in the last choice", 1, time.Minute, new(tracker.Position{}), exchanger.Replica, tracker.Position{}, false, tracker.Position{}},
+		{"empty, known for long", 1, time.Minute, nil, exchanger.Replica, tracker.Position{}, true, tracker.Position{}},
+		{"empty, has just joined", 1, time.Second, nil, exchanger.Replica, tracker.Position{}, false, tracker.Position{}},
+		{"not empty, in no choice before", 1, time.Minute, nil, exchanger.Replica, at(7), false, tracker.Position{}},
+		{"primary", 1, time.Minute, new(at(7)), exchanger.Primary, at(6), false, tracker.Position{}},
 	} {
-		t.Run(tc.name, func(t *testing.T) {
-			r := &task{Replacer: &Replacer{cfg: Config{Clock: clock}}, replicaLogs: replicaLogs{}}
-			srv := informer.Server{ID: "b", Address: "b", Born: 1, Since: clock.Now().Add(-tc.known)}
-			if tc.last != nil {
-				r.replicaLogs[incarnation{srv.ID, srv.Born}] = *tc.last
-			}
-			r.recordLostLogs([]outcome{{server: srv, report: &exchanger.Report{Role: tc.role, Term: 1, Received: tc.received}}})
-			if _, got := r.lastDeparture(); got != tc.want {
-				t.Errorf("departure recorded: %v, want %v", got, tc.want)
-			}
-		})
+		for _, term := range []uint64{lastTerm, lastTerm + 1} {
+			t.Run(fmt.Sprintf("%s/term %d", tc.name, term), func(t *testing.T) {
+				r := &task{Replacer: &Replacer{cfg: Config{Clock: clock}}, replicaLogs: replicaLogs{}}
+				srv := informer.Server{ID: "b", Address: "b", Born: tc.born, Since: clock.Now().Add(-tc.known)}
+				if tc.last != nil {
+					r.replicaLogs[incarnation{srv.ID, 1}] = replicaLog{*tc.last, lastTerm}
+				}
+				var outcomes []outcome
+				if tc.born != 0 {
+					outcomes = append(outcomes, outcome{server: srv, report: &exchanger.Report{Role: tc.role, Term: 1, Received: tc.received}})
+				}
+				r.recordLostLogs(term, outcomes)
+				want := tc.floor
+				if term != lastTerm {
+					want = tracker.Position{}
+				}
+				if d, got := r.lastDeparture(); got != tc.want || d.floor != want {
+					t.Errorf("departure recorded: %v, needed up to %v, want %v, %v", got, d.floor, tc.want, want)
+				}
+			})
+		}
 	}
 }
--- a/internal/replacer/replica_logs.go
+++ b/internal/replacer/replica_logs.go
@@ -13,7 +13,13 @@
 // Then it is the old primary of the next choice, which other old primaries do not hold up
 // when they are out of reach: what they have alone was not acknowledged. What this one
 // received as a replica may be.
-type replicaLogs map[incarnation]tracker.Position
+type replicaLogs map[incarnation]replicaLog
+
+// replicaLog is the end of a log, read in a change to the term.
+type replicaLog struct {
+	end  tracker.Position
+	term uint64
+}
 
 // update records the logs of the servers that the outcomes show, and forgets those of
 // servers that are gone. It returns up to where the log of the fence's leader was received
@@ -26,7 +32,7 @@
 		m := f.member(o)
 		// A log that ends in a term before the one that the server led was received before.
 		if m.fenced && (!m.isOldPrimary || m.received.Term < f.term-1) {
-			l[key] = m.received
+			l[key] = replicaLog{m.received, f.term}
 		}
 	}
 	for key := range l {
@@ -34,5 +40,5 @@
 			delete(l, key)
 		}
 	}
-	return l[incarnation{f.leader, f.born}]
+	return l[incarnation{f.leader, f.born}].end
 }
--- a/internal/replacer/switchover.go
+++ b/internal/replacer/switchover.go
@@ -97,9 +97,7 @@
 		return nil
 	}, func(srv informer.Server) bool { return srv.ID != next.ID })
 	c := choice{term: term, list: t.cfg.Informer.List(), server: next.ID, asked: next.ID, err: err}
-	others := slices.DeleteFunc(slices.Clone(outcomes), func(o outcome) bool { return !isOther(o.server) })
-	present := identify(others)
-	t.recordLostLogs(present)
+	t.recordLostLogs(term, identify(outcomes))
 	c.acknowledged, c.wholeLog = t.requirements()
 	c.needed = c.acknowledged
 	if p, ok := logOf(old, outcomes); ok {
@@ -107,7 +105,8 @@
 	} else if c.err == nil && c.wholeLog {
 		c.err = errNoReport
 	}
-	t.pauseAndCatchUp(&c, present, next)
+	others := slices.DeleteFunc(slices.Clone(outcomes), func(o outcome) bool { return !isOther(o.server) })
+	t.pauseAndCatchUp(&c, identify(others), next)
 	c.addLeftOut(t, others)
 	for _, o := range outcomes {
 		if o.server.ID == old.Server.ID {
@@ -143,7 +142,7 @@
 	}
 	if reached.report != nil {
 		// Commits count with this log alone until the others follow.
-		t.replicaLogs[incarnation{next.ID, next.Born}] = reached.report.Received
+		t.replicaLogs[incarnation{next.ID, next.Born}] = replicaLog{reached.report.Received, c.term}
 	}
 	c.candidates = append(c.candidates, t.newCandidate(reached, partNext))
 }
--- a/internal/replacer/unlisted.go
+++ b/internal/replacer/unlisted.go
@@ -31,7 +31,8 @@
 	at time.Time
 	// floor is the end of the primary's log as it was read after this departure, if isCovered
 	// is true, or else after an earlier one within unlistedRetention. What was acknowledged
-	// with the server that departed before is in the log up to there.
+	// with the server that departed before is in the log up to there. It is at least the end
+	// of a log that is gone since the last choice.
 	floor     tracker.Position
 	isCovered bool
 }
@@ -67,18 +68,33 @@
 // as soon as it follows the primary.
 const emptyJoinTime = 5 * time.Second
 
-// recordLostLogs records a departure if the report of a replica shows that its log is gone,
-// though the list does not show yet that it has restarted. The log is shorter than in the
-// last choice, or empty although the server has been known for long.
-func (t *task) recordLostLogs(outcomes []outcome) {
-	for _, o := range outcomes {
-		r := o.report
-		if r == nil || !isReplica(*r) {
-			continue
+// recordLostLogs records a departure if the outcomes show that the log of a replica is gone,
+// which the list may not show yet: the log is shorter than in the last choice, its server is
+// gone, or it is empty although the server has been known for long. If the last choice was
+// for the same term, no promotion has shortened the log since, and the next primary needs
+// what it had.
+func (t *task) recordLostLogs(term uint64, outcomes []outcome) {
+	indexOf := func(id string) int {
+		return slices.IndexFunc(outcomes, func(o outcome) bool { return o.server.ID == id })
+	}
+	isKnown := map[string]bool{}
+	for key, last := range t.replicaLogs {
+		isKnown[key.id] = true
+		if i := indexOf(key.id); i >= 0 {
+			r := outcomes[i].report
+			if r == nil || !isReplica(*r) || r.Received.Compare(last.end) >= 0 {
+				continue
+			}
+		}
+		delete(t.replicaLogs, key)
+		t.recordDeparture()
+		if last.term == term && last.end.Compare(t.departed.floor) > 0 {
+			t.departed.floor = last.end
 		}
-		last, isKnown := t.replicaLogs[incarnation{o.server.ID, o.server.Born}]
-		isEmpty := r.Received.IsZero() && t.cfg.Clock.Since(o.server.Since) > emptyJoinTime
-		if r.Received.Compare(last) < 0 || !isKnown && isEmpty {
+	}
+	for _, o := range outcomes {
+		isOld := t.cfg.Clock.Since(o.server.Since) > emptyJoinTime
+		if r := o.report; r != nil && isReplica(*r) && r.Received.IsZero() && isOld && !isKnown[o.server.ID] {
 			t.recordDeparture()
 		}
 	}
