replacer: no primary lease while the call of an unfinished switchover may take effect

Cause: a new coordinator grants primary leases as soon as the leader leads and no replica is paused.

Change: a coordinator that had a switchover lease for the present leader, and none after it, waits settleLimit (10 s, as for a missing replica) before it grants leases. Commits and strict reads are proved by replicas and the next primary until then. Failovers are not delayed.

Result: TestNoLeaseBeforeTheCallOfASwitchover failed before ("granted before the call took effect"), and passes. The tests of replacer on leases, switchovers and tenures and those of attester pass.

--- a/internal/attester/commit.go
+++ b/internal/attester/commit.go
@@ -103,7 +103,7 @@
 	if slices.ContainsFunc(reports, func(r ServerReport) bool { return isLater(r.Report, l.Term) }) {
 		return tracker.Position{}, g.suspectIfSuperseded(l, ErrSuperseded)
 	}
-	if next, ok := g.pendingNext(l); ok {
+	if next, ok := g.PendingNext(l); ok {
 		i := slices.IndexFunc(reports, func(r ServerReport) bool { return r.Server.ID == next })
 		if i < 0 || reports[i].Report.Role != exchanger.Replica {
 			return tracker.Position{}, ErrNotConfirmed
--- a/internal/attester/confirmation.go
+++ b/internal/attester/confirmation.go
@@ -50,7 +50,7 @@
 	}
 	established, others := g.replicas(l.Server.ID)
 	round := g.beginRound(established, others)
-	next, needsNext := g.pendingNext(l)
+	next, needsNext := g.PendingNext(l)
 	confirming, isConfirmed := 0, false
 	for {
 		a, ok := round.next(isConfirmed && !needsNext)
--- a/internal/attester/primary_lease.go
+++ b/internal/attester/primary_lease.go
@@ -44,11 +44,11 @@
 	return next, ok && server == l.Server.ID && term == l.Term
 }
 
-// pendingNext returns the next primary of the last switchover lease for the leader; false if
+// PendingNext returns the next primary of the last switchover lease for the leader; false if
 // there was none, or if a primary lease for the leader was recorded since. A call for this
 // server may take effect after the lease, also when the replicas that were paused for it
 // have restarted.
-func (g *Group) pendingNext(l Leader) (string, bool) {
+func (g *Group) PendingNext(l Leader) (string, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.switchover
--- a/internal/replacer/lost_commits_test.go
+++ b/internal/replacer/lost_commits_test.go
@@ -94,6 +94,31 @@
 	f.keepsCommit(t, "after the first call")
 }
 
+// Guards against a primary lease while the call of the last coordinator's switchover may
+// take effect: the replicas that it had paused have restarted and show no change.
+func TestNoLeaseBeforeTheCallOfASwitchover(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, pos(0))
+	f.SetPromoteDelay(1500 * time.Millisecond)
+	eventually(t, 5*time.Second, "a is known to lead", func() bool {
+		f.group.CheckLeader()
+		return f.leads("a")()
+	})
+	f.group.ExtendSwitchover("a", "c", 1, time.Now().Add(10*time.Millisecond))
+	f.Cluster.Promote(context.Background(), "", "c", "last", 2)
+	f.election.token.Store(3)
+	for f.Primary() == "a" {
+		if leases := f.replacer.GrantLeases(); len(leases) > 0 {
+			t.Fatalf("granted before the call took effect: %+v", leases)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	eventually(t, 5*time.Second, "leases are granted for c", func() bool {
+		leases := f.replacer.GrantLeases()
+		return len(leases) > 0 && leases[0].Leader.Server.ID == "c"
+	})
+}
+
 // Guards against a call for another server after the call of a switchover, whose answer
 // was lost and which takes effect.
 func TestSwitchoverCallTakesEffectLate(t *testing.T) {
--- a/internal/replacer/settle.go
+++ b/internal/replacer/settle.go
@@ -20,7 +20,8 @@
 // that it leads, and every replica that it is not paused and knows no later term.
 // A replica may be missing only if another has answered and no earlier call to the
 // platform can still be in progress: if no replica can be reached, another server
-// may lead them already.
+// may lead them already. No lease is granted either while the call of a switchover may be in
+// progress whose lease this instance had: its replicas may have restarted.
 func (t *task) isSettled(l attester.Leader) bool {
 	token, mayAct := t.cfg.Election.Token()
 	if !mayAct {
@@ -52,7 +53,8 @@
 		t.resume(l, token, reports)
 	}
 	replicas := len(t.servers()) - 1
-	if leads && clear > 0 && (clear >= replicas || now.Sub(t.tenureSince) >= settleLimit) {
+	_, isPending := t.group().PendingNext(l)
+	if leads && clear > 0 && (clear >= replicas && !isPending || now.Sub(t.tenureSince) >= settleLimit) {
 		t.settle(token)
 	}
 	return true
