replacer: no switchover begins before leases can be granted

A new coordinator hands over while it may not act yet, as its tenure was not settled, so it grants no switchover leases although all replicas but the next primary are paused.

Change: a switchover waits until the tenure is settled. That takes one check after the coordinator may act, or longer while replicas are missing, which cannot be paused either.

Result: TestNoSwitchoverBeforeLeasesCanBeGranted failed before ("1 replicas were paused before the coordinator may act"), and passes. The tests on switchovers, lag, drains and new coordinators pass.

--- a/internal/replacer/lost_commits_test.go
+++ b/internal/replacer/lost_commits_test.go
@@ -94,6 +94,30 @@
 	f.keepsCommit(t, "after the first call")
 }
 
+// Guards against a switchover for which no switchover leases can be granted, as the
+// coordinator may not act yet or has not found its service settled: 2 commits of seed 2122 of
+// TestChangesOfServers.
+func TestNoSwitchoverBeforeLeasesCanBeGranted(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, pos(0))
+	var paused atomic.Int64
+	f.OnStatement = func(_ string, s exchanger.Statement) {
+		if s.Kind == exchanger.Pause {
+			paused.Add(1)
+		}
+	}
+	f.election.mute.Store(true)
+	f.election.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	f.drainEntry(t, "a")
+	time.Sleep(time.Second)
+	if n := paused.Load(); n > 0 {
+		t.Errorf("%d replicas were paused before the coordinator may act", n)
+	}
+	f.election.mute.Store(false)
+	eventually(t, 5*time.Second, "another server leads", f.changed)
+}
+
 // Guards against a primary lease while the call of the last coordinator's switchover may
 // take effect: the replicas that it had paused have restarted and show no change.
 func TestNoLeaseBeforeTheCallOfASwitchover(t *testing.T) {
--- a/internal/replacer/switchover.go
+++ b/internal/replacer/switchover.go
@@ -20,9 +20,9 @@
 // commit counts only when the next primary has it (see [attester.Group.ConfirmCommit]),
 // and the pauses are repeated before each promote call. If a step fails, it becomes a
 // failover; it does not begin while the next primary does not receive what the old one
-// has.
+// has, nor in a tenure in which no leases are granted yet: no commit would be proved.
 func (t *task) switchover(old attester.Leader, reason string) {
-	if !t.cfg.Informer.KnowsAllServers() {
+	if !t.cfg.Informer.KnowsAllServers() || !t.isTenureSettled() {
 		return
 	}
 	reports := t.group().Survey()
