replacer, platform: no call for another server while one may take effect

The call for b ends without an answer at 1.755 and is executed. The old primary a, out of reach until then, reports at 1.886 a longer log, which is needed as a replica has restarted, so the failover calls for a at 2.053. b leads at 2.157 and acknowledges commits; at 2.545 a is promoted without them. 10 of 1113 are lost. The server of the last call was preferred only as long as its log is long enough.

Change: within 1 s of a call that was not refused, no other server is called for, no switchover to another one begins and no primary lease is granted, unless the server of the call leads (a promotion takes 0.3 to 0.6 s). The failover goes on fencing and looks for a new primary.

Price: a failover that must choose a second server after a call without an answer takes up to 1 s longer.

--- a/internal/replacer/config.go
+++ b/internal/replacer/config.go
@@ -35,7 +35,8 @@
 type Promoter interface {
 	// Promote makes the server the primary of the service. Coordinator is the name of
 	// the instance that asks. Token is the fencing token of its tenure (see package
-	// holder), by which the platform refuses calls of an earlier coordinator.
+	// holder), by which the platform refuses calls of an earlier coordinator. After an error
+	// other than [ErrRefused] the call may take effect.
 	Promote(ctx context.Context, service, server, coordinator string, token int64) error
 }
 
--- a/internal/replacer/lost_commits_test.go
+++ b/internal/replacer/lost_commits_test.go
@@ -94,6 +94,46 @@
 	f.keepsCommit(t, "after the first call")
 }
 
+// Guards against a call for another server while an earlier one, whose answer was lost, may
+// take effect: 10 commits of seed 2178 of TestChangesOfServers. The old primary, whose log is
+// longer, is needed because a replica has restarted, but it was out of reach at first.
+func TestNoCallForAnotherServerWhileOneMayTakeEffect(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, pos(0))
+	f.SetPromoteDelay(600 * time.Millisecond)
+	var first atomic.Value
+	f.beforePromote = func(_ context.Context, id string) error {
+		if !first.CompareAndSwap(nil, id) {
+			return nil
+		}
+		f.Cluster.Promote(context.Background(), "", id, "", 3)
+		f.SetDown("a", false)
+		return errors.New("the answer was lost")
+	}
+	f.election.token.Store(3)
+	f.awaitLeases(t)
+	f.acknowledge(t, "a", "with both")
+	f.SetReplicationCut("b", true)
+	f.SetReplicationCut("c", true)
+	if err := f.write("a", "not acknowledged"); err == nil {
+		t.Fatal("the write was acknowledged")
+	}
+	f.SetDown("a", true)
+	f.Restart("c", false)
+	f.listServer(t, "c")
+	eventually(t, 5*time.Second, "the first call takes effect", func() bool { return first.Load() != nil && f.Primary() == first.Load() })
+	leader, other := "b", "c"
+	if first.Load() == "c" {
+		leader, other = "c", "b"
+	}
+	f.SetReplicationCut(other, false)
+	f.SetReplicationCut("a", true)
+	f.group.CheckLeader()
+	eventually(t, time.Second, "the server of the call is known to lead", f.leads(leader))
+	f.acknowledge(t, leader, "after the first call")
+	f.keepsCommit(t, "after the first call")
+}
+
 // Guards against a switchover for which no switchover leases can be granted, as the
 // coordinator may not act yet or has not found its service settled: 2 commits of seed 2122 of
 // TestChangesOfServers.
--- /dev/null
+++ b/internal/replacer/pending_call.go
@@ -0,0 +1,54 @@
+package replacer
+
+import (
+	"errors"
+	"time"
+)
+
+// ErrRefused means that the platform has refused to promote a server, so that the call has
+// no effect. After any other error it may take effect.
+var ErrRefused = errors.New("the platform has refused the promotion")
+
+// callEffectLimit is how long after its end a call to the platform may still take effect.
+// The platform's promotions take 300 to 600 ms.
+const callEffectLimit = time.Second
+
+// pendingCall is the last call to the platform that may still take effect.
+type pendingCall struct {
+	id string
+	// ended is when the call ended; zero if there was none.
+	ended time.Time
+}
+
+// recordPendingCall records the end of a call for the server.
+func (t *task) recordPendingCall(id string, err error) {
+	if errors.Is(err, ErrRefused) {
+		return
+	}
+	t.leaseMu.Lock()
+	defer t.leaseMu.Unlock()
+	t.pending = pendingCall{id, t.cfg.Clock.Now()}
+}
+
+// forgetPendingCall records that the server leads: further calls for it change nothing.
+func (t *task) forgetPendingCall(id string) {
+	t.leaseMu.Lock()
+	defer t.leaseMu.Unlock()
+	if t.pending.id == id {
+		t.pending = pendingCall{}
+	}
+}
+
+// mayAnotherLead reports whether a call for another server than this one may take effect:
+// its commits would be lost with a second promotion.
+func (t *task) mayAnotherLead(id string) bool {
+	t.leaseMu.Lock()
+	defer t.leaseMu.Unlock()
+	return t.mayAnotherLeadLocked(id)
+}
+
+// mayAnotherLeadLocked is mayAnotherLead for a caller that holds leaseMu.
+func (t *task) mayAnotherLeadLocked(id string) bool {
+	p := t.pending
+	return !p.ended.IsZero() && p.id != id && t.cfg.Clock.Since(p.ended) < callEffectLimit
+}
--- a/internal/replacer/primary_lease.go
+++ b/internal/replacer/primary_lease.go
@@ -52,7 +52,7 @@
 	switch {
 	case t.switchoverLease.Next != "":
 		lease = t.switchoverLease
-	case !ok || !listed || t.changing || failures > 0 || now.Sub(answered) > healthyWithin:
+	case !ok || !listed || t.changing || failures > 0 || now.Sub(answered) > healthyWithin || t.mayAnotherLeadLocked(l.Server.ID):
 		return lease, false
 	}
 	// The election is checked last: if this tenure ends after the check, the next
--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -90,6 +90,11 @@
 			func() (nominee, error) { return t.fenceAndChoose(f, await) },
 			func() (nominee, error) { return t.fenceAndChoose(f, func() {}) },
 		)
+		if err == nil && t.mayAnotherLead(next.id) {
+			t.logger().WithFields(logrus.Fields{"server": next.id}).WithFields(t.callFields()).Info("replacer: an earlier call for another server may take effect")
+			t.sleep(fenceRetryInterval)
+			continue
+		}
 		if err == nil {
 			asked = next.id
 			if t.promote(next, f.term, isCurrent, func() (nominee, error) { return t.fenceAndChoose(f.withAsked(next.id), func() {}) }) {
@@ -139,12 +144,14 @@
 		newest = max(newest, r.Report.Term)
 	}
 	if l, ok := attester.NewestLeader(reports); ok && l.Term >= newest && (l.Server.ID != old.Server.ID || l.Term != old.Term) {
+		t.forgetPendingCall(l.Server.ID)
 		t.recordLeader(l, "found")
 		t.announce(l)
 		return true
 	}
 	l, ok := t.group().Leader()
 	if ok && l.Term > old.Term {
+		t.forgetPendingCall(l.Server.ID)
 		t.recordLeader(l, "found")
 		return true
 	}
@@ -325,6 +332,7 @@
 	log.Info("replacer: platform is being asked to promote a server")
 	began := t.cfg.Clock.Now()
 	err := t.callPromote(id, token)
+	t.recordPendingCall(id, err)
 	log = log.WithField("took", t.cfg.Clock.Since(began).String())
 	if err != nil {
 		log = log.WithError(err)
@@ -360,6 +368,7 @@
 // completePromotion announces the new primary and ends the pauses for terms up to
 // its own.
 func (t *task) completePromotion(l attester.Leader) {
+	t.forgetPendingCall(l.Server.ID)
 	t.replaced.Inc(1)
 	t.unreachableSince, t.leaderlessSince, t.blockedSince = time.Time{}, time.Time{}, time.Time{}
 	t.recordLeader(l, "promoted")
--- a/internal/replacer/replacer.go
+++ b/internal/replacer/replacer.go
@@ -150,6 +150,8 @@
 	leasedUntil, switchoverUntil time.Time
 	changing                     bool
 	switchoverLease              PrimaryLease
+	// pending is the last call to the platform; guarded by leaseMu.
+	pending pendingCall
 }
 
 func newTask(r *Replacer, service informer.Service) *task {
--- a/internal/replacer/switchover.go
+++ b/internal/replacer/switchover.go
@@ -27,7 +27,7 @@
 	}
 	reports := t.group().Survey()
 	next, ok := successor(old, reports)
-	if !ok || !t.catchesUp(next, old, reports) {
+	if !ok || t.mayAnotherLead(next.ID) || !t.catchesUp(next, old, reports) {
 		return
 	}
 	defer t.trackChange("switchover", reason)()
