exchangertest: a promote call changes nothing for the present primary

PROTOCOL.md: for the present primary the call returns 200 and nothing changes. The rule was followed only if no server was paused.

Change: the fake checks who leads when the call takes effect. No test or check is changed.

Result: TestSecondPromoteCallChangesNothing failed before ("b knows term 3; want b in term 2"), and passes; the tests of attester and dispatcher pass.

--- a/internal/exchanger/exchangertest/cluster.go
+++ b/internal/exchanger/exchangertest/cluster.go
@@ -314,7 +314,8 @@
 
 // Promote simulates the platform's promote call. After PromoteDelay the server
 // becomes the primary of a term that is higher than its log's and at least as
-// high as all terms that the servers know or are paused for.
+// high as all terms that the servers know or are paused for. If it is the present primary
+// by then, nothing changes.
 func (c *Cluster) Promote(_ context.Context, _, id, _ string, _ int64) error {
 	c.mu.Lock()
 	delay := c.PromoteDelay
@@ -334,7 +335,7 @@
 		for _, o := range c.servers {
 			next = max(next, o.term, o.paused)
 		}
-		if next == s.term && s.role == exchanger.Primary || !slices.Contains(c.order, id) {
+		if c.newestPrimary() == s || !slices.Contains(c.order, id) {
 			return
 		}
 		if c.OnPromoted != nil {
