--- a/internal/overseer/overseer_test.go
+++ b/internal/overseer/overseer_test.go
@@ -96,8 +96,8 @@
 	}
 }
 
-// Guards against a switchover that ignores work in flight at another instance,
-// runs again after the monitor role moved, or pauses new work for too long.
+// Guards against a switchover that ignores work in flight at another instance, or runs again
+// after the monitor role moved. TestSwitchoverPause checks how long it pauses new work.
 func TestSwitchover(t *testing.T) {
 	c := newCluster(t)
 	for _, i := range c.instances {
@@ -113,14 +113,7 @@
 		t.Fatalf("term %d although a transaction is open at %s", v.Term, c.instances[2].name)
 	}
 	c.instances[2].inFlight.Store(0)
-	c.awaitView(c.instances[1], "draining mark", func(v tracker.View) bool { return v.Draining })
-	heldAt := time.Now()
 	v := c.awaitPrimary(c.instances[1], "s3", 2)
-	held := time.Since(heldAt)
-	t.Logf("new work was paused for %v", held)
-	if held > 200*time.Millisecond {
-		t.Errorf("new work was paused for %v", held)
-	}
 	c.members.setHolder("i2")
 	c.awaitView(c.instances[2], "monitor i2", func(v tracker.View) bool { return v.Monitor == "i2" })
 	c.servers["s3"].Close()
