replacer: further calls for a primary count as pending when it steps down

Three calls for b: two without an answer, which are executed, and one accepted. b leads by the first at 5.405, steps down at 5.55 in a failover, and s2 is called for at 5.760. At 5.764 another of the three calls takes effect: b leads again, unfenced, and acknowledges commits that s2 lacks when it is promoted at 6.081. 40 of 1220 lost. The new primary's calls were forgotten when it led, as they change nothing then; after its step-down they do.

Change: the calls for a server are counted; a call is forgotten when the server leads only if it was the only one.

--- a/internal/replacer/lost_commits_test.go
+++ b/internal/replacer/lost_commits_test.go
@@ -134,6 +134,40 @@
 	f.keepsCommit(t, "after the first call")
 }
 
+// Guards against a call for another server while a second call for the present primary, which
+// has stepped down, may take effect: 40 commits of seed 20152 of TestChangesOfServers.
+func TestSecondCallForAPrimaryThatStepsDown(t *testing.T) {
+	t.Parallel()
+	f := newFixtureWith(t, fixtureOptions{servers: []string{"a", "b", "c", "d"}, known: pos(0), leaseTTL: leaseTTL, removeAfter: removeAfter})
+	var calls atomic.Int64
+	f.beforePromote = func(_ context.Context, id string) error {
+		if calls.Add(1) > 1 {
+			f.SetPromoteDelay(800 * time.Millisecond)
+			return nil
+		}
+		f.Cluster.Promote(context.Background(), "", id, "", 3)
+		return errors.New("the answer was lost")
+	}
+	f.SetPromoteDelay(200 * time.Millisecond)
+	f.election.token.Store(3)
+	f.awaitLeases(t)
+	f.SetDown("a", true)
+	eventually(t, 5*time.Second, "b leads", func() bool { return f.Primary() == "b" })
+	// The switchover becomes a failover, as a cannot be paused.
+	f.drainEntry(t, "b")
+	eventually(t, 5*time.Second, "a later term than the first one of b", func() bool {
+		f.group.CheckLeader()
+		return f.group.Term() >= 3
+	})
+	leader, lacking := f.Primary(), "c"
+	if leader == "c" {
+		lacking = "d"
+	}
+	f.SetReplicationCut(lacking, true)
+	f.acknowledge(t, leader, "after the second call")
+	f.keepsCommit(t, "after the second call")
+}
+
 // Guards against a switchover for which no switchover leases can be granted, as the
 // coordinator may not act yet or has not found its service settled: 2 commits of seed 2122 of
 // TestChangesOfServers.
--- a/internal/replacer/pending_call.go
+++ b/internal/replacer/pending_call.go
@@ -19,6 +19,9 @@
 	id string
 	// ended is when the call ended; zero if there was none.
 	ended time.Time
+	// calls is how many calls for the server may take effect. Only the first one to do so
+	// changes anything as long as the server leads.
+	calls int
 }
 
 // recordPendingCall records the end of a call for the server.
@@ -28,7 +31,11 @@
 	}
 	t.leaseMu.Lock()
 	defer t.leaseMu.Unlock()
-	t.pending = pendingCall{id, t.cfg.Clock.Now()}
+	calls := 1
+	if t.pending.id == id && t.cfg.Clock.Since(t.pending.ended) < callEffectLimit {
+		calls = t.pending.calls + 1
+	}
+	t.pending = pendingCall{id, t.cfg.Clock.Now(), calls}
 }
 
 // recordEarlierCall records that the last coordinator may have called for the server, which
@@ -37,15 +44,16 @@
 	t.leaseMu.Lock()
 	defer t.leaseMu.Unlock()
 	if t.tenureSince.After(t.pending.ended) {
-		t.pending = pendingCall{id, t.tenureSince}
+		t.pending = pendingCall{id, t.tenureSince, 1}
 	}
 }
 
-// forgetPendingCall records that the server leads: further calls for it change nothing.
+// forgetPendingCall records that the server leads. Further calls for it change nothing until
+// it steps down.
 func (t *task) forgetPendingCall(id string) {
 	t.leaseMu.Lock()
 	defer t.leaseMu.Unlock()
-	if t.pending.id == id {
+	if t.pending.id == id && t.pending.calls == 1 {
 		t.pending = pendingCall{}
 	}
 }
