replacer: no empty server is chosen while the old primary is out of reach

A server that had all commits alone is promoted or left, and is out of reach before the others, which have restarted empty or joined, have received anything. With the acknowledged positions of other instances, which this test withholds, the choice is refused, if they know one.

Result: the new case of TestChoose failed before ("got x, want none"), and passes, with three that show what is still chosen.

--- a/internal/replacer/choose.go
+++ b/internal/replacer/choose.go
@@ -42,7 +42,8 @@
 // had received as a replica before it led (see replicaLogs). If the longest log
 // is shorter, a replica that acknowledged it has left, and only the old primary
 // has the commit. If wholeLog is true, the log of an old primary that is fenced is needed
-// even if all replicas are.
+// even if all replicas are, and none may lead if all replicas are empty while the old primary
+// is out of reach.
 func choose(members []member, least tracker.Position, wholeLog bool) (string, error) {
 	need, err := neededLog(members, least, wholeLog)
 	if err != nil {
@@ -55,12 +56,13 @@
 // none may lead, it returns least and the reason.
 func neededLog(members []member, least tracker.Position, wholeLog bool) (tracker.Position, error) {
 	longest := tracker.Position{}
-	replicas, fenced, oldFenced := 0, 0, false
+	replicas, fenced, oldFenced, oldAway := 0, 0, false, false
 	for _, m := range members {
 		if !m.isOldPrimary {
 			replicas++
 		}
 		if !m.fenced {
+			oldAway = oldAway || m.isOldPrimary
 			continue
 		}
 		if m.isOldPrimary {
@@ -77,6 +79,8 @@
 		return least, fmt.Errorf("the old primary is out of reach and only %d of %d replicas are fenced", fenced, replicas)
 	case fenced == 0 && !oldFenced:
 		return least, fmt.Errorf("no server is fenced")
+	case oldAway && wholeLog && longest.IsZero():
+		return least, fmt.Errorf("the old primary is out of reach and all logs of the replicas are empty")
 	case longest.Compare(least) < 0:
 		return least, fmt.Errorf("the longest log ends at %v, before %v, which may be acknowledged", longest, least)
 	}
--- a/internal/replacer/choose_test.go
+++ b/internal/replacer/choose_test.go
@@ -21,6 +21,7 @@
 	replica := func(id string, offset uint64) member { return member{id: id, fenced: true, received: at(offset)} }
 	away := func(id string) member { return member{id: id} }
 	leaving := func(m member) member { m.draining = true; return m }
+	empty := func(id string) member { return member{id: id, fenced: true} }
 	unlisted := func(m member) member { m.unlisted = true; return m }
 	for _, tc := range []struct {
 		name    string
@@ -41,6 +42,10 @@
 		{"a replica that acknowledged has left: known commit beyond all logs", []member{lost, replica("x", 5), replica("y", 7)}, at(8), false, ""},
 		{"equal logs, one is draining", []member{lost, leaving(replica("x", 7)), replica("y", 7)}, at(0), false, "y"},
 		{"only the draining one is complete", []member{lost, leaving(replica("x", 8)), replica("y", 7)}, at(0), false, "x"},
+		{"all replicas are empty, another server has left: only the old primary may have commits", []member{lost, empty("x"), empty("y")}, tracker.Position{}, true, ""},
+		{"all replicas are empty, the old primary is gone", []member{empty("x"), empty("y")}, tracker.Position{}, true, "x"},
+		{"all replicas are empty, none has left", []member{lost, empty("x"), empty("y")}, tracker.Position{}, false, "x"},
+		{"one replica is empty, another server has left", []member{lost, empty("x"), replica("y", 1)}, tracker.Position{}, true, "y"},
 		{"no server reachable", []member{lost, away("x"), away("y")}, at(0), false, ""},
 		{"equal logs, one is not listed", []member{lost, unlisted(replica("x", 7)), replica("y", 7)}, at(0), false, "y"},
 		{"only one that is not listed is complete", []member{lost, unlisted(replica("x", 8)), replica("y", 7)}, at(0), false, ""},
