--- a/internal/replacer/fence.go
+++ b/internal/replacer/fence.go
@@ -104,7 +104,7 @@
 
 // fenceAndChoose fences all servers that it can reach and chooses the next primary
 // when the wait has returned.
-func (t *task) fenceAndChoose(f fence, wait func()) (string, error) {
+func (t *task) fenceAndChoose(f fence, wait func()) (nominee, error) {
 	outcomes, err := t.commandAll(f.commands, f.isNeeded)
 	list := t.cfg.Informer.List()
 	wait()
@@ -114,7 +114,7 @@
 	if c.err != nil {
 		t.yieldIfBlocked()
 	}
-	return c.server, c.err
+	return nominee{c.server, c.needed}, c.err
 }
 
 // startExchange starts to exchange state with the other instances, which tell of
@@ -140,6 +140,7 @@
 	c := choice{term: f.term, err: err}
 	var members []member
 	present := identify(outcomes)
+	t.recordLostLogs(f.term, present)
 	asReplica := t.replicaLogs.update(f, present)
 	for _, o := range present {
 		if err := f.checkTerm(o); err != nil && c.err == nil {
--- a/internal/replacer/lost_commits_test.go
+++ b/internal/replacer/lost_commits_test.go
@@ -94,6 +94,158 @@
 	f.keepsCommit(t, "after the first call")
 }
 
+// Guards against a call for another server while an earlier one, whose answer was lost, may
+// take effect: 10 commits of seed 2178 of TestChangesOfServers. The old primary, whose log is
+// longer, is needed because a replica has restarted, but it was out of reach at first.
+func TestNoCallForAnotherServerWhileOneMayTakeEffect(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, pos(0))
+	f.SetPromoteDelay(600 * time.Millisecond)
+	var first atomic.Value
+	f.beforePromote = func(_ context.Context, id string) error {
+		if !first.CompareAndSwap(nil, id) {
+			return nil
+		}
+		f.Cluster.Promote(context.Background(), "", id, "", 3)
+		f.SetDown("a", false)
+		return errors.New("the answer was lost")
+	}
+	f.election.token.Store(3)
+	f.awaitLeases(t)
+	f.acknowledge(t, "a", "with both")
+	f.SetReplicationCut("b", true)
+	f.SetReplicationCut("c", true)
+	if err := f.write("a", "not acknowledged"); err == nil {
+		t.Fatal("the write was acknowledged")
+	}
+	f.SetDown("a", true)
+	f.Restart("c", false)
+	f.listServer(t, "c")
+	eventually(t, 5*time.Second, "the first call takes effect", func() bool { return first.Load() != nil && f.Primary() == first.Load() })
+	leader, other := "b", "c"
+	if first.Load() == "c" {
+		leader, other = "c", "b"
+	}
+	f.SetReplicationCut(other, false)
+	f.SetReplicationCut("a", true)
+	f.group.CheckLeader()
+	eventually(t, time.Second, "the server of the call is known to lead", f.leads(leader))
+	f.acknowledge(t, leader, "after the first call")
+	f.keepsCommit(t, "after the first call")
+}
+
+// Guards against a call for another server while a second call for the present primary, which
+// has stepped down, may take effect: 40 commits of seed 20152 of TestChangesOfServers.
+func TestSecondCallForAPrimaryThatStepsDown(t *testing.T) {
+	t.Parallel()
+	f := newFixtureWith(t, fixtureOptions{servers: []string{"a", "b", "c", "d"}, known: pos(0), leaseTTL: leaseTTL, removeAfter: removeAfter})
+	var calls atomic.Int64
+	f.beforePromote = func(_ context.Context, id string) error {
+		if calls.Add(1) > 1 {
+			f.SetPromoteDelay(800 * time.Millisecond)
+			return nil
+		}
+		f.Cluster.Promote(context.Background(), "", id, "", 3)
+		return errors.New("the answer was lost")
+	}
+	f.SetPromoteDelay(200 * time.Millisecond)
+	f.election.token.Store(3)
+	f.awaitLeases(t)
+	f.SetDown("a", true)
+	eventually(t, 5*time.Second, "b leads", func() bool { return f.Primary() == "b" })
+	// The switchover becomes a failover, as a cannot be paused.
+	f.drainEntry(t, "b")
+	eventually(t, 5*time.Second, "a later term than the first one of b", func() bool {
+		f.group.CheckLeader()
+		return f.group.Term() >= 3
+	})
+	leader, lacking := f.Primary(), "c"
+	if leader == "c" {
+		lacking = "d"
+	}
+	f.SetReplicationCut(lacking, true)
+	f.acknowledge(t, leader, "after the second call")
+	f.keepsCommit(t, "after the second call")
+}
+
+// Guards against a switchover for which no switchover leases can be granted, as the
+// coordinator may not act yet or has not found its service settled: 2 commits of seed 2122 of
+// TestChangesOfServers.
+func TestNoSwitchoverBeforeLeasesCanBeGranted(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, pos(0))
+	var paused atomic.Int64
+	f.OnStatement = func(_ string, s exchanger.Statement) {
+		if s.Kind == exchanger.Pause {
+			paused.Add(1)
+		}
+	}
+	f.election.mute.Store(true)
+	f.election.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	f.drainEntry(t, "a")
+	time.Sleep(time.Second)
+	if n := paused.Load(); n > 0 {
+		t.Errorf("%d replicas were paused before the coordinator may act", n)
+	}
+	f.election.mute.Store(false)
+	eventually(t, 5*time.Second, "another server leads", f.changed)
+}
+
+// Guards against a primary lease while the call of the last coordinator's switchover may
+// take effect: the replicas that it had paused have restarted and show no change.
+func TestNoLeaseBeforeTheCallOfASwitchover(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, pos(0))
+	f.SetPromoteDelay(1500 * time.Millisecond)
+	eventually(t, 5*time.Second, "a is known to lead", func() bool {
+		f.group.CheckLeader()
+		return f.leads("a")()
+	})
+	f.group.ExtendSwitchover("a", "c", 1, time.Now().Add(10*time.Millisecond))
+	f.Cluster.Promote(context.Background(), "", "c", "last", 2)
+	f.election.token.Store(3)
+	for f.Primary() == "a" {
+		if leases := f.replacer.GrantLeases(); len(leases) > 0 {
+			t.Fatalf("granted before the call took effect: %+v", leases)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	eventually(t, 5*time.Second, "leases are granted for c", func() bool {
+		leases := f.replacer.GrantLeases()
+		return len(leases) > 0 && leases[0].Leader.Server.ID == "c"
+	})
+}
+
+// Guards against a call for another server than the one for which the last coordinator asked
+// shortly before its tenure ended: 78 commits of seed 20116 of TestChangesOfServers. The new
+// coordinator prefers another server, as that one is draining now.
+func TestOtherServerThanThatOfTheLastCoordinator(t *testing.T) {
+	t.Parallel()
+	f := newFixtureWith(t, fixtureOptions{servers: []string{"a", "b", "c", "d"}, known: pos(0), leaseTTL: leaseTTL, removeAfter: removeAfter})
+	f.SetPromoteDelay(600 * time.Millisecond)
+	eventually(t, 5*time.Second, "a is known to lead", func() bool {
+		f.group.CheckLeader()
+		return f.leads("a")()
+	})
+	f.group.ExtendLease("a", 1, time.Now())
+	for _, id := range []string{"b", "c", "d"} {
+		if err := f.command(id, exchanger.Statement{Kind: exchanger.Pause, Term: 2}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.Cluster.Promote(context.Background(), "", "c", "last", 3)
+	f.SetDown("a", true)
+	f.drainEntry(t, "c")
+	f.election.token.Store(4)
+	eventually(t, 2*time.Second, "c leads", func() bool { return f.Primary() == "c" })
+	f.SetReplicationCut("b", true)
+	f.group.CheckLeader()
+	eventually(t, time.Second, "c is known to lead", f.leads("c"))
+	f.acknowledge(t, "c", "after the last coordinator's call")
+	f.keepsCommit(t, "after the last coordinator's call")
+}
+
 // Guards against a call for another server after the call of a switchover, whose answer
 // was lost and which takes effect.
 func TestSwitchoverCallTakesEffectLate(t *testing.T) {
@@ -155,6 +307,95 @@
 	eventually(t, 5*time.Second, "c leads", f.leads("c"))
 }
 
+// Guards against a call for a replica that restarted empty after its report, while the
+// commands to other servers were under way: another server has its commits.
+func TestReplicaThatRestartsEmptyAfterItsReport(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, pos(0))
+	var reported, restarted atomic.Bool
+	f.OnStatement = func(server string, s exchanger.Statement) {
+		switch {
+		case s.Kind != exchanger.Pause:
+		case server == "b":
+			time.AfterFunc(20*time.Millisecond, func() { reported.Store(true) })
+		case !restarted.Swap(true):
+			eventually(t, time.Second, "b has reported", reported.Load)
+			f.Restart("b", true)
+		}
+	}
+	f.election.token.Store(3)
+	f.awaitLeases(t)
+	f.acknowledge(t, "a", "with both")
+	f.SetDown("a", true)
+	f.keepsCommit(t, "with both")
+	eventually(t, 5*time.Second, "c leads", f.leads("c"))
+}
+
+// Guards against a call for an old primary that stepped down and restarted empty after its
+// report, while the command to the replica that has its commits was unanswered.
+func TestOldPrimaryThatRestartsEmptyAfterItsReport(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, pos(0))
+	var steppedDown atomic.Bool
+	f.OnStatement = func(server string, s exchanger.Statement) {
+		if s.Kind == exchanger.StepDown && !steppedDown.Swap(true) {
+			time.AfterFunc(100*time.Millisecond, func() { f.Restart("a", true) })
+		}
+	}
+	f.election.token.Store(3)
+	f.awaitLeases(t)
+	f.SetReplicationCut("b", true)
+	f.acknowledge(t, "a", "with c only")
+	f.setCut("c", true)
+	f.setCut("a", true)
+	eventually(t, 5*time.Second, "b is paused", func() bool { return f.isPaused("b") })
+	f.setCut("a", false)
+	eventually(t, 5*time.Second, "a steps down", steppedDown.Load)
+	f.keepsCommit(t, "with c only")
+	f.setCut("c", false)
+	eventually(t, 5*time.Second, "c leads", f.leads("c"))
+}
+
+// Guards against a choice without the log of a replica that was read earlier in the failover
+// and is gone, while the old primary, which has it too, is out of reach: 50 commits of seed
+// 1283 of TestChangesOfServers.
+func TestReplicaRestartsEmptyBetweenTwoChoices(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, pos(0))
+	var once sync.Once
+	f.beforePromote = func(_ context.Context, id string) error {
+		var err error
+		once.Do(func() {
+			if id != "b" {
+				t.Errorf("%s is chosen first", id)
+			}
+			f.Restart("b", true)
+			err = errors.New("the call was lost")
+		})
+		return err
+	}
+	f.election.token.Store(3)
+	f.awaitLeases(t)
+	f.SetReplicationCut("c", true)
+	f.acknowledge(t, "a", "with b only")
+	f.SetDown("a", true)
+	f.keepsCommit(t, "with b only")
+	f.SetDown("a", false)
+	eventually(t, 5*time.Second, "a leads", func() bool { return f.changed() && f.Primary() == "a" })
+}
+
+// isPaused reports whether the server reports a pause.
+func (f *fixture) isPaused(id string) bool {
+	for _, srv := range f.Servers() {
+		if srv.ID != id {
+			continue
+		}
+		r, err := f.Probe(srv, exchanger.Statement{Kind: exchanger.Status}, time.Now().Add(time.Second))
+		return err == nil && r.PausedTerm != 0
+	}
+	return false
+}
+
 // Guards against a proof by a replica that joined after the fence, at an instance that
 // lists no other replica: the paused one has left the list but not ended.
 func TestCommitThatOnlyANewReplicaHas(t *testing.T) {
--- a/internal/replacer/settle.go
+++ b/internal/replacer/settle.go
@@ -1,6 +1,7 @@
 package replacer
 
 import (
+	"slices"
 	"time"
 
 	"marigoldhub.example/hub/internal/attester"
@@ -20,16 +21,14 @@
 // that it leads, and every replica that it is not paused and knows no later term.
 // A replica may be missing only if another has answered and no earlier call to the
 // platform can still be in progress: if no replica can be reached, another server
-// may lead them already.
+// may lead them already. No lease is granted either while the call of a switchover may be in
+// progress whose lease this instance had: its replicas may have restarted.
 func (t *task) isSettled(l attester.Leader) bool {
 	token, mayAct := t.cfg.Election.Token()
 	if !mayAct {
 		return true
 	}
 	now := t.cfg.Clock.Now()
-	if token != t.tenureToken {
-		t.tenureToken, t.tenureSince = token, now
-	}
 	if token == t.settled() {
 		return true
 	}
@@ -52,7 +51,8 @@
 		t.resume(l, token, reports)
 	}
 	replicas := len(t.servers()) - 1
-	if leads && clear > 0 && (clear >= replicas || now.Sub(t.tenureSince) >= settleLimit) {
+	_, isPending := t.group().PendingNext(l)
+	if leads && clear > 0 && (clear >= replicas && !isPending || now.Sub(t.tenureSince) >= settleLimit) {
 		t.settle(token)
 	}
 	return true
@@ -65,6 +65,21 @@
 	return token == t.settled()
 }
 
+// recordTenure records when the present tenure began.
+func (t *task) recordTenure() {
+	if token, _ := t.cfg.Election.Token(); token != t.tenureToken {
+		t.tenureToken, t.tenureSince = token, t.cfg.Clock.Now()
+	}
+}
+
+// isChangeUnfinished reports whether a replica is paused for a term that it does not know
+// yet.
+func isChangeUnfinished(reports []attester.ServerReport) bool {
+	return slices.ContainsFunc(reports, func(r attester.ServerReport) bool {
+		return isReplica(r.Report) && r.Report.PausedTerm > r.Report.Term
+	})
+}
+
 // unfinishedSwitchover returns the next primary of a switchover that an earlier
 // coordinator has begun: the only replica that is not paused while another one is. It is
 // empty if the reports show none.
--- a/internal/replacer/switchover.go
+++ b/internal/replacer/switchover.go
@@ -20,14 +20,14 @@
 // commit counts only when the next primary has it (see [attester.Group.ConfirmCommit]),
 // and the pauses are repeated before each promote call. If a step fails, it becomes a
 // failover; it does not begin while the next primary does not receive what the old one
-// has.
+// has, nor in a tenure in which no leases are granted yet: no commit would be proved.
 func (t *task) switchover(old attester.Leader, reason string) {
-	if !t.cfg.Informer.KnowsAllServers() {
+	if !t.cfg.Informer.KnowsAllServers() || !t.isTenureSettled() {
 		return
 	}
 	reports := t.group().Survey()
 	next, ok := successor(old, reports)
-	if !ok || !t.catchesUp(next, old, reports) {
+	if !ok || t.mayAnotherLead(next.ID) || !t.catchesUp(next, old, reports) {
 		return
 	}
 	defer t.trackChange("switchover", reason)()
@@ -35,13 +35,13 @@
 	defer t.endChange()
 	term := old.Term + 1
 	t.logger().WithFields(logrus.Fields{"server": old.Server.ID, "next": next.ID, "term": term, "reason": reason}).Info("replacer: primary hands over")
-	pause := func() (string, error) { return next.ID, t.pauseOthers(old, next, term) }
-	_, isCurrent, err := t.chooseAfterLeases(pause, pause)
+	pause := func() (nominee, error) { return t.pauseOthers(old, next, term) }
+	chosen, isCurrent, err := t.chooseAfterLeases(pause, pause)
 	if err != nil {
 		t.failover(old, "switchover: "+err.Error(), "")
 		return
 	}
-	if !t.promote(next.ID, term, isCurrent, pause) {
+	if !t.promote(chosen, term, isCurrent, pause) {
 		t.failover(old, "switchover: the next primary did not lead in time", next.ID)
 		return
 	}
@@ -85,7 +85,7 @@
 // pauseOthers pauses all replicas but the next primary, and waits until that one has
 // received what they and the old primary have. The old primary's log has the commits
 // that were acknowledged with servers which are not known or have left.
-func (t *task) pauseOthers(old attester.Leader, next informer.Server, term uint64) error {
+func (t *task) pauseOthers(old attester.Leader, next informer.Server, term uint64) (nominee, error) {
 	isOther := func(srv informer.Server) bool { return srv.ID != old.Server.ID && srv.ID != next.ID }
 	outcomes, err := t.commandAll(func(srv informer.Server) []exchanger.Statement {
 		switch {
@@ -97,6 +97,7 @@
 		return nil
 	}, func(srv informer.Server) bool { return srv.ID != next.ID })
 	c := choice{term: term, list: t.cfg.Informer.List(), server: next.ID, asked: next.ID, err: err}
+	t.recordLostLogs(term, identify(outcomes))
 	c.acknowledged, c.wholeLog = t.requirements()
 	c.needed = c.acknowledged
 	if p, ok := logOf(old, outcomes); ok {
@@ -113,7 +114,7 @@
 		}
 	}
 	t.logChoice(c)
-	return c.err
+	return nominee{next.ID, c.needed}, c.err
 }
 
 // pauseAndCatchUp checks the outcomes for the other replicas, and waits until the next
@@ -141,7 +142,7 @@
 	}
 	if reached.report != nil {
 		// Commits count with this log alone until the others follow.
-		t.replicaLogs[incarnation{next.ID, next.Born}] = reached.report.Received
+		t.replicaLogs[incarnation{next.ID, next.Born}] = replicaLog{reached.report.Received, c.term}
 	}
 	c.candidates = append(c.candidates, t.newCandidate(reached, partNext))
 }
--- a/internal/replacer/unlisted.go
+++ b/internal/replacer/unlisted.go
@@ -29,8 +29,10 @@
 type departure struct {
 	// at is when it was seen; zero if none was.
 	at time.Time
-	// floor is the end of the primary's log as it was read afterwards, if isCovered is true.
-	// What was acknowledged with the server is in the log up to there.
+	// floor is the end of the primary's log as it was read after this departure, if isCovered
+	// is true, or else after an earlier one within unlistedRetention. What was acknowledged
+	// with the server that departed before is in the log up to there. It is at least the end
+	// of a log that is gone since the last choice.
 	floor     tracker.Position
 	isCovered bool
 }
@@ -41,7 +43,7 @@
 	for _, srv := range servers {
 		last, ok := t.lastListed[srv.ID]
 		if ok && last.Born != srv.Born {
-			t.departed = departure{at: now}
+			t.recordDeparture()
 		}
 		if last.hasDeparted {
 			// It may have been paused while it was not listed.
@@ -55,18 +57,63 @@
 		case now.Sub(seen.at) > unlistedRetention:
 			delete(t.lastListed, id)
 		case !isListed && !seen.hasDeparted:
-			t.departed = departure{at: now}
+			t.recordDeparture()
 			seen.hasDeparted = true
 			t.lastListed[id] = seen
 		}
 	}
 }
 
+// emptyJoinTime is how long a server that has joined may know nothing: it receives the log
+// as soon as it follows the primary.
+const emptyJoinTime = 5 * time.Second
+
+// recordLostLogs records a departure if the outcomes show that the log of a replica is gone,
+// which the list may not show yet: the log is shorter than in the last choice, its server is
+// gone, or it is empty although the server has been known for long. If the last choice was
+// for the same term, no promotion has shortened the log since, and the next primary needs
+// what it had.
+func (t *task) recordLostLogs(term uint64, outcomes []outcome) {
+	indexOf := func(id string) int {
+		return slices.IndexFunc(outcomes, func(o outcome) bool { return o.server.ID == id })
+	}
+	isKnown := map[string]bool{}
+	for key, last := range t.replicaLogs {
+		isKnown[key.id] = true
+		if i := indexOf(key.id); i >= 0 {
+			r := outcomes[i].report
+			if r == nil || !isReplica(*r) || r.Received.Compare(last.end) >= 0 {
+				continue
+			}
+		}
+		delete(t.replicaLogs, key)
+		t.recordDeparture()
+		if last.term == term && last.end.Compare(t.departed.floor) > 0 {
+			t.departed.floor = last.end
+		}
+	}
+	for _, o := range outcomes {
+		isOld := t.cfg.Clock.Since(o.server.Since) > emptyJoinTime
+		if r := o.report; r != nil && isReplica(*r) && r.Received.IsZero() && isOld && !isKnown[o.server.ID] {
+			t.recordDeparture()
+		}
+	}
+}
+
+// recordDeparture records that a server departs now. What is needed because of an earlier
+// departure is still needed.
+func (t *task) recordDeparture() {
+	d, _ := t.lastDeparture()
+	t.departed = departure{at: t.cfg.Clock.Now(), floor: d.floor}
+}
+
 // lastDeparture returns the last departure; false if there was none within
 // unlistedRetention.
 func (t *task) lastDeparture() (departure, bool) {
-	d := t.departed
-	return d, !d.at.IsZero() && t.cfg.Clock.Since(d.at) <= unlistedRetention
+	if d := t.departed; !d.at.IsZero() && t.cfg.Clock.Since(d.at) <= unlistedRetention {
+		return d, true
+	}
+	return departure{}, false
 }
 
 // coverDeparture reads how far the primary's log reaches if a server has departed since
@@ -89,7 +136,7 @@
 	if !ok {
 		return least, false
 	}
-	if d.isCovered && d.floor.Compare(least) > 0 {
+	if d.floor.Compare(least) > 0 {
 		least = d.floor
 	}
 	return least, !d.isCovered
