throttler, sessioner: tokens of a team that is short go to its urgent operations first

Its tokens went to operations in the order of arrival, so that its purchases (13.5 % of them) were refused like its reads of old data. Ruled out: a larger stock (an allocator that takes over does not know what was given out before), another message (the allocator keeps a quarter of its stock for operations that wait already). Change: while an answer shows that a team is short, its less urgent operations, by the priority of their routes, are asked for like tokens ahead, and those less urgent than ones that are refused are refused at once, but for one token in 20. What may be in use at a time is as before, and so is the message. One priority, or the PostgreSQL path: no change. Changed tests: ledger_test and fleet_test pass a priority, 0 where there was none.

--- a/internal/sessioner/admit.go
+++ b/internal/sessioner/admit.go
@@ -37,7 +37,7 @@
 // admit takes an operation that was received at the time from the quota of the caller's
 // team.
 func (s *session) admit(received time.Time) (throttler.Operation, error) {
-	return s.Throttler.Admit(s.identity.Team, received.Add(s.route.Objective))
+	return s.Throttler.AdmitPriority(s.identity.Team, s.route.Priority, received.Add(s.route.Objective))
 }
 
 // reachesServer reports whether a server runs a statement of the kind inside a transaction. A
--- a/internal/throttler/account.go
+++ b/internal/throttler/account.go
@@ -36,7 +36,10 @@
 // waiter is an operation that waits for a token.
 type waiter struct {
 	// giveUp is until when it may wait.
-	giveUp time.Time
+	giveUp   time.Time
+	priority int
+	// yields is set if others of the team get tokens first.
+	yields bool
 	// outcome receives the lot that the token is from, or the refusal.
 	outcome chan outcome
 }
@@ -69,6 +72,10 @@
 	// wait until then.
 	emptyUntil time.Time
 	permitted  int
+	// precedence decides which operations go first, and yieldUntil is when it is worth asking
+	// again for those that yield.
+	precedence precedence
+	yieldUntil time.Time
 	// unknownUntil is until when the allocator is taken not to have the quota.
 	unknownUntil time.Time
 	// reserve has the tokens that were accrued without an allocator, at most capacity.
@@ -126,6 +133,7 @@
 	expires = a.lots[0].expires
 	a.running = addTokens(a.running, lot{tokens: 1, expires: expires})
 	a.admitted.add(now)
+	a.precedence.earn(now)
 	return expires, true
 }
 
@@ -148,7 +156,39 @@
 	return false
 }
 
-// serve gives tokens to the operations that wait, in the order of their arrival.
+// wait adds an operation behind those that go before it: the ones that do not yield, or else
+// those of more urgent priorities, and those that came before it.
+func (a *account) wait(w *waiter) {
+	i := slices.IndexFunc(a.waiters, func(o *waiter) bool {
+		return o.yields && (!w.yields || w.priority < o.priority)
+	})
+	if i < 0 {
+		i = len(a.waiters)
+	}
+	a.waiters = slices.Insert(a.waiters, i, w)
+}
+
+// waiting returns how many operations wait that yield, or that do not.
+func (a *account) waiting(yields bool) int {
+	n := 0
+	for _, w := range a.waiters {
+		if w.yields == yields {
+			n++
+		}
+	}
+	return n
+}
+
+// askAt returns when it is worth asking for an operation that yields, or for one that does
+// not.
+func (a *account) askAt(yields bool) time.Time {
+	if yields && a.yieldUntil.After(a.emptyUntil) {
+		return a.yieldUntil
+	}
+	return a.emptyUntil
+}
+
+// serve gives tokens to the operations that wait, in their order.
 func (a *account) serve(now time.Time) {
 	for len(a.waiters) > 0 {
 		expires, ok := a.take(now)
@@ -161,8 +201,11 @@
 }
 
 // ahead returns how many tokens to ask for beyond those that are held. A team gets at least
-// one if an operation is likely while it is valid.
+// one if an operation is likely while it is valid, unless it is short of tokens.
 func (a *account) ahead(now time.Time) int {
+	if a.precedence.isShort(now) {
+		return 0
+	}
 	target := int(a.demand.perSecond(now)*aheadTime.Seconds() + roundUp)
 	return max(target-a.held(now), 0)
 }
@@ -170,7 +213,7 @@
 // needsAhead reports whether the demand alone is worth a request for tokens ahead. Those
 // for less demand come with the requests for other teams.
 func (a *account) needsAhead(now time.Time) bool {
-	return a.held(now) == 0 && a.demand.perSecond(now) >= denseDemand
+	return a.held(now) == 0 && a.demand.perSecond(now) >= denseDemand && !a.precedence.isShort(now)
 }
 
 // takeReserve takes a token that was accrued without an allocator. It returns false if
@@ -210,16 +253,25 @@
 // beyond the permitted number. N is the number of instances.
 func (a *account) refuseHopeless(n int, now time.Time) {
 	var rest []*waiter
+	kept := map[bool]int{}
 	for _, w := range a.waiters {
-		if len(rest) < a.permitted && !w.giveUp.Before(a.emptyUntil) {
+		askAt := a.askAt(w.yields)
+		if !now.Before(askAt) || kept[w.yields] < a.permitted && !w.giveUp.Before(askAt) {
 			rest = append(rest, w)
+			kept[w.yields]++
 			continue
 		}
-		w.outcome <- outcome{refusal: a.refusal(n, now, usedUp)}
+		w.outcome <- a.refuse(n, now, w.priority)
 	}
 	a.waiters = rest
 }
 
+// refuse refuses an operation for lack of tokens. N is the number of instances.
+func (a *account) refuse(n int, now time.Time, priority int) outcome {
+	a.precedence.observeRefusal(priority, now)
+	return outcome{refusal: a.refusal(n, now, usedUp)}
+}
+
 // refusal returns a refusal. Callers that are refused one after the other are told
 // different times to come back, at the rate at which they are admitted here, or at this
 // instance's part of the team's rate. N is the number of instances.
--- a/internal/throttler/fleet_test.go
+++ b/internal/throttler/fleet_test.go
@@ -35,6 +35,8 @@
 	byName    map[string]*instance
 	// ran has the times at which operations of each team were admitted.
 	ran map[string][]time.Time
+	// ranPriority counts the admitted operations of each priority.
+	ranPriority map[int]int
 	// asked and refused count operations by team and instance.
 	asked, admitted map[string]map[string]int
 	// delay is the time of a message from one instance to another.
@@ -94,9 +96,10 @@
 
 // waiting is an operation that waits.
 type waiting struct {
-	team    string
-	account *account
-	w       *waiter
+	team     string
+	priority int
+	account  *account
+	w        *waiter
 }
 
 // lateOperation is an operation that is given back at a time.
@@ -120,7 +123,7 @@
 	log.SetOutput(io.Discard)
 	f := &fleet{
 		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), budget: ruleBudget, byName: map[string]*instance{}, log: log,
-		ran: map[string][]time.Time{}, asked: map[string]map[string]int{}, admitted: map[string]map[string]int{}, delay: step,
+		ran: map[string][]time.Time{}, ranPriority: map[int]int{}, asked: map[string]map[string]int{}, admitted: map[string]map[string]int{}, delay: step,
 	}
 	f.configure(teams...)
 	var peers []placer.Peer
@@ -187,7 +190,10 @@
 func (in *instance) freeze(d time.Duration) { in.frozen = in.f.now.Add(d) }
 
 // ask runs an operation of the team at the instance.
-func (in *instance) ask(team string) {
+func (in *instance) ask(team string) { in.askPriority(team, 0) }
+
+// askPriority is ask for an operation of the priority.
+func (in *instance) askPriority(team string, priority int) {
 	if in.isDown() || in.isFrozen() {
 		return
 	}
@@ -196,12 +202,12 @@
 	limits := f.budget.Limits(quota)
 	a := in.ledger.account(team, limits, f.quotas.Version())
 	count(f.asked, team, in.name)
-	o, w := in.ledger.admit(a, f.now, f.now.Add(40*time.Millisecond))
+	o, w := in.ledger.admit(a, priority, f.now, f.now.Add(40*time.Millisecond))
 	if w != nil {
-		in.waiting = append(in.waiting, &waiting{team, a, w})
+		in.waiting = append(in.waiting, &waiting{team, priority, a, w})
 		return
 	}
-	in.finish(team, o)
+	in.finish(team, priority, o)
 }
 
 func count(m map[string]map[string]int, team, instance string) {
@@ -212,7 +218,7 @@
 }
 
 // finish records the outcome of an operation.
-func (in *instance) finish(team string, o outcome) {
+func (in *instance) finish(team string, priority int, o outcome) {
 	f := in.f
 	switch {
 	case o.refusal != nil:
@@ -224,6 +230,7 @@
 		o.account.end(o.expires, f.now)
 		f.ran[team] = append(f.ran[team], f.now)
 		count(f.admitted, team, in.name)
+		f.ranPriority[priority]++
 	}
 }
 
@@ -350,7 +357,7 @@
 	for _, w := range waits {
 		select {
 		case o := <-w.w.outcome:
-			in.finish(w.team, o)
+			in.finish(w.team, w.priority, o)
 			continue
 		default:
 		}
--- a/internal/throttler/ledger.go
+++ b/internal/throttler/ledger.go
@@ -43,6 +43,8 @@
 	sent time.Time
 	// contributedBefore is the ledger's contributed time before the request.
 	contributedBefore time.Time
+	// yielding is for how many operations of each team that yield it asks.
+	yielding map[string]int
 }
 
 // account returns the team's account with the limits in force.
@@ -59,10 +61,14 @@
 	return a
 }
 
-// admit takes a token for an operation that may wait until giveUp. It returns a waiter if
-// the operation must wait.
-func (l *ledger) admit(a *account, now, giveUp time.Time) (outcome, *waiter) {
+// admit takes a token for an operation of the priority that may wait until giveUp. It returns
+// a waiter if the operation must wait.
+func (l *ledger) admit(a *account, priority int, now, giveUp time.Time) (outcome, *waiter) {
 	a.demand.add(now)
+	yields, isRefused := a.precedence.place(priority, now)
+	if isRefused {
+		return outcome{refusal: a.refusal(l.instances, now, usedUp)}, nil
+	}
 	if expires, ok := a.take(now); ok {
 		return outcome{account: a, expires: expires}, nil
 	}
@@ -76,12 +82,13 @@
 	if now.Before(a.unknownUntil) {
 		return a.admitUnknown(l.instances, now), nil
 	}
-	mustWait := now.Before(a.emptyUntil)
-	if mustWait && (a.emptyUntil.After(giveUp) || len(a.waiters) >= a.permitted) || len(a.waiters) >= maxWaiters {
-		return outcome{refusal: a.refusal(l.instances, now, usedUp)}, nil
+	askAt := a.askAt(yields)
+	mustWait := now.Before(askAt)
+	if mustWait && (askAt.After(giveUp) || a.waiting(yields) >= a.permitted) || len(a.waiters) >= maxWaiters {
+		return a.refuse(l.instances, now, priority), nil
 	}
-	w := &waiter{giveUp: giveUp, outcome: make(chan outcome, 1)}
-	a.waiters = append(a.waiters, w)
+	w := &waiter{giveUp: giveUp, priority: priority, yields: yields, outcome: make(chan outcome, 1)}
+	a.wait(w)
 	return outcome{}, w
 }
 
@@ -106,10 +113,7 @@
 		if len(a.waiters) == 0 && !a.needsAhead(now) {
 			continue
 		}
-		at := now
-		if a.emptyUntil.After(at) {
-			at = a.emptyUntil
-		}
+		at := latest(now, a.askAt(a.waiting(false) == 0 && len(a.waiters) > 0))
 		if len(a.waiters) == 0 && a.aheadAt.After(at) {
 			at = a.aheadAt
 		}
@@ -123,7 +127,7 @@
 // request returns a request for the present demand. It contributes the time up to now
 // unless it is a probe, whose receiver most instances do not use.
 func (l *ledger) request(isProbe bool, now time.Time) request {
-	r := request{sent: now, contributedBefore: l.contributed, QuotaRequest: &wire.QuotaRequest{
+	r := request{sent: now, contributedBefore: l.contributed, yielding: map[string]int{}, QuotaRequest: &wire.QuotaRequest{
 		Instance: l.instance, Group: l.group, Instances: uint32(l.instances),
 	}}
 	if !isProbe {
@@ -137,16 +141,20 @@
 	r.Sequence = l.sequence
 	for team, a := range l.accounts {
 		held, ahead := a.unused(now), a.ahead(now)
-		waiting := len(a.waiters)
+		waiting, yielding := a.waiting(false), a.waiting(true)
 		if a.emptyUntil.After(now) {
 			ahead, waiting = 0, 0
 		}
+		if a.askAt(true).After(now) {
+			yielding = 0
+		}
 		if ahead > 0 {
 			a.aheadAt = now.Add(aheadPause)
 		}
-		if held+ahead+waiting+a.returned > 0 {
+		if held+ahead+waiting+yielding+a.returned > 0 {
+			r.yielding[team] = yielding
 			d := &wire.QuotaDemand{
-				Team: team, Held: uint32(held), Want: uint32(ahead), Waiting: uint32(waiting), Returned: uint32(a.returned),
+				Team: team, Held: uint32(held), Want: uint32(ahead + yielding), Waiting: uint32(waiting), Returned: uint32(a.returned),
 			}
 			if a.version > l.allocatorVersion {
 				d.Version, d.RatePerSecond, d.Burst = a.version, a.limits.Rate, a.limits.Burst
@@ -179,14 +187,21 @@
 			continue
 		}
 		a.unknownUntil = time.Time{}
-		if d.GetWaiting() == 0 {
-			continue
+		given := int(g.GetTokens())
+		if yielding := r.yielding[d.GetTeam()]; yielding > max(given-int(d.GetWaiting()), 0) {
+			a.precedence.observeShortage(now)
+			a.yieldUntil = now.Add(yieldPause)
+		}
+		if d.GetWaiting() > 0 {
+			a.permitted = 1 + min(given, int(d.GetWaiting()))
 		}
-		a.permitted = 1 + int(min(g.GetTokens(), d.GetWaiting()))
-		if g.GetRetryUs() > 0 {
+		if d.GetWaiting() > 0 && g.GetRetryUs() > 0 {
 			a.emptyUntil = now.Add(retryAfter(g, out))
-			a.refuseHopeless(l.instances, now)
+			if !isMinor(out) {
+				a.precedence.observeShortage(now)
+			}
 		}
+		a.refuseHopeless(l.instances, now)
 	}
 }
 
@@ -206,12 +221,25 @@
 // retryAfter returns when it is worth asking again. Another candidate may have the tokens
 // that one with little refill lacks.
 func retryAfter(g *wire.QuotaGrant, out *wire.QuotaResponse) time.Duration {
-	if share := float64(out.GetRefillPermille()) / 1000; share > 0 && share < majorShare {
+	if isMinor(out) {
 		return minorRetry
 	}
 	return time.Duration(min(g.GetRetryUs(), uint64(maxContribution.Microseconds()))) * time.Microsecond
 }
 
+// isMinor reports whether the answer is of an allocator with little refill.
+func isMinor(out *wire.QuotaResponse) bool {
+	share := float64(out.GetRefillPermille()) / 1000
+	return share > 0 && share < majorShare
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // takeBack makes the time of a request available again that has not arrived.
 func (l *ledger) takeBack(r request) {
 	if l.contributed.Equal(r.sent) {
--- a/internal/throttler/ledger_test.go
+++ b/internal/throttler/ledger_test.go
@@ -20,7 +20,7 @@
 func granted(tokens uint32, now time.Time) (*ledger, *account) {
 	l := newLedger(now)
 	a := l.account("t", testLimits, 0)
-	l.admit(a, now, now.Add(time.Second))
+	l.admit(a, 0, now, now.Add(time.Second))
 	l.accept(l.request(false, now), &wire.QuotaResponse{Grants: []*wire.QuotaGrant{{Tokens: tokens, ValidUs: 1e6}}}, now)
 	return l, a
 }
@@ -97,14 +97,14 @@
 	now := time.Unix(1000, 0)
 	l := newLedger(now)
 	a := l.account("t", testLimits, 0)
-	_, patient := l.admit(a, now, now.Add(100*time.Millisecond))
-	_, hasty := l.admit(a, now, now.Add(20*time.Millisecond))
+	_, patient := l.admit(a, 0, now, now.Add(100*time.Millisecond))
+	_, hasty := l.admit(a, 0, now, now.Add(20*time.Millisecond))
 	l.accept(l.request(false, now), &wire.QuotaResponse{Grants: []*wire.QuotaGrant{{RetryUs: 50000}}}, now)
 	refused := <-hasty.outcome
 	if refused.refusal == nil || refused.refusal.After < 50*time.Millisecond {
 		t.Errorf("an operation that cannot wait for 50 ms is told %v", refused.refusal)
 	}
-	o, w := l.admit(a, now, now.Add(100*time.Millisecond))
+	o, w := l.admit(a, 0, now, now.Add(100*time.Millisecond))
 	if w != nil || o.refusal == nil || o.refusal.After <= refused.refusal.After {
 		t.Errorf("another operation is told %v after %v", o.refusal, refused.refusal)
 	}
@@ -112,7 +112,7 @@
 		t.Errorf("the next request is due at %v", due)
 	}
 	later := now.Add(50 * time.Millisecond)
-	_, second := l.admit(a, later, later.Add(100*time.Millisecond))
+	_, second := l.admit(a, 0, later, later.Add(100*time.Millisecond))
 	l.accept(l.request(false, later), &wire.QuotaResponse{Grants: []*wire.QuotaGrant{{Tokens: 1, ValidUs: 1e6, RetryUs: 50000}}}, later)
 	if o := <-patient.outcome; o.refusal != nil {
 		t.Errorf("the first operation is told %v", o.refusal)
--- a/internal/throttler/link.go
+++ b/internal/throttler/link.go
@@ -94,10 +94,10 @@
 }
 
 // admit takes a token of the team, or waits for one until giveUp.
-func (l *link) admit(team string, limits allocator.Limits, version int64, now, giveUp time.Time) outcome {
+func (l *link) admit(team string, priority int, limits allocator.Limits, version int64, now, giveUp time.Time) outcome {
 	l.mu.Lock()
 	a := l.ledger.account(team, limits, version)
-	o, w := l.ledger.admit(a, now, giveUp)
+	o, w := l.ledger.admit(a, priority, now, giveUp)
 	isShort := w != nil || a.needsAhead(now)
 	l.mu.Unlock()
 	if isShort {
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -177,8 +177,15 @@
 }
 
 // Admit takes an operation from the team's quota. It may wait for a token, but only for a
-// part of the time until the deadline. Its error is a [*Refusal].
+// part of the time until the deadline. Its error is a [*Refusal]. All operations of the team
+// are equal; see [Throttler.AdmitPriority].
 func (t *Throttler) Admit(team string, deadline time.Time) (Operation, error) {
+	return t.AdmitPriority(team, 0, deadline)
+}
+
+// AdmitPriority is Admit for an operation of the priority; lower numbers are more urgent. While
+// the team is short of tokens, its urgent operations go first.
+func (t *Throttler) AdmitPriority(team string, priority int, deadline time.Time) (Operation, error) {
 	if team == "" {
 		return Operation{}, nil
 	}
@@ -193,7 +200,7 @@
 	}
 	now := t.cfg.Clock.Now()
 	patience := min(max(deadline.Sub(now)/patienceDivisor, minPatience), maxPatience)
-	o := l.admit(team, t.cfg.Budget.Limits(quota), quotas.Version(), now, now.Add(patience))
+	o := l.admit(team, priority, t.cfg.Budget.Limits(quota), quotas.Version(), now, now.Add(patience))
 	t.count.record(team, o.refusal, now)
 	if o.refusal != nil {
 		return Operation{}, o.refusal
