throttler: allocators with an older configuration stay told of the quotas of sparse teams

Cause: an allocator uses a quota that only members with a newer configuration have as long as it is told, 2.5 s, and members told it with demand alone. A team with an operation every few seconds had its quota forgotten between two, and each time it began without a stock. Change: an instance tells the quota of a team with an operation in the last minute, also without demand, while the allocator's version is older. Accounts take over a changed configuration at once, so that a version that was taken back is told no more. Allocators that have the configuration get the same messages as before. Test: TestQuotaOfANewerConfigurationStaysKnown failed before: 1 of 12 operations admitted, one every 3, 5 or 8 s; all now, also at 20 s (a case that was added after the change). TestQuotasAreToldWhileTheAllocatorLacksThem is new and was not run on the old code.

--- a/internal/throttler/ledger.go
+++ b/internal/throttler/ledger.go
@@ -13,6 +13,9 @@
 	maxContribution = time.Second
 	// minorRetry is the pause after an answer of an allocator with little refill.
 	minorRetry = 20 * time.Millisecond
+	// tellTime is how long after a team's last operation an allocator with an older
+	// configuration is told the team's quota.
+	tellTime = time.Minute
 )
 
 // ledger holds the accounts of a group of teams, and the time that this instance has not
@@ -151,7 +154,7 @@
 		if ahead > 0 {
 			a.aheadAt = now.Add(aheadPause)
 		}
-		if held+ahead+waiting+yielding+a.returned > 0 {
+		if held+ahead+waiting+yielding+a.returned > 0 || l.mustTell(a, now) {
 			r.yielding[team] = yielding
 			d := &wire.QuotaDemand{
 				Team: team, Held: uint32(held), Want: uint32(ahead + yielding), Waiting: uint32(waiting), Returned: uint32(a.returned),
@@ -166,6 +169,12 @@
 	return r
 }
 
+// mustTell reports whether the allocator is told the team's quota although there is no demand.
+// It would forget the quota between two operations, and begin without a stock at each.
+func (l *ledger) mustTell(a *account, now time.Time) bool {
+	return a.version > l.allocatorVersion && l.allocatorVersion > 0 && now.Sub(a.demand.at) <= tellTime
+}
+
 // accept takes over the tokens of a response.
 func (l *ledger) accept(r request, out *wire.QuotaResponse, now time.Time) {
 	l.isAlone, l.silentSince, l.allocatorVersion = false, time.Time{}, out.GetVersion()
--- a/internal/throttler/ledger_test.go
+++ b/internal/throttler/ledger_test.go
@@ -123,3 +123,62 @@
 	default:
 	}
 }
+
+// Guards against refusals below the quota of a team with an operation every few seconds, while
+// the allocator has an older configuration: it forgets a quota that it is not told for 2.5 s.
+func TestQuotaOfANewerConfigurationStaysKnown(t *testing.T) {
+	for _, pause := range []time.Duration{time.Second, 3 * time.Second, 5 * time.Second, 8 * time.Second, 20 * time.Second} {
+		f := newFleet(1, 8)
+		f.play(8*time.Second, nil)
+		f.reconfigure(true, team("t", 0.5, 2))
+		const n = 12
+		for range n {
+			f.instances[0].ask("t")
+			f.play(pause, nil)
+		}
+		if got := len(f.ran["t"]); got < n {
+			t.Errorf("an operation every %v: %d of %d were admitted", pause, got, n)
+		}
+	}
+}
+
+// Guards against an instance that goes on to tell a quota after its version was taken back, and
+// against requests that grow with teams that no operation has needed for long.
+func TestQuotasAreToldWhileTheAllocatorLacksThem(t *testing.T) {
+	quotas := func(version int64, perSecond float64) *allocator.Quotas {
+		return allocator.NewQuotas(map[string]allocator.Quota{"t": {RatePerSecond: perSecond, Burst: 1}}).WithVersion(version)
+	}
+	cases := []struct {
+		name      string
+		allocator int64
+		adopted   *allocator.Quotas
+		idle      time.Duration
+		// want is the rate that is told; 0 if none is.
+		want float64
+	}{
+		{"the allocator's version is older", 4, nil, 3 * time.Second, 1},
+		{"it is the same", 5, nil, 3 * time.Second, 0},
+		{"it is not known", 0, nil, 3 * time.Second, 0},
+		{"the version was taken back", 4, quotas(4, 2), 3 * time.Second, 0},
+		{"a newer one came", 4, quotas(6, 2), 3 * time.Second, 2},
+		{"the team has no quota any more", 4, allocator.NewQuotas(nil).WithVersion(6), 3 * time.Second, 0},
+		{"no operation for long", 4, nil, 2 * time.Minute, 0},
+	}
+	for _, c := range cases {
+		now := time.Unix(1000, 0)
+		l := &link{t: &Throttler{cfg: Config{Budget: ruleBudget}}, ledger: ledger{accounts: map[string]*account{}, allocatorVersion: c.allocator}}
+		quota, _ := quotas(5, 1).Of("t")
+		a := l.ledger.account("t", ruleBudget.Limits(quota), 5)
+		a.demand.add(now)
+		if c.adopted != nil {
+			l.adopt(c.adopted)
+		}
+		got := 0.0
+		for _, d := range l.ledger.request(false, now.Add(c.idle)).GetDemands() {
+			got += d.GetRatePerSecond()
+		}
+		if got != c.want {
+			t.Errorf("%s: a rate of %v is told, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/throttler/link.go
+++ b/internal/throttler/link.go
@@ -82,12 +82,14 @@
 	l.t.count.forget(l.ledger.group)
 }
 
-// forget removes the accounts of teams that have no quota any more.
-func (l *link) forget(hasQuota func(team string) bool) {
+// adopt takes over the quotas in force. It removes the accounts of teams that have none any more.
+func (l *link) adopt(quotas *allocator.Quotas) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for team, a := range l.ledger.accounts {
-		if !hasQuota(team) && len(a.waiters) == 0 {
+		if quota, ok := quotas.Of(team); ok {
+			a.limits, a.version = l.t.cfg.Budget.Limits(quota), quotas.Version()
+		} else if len(a.waiters) == 0 {
 			delete(l.ledger.accounts, team)
 		}
 	}
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -147,10 +147,7 @@
 			go l.close()
 			continue
 		}
-		l.forget(func(team string) bool {
-			_, ok := quotas.Of(team)
-			return ok
-		})
+		l.adopt(quotas)
 	}
 }
 
