--- a/internal/throttler/link.go
+++ b/internal/throttler/link.go
@@ -82,22 +82,24 @@
 	l.t.count.forget(l.ledger.group)
 }
 
-// forget removes the accounts of teams that have no quota any more.
-func (l *link) forget(hasQuota func(team string) bool) {
+// adopt takes over the quotas in force. It removes the accounts of teams that have none any more.
+func (l *link) adopt(quotas *allocator.Quotas) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for team, a := range l.ledger.accounts {
-		if !hasQuota(team) && len(a.waiters) == 0 {
+		if quota, ok := quotas.Of(team); ok {
+			a.limits, a.version = l.t.cfg.Budget.Limits(quota), quotas.Version()
+		} else if len(a.waiters) == 0 {
 			delete(l.ledger.accounts, team)
 		}
 	}
 }
 
 // admit takes a token of the team, or waits for one until giveUp.
-func (l *link) admit(team string, limits allocator.Limits, version int64, now, giveUp time.Time) outcome {
+func (l *link) admit(team string, priority int, limits allocator.Limits, version int64, now, giveUp time.Time) outcome {
 	l.mu.Lock()
 	a := l.ledger.account(team, limits, version)
-	o, w := l.ledger.admit(a, now, giveUp)
+	o, w := l.ledger.admit(a, priority, now, giveUp)
 	isShort := w != nil || a.needsAhead(now)
 	l.mu.Unlock()
 	if isShort {
