messenger: close a connection with a running call only after idle ones

Cause: of the address with most connections, the one with the oldest read or write was closed. While a call runs nothing is read or written, so a running call went before an idle connection. Change: the server counts the calls that run on a connection; those without one are closed first, then by their last use. Reads and writes do not show whether a call runs: a client may send the packet that closes a call after the answer.

--- a/internal/messenger/places.go
+++ b/internal/messenger/places.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 
+	"storj.io/drpc"
+
 	"marigoldhub.example/hub/internal/budgeter"
 )
 
@@ -19,8 +21,8 @@
 	// PerInstance is the number of connections for which each listed instance has places.
 	PerInstance int
 	// Shared is the number of places for all other connections. When one more is accepted,
-	// the address with most of them loses the one that has been idle for longest. 0 means no
-	// limit.
+	// the address with most of them loses the one that has been idle for longest, and one on
+	// which a call runs only if it has no other. 0 means no limit.
 	Shared int
 	// Refusals counts the connections that are closed in favor of others. Nil counts none.
 	Refusals *budgeter.Refusals
@@ -103,9 +105,9 @@
 }
 
 // chooseDisplaced returns the connection that loses its shared place when more than keep are
-// taken: of the address with most of them, the one that has been idle for longest. One whose
-// address has been listed meanwhile gets a place of its instance instead. Nil means that none
-// has to go. The caller holds mu.
+// taken: of the address with most of them, one without a running call before others, and the
+// one that has been idle for longest. One whose address has been listed meanwhile gets a place of
+// its instance instead. Nil means that none has to go. The caller holds mu.
 func (p *places) chooseDisplaced(keep int) *placedConn {
 	if len(p.shared) <= keep {
 		return nil
@@ -119,6 +121,12 @@
 			if d := count[b.address] - count[a.address]; d != 0 {
 				return d
 			}
+			if a.isCalled() != b.isCalled() {
+				if a.isCalled() {
+					return 1
+				}
+				return -1
+			}
 			return int(a.lastUse.Load()) - int(b.lastUse.Load())
 		})
 		if !p.reserve(c.address) {
@@ -145,13 +153,34 @@
 	address netip.Addr
 	// lastUse is the number of the last read or write.
 	lastUse atomic.Uint64
-	once    sync.Once
+	// calls is the number of calls that run. Reads and writes do not show this: a client may
+	// send the end of a call after it has received the answer.
+	calls atomic.Int64
+	once  sync.Once
 	// The places' mutex guards isReserved.
 	isReserved bool
 }
 
 func (c *placedConn) use() { c.lastUse.Store(c.places.uses.Add(1)) }
 
+// isCalled reports whether a call runs on the connection.
+func (c *placedConn) isCalled() bool { return c.calls.Load() > 0 }
+
+// placedConnKey is the key of a call's connection in its context.
+type placedConnKey struct{}
+
+// callCounter counts the running calls of each connection.
+type callCounter struct{ drpc.Handler }
+
+// HandleRPC implements [drpc.Handler].
+func (h callCounter) HandleRPC(stream drpc.Stream, rpc string) error {
+	if c, ok := stream.Context().Value(placedConnKey{}).(*placedConn); ok {
+		c.calls.Add(1)
+		defer c.calls.Add(-1)
+	}
+	return h.Handler.HandleRPC(stream, rpc)
+}
+
 // Read implements [net.Conn].
 func (c *placedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/internal/messenger/places_test.go
+++ b/internal/messenger/places_test.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/netip"
@@ -12,6 +13,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus/hooks/test"
+
+	"marigoldhub.example/hub/internal/messenger/wire"
 )
 
 // connFrom is a connection from an address. It cannot get a deadline when it is closed.
@@ -25,8 +28,8 @@
 }
 
 // Guards against a crowd that takes the places of instances, also of one that is not listed yet,
-// against a listed address without a limit, and against the end of connections that are in use
-// while others are idle.
+// against a listed address without a limit, and against the end of connections that are in use or
+// wait for an answer while others are idle.
 func TestPlaces(t *testing.T) {
 	const perInstance, shared = 2, 3
 	for _, tc := range []struct {
@@ -35,20 +38,24 @@
 		// before the last connection.
 		listed, listedLater []string
 		// from are the addresses that connect, in this order. used are the connections that
-		// are used before the last one.
-		from []string
-		used []int
-		want []int // the connections that are closed
+		// are used before the last one. A call runs on those in calling.
+		from    []string
+		used    []int
+		want    []int // the connections that are closed
+		calling []int
 	}{
-		{"places left", nil, nil, []string{"10.0.0.9", "10.0.0.9", "10.0.0.9"}, nil, nil},
-		{"longest idle", nil, nil, []string{"10.0.0.9", "10.0.0.9", "10.0.0.9", "10.0.0.9"}, nil, []int{0}},
-		{"used since", nil, nil, []string{"10.0.0.9", "10.0.0.9", "10.0.0.9", "10.0.0.9"}, []int{0}, []int{1}},
-		{"listed", []string{"10.0.0.1"}, nil, []string{"10.0.0.1", "10.0.0.9", "10.0.0.9", "10.0.0.9", "10.0.0.9", "10.0.0.9"}, nil, []int{1, 2}},
-		{"listed, after the crowd", []string{"10.0.0.1"}, nil, []string{"10.0.0.9", "10.0.0.9", "10.0.0.9", "10.0.0.1", "10.0.0.1"}, nil, nil},
-		{"more than the places of an instance", []string{"10.0.0.1"}, nil, []string{"10.0.0.1", "10.0.0.1", "10.0.0.1", "10.0.0.1", "10.0.0.1", "10.0.0.1"}, nil, []int{2}},
-		{"two instances at an address", []string{"10.0.0.1", "10.0.0.1"}, nil, []string{"10.0.0.1", "10.0.0.1", "10.0.0.1", "10.0.0.1", "10.0.0.1", "10.0.0.1"}, nil, nil},
-		{"address with most", nil, nil, []string{"10.0.0.8", "10.0.0.9", "10.0.0.9", "10.0.0.9"}, nil, []int{1}},
-		{"listed meanwhile", nil, []string{"10.0.0.9"}, []string{"10.0.0.9", "10.0.0.9", "10.0.0.9", "10.0.0.8"}, nil, nil},
+		{"places left", nil, nil, []string{"10.0.0.9", "10.0.0.9", "10.0.0.9"}, nil, nil, nil},
+		{"longest idle", nil, nil, []string{"10.0.0.9", "10.0.0.9", "10.0.0.9", "10.0.0.9"}, nil, []int{0}, nil},
+		{"used since", nil, nil, []string{"10.0.0.9", "10.0.0.9", "10.0.0.9", "10.0.0.9"}, []int{0}, []int{1}, nil},
+		{"listed", []string{"10.0.0.1"}, nil, []string{"10.0.0.1", "10.0.0.9", "10.0.0.9", "10.0.0.9", "10.0.0.9", "10.0.0.9"}, nil, []int{1, 2}, nil},
+		{"listed, after the crowd", []string{"10.0.0.1"}, nil, []string{"10.0.0.9", "10.0.0.9", "10.0.0.9", "10.0.0.1", "10.0.0.1"}, nil, nil, nil},
+		{"more than the places of an instance", []string{"10.0.0.1"}, nil, []string{"10.0.0.1", "10.0.0.1", "10.0.0.1", "10.0.0.1", "10.0.0.1", "10.0.0.1"}, nil, []int{2}, nil},
+		{"two instances at an address", []string{"10.0.0.1", "10.0.0.1"}, nil, []string{"10.0.0.1", "10.0.0.1", "10.0.0.1", "10.0.0.1", "10.0.0.1", "10.0.0.1"}, nil, nil, nil},
+		{"address with most", nil, nil, []string{"10.0.0.8", "10.0.0.9", "10.0.0.9", "10.0.0.9"}, nil, []int{1}, nil},
+		{"listed meanwhile", nil, []string{"10.0.0.9"}, []string{"10.0.0.9", "10.0.0.9", "10.0.0.9", "10.0.0.8"}, nil, nil, nil},
+		{"longest idle, a call runs", nil, nil, []string{"10.0.0.9", "10.0.0.9", "10.0.0.9", "10.0.0.9"}, nil, []int{1}, []int{0}},
+		{"a call runs on all", nil, nil, []string{"10.0.0.9", "10.0.0.9", "10.0.0.9", "10.0.0.9"}, nil, []int{0}, []int{0, 1, 2}},
+		{"a call runs, address with most", nil, nil, []string{"10.0.0.9", "10.0.0.9", "10.0.0.8", "10.0.0.7"}, nil, []int{0}, []int{0, 1}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			listed := CountAddresses(withPort(tc.listed))
@@ -59,6 +66,9 @@
 					for _, used := range tc.used {
 						conns[used].Write([]byte("x"))
 					}
+					for _, calling := range tc.calling {
+						conns[calling].(*placedConn).calls.Add(1)
+					}
 					if tc.listedLater != nil {
 						listed = CountAddresses(withPort(tc.listedLater))
 					}
@@ -97,6 +107,73 @@
 	return addresses
 }
 
+// heldSessions answers a Cancel with a key once gate is closed, and others at once.
+type heldSessions struct{ sessions }
+
+func (s *heldSessions) Cancel(ctx context.Context, req *wire.CancelRequest) (*wire.CancelResponse, error) {
+	if len(req.GetSecretKey()) > 0 {
+		return s.sessions.Cancel(ctx, req)
+	}
+	return &wire.CancelResponse{}, nil
+}
+
+// Guards against a connection that counts as idle while a call runs on it, or as in use after the
+// call: a client's last packet may arrive after the answer.
+func TestConnectionsWithCallsAreClosedLast(t *testing.T) {
+	const answered = 50
+	impl := &heldSessions{sessions{gate: make(chan struct{})}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(ServerConfig{Listener: l, Places: Places{Shared: 4}})
+	if err := wire.DRPCRegisterSessions(s.Mux(), impl); err != nil {
+		t.Fatal(err)
+	}
+	s.Start()
+	defer s.Close()
+	address := l.Addr().String()
+	running, idle := newPool(t, PoolConfig{}), newPool(t, PoolConfig{})
+	held := make(chan error)
+	go func() {
+		_, err := call(running, address, 10*time.Second, &wire.CancelRequest{SecretKey: []byte("xx")})
+		held <- err
+	}()
+	for isRunning := false; !isRunning; time.Sleep(time.Millisecond) {
+		impl.mu.Lock()
+		isRunning = impl.n > 0
+		impl.mu.Unlock()
+	}
+	for range answered {
+		if _, err := call(idle, address, 5*time.Second, &wire.CancelRequest{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	calls := func() (n int) {
+		s.places.mu.Lock()
+		defer s.places.mu.Unlock()
+		for _, c := range s.places.shared {
+			if c.isCalled() {
+				n++
+			}
+		}
+		return n
+	}
+	// The server ends a call shortly after the client has the answer.
+	for deadline := time.Now().Add(5 * time.Second); calls() != 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d connections count as having a call, want 1", calls())
+		}
+	}
+	if !s.CloseOne() {
+		t.Error("no connection was closed")
+	}
+	close(impl.gate)
+	if err := <-held; err != nil {
+		t.Errorf("the running call failed: %v", err)
+	}
+}
+
 // countingListener counts its connections that are open, and the largest number of them.
 type countingListener struct {
 	net.Listener
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -96,7 +96,7 @@
 		places:  newPlaces(cfg.Places),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.rpc = drpcserver.NewWithOptions(s.mux, drpcserver.Options{Manager: drpcmanager.Options{
+	s.rpc = drpcserver.NewWithOptions(callCounter{s.mux}, drpcserver.Options{Manager: drpcmanager.Options{
 		Reader:            drpcwire.ReaderOptions{MaximumBufferSize: cfg.MaxMessageBytes},
 		InactivityTimeout: serverIdleTimeout,
 	}})
@@ -165,6 +165,7 @@
 
 func (s *Server) serve(conn net.Conn) {
 	defer func() { <-s.slots }()
+	ctx := context.WithValue(s.ctx, placedConnKey{}, conn)
 	if s.cfg.Wrap != nil {
 		conn = s.cfg.Wrap(conn)
 	}
@@ -181,7 +182,7 @@
 		}
 		conn = tlsConn
 	}
-	_ = s.rpc.ServeOne(s.ctx, conn)
+	_ = s.rpc.ServeOne(ctx, conn)
 }
 
 func (s *Server) handshake(conn net.Conn) (net.Conn, error) {
