messenger: give each displaced connection to one caller

Cause: closeOne left the chosen connection in the list until it was closed, so that concurrent callers chose the same one: they reported more closed connections than there were, outgoing connections failed for lack of a socket, and limits.peer_displaced counted too many. Change: the chosen connection leaves the list while the mutex is held.

--- a/internal/messenger/places.go
+++ b/internal/messenger/places.go
@@ -104,8 +104,8 @@
 	return true
 }
 
-// chooseDisplaced returns the connection that loses its shared place when more than keep are
-// taken: of the address with most of them, one without a running call before others, and the
+// chooseDisplaced takes its shared place from the connection that loses it when more than keep
+// are taken: of the address with most of them, one without a running call before others, and the
 // one that has been idle for longest. One whose address has been listed meanwhile gets a place of
 // its instance instead. Nil means that none has to go. The caller holds mu.
 func (p *places) chooseDisplaced(keep int) *placedConn {
@@ -129,10 +129,10 @@
 			}
 			return int(a.lastUse.Load()) - int(b.lastUse.Load())
 		})
+		p.unshare(c)
 		if !p.reserve(c.address) {
 			return c
 		}
-		p.unshare(c)
 		count[c.address]--
 		c.isReserved = true
 	}
--- a/internal/messenger/places_test.go
+++ b/internal/messenger/places_test.go
@@ -174,6 +174,34 @@
 	}
 }
 
+// Guards against callers that choose the same connection at the same time, so that fewer are
+// closed than reported.
+func TestEachConnectionIsClosedOnce(t *testing.T) {
+	const shared, runs = 2, 500
+	for range runs {
+		p := newPlaces(Places{Shared: shared})
+		for range shared {
+			server, client := net.Pipe()
+			defer client.Close()
+			defer server.Close()
+			p.add(connFrom{server, "10.0.0.9"})
+		}
+		var closed atomic.Int64
+		var wg sync.WaitGroup
+		for range 4 * shared {
+			wg.Go(func() {
+				if p.closeOne() {
+					closed.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		if n := closed.Load(); n != shared || len(p.shared) > 0 {
+			t.Fatalf("%d of %d connections were closed, %d are left", n, shared, len(p.shared))
+		}
+	}
+}
+
 // countingListener counts its connections that are open, and the largest number of them.
 type countingListener struct {
 	net.Listener
