delegator: discard a transaction whose begin was not answered

Cause: when the answer to a begin was lost, the connection knew of no open transaction, so that nothing ended it: it kept a server connection until the idle limit of transactions. Change: the discard is sent there as after a withdrawn begin. Measured: two cases of TestBeginWithoutAnswerIsDiscarded failed before; the package passes with -race.

--- a/internal/delegator/conn.go
+++ b/internal/delegator/conn.go
@@ -232,6 +232,11 @@
 	if err != nil {
 		c.d.cfg.Selector.MarkLost(g, err)
 		c.broken = true
+		if r.Transaction != "" && c.gateway == nil {
+			// The gateway may have begun the transaction. Release discards only those that
+			// are known to be open.
+			c.discard(g, r.Transaction)
+		}
 		return nil, errors.Join(exchanger.ErrConnectionLost, connector.ErrGateway, err)
 	}
 	switch {
--- a/internal/delegator/delegator_test.go
+++ b/internal/delegator/delegator_test.go
@@ -124,6 +124,50 @@
 	}
 }
 
+// Guards against a transaction that stays open at its gateway because the answer to its begin was
+// lost, and against discards of statements that open none.
+func TestBeginWithoutAnswerIsDiscarded(t *testing.T) {
+	lost := result{err: errors.New("connection reset")}
+	open := result{Reply: forwarder.Reply{Answers: []exchanger.Answer{{State: exchanger.InTransaction}}}}
+	for _, tc := range []struct {
+		name    string
+		results []result
+		kinds   []exchanger.Kind
+		want    bool // whether the transaction is discarded
+	}{
+		{"begin", []result{lost}, []exchanger.Kind{exchanger.Begin}, true},
+		{"read-only begin", []result{lost}, []exchanger.Kind{exchanger.BeginReadOnly}, true},
+		{"statement of the transaction", []result{open, lost}, []exchanger.Kind{exchanger.Begin, exchanger.Write}, true},
+		{"write outside transactions", []result{lost}, []exchanger.Kind{exchanger.Write}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, g, _, _ := newConn(t, tc.results...)
+			var err error
+			for _, kind := range tc.kinds {
+				_, err = c.Run(time.Now().Add(time.Second), linker.Context{}, exchanger.Statement{ID: "x", Kind: kind})
+			}
+			if !errors.Is(err, exchanger.ErrConnectionLost) {
+				t.Fatalf("error %v, want %v", err, exchanger.ErrConnectionLost)
+			}
+			c.Release(false)
+			// A discard is sent within microseconds.
+			wait := 100 * time.Millisecond
+			if tc.want {
+				wait = 5 * time.Second
+			}
+			for deadline := time.Now().Add(wait); g.sent() == len(tc.kinds) && time.Now().Before(deadline); {
+				time.Sleep(time.Millisecond)
+			}
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			discards := g.requests[len(tc.kinds):]
+			if got := len(discards) == 1 && discards[0].Discard && discards[0].Transaction == g.requests[0].Transaction; got != tc.want {
+				t.Errorf("sent %+v after the statements; want a discard: %v", discards, tc.want)
+			}
+		})
+	}
+}
+
 // Guards against a transaction that stays open at its gateway because the request to discard it
 // was lost, and against a gateway that has gone and is asked without end.
 func TestLostDiscardIsSentAgain(t *testing.T) {
