limiter: close a connection without a place at once if no socket can be had

Cause: a stranger waited up to 500 ms for a socket in the accept loop, in front of instances, when the port had nothing to close. Change: it takes the socket of a connection of its port that may be closed, or else of another port, and is closed at once if there is none. Measured: both cases of TestConnectionsWithoutPlacesDoNotWait failed before; the package passes with -race.

--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"marigoldhub.example/hub/internal/budgeter"
 	"marigoldhub.example/hub/internal/limiter"
@@ -292,6 +293,68 @@
 	}
 }
 
+// Guards against a crowd without places of its own that waits for a socket, and so delays
+// connections with places, when nothing can be closed, and against one that is refused although
+// another port has a connection to close.
+func TestConnectionsWithoutPlacesDoNotWait(t *testing.T) {
+	const most, crowd = 4, 10
+	for _, tc := range []struct {
+		name string
+		// other is the number of connections of another port that may be closed, want how many
+		// of the crowd are refused.
+		other, want int
+	}{
+		{"nothing to close", 0, crowd},
+		{"another port has some", 3, crowd - 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := metrics.NewRegistry()
+			// A wait would not end, because the clock stands still.
+			clock := clockwork.NewFakeClock()
+			log, _ := test.NewNullLogger()
+			s := limiter.New(limiter.Config{Max: most + 4, Clock: clock, Metrics: r, Refusals: budgeter.NewRefusals(r, log)})
+			l := s.NewUse("control", 0, 0).Listen(listen(t))
+			defer l.Close()
+			l.HavePlaces(func(net.Addr) bool { return false })
+			others := s.NewUse("callers", 0, 0).CloseFirst().Listen(listen(t))
+			defer others.Close()
+			open := make(chan net.Conn, most)
+			others.OnFull(func() bool {
+				select {
+				case conn := <-open:
+					conn.Close()
+					return true
+				default:
+					return false
+				}
+			})
+			accepted := accept(others)
+			connect(t, others.Addr().String(), most)
+			for i := range most {
+				if conn := <-accepted; i < tc.other {
+					open <- conn
+				} else {
+					defer conn.Close()
+				}
+			}
+			in := accept(l)
+			connect(t, l.Addr().String(), crowd)
+			refused := r.Get("limits.no_socket").(metrics.Counter)
+			for deadline := time.Now().Add(5 * time.Second); refused.Count() < int64(tc.want); time.Sleep(time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatalf("%d of %d connections were refused, want %d", refused.Count(), crowd, tc.want)
+				}
+			}
+			if len(in) != crowd-tc.want {
+				t.Errorf("%d connections were accepted, want %d", len(in), crowd-tc.want)
+			}
+			for len(in) > 0 {
+				defer (<-in).Close()
+			}
+		})
+	}
+}
+
 // Guards against connections with places of their own at a port that wait behind a crowd without
 // ones for as long as each of the crowd waits.
 func TestConnectionsWithPlacesDoNotWaitBehindOthers(t *testing.T) {
--- a/internal/limiter/listener.go
+++ b/internal/limiter/listener.go
@@ -61,8 +61,8 @@
 
 // HavePlaces sets the function that reports whether connections from the address have places of
 // their own at the port. While no socket is left, one without a place takes the socket of another
-// of the port, if there is one to close, and does not wait for others, so that connections with
-// places do not wait behind it.
+// of the port, or else of another port, and is closed at once if there is none to close, so that
+// connections with places do not wait behind it.
 func (l *Listener) HavePlaces(hasPlace func(net.Addr) bool) { l.hasPlace.Store(&hasPlace) }
 
 // mayWait reports whether a connection from the address may wait for a socket.
@@ -111,8 +111,8 @@
 	if l.use.take() {
 		return true
 	}
-	if !l.mayWait(a) && l.closeOne() {
-		return l.use.take()
+	if !l.mayWait(a) {
+		return (l.closeOne() || l.makeRoom()) && l.use.take()
 	}
 	clock := l.use.sockets.cfg.Clock
 	began := clock.Now()
