noder, launcher: accept as many connections of instances as there are sockets

Cause: the control port ended connections beyond 1,024 and the shared places at once, also those of listed instances with free places: 300 instances with four connections each are more. Change: the limit is that of the count of sockets, which keeps places. Without a limit of sockets in the settings the old one holds. Measured: TestSocketsOfTheSettings found 1280 connections for 4000 sockets before; it passes. No run with more than 1,024 connections was made.

--- a/internal/launcher/components.go
+++ b/internal/launcher/components.go
@@ -40,9 +40,9 @@
 	i.heartbeats = messenger.NewPool(cfg)
 	cfg.MaxPerAddress = maxCallsPerPeer
 	i.peers = messenger.NewPool(cfg)
-	places := i.places()
 	i.server = messenger.NewServer(messenger.ServerConfig{
-		Listener: listener, TLS: i.tls.peerTLS(), MaxConnections: messenger.DefaultMaxConnections + places.Shared, Places: places, Registry: i.registry, Log: i.componentLog("messenger"),
+		Listener: listener, TLS: i.tls.peerTLS(), MaxConnections: i.maxSockets(), Places: i.places(),
+		Registry: i.registry, Log: i.componentLog("messenger"),
 	})
 }
 
--- a/internal/launcher/limits.go
+++ b/internal/launcher/limits.go
@@ -53,7 +53,7 @@
 // limitSockets makes the ports share one count of sockets.
 func (i *Instance) limitSockets(l *listeners) {
 	s := limiter.New(limiter.Config{
-		Max: i.settings.MaxFDs - outgoingFDs, Clock: i.clock, Metrics: i.registry, Refusals: i.budget.Refusals(),
+		Max: i.maxSockets(), Clock: i.clock, Metrics: i.registry, Refusals: i.budget.Refusals(),
 	})
 	callers := i.settings.MaxFDs - reservedFDs
 	l.callers = s.NewUse("callers", 0, callers+refusedCallers).Listen(l.callers)
@@ -67,12 +67,15 @@
 	}
 }
 
+// maxSockets returns the number of sockets that the ports share. It is also the limit of the
+// connections of other instances, because a lower one would refuse members of a large fleet.
+func (i *Instance) maxSockets() int { return i.settings.MaxFDs - outgoingFDs }
+
 // places returns who has places at the port for instances.
 func (i *Instance) places() messenger.Places {
-	sockets := i.settings.MaxFDs - outgoingFDs
 	return messenger.Places{
 		Instances: i.countMembers, PerInstance: placesPerInstance,
-		Shared: min(maxSharedPlaces, int(float64(sockets)*sharedPlacesShare)), Refusals: i.budget.Refusals(),
+		Shared: min(maxSharedPlaces, int(float64(i.maxSockets())*sharedPlacesShare)), Refusals: i.budget.Refusals(),
 	}
 }
 
--- a/internal/noder/coordination.go
+++ b/internal/noder/coordination.go
@@ -43,14 +43,7 @@
 		Promoter: cloud, Election: n.holder, Peers: replacerPeers{v, n.gossiper}, PrimaryLeaseTTL: holder.PrimaryLeaseTTL,
 		Clock: n.clock, Metrics: n.metrics, Log: n.log,
 	})
-	n.control = messenger.NewServer(messenger.ServerConfig{
-		Listener: l, Registry: n.metrics, Log: n.log, MaxMessageBytes: maxCall,
-		MaxConnections: messenger.DefaultMaxConnections + n.sharedPlaces(),
-		Places: messenger.Places{
-			Instances: n.listed.count, PerInstance: placesPerInstance, Shared: n.sharedPlaces(), Refusals: n.budget.Refusals(),
-		},
-		Wrap: func(c net.Conn) net.Conn { return n.budget.NewConn(c) },
-	})
+	n.control = messenger.NewServer(n.controlConfig(l))
 	l.OnFull(n.control.CloseOne)
 	l.HavePlaces(n.control.HasPlace)
 	if err := wire.DRPCRegisterPeers(n.control.Mux(), gossiper.Service{Name: n.settings.Instance, View: v, Gossiper: n.gossiper}); err != nil {
@@ -66,6 +59,18 @@
 	return nil
 }
 
+// controlConfig returns the configuration of the server of the control port.
+func (n *Node) controlConfig(l net.Listener) messenger.ServerConfig {
+	return messenger.ServerConfig{
+		Listener: l, Registry: n.metrics, Log: n.log, MaxMessageBytes: maxCall,
+		MaxConnections: n.maxControlConnections(),
+		Places: messenger.Places{
+			Instances: n.listed.count, PerInstance: placesPerInstance, Shared: n.sharedPlaces(), Refusals: n.budget.Refusals(),
+		},
+		Wrap: func(c net.Conn) net.Conn { return n.budget.NewConn(c) },
+	}
+}
+
 // addressOf returns the address of the named instance; empty if it is not listed.
 func (n *Node) addressOf(name string) string {
 	for _, o := range n.registrar.Others() {
--- a/internal/noder/listed_addresses.go
+++ b/internal/noder/listed_addresses.go
@@ -64,3 +64,12 @@
 func (n *Node) sharedPlaces() int {
 	return min(maxSharedPlaces, int(float64(n.sockets.total)*sharedPlacesShare))
 }
+
+// maxControlConnections returns how many connections the control port accepts. The count of
+// sockets limits them; a lower limit would refuse instances of a large fleet.
+func (n *Node) maxControlConnections() int {
+	if n.sockets.total == unlimitedSockets {
+		return messenger.DefaultMaxConnections + n.sharedPlaces()
+	}
+	return n.sockets.total
+}
--- a/internal/noder/sockets.go
+++ b/internal/noder/sockets.go
@@ -12,6 +12,8 @@
 	platformFiles = 200
 	// minSockets are used however few descriptors the settings allow. They hold all reserves.
 	minSockets = 400
+	// unlimitedSockets is the number of sockets without a limit in the settings.
+	unlimitedSockets = math.MaxInt32
 	// refusedCallers is the number of callers beyond the sessions that may be told at the
 	// same time that there is no room.
 	refusedCallers = 32
@@ -38,7 +40,7 @@
 // none but those of the ports. All ports and outgoing connections share
 // one count, so that the ports together cannot exceed the descriptors.
 func (n *Node) newSockets() sockets {
-	total := math.MaxInt32
+	total := unlimitedSockets
 	switch {
 	case n.settings.MaxSockets > 0:
 		total = max(n.settings.MaxSockets, minSockets)
