launcher: keep places for silent seeds and warn of an unrecognized address

Cause: members are recognized by the IP number of peers.advertise, but connect from ip; nothing said when these differ. Members that do not answer are not listed, so that an instance without members kept no places, unlike on the prepared machines. Seeds count like members. The log line itself has no test.

--- a/internal/launcher/components.go
+++ b/internal/launcher/components.go
@@ -47,6 +47,10 @@
 }
 
 func (i *Instance) startMembership() {
+	if !i.settings.isKnownByAddress() {
+		i.componentLog("launcher").WithField("ip", i.settings.IP).WithField("advertise", i.settings.Peers.Advertise).
+			Warn("launcher: ip is not the address of peers.advertise, so other instances keep no places for this one's connections")
+	}
 	i.membership = enroller.New(enroller.Config{
 		Self:  enroller.Member{Instance: i.settings.Instance, Address: i.settings.Peers.Advertise, Zone: i.settings.Zone},
 		Seeds: i.settings.Peers.Seeds, Dialer: i.heartbeats, PlatformURL: i.settings.Platform.Endpoint, LocalIP: i.localIP,
--- a/internal/launcher/limits.go
+++ b/internal/launcher/limits.go
@@ -3,8 +3,10 @@
 import (
 	"net"
 	"net/netip"
+	"slices"
 
 	"marigoldhub.example/hub/internal/budgeter"
+	"marigoldhub.example/hub/internal/enroller"
 	"marigoldhub.example/hub/internal/limiter"
 	"marigoldhub.example/hub/internal/messenger"
 )
@@ -79,15 +81,28 @@
 	}
 }
 
-// countMembers returns how many other members have the address.
+// countMembers returns how many other members and seeds have the address.
 func (i *Instance) countMembers(a netip.Addr) int {
-	var addresses []string
-	for _, m := range i.membership.Members() {
-		if m.Instance != i.settings.Instance {
-			addresses = append(addresses, m.Address)
-		}
+	return messenger.CountAddresses(i.settings.peerAddresses(i.membership.Members()))[a]
+}
+
+// peerAddresses returns the addresses of the other members and seeds. Members that do not answer
+// are not listed, but seeds keep their places while they are silent.
+func (s Settings) peerAddresses(members []enroller.Member) []string {
+	addresses := slices.Clone(s.Peers.Seeds)
+	for _, m := range members {
+		addresses = append(addresses, m.Address)
 	}
-	return messenger.CountAddresses(addresses)[a]
+	slices.Sort(addresses)
+	return slices.DeleteFunc(slices.Compact(addresses), func(a string) bool { return a == s.Peers.Advertise })
+}
+
+// isKnownByAddress reports whether other instances see connections of this one from the address
+// that it advertises, by which they know a member.
+func (s Settings) isKnownByAddress() bool {
+	ip, err := netip.ParseAddr(s.IP)
+	advertised, advertisedErr := netip.ParseAddrPort(s.Peers.Advertise)
+	return err == nil && advertisedErr == nil && ip.Unmap() == advertised.Addr().Unmap()
 }
 
 func (s Settings) memoryBytes() int64 { return int64(s.MemoryMB) << 20 }
