--- a/internal/launcher/components.go
+++ b/internal/launcher/components.go
@@ -40,13 +40,17 @@
 	i.heartbeats = messenger.NewPool(cfg)
 	cfg.MaxPerAddress = maxCallsPerPeer
 	i.peers = messenger.NewPool(cfg)
-	places := i.places()
 	i.server = messenger.NewServer(messenger.ServerConfig{
-		Listener: listener, TLS: i.tls.peerTLS(), MaxConnections: messenger.DefaultMaxConnections + places.Shared, Places: places, Registry: i.registry, Log: i.componentLog("messenger"),
+		Listener: listener, TLS: i.tls.peerTLS(), MaxConnections: i.maxSockets(), Places: i.places(),
+		Registry: i.registry, Log: i.componentLog("messenger"),
 	})
 }
 
 func (i *Instance) startMembership() {
+	if !i.settings.isKnownByAddress() {
+		i.componentLog("launcher").WithField("ip", i.settings.IP).WithField("advertise", i.settings.Peers.Advertise).
+			Warn("launcher: ip is not the address of peers.advertise, so other instances keep no places for this one's connections")
+	}
 	i.membership = enroller.New(enroller.Config{
 		Self:  enroller.Member{Instance: i.settings.Instance, Address: i.settings.Peers.Advertise, Zone: i.settings.Zone},
 		Seeds: i.settings.Peers.Seeds, Dialer: i.heartbeats, PlatformURL: i.settings.Platform.Endpoint, LocalIP: i.localIP,
