director: a retried batch gives its pinned connection back

A batch that reserves a pin (LISTEN, SET, pg_advisory_lock, a temporary table) leaves its connection retained, also when the confirmation says that its term was replaced and the batch is run again. The second run replaced the retained connection by its own; the first was neither retained nor given back and held a place at the former primary until the session ended.

The connection is discarded before the retry. The pin is only reserved then, so the session does not count as one that has lost its state.

TestRetryOfPinningBatch fails without the change (connection 0 given back 0 times, want 1) and passes with it.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -111,6 +111,8 @@
 			return v.Failure
 		}
 		d.cfg.Counters.Retries.Inc(1)
+		// A batch that pins its connection has left it retained.
+		d.cfg.Retainer.Discard()
 		d.cfg.Acquirer.BeforeRetry()
 	}
 }
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -73,6 +73,9 @@
 	parse    *classifier.Classifier
 	group    *acquirer.Group
 	counters director.Counters
+	// superseded is how many confirmations report that the primary was replaced and its last
+	// records are not in the next term.
+	superseded int
 }
 
 func (s *session) Acquire(_ context.Context, req pooler.Request) (pooler.Conn, error) {
@@ -95,6 +98,10 @@
 func (s *session) Changed(string) <-chan struct{}   { return nil }
 
 func (s *session) Confirm(_ context.Context, req confirmer.Request) (confirmer.Result, error) {
+	if s.superseded > 0 {
+		s.superseded--
+		return confirmer.Result{Outcome: confirmer.Superseded, Position: tracker.Position{Term: 2, Offset: 1}, Lineage: tracker.Lineage{{Term: 2}}}, nil
+	}
 	pos := req.Position
 	if pos.IsZero() {
 		pos = tracker.Position{Term: 1, Offset: 7}
@@ -256,6 +263,55 @@
 	}
 }
 
+// Guards against a server connection that is neither retained nor given back when a batch that
+// pins its connection is retried: it would hold a place at the former primary until the session
+// ends.
+func TestRetryOfPinningBatch(t *testing.T) {
+	answer := join(done("LISTEN"), statusRow("primary", "7"))
+	cases := []struct {
+		name       string
+		superseded int
+		retries    int
+		scripts    []messages
+		code       string
+		// retained is the index of the connection that the session retains.
+		retained int
+	}{
+		{"confirmed", 0, 9, []messages{answer}, "", 0},
+		{"replaced once", 1, 9, []messages{answer, answer}, "", 1},
+		{"replaced twice", 2, 9, []messages{answer, answer, answer}, "", 2},
+		{"replaced, no budget", 1, 0, []messages{answer, answer}, "40001", 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSession(t)
+			s.superseded, s.retries, s.scripts = c.superseded, c.retries, c.scripts
+			b := &batcher.Batch{Query: &pgproto3.Query{String: "listen changes"}}
+			s.retainer.ReservePin()
+			failure, err := s.Run(b, s.plan(b))
+			s.retainer.SettlePin()
+			code := ""
+			if failure != nil {
+				code = failure.Code
+			}
+			if err != nil || code != c.code || len(s.conns) != c.retained+1 {
+				t.Fatalf("got %q, %v after %d runs, want %q", code, err, len(s.conns), c.code)
+			}
+			for i, conn := range s.conns {
+				if want := min(1, c.retained-i); conn.given != want {
+					t.Errorf("connection %d was given back %d times, want %d", i, conn.given, want)
+				}
+			}
+			if s.retainer.Conn() == nil || s.retainer.EndsOnError() {
+				t.Errorf("connection %v, ends on error %v", s.retainer.Conn(), s.retainer.EndsOnError())
+			}
+			if n := s.group.InFlight(); n != 0 {
+				t.Errorf("%d in flight", n)
+			}
+		})
+	}
+}
+
 // Guards against a session whose state was on a former primary and that goes on at another
 // server, and against one that ends without need.
 func TestPinnedServer(t *testing.T) {
