retainer: a panic gives the caller's pin back

A panic in the ROLLBACK after a request key conflict left the session pinned without a connection, and Return gave up nothing without one. A panic while a connection was discarded skipped the release of the pin. In both cases the caller's place among its pinned connections stayed taken until the process ended, and its next session was refused with 53300.

Return releases the pin also without a connection, and Discard clears the state also after a panic.

Without the change two new cases of TestPins and the case "key conflict on a pinned connection" of TestPanicReturnsServerConnection fail (53300); all pass with it. The fake pool of the relayer's tests can panic at the answer to a certain query.

--- a/internal/relayer/fixture_test.go
+++ b/internal/relayer/fixture_test.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -40,8 +41,10 @@
 	// discarded counts connections that were closed.
 	discarded int
 	refuse    map[string]bool
-	// panicOnReceive makes the next Receive of any connection panic.
+	// panicOnReceive makes the next Receive of any connection panic whose last query contains
+	// panicAfter.
 	panicOnReceive bool
+	panicAfter     string
 }
 
 func (p *fakePool) Acquire(ctx context.Context, req pooler.Request) (pooler.Conn, error) {
@@ -77,12 +80,17 @@
 	c     net.Conn
 	fe    *pgproto3.Frontend
 	stmts map[string]bool
+	// lastQuery is the text of the last simple query that was sent.
+	lastQuery string
 }
 
 func (c *fakeConn) Server() string { return c.f.name }
 
 func (c *fakeConn) Send(msgs ...pgproto3.FrontendMessage) {
 	for _, m := range msgs {
+		if q, ok := m.(*pgproto3.Query); ok {
+			c.lastQuery = q.String
+		}
 		c.fe.Send(m)
 	}
 }
@@ -94,8 +102,10 @@
 
 func (c *fakeConn) Receive() (pgproto3.BackendMessage, error) {
 	c.p.mu.Lock()
-	fails := c.p.panicOnReceive
-	c.p.panicOnReceive = false
+	fails := c.p.panicOnReceive && strings.Contains(c.lastQuery, c.p.panicAfter)
+	if fails {
+		c.p.panicOnReceive = false
+	}
 	c.p.mu.Unlock()
 	if fails {
 		panic("test of a panic inside an exchange")
--- a/internal/relayer/panic_test.go
+++ b/internal/relayer/panic_test.go
@@ -19,25 +19,33 @@
 	for _, tc := range []struct {
 		name string
 		// before is run before the statement that panics.
-		before, statement string
+		before    []string
+		statement string
+		// after is a part of the query on the server connection whose answer panics.
+		after string
 	}{
-		{"single write", "", "insert into kv values ('k', 'v')"},
-		{"begin", "", "begin"},
-		{"statement in a transaction", "begin", "insert into kv values ('k', 'v')"},
-		{"statement that pins its connection", "", "listen changes"},
+		{"single write", nil, "insert into kv values ('k', 'v')", ""},
+		{"begin", nil, "begin", ""},
+		{"statement in a transaction", []string{"begin"}, "insert into kv values ('k', 'v')", ""},
+		{"statement that pins its connection", nil, "listen changes", ""},
+		{"key conflict", []string{"begin"}, "set local marigold.request_key = 'k'", "ROLLBACK"},
+		{"key conflict on a pinned connection", []string{"listen changes", "begin"}, "set local marigold.request_key = 'k'", "ROLLBACK"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			fx := newFixture(t)
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 			defer cancel()
 			c := fx.connect()
-			if tc.before != "" {
-				if _, err := c.Exec(ctx, tc.before); err != nil {
+			fx.st.mu.Lock()
+			fx.st.keys["k"] = "done"
+			fx.st.mu.Unlock()
+			for _, sql := range tc.before {
+				if _, err := c.Exec(ctx, sql); err != nil {
 					t.Fatal(err)
 				}
 			}
 			fx.pool.mu.Lock()
-			fx.pool.panicOnReceive = true
+			fx.pool.panicOnReceive, fx.pool.panicAfter = true, tc.after
 			fx.pool.mu.Unlock()
 			if _, err := c.Exec(ctx, tc.statement); err == nil {
 				t.Error("the statement succeeded")
--- a/internal/retainer/retainer.go
+++ b/internal/retainer/retainer.go
@@ -145,9 +145,9 @@
 		return
 	}
 	r.pinLost = r.pinLost || r.pinned
+	defer r.cfg.EndUse()
+	defer r.clear() // also after a panic
 	r.conn.Discard()
-	r.clear()
-	r.cfg.EndUse()
 }
 
 // Reset discards the connection with all state of the session, because the caller wishes so.
@@ -168,6 +168,8 @@
 // that leave in transactions would take all connections from others. A connection with state
 // of the session, or in the middle of an answer, is discarded.
 func (r *Retainer) Return() {
+	// After a panic in the proxy's own statements the session is pinned without a connection.
+	defer r.releasePin()
 	if r.conn == nil {
 		return
 	}
@@ -183,11 +185,17 @@
 // clear resets the state of a connection that was released or
 // discarded.
 func (r *Retainer) clear() {
+	r.releasePin()
+	r.conn, r.awaitsSync, r.transaction = nil, false, Transaction{}
+	r.Portals.Clear()
+}
+
+// releasePin releases the session's pin, if it has one.
+func (r *Retainer) releasePin() {
 	if r.pinned {
+		r.pinned = false
 		r.cfg.Pins.release(r.cfg.Caller)
 	}
-	r.conn, r.pinned, r.awaitsSync, r.transaction = nil, false, false, Transaction{}
-	r.Portals.Clear()
 }
 
 // rollBackTimeout is how long a server may take to roll back for a caller that has gone.
--- a/internal/retainer/retainer_test.go
+++ b/internal/retainer/retainer_test.go
@@ -35,6 +35,11 @@
 	return m, nil
 }
 
+// panicking is a server connection that cannot be discarded.
+type panicking struct{ *conn }
+
+func (panicking) Discard() { panic("test") }
+
 func newRetainer(pins *retainer.Pins) (*retainer.Retainer, *int) {
 	ends := 0
 	return retainer.New(retainer.Config{Pins: pins, Caller: "web", Limit: 1, EndUse: func() { ends++ }}), &ends
@@ -168,6 +173,16 @@
 			defer func() { _ = recover() }()
 			r.Pin(func() (pooler.Conn, *pgproto3.ErrorResponse) { panic("test") }, nil)
 		}, true},
+		{"panic while the connection is discarded", func(r *retainer.Retainer) {
+			defer func() { _ = recover() }()
+			pin(r, panicking{&conn{}}, nil)
+			r.Discard()
+		}, true},
+		{"returned after a panic in the proxy's own statements", func(r *retainer.Retainer) {
+			pin(r, &conn{}, nil)
+			r.EndTransaction()
+			r.Return()
+		}, true},
 		{"returned", func(r *retainer.Retainer) { pin(r, &conn{}, nil); r.Return() }, true},
 	}
 	for _, c := range cases {
