classifier: marks all statements that commit before they end

CREATE and DROP INDEX CONCURRENTLY, REINDEX, DETACH PARTITION CONCURRENTLY, VACUUM and CLUSTER commit in the middle. A FATAL error before their command tag counted as the error of a batch that was rolled back: the caller was told 40001, "has no effect", or the batch ran again, although an invalid index or a pending detachment may remain. Only CALL and DO were exempt.

The field Procedure, and RunsProcedure of plans, are now CommitsItself and cover these statements, so that such a batch ends as unknown. REINDEX, VACUUM, ANALYZE and CLUSTER count as a whole, because a partitioned table is processed partition by partition.

--- a/internal/classifier/classifier_test.go
+++ b/internal/classifier/classifier_test.go
@@ -81,6 +81,46 @@
 	}
 }
 
+// Guards against a statement that commits before it ends and is taken for one that a failure
+// rolls back as a whole: it would be reported as not run, and run again.
+func TestCommitsItself(t *testing.T) {
+	cases := []struct {
+		text string
+		want bool
+	}{
+		{"call p()", true},
+		{"do $$ begin end $$", true},
+		{"create index i on t (a)", false},
+		{"create index concurrently i on t (a)", true},
+		{"create index concurrently on t (pg_advisory_lock(a))", true},
+		{"drop index i", false},
+		{"drop index concurrently i", true},
+		{"drop table t", false},
+		{"reindex schema s", true},
+		{"reindex database d", true},
+		{"reindex system d", true},
+		{"reindex table concurrently t", true},
+		{"reindex (concurrently) index i", true},
+		{"reindex table t", true},
+		{"alter table t detach partition p", false},
+		{"alter table t detach partition p concurrently", true},
+		{"alter table t detach partition p finalize", false},
+		{"alter table t add column a int", false},
+		{"vacuum", true},
+		{"vacuum full t", true},
+		{"analyze", true},
+		{"cluster", true},
+		{"cluster t using i", true},
+		{"insert into t values (1)", false},
+		{"select 1", false},
+	}
+	for _, c := range cases {
+		if got := classify(c.text).Statements[0].CommitsItself; got != c.want {
+			t.Errorf("%s: %v, want %v", c.text, got, c.want)
+		}
+	}
+}
+
 // Guards against a caller that ends the process with a text that overflows the
 // parser's stack, and against rejecting bulk inserts as such texts.
 func TestTooComplex(t *testing.T) {
--- a/internal/classifier/classify.go
+++ b/internal/classifier/classify.go
@@ -68,10 +68,6 @@
 	case *pg_query.Node_ListenStmt, *pg_query.Node_UnlistenStmt, *pg_query.Node_PrepareStmt,
 		*pg_query.Node_ExecuteStmt, *pg_query.Node_LoadStmt:
 		return Statement{Kind: Pinning}
-	case *pg_query.Node_CallStmt, *pg_query.Node_DoStmt:
-		s := classifyWrite(node)
-		s.Procedure = true
-		return s
 	case *pg_query.Node_DeclareCursorStmt:
 		if n.DeclareCursorStmt.Options&cursorHold != 0 {
 			return Statement{Kind: Pinning}
@@ -97,10 +93,11 @@
 func classifyWrite(node *pg_query.Node) Statement {
 	var f findings
 	f.walk(node.ProtoReflect(), nil)
+	s := Statement{Kind: Write, CommitsItself: commitsItself(node)}
 	if f.pinning {
-		return Statement{Kind: Pinning}
+		s.Kind = Pinning
 	}
-	return Statement{Kind: Write}
+	return s
 }
 
 func classifyTransaction(n *pg_query.TransactionStmt) Statement {
--- a/internal/classifier/statement.go
+++ b/internal/classifier/statement.go
@@ -20,8 +20,9 @@
 	Local bool
 	// ReadOnly is set for BEGIN and SET TRANSACTION with READ ONLY.
 	ReadOnly bool
-	// Procedure is set for CALL and DO, which may commit several times.
-	Procedure bool
+	// CommitsItself is set for statements that may commit before they end, such as CALL and
+	// CREATE INDEX CONCURRENTLY.
+	CommitsItself bool
 	// Start and End delimit the statement in the text, in bytes.
 	Start, End int
 }
--- a/internal/concluder/concluder_test.go
+++ b/internal/concluder/concluder_test.go
@@ -152,7 +152,7 @@
 	write  = planner.Plan{MayCommit: true, ImplicitWrite: true, ReturnsData: true}
 	read   = planner.Plan{ReturnsData: true}
 	commit = planner.Plan{MayCommit: true, ExplicitTransaction: true}
-	call   = planner.Plan{MayCommit: true, ImplicitWrite: true, RunsProcedure: true}
+	call   = planner.Plan{MayCommit: true, ImplicitWrite: true, CommitsItself: true}
 	begin  = planner.Plan{ExplicitTransaction: true, LeavesTransactionOpen: true}
 )
 
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -32,9 +32,9 @@
 	ReturnsData bool
 	// RequestsReadOnly is set when a statement requests a read-only transaction.
 	RequestsReadOnly bool
-	// RunsProcedure is set when CALL or DO is executed outside an explicit
-	// transaction. The procedure may commit before it fails.
-	RunsProcedure bool
+	// CommitsItself is set when a statement outside an explicit transaction may
+	// commit a part of its work before it fails.
+	CommitsItself bool
 	// Refusal is the error response if the proxy cannot run the batch.
 	Refusal *pgproto3.ErrorResponse
 }
@@ -133,7 +133,7 @@
 	p.ExplicitTransaction = inTx
 	for _, st := range p.Executed {
 		p.RequestsReadOnly = p.RequestsReadOnly || st.ReadOnly
-		p.RunsProcedure = p.RunsProcedure || (st.Procedure && !inTx)
+		p.CommitsItself = p.CommitsItself || (st.CommitsItself && !inTx)
 		switch st.Kind {
 		case classifier.Begin:
 			inTx, p.ExplicitTransaction = true, true
@@ -194,7 +194,7 @@
 	p.Executed = append(p.Executed, q.Executed...)
 	p.MayCommit = p.MayCommit || q.MayCommit
 	p.ImplicitWrite = p.ImplicitWrite || q.ImplicitWrite
-	p.RunsProcedure = p.RunsProcedure || q.RunsProcedure
+	p.CommitsItself = p.CommitsItself || q.CommitsItself
 	p.ExplicitTransaction = p.ExplicitTransaction || q.ExplicitTransaction
 	p.ReturnsData = p.ReturnsData || q.ReturnsData
 	p.LeavesTransactionOpen = q.LeavesTransactionOpen
--- a/internal/runner/exchange.go
+++ b/internal/runner/exchange.go
@@ -84,7 +84,7 @@
 	if tx.IsOpen {
 		x.Evidence, x.MustDiscard = tx.Evidence, tx.MustDiscard
 	}
-	if p.RunsProcedure {
+	if p.CommitsItself {
 		x.Evidence = resolver.Unproved
 	}
 	x.mayStream = p.LeavesTransactionOpen || (tx.IsOpen && !p.MayCommit)
--- a/internal/runner/result.go
+++ b/internal/runner/result.go
@@ -31,7 +31,7 @@
 // MayHaveCommitted reports whether a part of the batch may have committed,
 // judging by the answers read so far.
 func (r Result) MayHaveCommitted(p *planner.Plan) bool {
-	if r.Committed || p.RunsProcedure {
+	if r.Committed || p.CommitsItself {
 		return true
 	}
 	return p.MayCommit && r.Err == nil
@@ -39,7 +39,7 @@
 
 // NeedsConfirmation reports whether the complete answer must be confirmed.
 func (r Result) NeedsConfirmation(p *planner.Plan) bool {
-	if r.Committed || p.RunsProcedure {
+	if r.Committed || p.CommitsItself {
 		return true
 	}
 	return r.Err == nil && (p.ImplicitWrite || p.ReturnsData)
--- a/internal/runner/result_test.go
+++ b/internal/runner/result_test.go
@@ -19,7 +19,7 @@
 	write := &planner.Plan{MayCommit: true, ImplicitWrite: true, ReturnsData: true}
 	commit := &planner.Plan{MayCommit: true, ExplicitTransaction: true}
 	read := &planner.Plan{ReturnsData: true}
-	call := &planner.Plan{MayCommit: true, ImplicitWrite: true, RunsProcedure: true}
+	call := &planner.Plan{MayCommit: true, ImplicitWrite: true, CommitsItself: true}
 	inTransaction := &planner.Plan{ExplicitTransaction: true}
 	cases := []struct {
 		name                       string
