--- a/internal/retainer/doc.go
+++ b/internal/retainer/doc.go
@@ -10,8 +10,10 @@
 //
 // Invariants:
 //
-//   - A connection is released only outside transactions, after every response was read, and
-//     without state of the session; otherwise it is discarded.
+//   - A Retainer releases a connection only outside transactions, after every response was read,
+//     and without state of the session; otherwise it discards it. Connections that a session never
+//     retains, those of reads on replicas and of the proxy's own statements on request keys, are
+//     given back by packages director and concluder under the same rule.
 //   - A transaction that has lost its connection goes on as a failed one until the caller ends
 //     it. It never continues on another connection.
 //   - A pinned connection that is lost ends the session with its next error.
--- a/internal/runner/doc.go
+++ b/internal/runner/doc.go
@@ -15,5 +15,6 @@
 //     rows beyond a limit may be passed on earlier.
 //   - Every response is read, also when the caller has disconnected or does not read, unless
 //     that would take too long. A [LostError] says that the connection must not be used again.
-//   - A wait for a server ends when another server has become the primary.
+//   - A wait for the primary ends when another server has become the primary. A wait for a
+//     replica ends when its status row has not arrived in time or the replica is not reachable.
 package runner
--- a/internal/terminator/doc.go
+++ b/internal/terminator/doc.go
@@ -6,5 +6,5 @@
 // waits for a request with no transaction open. An expired or revoked one ends as soon as no
 // request is running, even inside a transaction, which is then rolled back.
 //
-// A request that runs is always answered before the session ends.
+// A request that runs is answered before the session ends, unless its run panics.
 package terminator
