director: tests hold six rules that no test held

Each of these could be removed and all tests passed: portals are cleared with the connection, a read that replicas refuse is refunded, retries end with the wait for a primary, an expired operation is confirmed on a pinned connection, reads stay at their replica, one check that sees another primary ends no wait. That the output of a batch that ends with Flush counts as partly sent is still not held.

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -76,8 +77,27 @@
 	// superseded is how many confirmations report that the primary was replaced and its last
 	// records are not in the next term.
 	superseded int
+	charge     *charger.Charger
+	// refuses is set when the quota admits nothing more; the token of an admitted operation has
+	// expired then. refunded counts operations that were given back.
+	refuses  bool
+	refunded int
 }
 
+// Admit makes the session the quota of its team.
+func (s *session) Admit(string, time.Time) (charger.Operation, error) {
+	if s.refuses {
+		return nil, errors.New("over the quota")
+	}
+	return operation{s}, nil
+}
+
+type operation struct{ s *session }
+
+func (o operation) IsExpired() bool { return o.s.refuses }
+func (o operation) Done()           {}
+func (o operation) Refund()         { o.s.refunded++ }
+
 func (s *session) Acquire(_ context.Context, req pooler.Request) (pooler.Conn, error) {
 	if len(s.scripts) == 0 {
 		return nil, &pooler.RefusedError{Server: req.Server, Reason: pooler.ReasonQueueFull}
@@ -118,7 +138,9 @@
 
 func (k tokenKeys) TokenKeys() [][]byte { return k }
 
-func newSession(t *testing.T) *session {
+func newSession(t *testing.T) *session { return newSessionWithWait(t, 5*time.Second) }
+
+func newSessionWithWait(t *testing.T, primaryWait time.Duration) *session {
 	caller, _ := net.Pipe()
 	t.Cleanup(func() { _ = caller.Close() })
 	clock := clockwork.NewRealClock()
@@ -138,20 +160,20 @@
 	})}
 	cert := certifier.New(certifier.Config{Group: "g", Confirmer: s, Wait: time.Second})
 	acq := acquirer.New(acquirer.Config{
-		Group: "g", Shared: s.group, Views: s, Pool: s, Check: cert.Check, Clock: clock, PrimaryWait: 5 * time.Second, Context: t.Context(), Waits: metrics.NewCounter(),
+		Group: "g", Shared: s.group, Views: s, Pool: s, Check: cert.Check, Clock: clock, PrimaryWait: primaryWait, Context: t.Context(), Waits: metrics.NewCounter(),
 	})
 	s.retainer = retainer.New(retainer.Config{Pins: &retainer.Pins{}, Limit: 1, EndUse: acq.EndUse})
 	s.out = responder.New(responder.Config{Conn: caller, HoldsServer: acq.IsRunning})
-	charge := charger.New(charger.Config{})
+	s.charge = charger.New(charger.Config{Quotas: s, Team: "t", Clock: clock, Refused: metrics.NewCounter()})
 	minimum := &certifier.Minimum{}
 	run := runner.New(runner.Config{
-		Group: "g", Output: s.out, Acquirer: acq, Retainer: s.retainer, Charger: charge, Certifier: cert, Views: s,
+		Group: "g", Output: s.out, Acquirer: acq, Retainer: s.retainer, Charger: s.charge, Certifier: cert, Views: s,
 		Statements: &preparer.Set{}, Parser: translator.Parser{Classifier: s.parse}, ResponseBufferLimit: 1 << 10, BatchLimit: 1 << 10, Clock: clock,
 	})
 	s.Director = director.New(director.Config{
 		Group: "g", Router: router.New(router.Config{Policy: router.Session}, catalog, s, func(_, server string) int { return s.group.Reads(server) }),
 		Views: s, RetryBudget: s, Counters: s.counters, ReplicaWait: time.Second, Clock: clock,
-		Shared: s.group, Acquirer: acq, Retainer: s.retainer, Charger: charge, Certifier: cert, Minimum: minimum, Output: s.out, Runner: run,
+		Shared: s.group, Acquirer: acq, Retainer: s.retainer, Charger: s.charge, Certifier: cert, Minimum: minimum, Output: s.out, Runner: run,
 		Concluder: concluder.New(concluder.Config{
 			Group: "g", Output: s.out, Acquirer: acq, Retainer: s.retainer, Certifier: cert, Minimum: minimum,
 			Tokener: tokener.New(tokenKeys{[]byte("key")}, clock), Clock: clock, Commits: metrics.NewCounter(),
@@ -263,6 +285,70 @@
 	}
 }
 
+// Guards against a batch that is retried for longer than a caller waits for a primary.
+func TestRetriesEndWithWait(t *testing.T) {
+	s := newSessionWithWait(t, time.Nanosecond)
+	s.scripts = []messages{nil, nil}
+	b := &batcher.Batch{Query: &pgproto3.Query{String: "select w from other"}}
+	if failure, err := s.Run(b, s.plan(b)); failure == nil || failure.Code != resolver.CodeNotRun || err != nil || len(s.conns) != 1 {
+		t.Errorf("got %v, %v after %d runs", failure, err, len(s.conns))
+	}
+}
+
+// Guards against an operation that stays charged though each server refused it before it ran.
+func TestRefusedReadIsRefunded(t *testing.T) {
+	s := newSession(t)
+	refused := join(statusRow("replica", "7"), failed(resolver.CodeTooManyConnections))
+	s.scripts = []messages{refused, refused}
+	b := &batcher.Batch{Query: &pgproto3.Query{String: "select v from kv"}}
+	p := s.plan(b)
+	if failure := s.charge.Admit(p.Executed, false); failure != nil {
+		t.Fatal(failure.Message)
+	}
+	if failure, err := s.Run(b, p); failure == nil || failure.Code != resolver.CodeNotRun || err != nil || len(s.conns) != 2 {
+		t.Errorf("got %v, %v after %d runs", failure, err, len(s.conns))
+	}
+	s.charge.Settle(true)
+	if s.refunded != 1 {
+		t.Errorf("refunded %d times", s.refunded)
+	}
+}
+
+// Guards against an operation that begins on a pinned connection after its token has expired.
+func TestExpiredOperationOnPinnedConnection(t *testing.T) {
+	s := newSession(t)
+	pinned := &conn{server: "a", answers: join(done("SELECT 0"), statusRow("primary", "7"))}
+	if failure := s.retainer.Pin(func() (pooler.Conn, *pgproto3.ErrorResponse) { return pinned, nil }, nil); failure != nil {
+		t.Fatal(failure.Message)
+	}
+	b := &batcher.Batch{Query: &pgproto3.Query{String: "select w from other"}}
+	p := s.plan(b)
+	if failure := s.charge.Admit(p.Executed, false); failure != nil {
+		t.Fatal(failure.Message)
+	}
+	s.refuses = true
+	failure, err := s.Run(b, p)
+	if failure == nil || failure.Code != resolver.CodeQuotaExceeded || err != nil || pinned.given != 0 || s.group.InFlight() != 0 {
+		t.Errorf("got %v, %v, given back %d times, %d in flight", failure, err, pinned.given, s.group.InFlight())
+	}
+}
+
+// Guards against reads of one session that change between replicas without need.
+func TestReadsStayAtReplica(t *testing.T) {
+	s := newSession(t)
+	for range 3 {
+		s.scripts = append(s.scripts, join(statusRow("replica", "7"), done("SELECT 0")))
+		b := &batcher.Batch{Query: &pgproto3.Query{String: "select v from kv"}}
+		if failure, err := s.Run(b, s.plan(b)); failure != nil || err != nil {
+			t.Fatal(failure, err)
+		}
+		slices.Reverse(s.view.Replicas) // of equal replicas the first one is chosen
+	}
+	if len(slices.Compact(slices.Clone(s.servers))) != 1 {
+		t.Errorf("read at %v", s.servers)
+	}
+}
+
 // Guards against a server connection that is neither retained nor given back when a batch that
 // pins its connection is retried: it would hold a place at the former primary until the session
 // ends.
--- a/internal/retainer/retainer_test.go
+++ b/internal/retainer/retainer_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/retainer"
@@ -48,7 +49,8 @@
 var rolledBack = []pgproto3.BackendMessage{&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")}, &pgproto3.ReadyForQuery{TxStatus: 'I'}}
 
 // Guards against a connection that is used again with a transaction, state or an unread answer
-// of a caller that has left, and against one that is closed without need.
+// of a caller that has left, against one that is closed without need, and against portals of a
+// former connection that count as those of the next one.
 func TestReturn(t *testing.T) {
 	open := retainer.Transaction{IsOpen: true}
 	cases := []struct {
@@ -77,6 +79,7 @@
 			r, ends := newRetainer(&retainer.Pins{})
 			conn := &conn{answers: slices.Clone(c.answers)}
 			c.retain(r, conn)
+			r.Portals.Set("p", &classifier.Result{})
 			r.Return()
 			r.Return() // there is nothing to return any more
 			if conn.released+conn.discarded != 1 || (conn.released == 1) != c.released {
@@ -85,6 +88,9 @@
 			if *ends != 1 || r.Conn() != nil || r.Status() != 'I' {
 				t.Errorf("%d ends of the use, connection %v, status %c", *ends, r.Conn(), r.Status())
 			}
+			if _, ok := r.Portals.Get("p"); ok {
+				t.Error("a portal is left")
+			}
 		})
 	}
 }
--- a/internal/runner/exchange_test.go
+++ b/internal/runner/exchange_test.go
@@ -167,16 +167,19 @@
 	cases := []struct {
 		name string
 		view tracker.View
-		want string
+		// timeouts is how often the view is checked before the connection fails.
+		timeouts int
+		want     string
 	}{
-		{"replaced", tracker.View{Term: 2, Primary: "b"}, "backend server a was replaced as primary"},
-		{"primary unknown", tracker.View{Term: 2}, "connection to backend server a was lost"},
-		{"still the primary", tracker.View{Term: 1, Primary: "a"}, "connection to backend server a was lost"},
+		{"replaced", tracker.View{Term: 2, Primary: "b"}, 3, "backend server a was replaced as primary"},
+		{"replaced, seen once", tracker.View{Term: 2, Primary: "b"}, 1, "connection to backend server a was lost"},
+		{"primary unknown", tracker.View{Term: 2}, 3, "connection to backend server a was lost"},
+		{"still the primary", tracker.View{Term: 1, Primary: "a"}, 3, "connection to backend server a was lost"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			fx := newFixture(t, c.view)
-			x := fx.exchange(&silentConn{timeouts: 3}, "select w from other")
+			x := fx.exchange(&silentConn{timeouts: c.timeouts}, "select w from other")
 			if err := x.Run(); err == nil || !strings.HasSuffix(err.Error(), c.want) {
 				t.Errorf("got %v, want %s", err, c.want)
 			}
