runner: tests errors that end the connection in the extended protocol

TestErrorsThatEndTheConnection had only simple queries, which count statements in another way. Six cases hold Parse/Bind/Execute with a FATAL before and after the command tag, of one and two statements, and before and after CloseComplete of a portal. They pass without a change of the code.

--- a/internal/runner/exchange_test.go
+++ b/internal/runner/exchange_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -87,11 +88,21 @@
 }
 
 func (fx *fixture) exchange(c pooler.Conn, sql string) *runner.Exchange {
-	q := &pgproto3.Query{String: sql}
+	return fx.exchangeOf(c, simple(sql))
+}
+
+func (fx *fixture) exchangeOf(c pooler.Conn, b *batcher.Batch) *runner.Exchange {
 	none := func(string) (*classifier.Result, bool) { return nil, false }
-	return fx.runner.New(c, &batcher.Batch{Query: q}, planner.Make(planner.Input{Query: q, Classifier: fx.parse, Statement: none, Portal: none}))
+	return fx.runner.New(c, b, planner.Make(planner.Input{Query: b.Query, Messages: b.Messages, Classifier: fx.parse, Statement: none, Portal: none}))
 }
 
+// extended is a batch that runs one statement by messages of the extended protocol.
+func extended(sql string, more ...pgproto3.FrontendMessage) *batcher.Batch {
+	return &batcher.Batch{Messages: append([]pgproto3.FrontendMessage{&pgproto3.Parse{Query: sql}, &pgproto3.Bind{}, &pgproto3.Execute{}}, more...)}
+}
+
+func simple(sql string) *batcher.Batch { return &batcher.Batch{Query: &pgproto3.Query{String: sql}} }
+
 func tag(s string) *pgproto3.CommandComplete { return &pgproto3.CommandComplete{CommandTag: []byte(s)} }
 
 func row(n int) *pgproto3.DataRow { return &pgproto3.DataRow{Values: [][]byte{make([]byte, n)}} }
@@ -251,28 +262,36 @@
 	fatal := &pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: "57P01"}
 	crash := &pgproto3.ErrorResponse{Severity: "PANIC", SeverityUnlocalized: "PANIC", Code: "XX000"}
 	failed := &pgproto3.ErrorResponse{Severity: "ERROR", Code: "22012"}
+	bound := []pgproto3.BackendMessage{&pgproto3.ParseComplete{}, &pgproto3.BindComplete{}}
 	insert := "insert into kv values ('x')"
 	cases := []struct {
-		name, sql string
-		answers   []pgproto3.BackendMessage
+		name    string
+		batch   *batcher.Batch
+		answers []pgproto3.BackendMessage
 		// want is set if the batch may have committed.
 		want bool
 	}{
-		{"statement is ended", insert, []pgproto3.BackendMessage{fatal}, false},
-		{"second statement is ended", insert + ";" + insert, []pgproto3.BackendMessage{tag("INSERT 0 1"), fatal}, false},
-		{"after the last statement", insert, []pgproto3.BackendMessage{tag("INSERT 0 1"), fatal}, true},
-		{"index is built concurrently", "create index concurrently i on kv (v)", []pgproto3.BackendMessage{fatal}, true},
-		{"index is built", "create index i on kv (v)", []pgproto3.BackendMessage{fatal}, false},
-		{"tables are vacuumed", "vacuum", []pgproto3.BackendMessage{fatal}, true},
-		{"server crashes", insert, []pgproto3.BackendMessage{crash}, true},
-		{"server crashes in a commit", "begin; " + insert + "; commit", []pgproto3.BackendMessage{tag("BEGIN"), tag("INSERT 0 1"), crash}, true},
-		{"server crashes after the statement failed", insert, []pgproto3.BackendMessage{failed, crash}, false},
-		{"server crashes in a read", "select w from other", []pgproto3.BackendMessage{crash}, false},
+		{"statement is ended", simple(insert), []pgproto3.BackendMessage{fatal}, false},
+		{"second statement is ended", simple(insert + ";" + insert), []pgproto3.BackendMessage{tag("INSERT 0 1"), fatal}, false},
+		{"after the last statement", simple(insert), []pgproto3.BackendMessage{tag("INSERT 0 1"), fatal}, true},
+		{"index is built concurrently", simple("create index concurrently i on kv (v)"), []pgproto3.BackendMessage{fatal}, true},
+		{"index is built", simple("create index i on kv (v)"), []pgproto3.BackendMessage{fatal}, false},
+		{"tables are vacuumed", simple("vacuum"), []pgproto3.BackendMessage{fatal}, true},
+		{"server crashes", simple(insert), []pgproto3.BackendMessage{crash}, true},
+		{"server crashes in a commit", simple("begin; " + insert + "; commit"), []pgproto3.BackendMessage{tag("BEGIN"), tag("INSERT 0 1"), crash}, true},
+		{"server crashes after the statement failed", simple(insert), []pgproto3.BackendMessage{failed, crash}, false},
+		{"server crashes in a read", simple("select w from other"), []pgproto3.BackendMessage{crash}, false},
+		{"extended, ended after the statement", extended(insert), append(slices.Clone(bound), tag("INSERT 0 1"), fatal), true},
+		{"extended, statement is ended", extended(insert), append(slices.Clone(bound), fatal), false},
+		{"extended, Bind is ended", extended(insert), []pgproto3.BackendMessage{bound[0], fatal}, false},
+		{"extended, second statement is ended", extended(insert, extended(insert).Messages...), append(slices.Clone(bound), tag("INSERT 0 1"), bound[0], bound[1], fatal), false},
+		{"extended, ended before the portal is closed", extended(insert, &pgproto3.Close{ObjectType: 'P'}), append(slices.Clone(bound), tag("INSERT 0 1"), fatal), false},
+		{"extended, ended after the portal was closed", extended(insert, &pgproto3.Close{ObjectType: 'P'}), append(slices.Clone(bound), tag("INSERT 0 1"), &pgproto3.CloseComplete{}, fatal), true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			fx := newFixture(t, tracker.View{Term: 1, Primary: "a"})
-			x := fx.exchange(&conn{answers: c.answers, err: io.EOF}, c.sql)
+			x := fx.exchangeOf(&conn{answers: c.answers, err: io.EOF}, c.batch)
 			var lost *runner.LostError
 			if err := x.Run(); !errors.As(err, &lost) {
 				t.Errorf("got %v", err)
