relayer: a session exports only what its users call

The embedded terminator exported SetIdle, EndError, RequestError, Draining and Expired on Session, which only the session itself may use. It is a field now; Drain, Displace, Expire, Revoke and IdleSince are forwarded.

--- a/internal/relayer/new_session.go
+++ b/internal/relayer/new_session.go
@@ -24,7 +24,7 @@
 func (r *Relayer) NewSession(a AuthenticatedConn) (*Session, error) {
 	g := r.group(a.Group)
 	s := &Session{
-		Terminator: terminator.New(), r: r, conn: a.Conn, in: a.Inbound, caller: a.Caller, groupName: a.Group, group: g.Group, certifier: g.certifier,
+		terminator: terminator.New(), r: r, conn: a.Conn, in: a.Inbound, caller: a.Caller, groupName: a.Group, group: g.Group, certifier: g.certifier,
 		parser: translator.Parser{Classifier: r.deps.Classifier, Keys: rewriter.Keys(a.Caller.Name)},
 	}
 	var err error
@@ -50,7 +50,7 @@
 func (s *Session) buildParts(a AuthenticatedConn) {
 	r := s.r
 	s.reader = batcher.New(batcher.Config{
-		Backend: a.Backend, Inbound: a.Inbound, Limit: r.cfg.BatchLimit, Terminator: s.Terminator, OnDisconnect: s.handleDisconnect, Log: r.log,
+		Backend: a.Backend, Inbound: a.Inbound, Limit: r.cfg.BatchLimit, Terminator: s.terminator, OnDisconnect: s.handleDisconnect, Log: r.log,
 	})
 	s.out = responder.New(responder.Config{
 		Conn: a.Conn, Inbound: a.Inbound, WriteWait: r.cfg.WriteWait, HoldsServer: s.holdsServerConn, IsStarved: s.group.IsStarved, Log: r.log,
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -42,17 +43,16 @@
 	Token string
 }
 
-// Session serves one caller connection. Cancel and the methods of its Terminator may be
-// called while Run runs.
+// Session serves one caller connection. All methods but Run may be called while Run runs.
 type Session struct {
-	// Terminator ends the session.
-	*terminator.Terminator
-	r         *Relayer
-	conn      net.Conn
-	in        *framer.Inbound
-	caller    checker.Caller
-	groupName string
-	group     *acquirer.Group
+	// terminator ends the session.
+	terminator *terminator.Terminator
+	r          *Relayer
+	conn       net.Conn
+	in         *framer.Inbound
+	caller     checker.Caller
+	groupName  string
+	group      *acquirer.Group
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -91,6 +91,23 @@
 // ends a wait for a server connection. Otherwise it does nothing.
 func (s *Session) Cancel(ctx context.Context) error { return s.acquirer.Cancel(ctx) }
 
+// Drain ends the session with 57P01 as soon as it is idle.
+func (s *Session) Drain() { s.terminator.Drain() }
+
+// Displace ends the session like Drain, in favor of a new connection.
+func (s *Session) Displace() { s.terminator.Displace() }
+
+// Expire ends the session as soon as no statement is running, even inside a
+// transaction, which is then rolled back.
+func (s *Session) Expire() { s.terminator.Expire() }
+
+// Revoke ends the session before it runs another request, because the caller may no
+// longer use it. An open transaction is rolled back. A request that runs is answered.
+func (s *Session) Revoke() { s.terminator.Revoke() }
+
+// IdleSince returns since when the session has been idle; the zero time if it is not.
+func (s *Session) IdleSince() time.Time { return s.terminator.IdleSince() }
+
 // Run serves the caller until the connection ends.
 func (s *Session) Run() {
 	defer s.finish()
@@ -98,7 +115,7 @@
 	for {
 		b, err := s.nextBatch()
 		if err == nil {
-			err = s.RequestError()
+			err = s.terminator.RequestError()
 		}
 		if err == nil {
 			err = s.serve(b)
