relayer: names and places in its packages say what they hold

No change of behavior. Retainer.EndSync and a SetRunning(nil) in Conclude had no effect and are gone: every conclusion ends the wait for Sync, and Run ends what receives cancel requests. Renamed: Charger.MarkSent, Acquirer.AcquirePrimary, AcquireAdmitted and AcquireReplica, Exchange.MayHaveCommitted and NeedsConfirmation without the exchange's own plan as argument; a Fresh is called f. A panic in one of the two watches of a wait says which. serve.go is in the order of the calls.

--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -128,18 +128,18 @@
 	a.cancelWait = f
 }
 
-// Admitted returns a connection to the primary for an operation while its token of the quota
+// AcquireAdmitted returns a connection to the primary for an operation while its token of the quota
 // is valid, which confirm makes sure of. The token is confirmed before the wait for a
 // connection, too, so that none is kept from others during a wait for a token unless the wait
 // for the connection outlasted the token.
-func (a *Acquirer) Admitted(w *Wait, class pooler.Class, confirm func() *pgproto3.ErrorResponse) (pooler.Conn, *pgproto3.ErrorResponse) {
+func (a *Acquirer) AcquireAdmitted(w *Wait, class pooler.Class, confirm func() *pgproto3.ErrorResponse) (pooler.Conn, *pgproto3.ErrorResponse) {
 	if failure := a.BeginUse(w); failure != nil {
 		return nil, failure
 	}
 	if failure := confirm(); failure != nil {
 		return nil, failure
 	}
-	conn, failure := a.Primary(w, class)
+	conn, failure := a.AcquirePrimary(w, class)
 	if failure != nil {
 		return nil, failure
 	}
@@ -150,9 +150,9 @@
 	return conn, nil
 }
 
-// Primary returns a connection to the primary and counts the session as
+// AcquirePrimary returns a connection to the primary and counts the session as
 // in flight there. An error proves that nothing was sent.
-func (a *Acquirer) Primary(w *Wait, class pooler.Class) (pooler.Conn, *pgproto3.ErrorResponse) {
+func (a *Acquirer) AcquirePrimary(w *Wait, class pooler.Class) (pooler.Conn, *pgproto3.ErrorResponse) {
 	for {
 		if failure := a.BeginUse(w); failure != nil {
 			return nil, failure
@@ -176,8 +176,8 @@
 	}
 }
 
-// Replica returns a connection to a replica for a read that may run elsewhere.
-func (a *Acquirer) Replica(server string, limit time.Duration) (pooler.Conn, error) {
+// AcquireReplica returns a connection to a replica for a read that may run elsewhere.
+func (a *Acquirer) AcquireReplica(server string, limit time.Duration) (pooler.Conn, error) {
 	return a.acquire(a.cfg.Context, server, pooler.BoundedRead, limit)
 }
 
@@ -219,7 +219,7 @@
 // interruptOnReplacement interrupts the wait when another server becomes the
 // primary.
 func (a *Acquirer) interruptOnReplacement(ctx context.Context, server string, interrupt context.CancelCauseFunc) {
-	defer guarder.Recover(a.cfg.Log, "wait for a connection")
+	defer guarder.Recover(a.cfg.Log, "watch of the primary")
 	for {
 		changed := a.cfg.Views.Changed(a.cfg.Group)
 		v, ok := a.cfg.Views.View(a.cfg.Group)
--- a/internal/acquirer/acquirer_test.go
+++ b/internal/acquirer/acquirer_test.go
@@ -179,7 +179,7 @@
 				c.event(fx)
 			}
 			began := time.Now()
-			got, failure := fx.Primary(fx.NewWait(), pooler.Write)
+			got, failure := fx.AcquirePrimary(fx.NewWait(), pooler.Write)
 			if d := time.Since(began); d < c.takes || d > c.within {
 				t.Errorf("took %v, want %v to %v", d, c.takes, c.within)
 			}
@@ -235,7 +235,7 @@
 				return taken, nil
 			}
 			confirms := c.confirms
-			_, failure := fx.Admitted(fx.NewWait(), pooler.Write, func() *pgproto3.ErrorResponse {
+			_, failure := fx.AcquireAdmitted(fx.NewWait(), pooler.Write, func() *pgproto3.ErrorResponse {
 				defer func() { confirms = confirms[1:] }()
 				return confirms[0]
 			})
@@ -261,7 +261,7 @@
 	}
 	var conns []pooler.Conn
 	for _, server := range []string{"b", "c", "d"} {
-		c, err := fx.Replica(server, time.Second)
+		c, err := fx.AcquireReplica(server, time.Second)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -306,7 +306,7 @@
 		starved = fx.group.IsStarved()
 		return nil, errors.New("test")
 	}
-	if _, err := fx.Replica("b", time.Second); err == nil || !starved {
+	if _, err := fx.AcquireReplica("b", time.Second); err == nil || !starved {
 		t.Errorf("got %v, starved %v", err, starved)
 	}
 	if fx.group.IsStarved() {
@@ -321,7 +321,7 @@
 	fx.pool.acquire = func(context.Context, pooler.Request) (pooler.Conn, error) { panic("test of a panic in the pool") }
 	func() {
 		defer func() { _ = recover() }()
-		_, _ = fx.Replica("b", time.Second)
+		_, _ = fx.AcquireReplica("b", time.Second)
 	}()
 	time.Sleep(700 * time.Millisecond)
 	if fx.group.IsStarved() {
@@ -337,7 +337,7 @@
 		defer fx.views.panics.Store(false)
 		return wait(ctx, req)
 	}
-	if _, failure := fx.Primary(fx.NewWait(), pooler.Write); failure == nil || failure.Code != resolver.CodeNotRun {
+	if _, failure := fx.AcquirePrimary(fx.NewWait(), pooler.Write); failure == nil || failure.Code != resolver.CodeNotRun {
 		t.Errorf("got %v", failure)
 	}
 }
--- a/internal/acquirer/peer.go
+++ b/internal/acquirer/peer.go
@@ -23,7 +23,7 @@
 	}
 	ended := make(chan struct{})
 	watch := time.AfterFunc(checkInterval, func() {
-		defer guarder.Recover(a.cfg.Log, "wait for a connection")
+		defer guarder.Recover(a.cfg.Log, "watch of the caller")
 		ticker := time.NewTicker(checkInterval)
 		defer ticker.Stop()
 		for !peerClosed(tcp) {
--- a/internal/batcher/batch.go
+++ b/internal/batcher/batch.go
@@ -4,7 +4,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"marigoldhub.example/hub/internal/resolver"
-	"marigoldhub.example/hub/internal/responder"
+	"marigoldhub.example/hub/internal/terminator"
 )
 
 // Batch is the unit that is run: a simple query, or extended-protocol messages
@@ -27,7 +27,7 @@
 	switch m := msg.(type) {
 	case *pgproto3.Query:
 		if len(b.Messages) > 0 || awaitsSync {
-			return false, responder.Fatal(resolver.CodeProtocolViolation, "simple query inside an extended-protocol batch")
+			return false, terminator.Fatal(resolver.CodeProtocolViolation, "simple query inside an extended-protocol batch")
 		}
 		b.Query = m
 		return true, nil
@@ -38,7 +38,7 @@
 		return true, nil
 	case *pgproto3.FunctionCall:
 		if len(b.Messages) > 0 || awaitsSync {
-			return false, responder.Fatal(resolver.CodeProtocolViolation, "function call inside an extended-protocol batch")
+			return false, terminator.Fatal(resolver.CodeProtocolViolation, "function call inside an extended-protocol batch")
 		}
 		b.Unsupported = resolver.Error(resolver.CodeNotSupported, "function call messages are not supported by the proxy", "")
 		return true, nil
--- a/internal/batcher/doc.go
+++ b/internal/batcher/doc.go
@@ -1,4 +1,4 @@
-// Package batcher reads the messages of one caller and puts them together to batches.
+// Package batcher reads the messages of one caller and puts them together into batches.
 //
 // A [Batch] is the unit that is run: one simple query, or messages of the extended protocol up
 // to Sync or Flush. A [Reader] reads one message ahead, so that it notices while a statement
--- a/internal/batcher/reader.go
+++ b/internal/batcher/reader.go
@@ -11,7 +11,6 @@
 	"marigoldhub.example/hub/internal/framer"
 	"marigoldhub.example/hub/internal/guarder"
 	"marigoldhub.example/hub/internal/resolver"
-	"marigoldhub.example/hub/internal/responder"
 	"marigoldhub.example/hub/internal/terminator"
 )
 
@@ -123,7 +122,7 @@
 		}
 		b.size += in.size
 		if b.size > r.cfg.Limit {
-			return nil, responder.Fatal(resolver.CodeLimitExceeded, "batch of messages is too large")
+			return nil, terminator.Fatal(resolver.CodeLimitExceeded, "batch of messages is too large")
 		}
 		done, err := b.add(in.msg, st.AwaitsSync)
 		r.batchTaken = done
@@ -146,7 +145,7 @@
 	case in := <-r.incoming:
 		return in, messageError(in.err)
 	case <-r.disconnected:
-		return message{}, responder.ErrClosed
+		return message{}, terminator.ErrClosed
 	case <-draining:
 		return message{}, r.cfg.Terminator.EndError(false, st.InTransaction)
 	case <-r.cfg.Terminator.Expired():
@@ -160,13 +159,13 @@
 	case err == nil:
 		return nil
 	case isDisconnect(err):
-		return responder.ErrClosed
+		return terminator.ErrClosed
 	case errors.Is(err, budgeter.ErrExhausted):
-		return responder.Fatal(resolver.CodeOutOfMemory, "request was not run: "+err.Error())
+		return terminator.Fatal(resolver.CodeOutOfMemory, "request was not run: "+err.Error())
 	case errors.Is(err, budgeter.ErrEvicted):
-		return responder.ErrClosed
+		return terminator.ErrClosed
 	case errors.As(err, &tooLarge):
-		return responder.Fatal(resolver.CodeLimitExceeded, "message is too large")
+		return terminator.Fatal(resolver.CodeLimitExceeded, "message is too large")
 	}
-	return responder.Fatal(resolver.CodeProtocolViolation, "malformed message")
+	return terminator.Fatal(resolver.CodeProtocolViolation, "malformed message")
 }
--- a/internal/batcher/reader_test.go
+++ b/internal/batcher/reader_test.go
@@ -14,7 +14,6 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldhub.example/hub/internal/batcher"
-	"marigoldhub.example/hub/internal/responder"
 	"marigoldhub.example/hub/internal/terminator"
 )
 
@@ -33,7 +32,7 @@
 
 // describe returns an abbreviation of a batch, or of the error that ended the session.
 func describe(b *batcher.Batch, err error) string {
-	var fatal *responder.FatalError
+	var fatal *terminator.FatalError
 	switch {
 	case errors.As(err, &fatal):
 		return fatal.Response.Code
@@ -154,7 +153,7 @@
 	}{{"connection lost", false}, {"panic", true}} {
 		t.Run(c.name, func(t *testing.T) {
 			r, disconnects := newReader(t, brokenConn{c.panics}, terminator.New())
-			if got := describe(r.Next(batcher.State{})); got != responder.ErrClosed.Error() {
+			if got := describe(r.Next(batcher.State{})); got != terminator.ErrClosed.Error() {
 				t.Errorf("got %q", got)
 			}
 			<-r.Done()
--- a/internal/charger/charger.go
+++ b/internal/charger/charger.go
@@ -116,9 +116,9 @@
 	return c.take()
 }
 
-// Send records that a part of the operation is sent to a server, which may run it from now on.
+// MarkSent records that a part of the operation is sent to a server, which may run it from now on.
 // If the server proves that it ran nothing of this part, undo takes the record back.
-func (c *Charger) Send() (undo func()) {
+func (c *Charger) MarkSent() (undo func()) {
 	before := c.ran
 	c.ran = true
 	return func() { c.ran = before }
--- a/internal/charger/charger_test.go
+++ b/internal/charger/charger_test.go
@@ -81,8 +81,8 @@
 			}
 		}
 	}
-	send := func(_ *testing.T, c *charger.Charger) { c.Send() }
-	undone := func(_ *testing.T, c *charger.Charger) { c.Send()() }
+	send := func(_ *testing.T, c *charger.Charger) { c.MarkSent() }
+	undone := func(_ *testing.T, c *charger.Charger) { c.MarkSent()() }
 	settle := func(ended bool) func(*testing.T, *charger.Charger) {
 		return func(_ *testing.T, c *charger.Charger) { c.Settle(ended) }
 	}
--- a/internal/concluder/concluder.go
+++ b/internal/concluder/concluder.go
@@ -54,7 +54,7 @@
 func (c *Concluder) Lost(x *runner.Exchange, err error) Verdict {
 	wasActive := c.cfg.Retainer.Transaction().IsOpen
 	c.cfg.Retainer.Lose(x.Conn)
-	if x.MayHaveCommitted(x.Plan) {
+	if x.MayHaveCommitted() {
 		return c.replaceAnswer(x, resolver.UnknownError(err.Error()), false)
 	}
 	if wasActive || (x.Plan.LeavesTransactionOpen && len(x.Plan.Executed) > 1) || x.PartlySent {
@@ -72,7 +72,7 @@
 
 // Conclude decides, after ReadyForQuery, what becomes of the connection and of
 // the answer.
-func (c *Concluder) Conclude(x *runner.Exchange, p *certifier.Fresh) Verdict {
+func (c *Concluder) Conclude(x *runner.Exchange, f *certifier.Fresh) Verdict {
 	if x.KeyConflict != "" {
 		return c.concludeKeyConflict(x)
 	}
@@ -83,18 +83,17 @@
 		c.retainInTransaction(x)
 		return c.concludeInTransaction(x)
 	}
-	confirm := x.NeedsConfirmation(x.Plan)
+	confirm := x.NeedsConfirmation()
 	if confirm && x.Row == nil {
 		if err := x.AskStatus(); err != nil {
 			return c.Lost(x, err)
 		}
 	}
 	inTx := c.cfg.Retainer.Transaction().IsOpen
-	c.cfg.Acquirer.SetRunning(nil)
 	c.cfg.Retainer.Finish(x.Conn, x.MustDiscard)
 	defer c.cfg.Acquirer.EndUse()
 	if confirm {
-		return c.concludeConfirmed(x, p)
+		return c.concludeConfirmed(x, f)
 	}
 	if x.Err != nil && !inTx && resolver.ProvesNotRun(x.Err) {
 		x.RecordRefusal()
@@ -127,7 +126,7 @@
 }
 
 // concludeConfirmed waits for the confirmation of a commit or a strict read.
-func (c *Concluder) concludeConfirmed(x *runner.Exchange, p *certifier.Fresh) Verdict {
+func (c *Concluder) concludeConfirmed(x *runner.Exchange, f *certifier.Fresh) Verdict {
 	commit := x.Evidence.ApplyTo(resolver.Commit{Lower: x.LowerBound, Upper: x.Row.Log})
 	// A server that is not the primary may have returned old data. Only a proved
 	// write shows that it was the primary when it ran the batch.
@@ -135,7 +134,7 @@
 		return c.concludeNotPrimary(x)
 	}
 	if !x.Plan.MayCommit && !x.Committed {
-		return c.concludeStrictRead(x, p, commit)
+		return c.concludeStrictRead(x, f, commit)
 	}
 	fresh := x.Committed || x.Evidence != resolver.ProvedWrite
 	res, err := c.cfg.Certifier.Confirm(x.Row.Log, fresh)
@@ -167,11 +166,11 @@
 	return c.replaceAnswer(x, resolver.UnknownError(why), false)
 }
 
-func (c *Concluder) concludeStrictRead(x *runner.Exchange, p *certifier.Fresh, commit resolver.Commit) Verdict {
-	if p == nil {
-		p = c.cfg.Certifier.StartFresh()
+func (c *Concluder) concludeStrictRead(x *runner.Exchange, f *certifier.Fresh, commit resolver.Commit) Verdict {
+	if f == nil {
+		f = c.cfg.Certifier.StartFresh()
 	}
-	res, err := c.cfg.Certifier.ConfirmRead(p, x.Row.Log)
+	res, err := c.cfg.Certifier.ConfirmRead(f, x.Row.Log)
 	if err != nil {
 		return c.replaceAnswer(x, resolver.NotRunError("position was not confirmed: "+err.Error()), false)
 	}
@@ -186,10 +185,6 @@
 func (c *Concluder) sendToken(p tracker.Position) {
 	token := c.cfg.Tokener.Sign(c.cfg.Caller, c.cfg.Group, p)
 	if token != "" {
-		c.cfg.Output.Send(&pgproto3.ParameterStatus{Name: TokenParameter, Value: token})
+		c.cfg.Output.Send(&pgproto3.ParameterStatus{Name: tokener.Parameter, Value: token})
 	}
 }
-
-// TokenParameter names the session token, as a startup parameter and in
-// ParameterStatus.
-const TokenParameter = "marigold.session_token"
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -19,6 +19,7 @@
 	"marigoldhub.example/hub/internal/retainer"
 	"marigoldhub.example/hub/internal/router"
 	"marigoldhub.example/hub/internal/runner"
+	"marigoldhub.example/hub/internal/terminator"
 	"marigoldhub.example/hub/internal/tracker"
 )
 
@@ -98,7 +99,7 @@
 	class := d.classOf(p)
 	w := d.cfg.Acquirer.NewWait()
 	for n := 1; ; n++ {
-		conn, failure := d.cfg.Acquirer.Admitted(w, class, d.cfg.Charger.Confirm)
+		conn, failure := d.cfg.Acquirer.AcquireAdmitted(w, class, d.cfg.Charger.Confirm)
 		if failure != nil {
 			d.cfg.Acquirer.EndUse()
 			return failure
@@ -135,11 +136,11 @@
 // primary.
 func (d *Director) checkPinnedServer() error {
 	if failure := d.cfg.Acquirer.BeginUse(d.cfg.Acquirer.NewWait()); failure != nil {
-		return responder.Fatal(failure.Code, failure.Message)
+		return terminator.Fatal(failure.Code, failure.Message)
 	}
 	v, ok := d.cfg.Views.View(d.cfg.Group)
 	if ok && v.Primary != "" && v.Primary != d.cfg.Retainer.Conn().Server() {
-		return responder.Fatal(resolver.CodeShutdown, "the primary that held this session's settings was replaced, connect again")
+		return terminator.Fatal(resolver.CodeShutdown, "the primary that held this session's settings was replaced, connect again")
 	}
 	return nil
 }
@@ -178,7 +179,6 @@
 		x.PartlySent = true
 		return concluder.Verdict{}
 	}
-	d.cfg.Retainer.EndSync()
 	v := d.cfg.Concluder.Conclude(x, f)
 	if v.Failure == nil {
 		x.ApplyStatements()
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -31,6 +31,7 @@
 	"marigoldhub.example/hub/internal/retainer"
 	"marigoldhub.example/hub/internal/router"
 	"marigoldhub.example/hub/internal/runner"
+	"marigoldhub.example/hub/internal/terminator"
 	"marigoldhub.example/hub/internal/tokener"
 	"marigoldhub.example/hub/internal/tracker"
 	"marigoldhub.example/hub/internal/translator"
@@ -414,7 +415,7 @@
 			s.view.Primary = c.primary
 			b := &batcher.Batch{Query: &pgproto3.Query{String: "select w from other"}}
 			failure, err := s.Run(b, s.plan(b))
-			var fatal *responder.FatalError
+			var fatal *terminator.FatalError
 			if errors.As(err, &fatal) != c.ends || failure != nil || len(s.servers) > 0 {
 				t.Errorf("got %v, %v, tried %v", failure, err, s.servers)
 			}
--- a/internal/director/replica.go
+++ b/internal/director/replica.go
@@ -56,7 +56,7 @@
 func (d *Director) tryReplica(b *batcher.Batch, p *planner.Plan, choice router.Choice) (bool, *pgproto3.ErrorResponse) {
 	d.cfg.Shared.AddReads(choice.Replica, 1)
 	defer d.cfg.Shared.AddReads(choice.Replica, -1)
-	conn, err := d.cfg.Acquirer.Replica(choice.Replica, d.cfg.ReplicaWait)
+	conn, err := d.cfg.Acquirer.AcquireReplica(choice.Replica, d.cfg.ReplicaWait)
 	if err != nil {
 		return false, nil
 	}
--- a/internal/gatekeeper/startup.go
+++ b/internal/gatekeeper/startup.go
@@ -6,10 +6,10 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"marigoldhub.example/hub/internal/concluder"
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/resolver"
 	"marigoldhub.example/hub/internal/rewriter"
+	"marigoldhub.example/hub/internal/tokener"
 )
 
 // maxParameterBytes is the maximum length of a name or value of a startup
@@ -37,7 +37,7 @@
 		case name == "user":
 			s.user = value
 		case name == "database":
-		case name == concluder.TokenParameter:
+		case name == tokener.Parameter:
 			s.token = value
 		case name == "application_name":
 			s.application = printable(value)
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -7,8 +7,8 @@
 	"marigoldhub.example/hub/internal/classifier"
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/resolver"
-	"marigoldhub.example/hub/internal/responder"
 	"marigoldhub.example/hub/internal/rewriter"
+	"marigoldhub.example/hub/internal/terminator"
 )
 
 // serve runs one batch and answers it.
@@ -63,6 +63,36 @@
 	return s.reply(b, failure)
 }
 
+// serveLostTx answers a batch of a caller whose transaction has failed and no
+// longer has a server connection. Only the end of the transaction is accepted.
+func (s *Session) serveLostTx(b *batcher.Batch, p *planner.Plan) error {
+	if !endsTransaction(p.Executed) || !endsTransaction(p.Parsed) {
+		return s.fail(b, resolver.Error(resolver.CodeFailedTransaction,
+			"current transaction is aborted, commands ignored until end of transaction block", ""))
+	}
+	s.retainer.SetLostTransaction(len(p.Executed) == 0)
+	return s.reply(b, s.replier.ReplyRollback(b))
+}
+
+func endsTransaction(list []classifier.Statement) bool {
+	for _, st := range list {
+		if st.Kind != classifier.Commit && st.Kind != classifier.Rollback {
+			return false
+		}
+	}
+	return true
+}
+
+// checkPin refuses a batch that would pin more server connections than the
+// caller may.
+func (s *Session) checkPin(p *planner.Plan) *pgproto3.ErrorResponse {
+	if !p.Pins() || s.retainer.ReservePin() {
+		return nil
+	}
+	return resolver.Error(resolver.CodeTooManyConnections,
+		"caller may not pin more server connections", "Session settings, LISTEN, advisory locks and temporary tables pin a server connection.")
+}
+
 // continueFlushed runs the next batch of an exchange that awaits Sync.
 func (s *Session) continueFlushed(b *batcher.Batch) error {
 	p := s.plan(b)
@@ -82,6 +112,17 @@
 	s.quota.Settle(!s.retainer.InTransaction() && !s.retainer.AwaitsSync())
 }
 
+// reply ends the answer to a batch, whose responses are in the output unless it has failed.
+func (s *Session) reply(b *batcher.Batch, failure *pgproto3.ErrorResponse) error {
+	switch {
+	case failure != nil:
+		return s.fail(b, failure)
+	case b.Flushed:
+		return s.out.Flush()
+	}
+	return s.ready()
+}
+
 // refuse answers a batch with an error without running it. An open transaction
 // fails, as it would on a server.
 func (s *Session) refuse(b *batcher.Batch, e *pgproto3.ErrorResponse) error {
@@ -91,16 +132,6 @@
 	return s.fail(b, e)
 }
 
-// end sends the last error of a session, as FATAL.
-func (s *Session) end(e *pgproto3.ErrorResponse) error {
-	e.Severity, e.SeverityUnlocalized = "FATAL", "FATAL"
-	s.out.Send(e)
-	if err := s.out.Flush(); err != nil {
-		return err
-	}
-	return responder.ErrClosed
-}
-
 // fail answers a batch with an error.
 func (s *Session) fail(b *batcher.Batch, e *pgproto3.ErrorResponse) error {
 	switch e.Code {
@@ -125,6 +156,16 @@
 	return s.ready()
 }
 
+// end sends the last error of a session, as FATAL.
+func (s *Session) end(e *pgproto3.ErrorResponse) error {
+	e.Severity, e.SeverityUnlocalized = "FATAL", "FATAL"
+	s.out.Send(e)
+	if err := s.out.Flush(); err != nil {
+		return err
+	}
+	return terminator.ErrClosed
+}
+
 // skipToSync drops messages up to Sync, as a server does after an error, and
 // answers the Sync.
 func (s *Session) skipToSync() error {
@@ -134,51 +175,10 @@
 			return err
 		}
 		if b.Query != nil {
-			return responder.Fatal(resolver.CodeProtocolViolation, "simple query inside an extended-protocol batch")
+			return terminator.Fatal(resolver.CodeProtocolViolation, "simple query inside an extended-protocol batch")
 		}
 		if !b.Flushed {
 			return s.ready()
 		}
 	}
 }
-
-// reply ends the answer to a batch, whose responses are in the output unless it has failed.
-func (s *Session) reply(b *batcher.Batch, failure *pgproto3.ErrorResponse) error {
-	switch {
-	case failure != nil:
-		return s.fail(b, failure)
-	case b.Flushed:
-		return s.out.Flush()
-	}
-	return s.ready()
-}
-
-// serveLostTx answers a batch of a caller whose transaction has failed and no
-// longer has a server connection. Only the end of the transaction is accepted.
-func (s *Session) serveLostTx(b *batcher.Batch, p *planner.Plan) error {
-	if !endsTransaction(p.Executed) || !endsTransaction(p.Parsed) {
-		return s.fail(b, resolver.Error(resolver.CodeFailedTransaction,
-			"current transaction is aborted, commands ignored until end of transaction block", ""))
-	}
-	s.retainer.SetLostTransaction(len(p.Executed) == 0)
-	return s.reply(b, s.replier.ReplyRollback(b))
-}
-
-func endsTransaction(list []classifier.Statement) bool {
-	for _, st := range list {
-		if st.Kind != classifier.Commit && st.Kind != classifier.Rollback {
-			return false
-		}
-	}
-	return true
-}
-
-// checkPin refuses a batch that would pin more server connections than the
-// caller may.
-func (s *Session) checkPin(p *planner.Plan) *pgproto3.ErrorResponse {
-	if !p.Pins() || s.retainer.ReservePin() {
-		return nil
-	}
-	return resolver.Error(resolver.CodeTooManyConnections,
-		"caller may not pin more server connections", "Session settings, LISTEN, advisory locks and temporary tables pin a server connection.")
-}
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -120,7 +120,7 @@
 		if err == nil {
 			err = s.serve(b)
 		}
-		var fatal *responder.FatalError
+		var fatal *terminator.FatalError
 		if errors.As(err, &fatal) {
 			s.out.Send(fatal.Response)
 			_ = s.out.Flush()
--- a/internal/relayer/settings.go
+++ b/internal/relayer/settings.go
@@ -7,38 +7,28 @@
 	"marigoldhub.example/hub/internal/planner"
 	"marigoldhub.example/hub/internal/pooler"
 	"marigoldhub.example/hub/internal/resolver"
-	"marigoldhub.example/hub/internal/responder"
+	"marigoldhub.example/hub/internal/terminator"
 )
 
 // applySettings pins a connection and applies the settings of the startup
 // message to it. A failure ends the session.
 func (s *Session) applySettings() error {
 	failure := s.retainer.Pin(func() (pooler.Conn, *pgproto3.ErrorResponse) {
-		return s.acquirer.Primary(s.acquirer.NewWait(), pooler.Write)
+		return s.acquirer.AcquirePrimary(s.acquirer.NewWait(), pooler.Write)
 	}, resolver.Error(resolver.CodeTooManyConnections, "caller may not pin more server connections for its startup settings", ""))
 	if failure != nil {
-		return responder.Fatal(failure.Code, failure.Message)
+		return terminator.Fatal(failure.Code, failure.Message)
 	}
 	defer s.acquirer.EndUse()
 	x := s.runner.New(s.retainer.Conn(), &batcher.Batch{Query: &pgproto3.Query{}}, &planner.Plan{})
 	for _, statement := range s.startupStatements {
 		r, err := x.Query(statement)
 		if err != nil {
-			return responder.Fatal(resolver.CodeNotRun, "startup settings were not applied: "+err.Error())
+			return terminator.Fatal(resolver.CodeNotRun, "startup settings were not applied: "+err.Error())
 		}
 		if r.Err != nil {
-			return responder.Fatal(r.Err.Code, r.Err.Message)
+			return terminator.Fatal(r.Err.Code, r.Err.Message)
 		}
 	}
 	return nil
 }
-
-// requestOutcome settles and returns the outcome of the request with the key.
-func (s *Session) requestOutcome(key string) (string, *pgproto3.ErrorResponse) {
-	conn, failure := s.acquirer.Primary(s.acquirer.NewWait(), pooler.Write)
-	if failure != nil {
-		return "", failure
-	}
-	p := &planner.Plan{MayCommit: true, ImplicitWrite: true}
-	return s.concluder.CloseKey(s.runner.New(conn, &batcher.Batch{Query: &pgproto3.Query{}}, p), key)
-}
--- a/internal/responder/doc.go
+++ b/internal/responder/doc.go
@@ -10,6 +10,4 @@
 //   - A caller has [Config.WriteWait] to accept each piece of an answer. It has less while its
 //     session holds a server connection for which other sessions have waited too long: its
 //     connection is closed then, so that it keeps nobody out.
-//
-// A [FatalError] ends the session with one last response, [ErrClosed] without one.
 package responder
--- a/internal/responder/output.go
+++ b/internal/responder/output.go
@@ -10,6 +10,7 @@
 
 	"marigoldhub.example/hub/internal/framer"
 	"marigoldhub.example/hub/internal/guarder"
+	"marigoldhub.example/hub/internal/terminator"
 )
 
 const (
@@ -80,7 +81,7 @@
 }
 
 // Flush writes the buffered output to the caller, in pieces that each have their own time. Its
-// error is [ErrClosed].
+// error is [terminator.ErrClosed].
 func (o *Output) Flush() error {
 	if len(o.buf) == 0 {
 		return nil
@@ -104,7 +105,7 @@
 		_ = o.cfg.Inbound.ReserveOutput(0) // never waits
 	}
 	if err != nil {
-		return ErrClosed
+		return terminator.ErrClosed
 	}
 	return nil
 }
--- a/internal/responder/output_test.go
+++ b/internal/responder/output_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldhub.example/hub/internal/responder"
+	"marigoldhub.example/hub/internal/terminator"
 )
 
 // Guards against a slow caller that keeps a server connection from starved sessions, and
@@ -38,8 +39,8 @@
 			})
 			o.Send(&pgproto3.NoData{})
 			began := time.Now()
-			if err := o.Flush(); !errors.Is(err, responder.ErrClosed) {
-				t.Errorf("got %v, want %v", err, responder.ErrClosed)
+			if err := o.Flush(); !errors.Is(err, terminator.ErrClosed) {
+				t.Errorf("got %v, want %v", err, terminator.ErrClosed)
 			}
 			if d := time.Since(began); d < c.want || c.want < 2*time.Second && d >= 2*time.Second {
 				t.Errorf("ended after %v, want %v", d, c.want)
@@ -103,7 +104,7 @@
 		HoldsServer: func() bool { return true }, IsStarved: func() bool { panic("test of a panic beside a write") },
 	})
 	o.Send(&pgproto3.NoData{})
-	if err := o.Flush(); !errors.Is(err, responder.ErrClosed) {
-		t.Errorf("got %v, want %v", err, responder.ErrClosed)
+	if err := o.Flush(); !errors.Is(err, terminator.ErrClosed) {
+		t.Errorf("got %v, want %v", err, terminator.ErrClosed)
 	}
 }
--- a/internal/retainer/retainer.go
+++ b/internal/retainer/retainer.go
@@ -97,9 +97,6 @@
 // KeepUntilSync retains a connection whose batch ended with Flush.
 func (r *Retainer) KeepUntilSync(conn pooler.Conn) { r.conn, r.awaitsSync = conn, true }
 
-// EndSync records that Sync was received.
-func (r *Retainer) EndSync() { r.awaitsSync = false }
-
 // KeepInTransaction retains a connection inside a transaction.
 func (r *Retainer) KeepInTransaction(conn pooler.Conn, tx Transaction) {
 	r.conn, r.awaitsSync, r.transaction = conn, false, tx
--- a/internal/runner/exchange.go
+++ b/internal/runner/exchange.go
@@ -163,7 +163,7 @@
 func (x *Exchange) Run() error {
 	x.cfg.Acquirer.SetRunning(x.Conn)
 	defer x.cfg.Acquirer.SetRunning(nil)
-	x.undoCharge = x.cfg.Charger.Send()
+	x.undoCharge = x.cfg.Charger.MarkSent()
 	x.cfg.Retainer.SetExchanging(true)
 	err := x.sendBatch()
 	if err == nil && !x.Batch.Flushed {
--- a/internal/runner/exchange_test.go
+++ b/internal/runner/exchange_test.go
@@ -296,7 +296,7 @@
 			if err := x.Run(); !errors.As(err, &lost) {
 				t.Errorf("got %v", err)
 			}
-			if got := x.MayHaveCommitted(x.Plan); got != c.want {
+			if got := x.MayHaveCommitted(); got != c.want {
 				t.Errorf("may have committed: %v, want %v", got, c.want)
 			}
 		})
--- a/internal/runner/result.go
+++ b/internal/runner/result.go
@@ -30,15 +30,19 @@
 
 // MayHaveCommitted reports whether a part of the batch may have committed,
 // judging by the answers read so far.
-func (r Result) MayHaveCommitted(p *planner.Plan) bool {
+func (x *Exchange) MayHaveCommitted() bool { return x.mayHaveCommitted(x.Plan) }
+
+// NeedsConfirmation reports whether the complete answer must be confirmed.
+func (x *Exchange) NeedsConfirmation() bool { return x.needsConfirmation(x.Plan) }
+
+func (r Result) mayHaveCommitted(p *planner.Plan) bool {
 	if r.Committed || p.CommitsItself {
 		return true
 	}
 	return p.MayCommit && r.Err == nil
 }
 
-// NeedsConfirmation reports whether the complete answer must be confirmed.
-func (r Result) NeedsConfirmation(p *planner.Plan) bool {
+func (r Result) needsConfirmation(p *planner.Plan) bool {
 	if r.Committed || p.CommitsItself {
 		return true
 	}
--- a/internal/runner/result_test.go
+++ b/internal/runner/result_test.go
@@ -39,10 +39,10 @@
 		{"statement in a transaction", Result{}, inTransaction, false, false},
 	}
 	for _, c := range cases {
-		if got := c.result.MayHaveCommitted(c.plan); got != c.mayHaveCommitted {
+		if got := c.result.mayHaveCommitted(c.plan); got != c.mayHaveCommitted {
 			t.Errorf("%s: may have committed %v, want %v", c.name, got, c.mayHaveCommitted)
 		}
-		if got := c.result.NeedsConfirmation(c.plan); got != c.confirms {
+		if got := c.result.needsConfirmation(c.plan); got != c.confirms {
 			t.Errorf("%s: needs a confirmation %v, want %v", c.name, got, c.confirms)
 		}
 	}
--- a/internal/runner/send.go
+++ b/internal/runner/send.go
@@ -11,8 +11,7 @@
 // block each other by writing.
 const segmentBytes = 16 << 10
 
-// sendBatch sends the batch. Unless it ends with Flush, Sync and the status
-// Query follow.
+// sendBatch sends the batch, and the status query after it unless the batch ends with Flush.
 func (x *Exchange) sendBatch() error {
 	if x.Batch.Query != nil {
 		x.Conn.Send(&pgproto3.Query{String: x.cfg.Parser.Keys.Rewrite(x.Batch.Query.String, x.Plan.Executed)})
--- a/internal/terminator/doc.go
+++ b/internal/terminator/doc.go
@@ -7,4 +7,6 @@
 // request is running, even inside a transaction, which is then rolled back.
 //
 // A request that runs is answered before the session ends, unless its run panics.
+//
+// A [FatalError] ends a session with one last response, [ErrClosed] without one.
 package terminator
--- a/internal/responder/errors.go
+++ b/internal/terminator/errors.go
@@ -1,4 +1,4 @@
-package responder
+package terminator
 
 import (
 	"errors"
--- a/internal/terminator/terminator.go
+++ b/internal/terminator/terminator.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"marigoldhub.example/hub/internal/resolver"
-	"marigoldhub.example/hub/internal/responder"
 )
 
 // Terminator ends one session. Its methods may be called at any time by any goroutine.
@@ -79,16 +78,16 @@
 func (t *Terminator) EndError(expired, inTransaction bool) error {
 	switch {
 	case t.revoked.Load() && inTransaction:
-		return responder.Fatal(resolver.CodeInvalidLogin, "transaction was not run: "+revokedText)
+		return Fatal(resolver.CodeInvalidLogin, "transaction was not run: "+revokedText)
 	case t.revoked.Load():
-		return responder.Fatal(resolver.CodeInvalidLogin, revokedText)
+		return Fatal(resolver.CodeInvalidLogin, revokedText)
 	case expired && inTransaction:
-		return responder.Fatal(resolver.CodeNotRun, "transaction was not run: this proxy is shutting down")
+		return Fatal(resolver.CodeNotRun, "transaction was not run: this proxy is shutting down")
 	}
 	if t.displaced.Load() {
-		return responder.Fatal(resolver.CodeShutdown, "this idle session ended in favor of a new connection, connect again")
+		return Fatal(resolver.CodeShutdown, "this idle session ended in favor of a new connection, connect again")
 	}
-	return responder.Fatal(resolver.CodeShutdown, "this proxy is shutting down, connect again")
+	return Fatal(resolver.CodeShutdown, "this proxy is shutting down, connect again")
 }
 
 // RequestError returns an error for a request that was received and must not run, because
@@ -97,5 +96,5 @@
 	if !t.revoked.Load() {
 		return nil
 	}
-	return responder.Fatal(resolver.CodeInvalidLogin, "request was not run: "+revokedText)
+	return Fatal(resolver.CodeInvalidLogin, "request was not run: "+revokedText)
 }
--- a/internal/terminator/terminator_test.go
+++ b/internal/terminator/terminator_test.go
@@ -4,7 +4,6 @@
 	"errors"
 	"testing"
 
-	"marigoldhub.example/hub/internal/responder"
 	"marigoldhub.example/hub/internal/terminator"
 )
 
@@ -41,7 +40,7 @@
 			if !isClosed(s.Draining()) || isClosed(s.Expired()) != c.expired && len(c.told) == 1 {
 				t.Errorf("draining %v, expired %v", isClosed(s.Draining()), isClosed(s.Expired()))
 			}
-			var fatal *responder.FatalError
+			var fatal *terminator.FatalError
 			if err := s.EndError(c.expired, c.inTransaction); !errors.As(err, &fatal) || fatal.Response.Code != c.code || fatal.Response.Message != c.want {
 				t.Errorf("got %v, want %s %s", err, c.code, c.want)
 			}
--- a/internal/tokener/token.go
+++ b/internal/tokener/token.go
@@ -13,6 +13,10 @@
 	"marigoldhub.example/hub/internal/tracker"
 )
 
+// Parameter names the session token, as a startup parameter and in
+// ParameterStatus.
+const Parameter = "marigold.session_token"
+
 const (
 	// Lifetime is how long a token is valid after it was signed.
 	Lifetime = 24 * time.Hour
