--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -30,6 +31,7 @@
 	"marigoldhub.example/hub/internal/retainer"
 	"marigoldhub.example/hub/internal/router"
 	"marigoldhub.example/hub/internal/runner"
+	"marigoldhub.example/hub/internal/terminator"
 	"marigoldhub.example/hub/internal/tokener"
 	"marigoldhub.example/hub/internal/tracker"
 	"marigoldhub.example/hub/internal/translator"
@@ -73,8 +75,30 @@
 	parse    *classifier.Classifier
 	group    *acquirer.Group
 	counters director.Counters
+	// superseded is how many confirmations report that the primary was replaced and its last
+	// records are not in the next term.
+	superseded int
+	charge     *charger.Charger
+	// refuses is set when the quota admits nothing more; the token of an admitted operation has
+	// expired then. refunded counts operations that were given back.
+	refuses  bool
+	refunded int
 }
 
+// Admit makes the session the quota of its team.
+func (s *session) Admit(string, time.Time) (charger.Operation, error) {
+	if s.refuses {
+		return nil, errors.New("over the quota")
+	}
+	return operation{s}, nil
+}
+
+type operation struct{ s *session }
+
+func (o operation) IsExpired() bool { return o.s.refuses }
+func (o operation) Done()           {}
+func (o operation) Refund()         { o.s.refunded++ }
+
 func (s *session) Acquire(_ context.Context, req pooler.Request) (pooler.Conn, error) {
 	if len(s.scripts) == 0 {
 		return nil, &pooler.RefusedError{Server: req.Server, Reason: pooler.ReasonQueueFull}
@@ -95,6 +119,10 @@
 func (s *session) Changed(string) <-chan struct{}   { return nil }
 
 func (s *session) Confirm(_ context.Context, req confirmer.Request) (confirmer.Result, error) {
+	if s.superseded > 0 {
+		s.superseded--
+		return confirmer.Result{Outcome: confirmer.Superseded, Position: tracker.Position{Term: 2, Offset: 1}, Lineage: tracker.Lineage{{Term: 2}}}, nil
+	}
 	pos := req.Position
 	if pos.IsZero() {
 		pos = tracker.Position{Term: 1, Offset: 7}
@@ -111,7 +139,9 @@
 
 func (k tokenKeys) TokenKeys() [][]byte { return k }
 
-func newSession(t *testing.T) *session {
+func newSession(t *testing.T) *session { return newSessionWithWait(t, 5*time.Second) }
+
+func newSessionWithWait(t *testing.T, primaryWait time.Duration) *session {
 	caller, _ := net.Pipe()
 	t.Cleanup(func() { _ = caller.Close() })
 	clock := clockwork.NewRealClock()
@@ -131,20 +161,20 @@
 	})}
 	cert := certifier.New(certifier.Config{Group: "g", Confirmer: s, Wait: time.Second})
 	acq := acquirer.New(acquirer.Config{
-		Group: "g", Shared: s.group, Views: s, Pool: s, Check: cert.Check, Clock: clock, PrimaryWait: 5 * time.Second, Context: t.Context(), Waits: metrics.NewCounter(),
+		Group: "g", Shared: s.group, Views: s, Pool: s, Check: cert.Check, Clock: clock, PrimaryWait: primaryWait, Context: t.Context(), Waits: metrics.NewCounter(),
 	})
 	s.retainer = retainer.New(retainer.Config{Pins: &retainer.Pins{}, Limit: 1, EndUse: acq.EndUse})
 	s.out = responder.New(responder.Config{Conn: caller, HoldsServer: acq.IsRunning})
-	charge := charger.New(charger.Config{})
+	s.charge = charger.New(charger.Config{Quotas: s, Team: "t", Clock: clock, Refused: metrics.NewCounter()})
 	minimum := &certifier.Minimum{}
 	run := runner.New(runner.Config{
-		Group: "g", Output: s.out, Acquirer: acq, Retainer: s.retainer, Charger: charge, Certifier: cert, Views: s,
+		Group: "g", Output: s.out, Acquirer: acq, Retainer: s.retainer, Charger: s.charge, Certifier: cert, Views: s,
 		Statements: &preparer.Set{}, Parser: translator.Parser{Classifier: s.parse}, ResponseBufferLimit: 1 << 10, BatchLimit: 1 << 10, Clock: clock,
 	})
 	s.Director = director.New(director.Config{
 		Group: "g", Router: router.New(router.Config{Policy: router.Session}, catalog, s, func(_, server string) int { return s.group.Reads(server) }),
 		Views: s, RetryBudget: s, Counters: s.counters, ReplicaWait: time.Second, Clock: clock,
-		Shared: s.group, Acquirer: acq, Retainer: s.retainer, Charger: charge, Certifier: cert, Minimum: minimum, Output: s.out, Runner: run,
+		Shared: s.group, Acquirer: acq, Retainer: s.retainer, Charger: s.charge, Certifier: cert, Minimum: minimum, Output: s.out, Runner: run,
 		Concluder: concluder.New(concluder.Config{
 			Group: "g", Output: s.out, Acquirer: acq, Retainer: s.retainer, Certifier: cert, Minimum: minimum,
 			Tokener: tokener.New(tokenKeys{[]byte("key")}, clock), Clock: clock, Commits: metrics.NewCounter(),
@@ -256,6 +286,119 @@
 	}
 }
 
+// Guards against a batch that is retried for longer than a caller waits for a primary.
+func TestRetriesEndWithWait(t *testing.T) {
+	s := newSessionWithWait(t, time.Nanosecond)
+	s.scripts = []messages{nil, nil}
+	b := &batcher.Batch{Query: &pgproto3.Query{String: "select w from other"}}
+	if failure, err := s.Run(b, s.plan(b)); failure == nil || failure.Code != resolver.CodeNotRun || err != nil || len(s.conns) != 1 {
+		t.Errorf("got %v, %v after %d runs", failure, err, len(s.conns))
+	}
+}
+
+// Guards against an operation that stays charged though each server refused it before it ran.
+func TestRefusedReadIsRefunded(t *testing.T) {
+	s := newSession(t)
+	refused := join(statusRow("replica", "7"), failed(resolver.CodeTooManyConnections))
+	s.scripts = []messages{refused, refused}
+	b := &batcher.Batch{Query: &pgproto3.Query{String: "select v from kv"}}
+	p := s.plan(b)
+	if failure := s.charge.Admit(p.Executed, false); failure != nil {
+		t.Fatal(failure.Message)
+	}
+	if failure, err := s.Run(b, p); failure == nil || failure.Code != resolver.CodeNotRun || err != nil || len(s.conns) != 2 {
+		t.Errorf("got %v, %v after %d runs", failure, err, len(s.conns))
+	}
+	s.charge.Settle(true)
+	if s.refunded != 1 {
+		t.Errorf("refunded %d times", s.refunded)
+	}
+}
+
+// Guards against an operation that begins on a pinned connection after its token has expired.
+func TestExpiredOperationOnPinnedConnection(t *testing.T) {
+	s := newSession(t)
+	pinned := &conn{server: "a", answers: join(done("SELECT 0"), statusRow("primary", "7"))}
+	if failure := s.retainer.Pin(func() (pooler.Conn, *pgproto3.ErrorResponse) { return pinned, nil }, nil); failure != nil {
+		t.Fatal(failure.Message)
+	}
+	b := &batcher.Batch{Query: &pgproto3.Query{String: "select w from other"}}
+	p := s.plan(b)
+	if failure := s.charge.Admit(p.Executed, false); failure != nil {
+		t.Fatal(failure.Message)
+	}
+	s.refuses = true
+	failure, err := s.Run(b, p)
+	if failure == nil || failure.Code != resolver.CodeQuotaExceeded || err != nil || pinned.given != 0 || s.group.InFlight() != 0 {
+		t.Errorf("got %v, %v, given back %d times, %d in flight", failure, err, pinned.given, s.group.InFlight())
+	}
+}
+
+// Guards against reads of one session that change between replicas without need.
+func TestReadsStayAtReplica(t *testing.T) {
+	s := newSession(t)
+	for range 3 {
+		s.scripts = append(s.scripts, join(statusRow("replica", "7"), done("SELECT 0")))
+		b := &batcher.Batch{Query: &pgproto3.Query{String: "select v from kv"}}
+		if failure, err := s.Run(b, s.plan(b)); failure != nil || err != nil {
+			t.Fatal(failure, err)
+		}
+		slices.Reverse(s.view.Replicas) // of equal replicas the first one is chosen
+	}
+	if len(slices.Compact(slices.Clone(s.servers))) != 1 {
+		t.Errorf("read at %v", s.servers)
+	}
+}
+
+// Guards against a server connection that is neither retained nor given back when a batch that
+// pins its connection is retried: it would hold a place at the former primary until the session
+// ends.
+func TestRetryOfPinningBatch(t *testing.T) {
+	answer := join(done("LISTEN"), statusRow("primary", "7"))
+	cases := []struct {
+		name       string
+		superseded int
+		retries    int
+		scripts    []messages
+		code       string
+		// retained is the index of the connection that the session retains.
+		retained int
+	}{
+		{"confirmed", 0, 9, []messages{answer}, "", 0},
+		{"replaced once", 1, 9, []messages{answer, answer}, "", 1},
+		{"replaced twice", 2, 9, []messages{answer, answer, answer}, "", 2},
+		{"replaced, no budget", 1, 0, []messages{answer, answer}, "40001", 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSession(t)
+			s.superseded, s.retries, s.scripts = c.superseded, c.retries, c.scripts
+			b := &batcher.Batch{Query: &pgproto3.Query{String: "listen changes"}}
+			s.retainer.ReservePin()
+			failure, err := s.Run(b, s.plan(b))
+			s.retainer.SettlePin()
+			code := ""
+			if failure != nil {
+				code = failure.Code
+			}
+			if err != nil || code != c.code || len(s.conns) != c.retained+1 {
+				t.Fatalf("got %q, %v after %d runs, want %q", code, err, len(s.conns), c.code)
+			}
+			for i, conn := range s.conns {
+				if want := min(1, c.retained-i); conn.given != want {
+					t.Errorf("connection %d was given back %d times, want %d", i, conn.given, want)
+				}
+			}
+			if s.retainer.Conn() == nil || s.retainer.EndsOnError() {
+				t.Errorf("connection %v, ends on error %v", s.retainer.Conn(), s.retainer.EndsOnError())
+			}
+			if n := s.group.InFlight(); n != 0 {
+				t.Errorf("%d in flight", n)
+			}
+		})
+	}
+}
+
 // Guards against a session whose state was on a former primary and that goes on at another
 // server, and against one that ends without need.
 func TestPinnedServer(t *testing.T) {
@@ -272,7 +415,7 @@
 			s.view.Primary = c.primary
 			b := &batcher.Batch{Query: &pgproto3.Query{String: "select w from other"}}
 			failure, err := s.Run(b, s.plan(b))
-			var fatal *responder.FatalError
+			var fatal *terminator.FatalError
 			if errors.As(err, &fatal) != c.ends || failure != nil || len(s.servers) > 0 {
 				t.Errorf("got %v, %v, tried %v", failure, err, s.servers)
 			}
--- a/internal/runner/exchange.go
+++ b/internal/runner/exchange.go
@@ -84,7 +84,7 @@
 	if tx.IsOpen {
 		x.Evidence, x.MustDiscard = tx.Evidence, tx.MustDiscard
 	}
-	if p.RunsProcedure {
+	if p.CommitsItself {
 		x.Evidence = resolver.Unproved
 	}
 	x.mayStream = p.LeavesTransactionOpen || (tx.IsOpen && !p.MayCommit)
@@ -163,7 +163,7 @@
 func (x *Exchange) Run() error {
 	x.cfg.Acquirer.SetRunning(x.Conn)
 	defer x.cfg.Acquirer.SetRunning(nil)
-	x.undoCharge = x.cfg.Charger.Send()
+	x.undoCharge = x.cfg.Charger.MarkSent()
 	x.cfg.Retainer.SetExchanging(true)
 	err := x.sendBatch()
 	if err == nil && !x.Batch.Flushed {
