gossiper, noder, informer: a configuration passes along a tree, and few instances read it

Cause: after a change each reader told all instances at once, each of which fetched the configuration from whoever told it first or from its relay of primary leases. At the start every instance read all of it from the store, up to a megabyte over its own link. Both grow with the fleet, as does the configuration. Change: news pass in blocks of one zone that halve (Gossiper.Spread); who sends configurations does so at four fifths of its link at most and lets others ask again; an instance that does not answer is replaced by those that it would have told. An instance that starts waits for the configuration from others, readers read it. Exchanges begin within 0.2 s of the start.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -2,13 +2,16 @@
 // which cannot reach the store still learns the configuration, the list of
 // servers and the primaries in time.
 //
-// It does four things:
+// It does five things:
 //
 //   - Anti-entropy: about every exchangeInterval an instance exchanges its [View]
 //     with one random other, mostly in its own availability zone. An instance that
 //     hears of a newer record, a configuration or a list of servers, fetches it at
 //     once ([Gossiper.Pull]). One that has changed a primary exchanges views with all
 //     others at once ([Gossiper.Broadcast]).
+//   - News: a new configuration and other news from the store pass from instance to
+//     instance along a tree ([Gossiper.Spread]). Each one fetches the configuration from
+//     who told it, and each link carries only one or two configurations at a time.
 //   - Primary leases: each instance requests primary leases (see package attester;
 //     the messages call them permits) several times a second from the coordinator,
 //     the instance that may change primaries. The time in which one instance is the
@@ -55,6 +58,17 @@
 	// leaseRequestInterval keeps leases of 300 ms from ending when one response is
 	// late. A request and its response take about 200 bytes.
 	leaseRequestInterval = 110 * time.Millisecond
+	// firstExchangeJitter spreads the first exchanges of instances that start together, and
+	// startInterval replaces exchangeInterval until an instance has a configuration.
+	firstExchangeJitter = 200 * time.Millisecond
+	startInterval       = 350 * time.Millisecond
+	// transferTimeout limits an exchange that may bring a configuration, which takes some
+	// tenths of a second on a slow link.
+	transferTimeout = time.Second
+	// maxPulls is how often an instance is asked for a configuration that it does not send
+	// because its link is busy, with pauses of about pullPause.
+	maxPulls  = 4
+	pullPause = 120 * time.Millisecond
 	// checkInterval is how often overdue instances are looked for.
 	checkInterval = 100 * time.Millisecond
 	// relayRequestInterval is the leaseRequestInterval of a relay: what remains of
@@ -113,9 +127,17 @@
 type Config struct {
 	Name string
 	View View
+	// Address is this instance's address.
+	Address string
 	// Addresses returns the addresses of the other instances; SameZone of those in
 	// the same availability zone.
 	Addresses, SameZone func() []string
+	// Blocks returns the addresses of all instances in blocks, in the same order at all
+	// instances that know the same ones. The first of each block spreads news in it.
+	Blocks func() [][]string
+	// LinkBytes is how many bytes a second the link of this instance carries; 0 if that is
+	// not known.
+	LinkBytes float64
 	// AddressOf returns the address of the named instance; empty if it is unknown.
 	AddressOf func(name string) string
 	Dialer    messenger.Dialer
@@ -132,6 +154,8 @@
 	lastRefresh time.Time
 	pulling     atomic.Bool
 	detector    *FailureDetector
+	handouts    *handouts
+	news        spreader
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -141,7 +165,7 @@
 // New starts a gossiper.
 func New(cfg Config) *Gossiper {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Gossiper{cfg: cfg, detector: NewFailureDetector(cfg.Clock), ctx: ctx, cancel: cancel, done: make(chan struct{})}
+	g := &Gossiper{cfg: cfg, detector: NewFailureDetector(cfg.Clock), handouts: newHandouts(cfg.LinkBytes, cfg.Clock), ctx: ctx, cancel: cancel, done: make(chan struct{})}
 	var wg sync.WaitGroup
 	wg.Go(func() { g.run(ctx) })
 	wg.Go(func() { g.requestLeases(ctx) })
@@ -163,17 +187,25 @@
 }
 
 func (g *Gossiper) run(ctx context.Context) {
+	wait := rand.N(firstExchangeJitter)
 	for {
 		select {
-		case <-g.cfg.Clock.After(exchangeInterval*3/4 + rand.N(exchangeInterval/2)):
+		case <-g.cfg.Clock.After(wait):
 		case <-ctx.Done():
 			return
 		}
-		if address := g.choosePeer(); address != "" {
-			if err := g.exchange(ctx, address); err != nil {
-				g.cfg.Log.WithError(err).Debug("gossiper: exchange with an instance failed")
+		interval := exchangeInterval
+		if !g.pulling.Load() {
+			if g.cfg.View.State(nil).GetConfigurationVersion() == 0 {
+				interval = startInterval
+			}
+			if address := g.choosePeer(); address != "" {
+				if _, _, err := g.exchangeWithin(ctx, address, transferTimeout); err != nil {
+					g.cfg.Log.WithError(err).Debug("gossiper: exchange with an instance failed")
+				}
 			}
 		}
+		wait = interval*3/4 + rand.N(interval/2)
 	}
 }
 
@@ -191,34 +223,48 @@
 }
 
 func (g *Gossiper) exchange(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	_, _, err := g.exchangeWithin(ctx, address, exchangeTimeout)
+	return err
+}
+
+// exchangeWithin exchanges state with the instance at the address and learns its state. Lacks
+// is true if that instance has newer records that it did not send.
+func (g *Gossiper) exchangeWithin(ctx context.Context, address string, timeout time.Duration) (state *wire.PeerState, lacks bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := g.cfg.Dialer.Dial(ctx, address)
 	if err != nil {
-		return err
+		return nil, false, err
 	}
 	asked := g.cfg.Clock.Now()
-	state, err := wire.NewDRPCPeersClient(conn).Exchange(ctx, g.cfg.View.State(nil))
+	state, err = wire.NewDRPCPeersClient(conn).Exchange(ctx, g.cfg.View.State(nil))
 	if err != nil {
-		return errors.Wrap(err, address)
+		return nil, false, errors.Wrap(err, address)
 	}
-	g.cfg.View.Learn(state, asked)
-	return nil
+	return state, g.cfg.View.Learn(state, asked), nil
 }
 
 // Pull fetches the newer records of the named instance in the background. It does
 // nothing while another Pull is running: the next exchange makes up for it.
 func (g *Gossiper) Pull(name string) { g.pullFrom(g.cfg.AddressOf(name)) }
 
-// pullFrom is Pull for the instance at the address.
+// pullFrom is Pull for the instance at the address. An instance that sends its configuration
+// to others is asked again after a pause.
 func (g *Gossiper) pullFrom(address string) {
 	if address == "" || !g.pulling.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer g.pulling.Store(false)
-		if err := g.exchange(g.ctx, address); err != nil {
-			g.cfg.Log.WithError(err).Debug("gossiper: newer records could not be fetched from an instance")
+		for range maxPulls {
+			_, lacks, err := g.exchangeWithin(g.ctx, address, transferTimeout)
+			if err != nil {
+				g.cfg.Log.WithError(err).Debug("gossiper: newer records could not be fetched from an instance")
+			}
+			if err != nil || !lacks {
+				return
+			}
+			g.pause(pullPause*3/4 + rand.N(pullPause/2))
 		}
 	}()
 }
--- /dev/null
+++ b/internal/gossiper/handouts.go
@@ -0,0 +1,58 @@
+package gossiper
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// defaultLinkBytes is the rate of a link in bytes a second that is assumed if
+	// [Config.LinkBytes] is not set: 10 Mbit/s.
+	defaultLinkBytes = 10_000_000 / 8
+	// handoutShare is the share of the link that configurations may take.
+	handoutShare = 0.8
+	// maxHandoutBacklog is how long earlier configurations may still take on the link when
+	// another one is sent. With many at a time each of them arrives too late to be used.
+	maxHandoutBacklog = 100 * time.Millisecond
+)
+
+// handouts limits the configurations that this instance sends to others. A configuration of
+// thousands of routes takes a tenth of a second of a link of 10 Mbit/s in its compressed form.
+type handouts struct {
+	clock clockwork.Clock
+	// rate is in bytes a second.
+	rate float64
+
+	mu sync.Mutex
+	// sent is when all configurations that were handed out have been sent.
+	sent time.Time
+}
+
+func newHandouts(linkBytes float64, clock clockwork.Clock) *handouts {
+	if linkBytes <= 0 {
+		linkBytes = defaultLinkBytes
+	}
+	return &handouts{clock: clock, rate: linkBytes * handoutShare}
+}
+
+// duration returns how long a configuration of the size takes on the link.
+func (h *handouts) duration(size int) time.Duration {
+	return time.Duration(float64(size) / h.rate * float64(time.Second))
+}
+
+// take reports whether a configuration of the size may be sent now, and counts it if so.
+func (h *handouts) take(size int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	if h.sent.Sub(now) > maxHandoutBacklog {
+		return false
+	}
+	if h.sent.Before(now) {
+		h.sent = now
+	}
+	h.sent = h.sent.Add(h.duration(size))
+	return true
+}
--- a/internal/gossiper/service.go
+++ b/internal/gossiper/service.go
@@ -21,7 +21,12 @@
 	if s.View.Learn(in, time.Time{}) {
 		s.Gossiper.Pull(in.GetHeader().GetInstance())
 	}
-	return s.View.State(in), nil
+	state := s.View.State(in)
+	if len(state.GetConfiguration()) > 0 && !s.Gossiper.handouts.take(len(state.GetConfiguration())) {
+		// The caller sees the version and asks again.
+		state.Configuration = nil
+	}
+	return state, nil
 }
 
 // EndTenure implements the Peers service: this instance stops acting as the
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -71,6 +71,9 @@
 	if cfg.IsProofRoot == nil {
 		cfg.IsProofRoot = func() bool { return false }
 	}
+	if cfg.FirstReadPause == nil {
+		cfg.FirstReadPause = func() time.Duration { return 0 }
+	}
 	if cfg.AskPeers == nil {
 		cfg.AskPeers = func() {}
 	}
@@ -157,11 +160,10 @@
 }
 
 // OfferList adopts a list that another instance read if its store revision is
-// higher than that of the last one.
-func (n *Informer) OfferList(l List) {
-	if l.Revision > n.List().Revision {
-		n.apply(l.Entries, l.Revision)
-	}
+// higher than that of the last one. It reports whether a known server has begun to drain,
+// which other instances must learn.
+func (n *Informer) OfferList(l List) (leaving bool) {
+	return l.Revision > n.List().Revision && n.apply(l.Entries, l.Revision)
 }
 
 // Done returns a channel that is closed when the informer has stopped.
@@ -230,8 +232,12 @@
 func (n *Informer) followConfiguration(ctx context.Context) {
 	for ctx.Err() == nil {
 		follow := n.watchConfiguration
-		if !n.cfg.IsReader() && n.State().HasConfiguration() {
+		switch {
+		case n.cfg.IsReader():
+		case n.State().HasConfiguration():
 			follow = n.pollConfiguration
+		default:
+			follow = n.awaitConfiguration
 		}
 		if err := follow(ctx); err != nil && ctx.Err() == nil {
 			n.cfg.Log.WithError(err).Debug("informer: following the configuration failed")
@@ -243,12 +249,15 @@
 // watchConfiguration reads the configuration and watches it for changes while this
 // instance is a reader.
 func (n *Informer) watchConfiguration(ctx context.Context) error {
-	revision, _, err := n.readConfiguration(ctx, "store")
+	revision, adopted, err := n.readConfiguration(ctx, "store")
 	if err != nil {
 		return err
 	}
 	if !n.cfg.IsReader() {
-		return n.awaitConfiguration(ctx)
+		return nil
+	}
+	if adopted {
+		go n.cfg.OnChange()
 	}
 	w, err := n.cfg.Store.Watch(ctx, n.cfg.Schema.ConfigurationPrefix, revision+1)
 	if err != nil {
@@ -270,21 +279,31 @@
 	return w.Err()
 }
 
-// initialPollInterval is the mean pause between two reads by an instance that has
-// no configuration yet and is no reader. A stale read costs a tenth of a watch.
+// initialPollInterval is the mean pause between two reads by an instance that has no
+// configuration and is no reader.
 const initialPollInterval = 700 * time.Millisecond
 
-// awaitConfiguration polls until a configuration is known, from the store or from
-// another instance, or until this instance is a reader.
+// awaitConfiguration waits for a configuration from another instance, or until this instance
+// is a reader. After [Config.FirstReadPause] it reads the store now and then.
 func (n *Informer) awaitConfiguration(ctx context.Context) error {
-	for ctx.Err() == nil && !n.State().HasConfiguration() && !n.cfg.IsReader() {
-		if err := n.poll(ctx, initialPollInterval); err != nil {
+	due := n.cfg.Clock.Now().Add(n.cfg.FirstReadPause())
+	for ctx.Err() == nil && !n.cfg.IsReader() && !n.State().HasConfiguration() {
+		if wait := n.cfg.Clock.Until(due); wait > 0 {
+			n.pause(ctx, min(wait, awaitStep))
+			continue
+		}
+		if _, _, err := n.readConfiguration(ctx, "store"); err != nil {
 			return err
 		}
+		due = n.cfg.Clock.Now().Add(n.cfg.FirstReadPause() + initialPollInterval*3/4 + rand.N(initialPollInterval/2))
 	}
 	return nil
 }
 
+// awaitStep is how often an instance without a configuration looks whether it has become a
+// reader.
+const awaitStep = 20 * time.Millisecond
+
 // pollConfiguration reads the configuration by stale reads, which the store charges least
 // for, while this instance is no reader. Readers tell it of changes sooner, and their proofs
 // show that there is none: it reads only when the newest proof is as old as the interval.
@@ -321,12 +340,6 @@
 	}
 }
 
-// poll reads the configuration by a stale read after a pause.
-func (n *Informer) poll(ctx context.Context, interval time.Duration) error {
-	n.pause(ctx, interval*3/4+rand.N(interval/2))
-	return n.readStale(ctx)
-}
-
 // readStale adopts the configuration of a stale read.
 func (n *Informer) readStale(ctx context.Context) error {
 	entries, _, err := n.lister(true)(ctx, n.cfg.Schema.ConfigurationKey)
--- a/internal/noder/coordination.go
+++ b/internal/noder/coordination.go
@@ -29,9 +29,7 @@
 		return errors.Wrap(err, "listen for instances")
 	}
 	v := view{n}
-	n.gossiper = gossiper.New(gossiper.Config{
-		Name: n.settings.Instance, View: v, Addresses: n.peerAddresses, SameZone: n.sameZoneAddresses, AddressOf: n.addressOf, Dialer: n.peers, Clock: n.clock, Log: n.log,
-	})
+	n.gossiper = gossiper.New(n.gossiperConfig(n.peers))
 	n.holder = holder.New(holder.Config{
 		Store: n.store, Name: n.settings.Instance, Address: n.settings.ControlAddress,
 		EndTenure: n.gossiper.EndTenure, CampaignInterval: n.campaignInterval, Clock: n.clock, Log: n.log,
@@ -61,6 +59,14 @@
 	return nil
 }
 
+// gossiperConfig returns what the gossiper needs.
+func (n *Node) gossiperConfig(dialer messenger.Dialer) gossiper.Config {
+	return gossiper.Config{
+		Name: n.settings.Instance, Address: n.settings.ControlAddress, View: view{n}, Addresses: n.peerAddresses, SameZone: n.sameZoneAddresses, AddressOf: n.addressOf,
+		Blocks: n.spreadBlocks, LinkBytes: n.settings.LinkBytes, Dialer: dialer, Clock: n.clock, Log: n.log,
+	}
+}
+
 // addressOf returns the address of the named instance; empty if it is not listed.
 func (n *Node) addressOf(name string) string {
 	for _, o := range n.registrar.Others() {
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -1,8 +1,8 @@
 package noder
 
 import (
-	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -30,6 +30,7 @@
 	"marigoldhub.example/hub/internal/registrar"
 	"marigoldhub.example/hub/internal/replacer"
 	"marigoldhub.example/hub/internal/sessioner"
+	"marigoldhub.example/hub/internal/storer"
 	"marigoldhub.example/hub/internal/surveyor"
 	"marigoldhub.example/hub/internal/throttler"
 	"marigoldhub.example/hub/platform"
@@ -60,6 +61,10 @@
 	// readers is the number of readers in larger fleets. If half of the instances lose
 	// power, the chance that all readers are among them is 1 in 256.
 	readers = 8
+	// startTime is how long the list of instances may lack most of those that start together.
+	startTime = 600 * time.Millisecond
+	// readerJob is the key by which readers are chosen.
+	readerJob = "store"
 	// readerListInterval is how often any of the readers lists the servers; every
 	// readerLinearizableEvery-th list is a linearizable read.
 	readerListInterval      = 500 * time.Millisecond
@@ -74,6 +79,9 @@
 	// without a sign of a change. With the time to tell the others, it must be well
 	// within the 3 s in which a configuration must be in force.
 	fleetCheckInterval = 500 * time.Millisecond
+	// initialReadInterval is the mean pause in a small fleet between two reads of the
+	// configuration by instances that have none and are no readers.
+	initialReadInterval = time.Second
 	// largeConfiguration is some hundred routes, in bytes. Reading less costs the store and
 	// the links hardly more than asking whether it has changed.
 	largeConfiguration = 64 << 10
@@ -102,6 +110,7 @@
 type Node struct {
 	settings      platform.Settings
 	clock         clockwork.Clock
+	started       time.Time
 	metrics       metrics.Registry
 	log           *logrus.Logger
 	printer       *printer.Printer
@@ -140,6 +149,7 @@
 // New starts an instance that writes its log to out.
 func New(settings platform.Settings, out io.Writer) (*Node, error) {
 	n := &Node{settings: settings, clock: clocker.NewBoot(), metrics: metrics.NewRegistry(), built: make(chan struct{}), done: make(chan struct{})}
+	n.started = n.clock.Now()
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryLimitShare))
 	n.printer = printer.New(out, n.clock, n.metrics)
@@ -159,15 +169,7 @@
 			Name: settings.Instance, Address: settings.ControlAddress, Zone: settings.Zone, Processor: settings.CPUMillicores, Incarnation: time.Now().UnixNano(),
 		},
 	})
-	n.informer = informer.New(informer.Config{
-		Store: n.store, Schema: platform.Schema(), Clock: n.clock, Log: n.log,
-		ListInterval: n.listInterval, LinearizableEvery: n.linearizableEvery, RemoveAfter: removeServerAfter, EntryTTL: entryTTLHeartbeats * settings.ServerHeartbeatInterval,
-		CheckInterval: n.checkInterval, IsReader: n.isReader, StaleInterval: nonReaderCheckInterval,
-		RootCheckInterval: n.rootCheckInterval, LargeConfiguration: largeConfiguration,
-		RetryPause:  func() time.Duration { return n.scaleInterval(retryPause) },
-		MaxProofAge: settings.RevocationLimit, IsProofRoot: n.isProofRoot, AskPeers: n.refreshFromPeers,
-		ProofRetryPause: func() time.Duration { return n.scaleInterval(proofRetryPause) }, OnChange: n.broadcast,
-	})
+	n.informer = informer.New(n.informerConfig(n.store))
 	n.peers = messenger.NewPool(messenger.PoolConfig{
 		Registry: n.metrics, DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout, Sockets: n.sockets.peers, Clock: n.clock,
 	})
@@ -201,6 +203,20 @@
 	return n, nil
 }
 
+// informerConfig returns what the informer needs.
+func (n *Node) informerConfig(store storer.Store) informer.Config {
+	return informer.Config{
+		Store: store, Schema: platform.Schema(), Clock: n.clock, Log: n.log,
+		ListInterval: n.listInterval, LinearizableEvery: n.linearizableEvery, RemoveAfter: removeServerAfter, EntryTTL: entryTTLHeartbeats * n.settings.ServerHeartbeatInterval,
+		CheckInterval: n.checkInterval, IsReader: n.isReader, StaleInterval: nonReaderCheckInterval,
+		RootCheckInterval: n.rootCheckInterval, LargeConfiguration: largeConfiguration,
+		RetryPause:  func() time.Duration { return n.scaleInterval(retryPause) },
+		MaxProofAge: n.settings.RevocationLimit, IsProofRoot: n.isProofRoot, AskPeers: n.refreshFromPeers,
+		ProofRetryPause: func() time.Duration { return n.scaleInterval(proofRetryPause) }, OnChange: n.spreadNews,
+		FirstReadPause: n.firstReadPause,
+	}
+}
+
 func newLogger(w io.Writer, settings platform.Settings) *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(w)
@@ -295,15 +311,16 @@
 }
 
 // isReader reports whether this instance reads the store on behalf of the fleet. An
-// instance that has not listed the others is no reader: the fleet may be large.
+// instance that has not listed the others is no reader: the fleet may be large. So may one that
+// seems small right after the start.
 func (n *Node) isReader() bool {
 	if !n.registrar.HasList() {
 		return false
 	}
-	if n.fleetSize() <= smallFleet {
+	if n.fleetSize() <= smallFleet && n.clock.Since(n.started) >= startTime {
 		return true
 	}
-	return n.isAmong("store", readers)
+	return n.isAmong(readerJob, readers)
 }
 
 // isAmong reports whether this instance is one of count instances that rendezvous
@@ -325,6 +342,18 @@
 	return nonReaderListInterval
 }
 
+// firstReadPause returns how long an instance that is no reader waits for the configuration from
+// another one after its start. The configuration may take a second of its link, and a fleet that
+// starts would read it as often as it has instances. While the others are not known, the list of
+// them, which is smaller, is tried first.
+func (n *Node) firstReadPause() time.Duration {
+	pause := initialReadInterval
+	if n.registrar.HasList() {
+		pause = n.scaleInterval(pause)
+	}
+	return initialReadInterval + rand.N(pause)
+}
+
 // linearizableEvery returns n if every n-th list is a linearizable read.
 func (n *Node) linearizableEvery() int {
 	if n.fleetSize() <= smallFleet {
@@ -350,10 +379,10 @@
 	return 2 * fleetCheckInterval
 }
 
-// broadcast exchanges state with all other instances.
-func (n *Node) broadcast() {
+// spreadNews makes the other instances learn what this one has read from the store.
+func (n *Node) spreadNews() {
 	<-n.built
-	n.gossiper.Broadcast(context.Background())
+	n.gossiper.Spread(true)
 }
 
 // refreshFromPeers exchanges state with some other instances.
--- /dev/null
+++ b/internal/noder/spread.go
@@ -0,0 +1,51 @@
+package noder
+
+import (
+	"cmp"
+	"slices"
+
+	"marigoldhub.example/hub/internal/placer"
+)
+
+// spreadBlocks returns the addresses of the listed instances in the blocks in which news is
+// spread (see [gossiper.Config]).
+func (n *Node) spreadBlocks() [][]string {
+	peers := n.instances()
+	if len(peers) <= smallFleet {
+		return spreadBlocks(peers, peers)
+	}
+	return spreadBlocks(peers, placer.Rendezvous(readerJob, peers, readers))
+}
+
+// spreadBlocks divides the peers into blocks, each of one availability zone and with a reader
+// as its first: a configuration crosses zones only on its way to a zone without readers.
+func spreadBlocks(peers, readers []placer.Peer) [][]string {
+	byZone := map[string][]placer.Peer{}
+	for _, p := range peers {
+		byZone[p.Zone] = append(byZone[p.Zone], p)
+	}
+	var blocks [][]string
+	for _, near := range byZone {
+		slices.SortFunc(near, func(a, b placer.Peer) int { return cmp.Compare(a.Name, b.Name) })
+		isFirst := func(p placer.Peer) bool { return slices.Contains(readers, p) }
+		if !slices.ContainsFunc(near, isFirst) {
+			isFirst = func(p placer.Peer) bool { return p == near[0] }
+		}
+		var first, others []placer.Peer
+		for _, p := range near {
+			if isFirst(p) {
+				first = append(first, p)
+			} else {
+				others = append(others, p)
+			}
+		}
+		for i, p := range first {
+			block := []string{p.Address}
+			for _, o := range others[i*len(others)/len(first) : (i+1)*len(others)/len(first)] {
+				block = append(block, o.Address)
+			}
+			blocks = append(blocks, block)
+		}
+	}
+	return blocks
+}
--- a/internal/noder/view.go
+++ b/internal/noder/view.go
@@ -78,7 +78,9 @@
 	source := "instance " + s.GetHeader().GetInstance()
 	state := v.informer.State()
 	if len(s.GetConfiguration()) > 0 && (!state.HasConfiguration() || state.Configuration.Version < s.GetConfigurationVersion()) {
-		v.informer.OfferPacked(s.GetConfiguration(), source)
+		if v.informer.OfferPacked(s.GetConfiguration(), source) {
+			v.gossiper.Spread(false)
+		}
 		state = v.informer.State()
 	}
 	if !asked.IsZero() {
@@ -94,7 +96,9 @@
 			}
 			servers = append(servers, entry)
 		}
-		v.informer.OfferList(informer.List{Revision: s.GetServersRevision(), Entries: servers})
+		if v.informer.OfferList(informer.List{Revision: s.GetServersRevision(), Entries: servers}) {
+			v.gossiper.Spread(false)
+		}
 		v.registrar.Offer(instances)
 		state = v.informer.State()
 	}
