--- a/internal/informer/check_test.go
+++ b/internal/informer/check_test.go
@@ -1,6 +1,7 @@
 package informer_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,3 +73,29 @@
 	}
 	eventually(t, "the configuration is read without proofs", func() bool { return f.version() == 2 })
 }
+
+// Guards against readers that decode the same configuration with each check, which takes some
+// hundredths of a second for thousands of routes, and against proofs that stop therefore.
+func TestUnchangedConfigurationIsDecodedOnce(t *testing.T) {
+	var decodes atomic.Int64
+	f := start(t, func(c *informer.Config) {
+		c.CheckInterval = func() time.Duration { return 5 * time.Millisecond }
+		decode := c.Schema.DecodeConfiguration
+		c.Schema.DecodeConfiguration = func(raw []byte) (*informer.Configuration, error) {
+			decodes.Add(1)
+			return decode(raw)
+		}
+	})
+	for version := int64(1); version <= 3; version++ {
+		f.store.Put("config/now", encode(t, informer.Configuration{Version: version}))
+		eventually(t, "the version is in force", func() bool { return f.version() == version })
+		before := f.store.Calls("get")
+		eventually(t, "it is checked", func() bool { return f.store.Calls("get") > before+10 })
+		began := time.Now()
+		eventually(t, "a later check proves it", func() bool { return f.informer.Current().Proof.At.After(began) })
+	}
+	// The watch and a check may decode one at the same time.
+	if n := decodes.Load(); n > 6 {
+		t.Errorf("three configurations were decoded %d times", n)
+	}
+}
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -34,6 +35,7 @@
 
 	mu            sync.Mutex
 	configuration *Configuration
+	decoded       decoded
 	proofs        prover.Ledger
 	// checked is what the last check of the configuration found.
 	checked check
@@ -193,8 +195,23 @@
 	return n.Offer(raw, source)
 }
 
-// offer returns the version as well; 0 if the configuration cannot be read.
+// decoded is the digest of a configuration that was decoded, and its version.
+type decoded struct {
+	digest  [sha256.Size]byte
+	version int64
+}
+
+// offer returns the version as well; 0 if the configuration cannot be read. It decodes nothing
+// if the configuration is the one that was decoded last: readers read the same one again and
+// again.
 func (n *Informer) offer(raw []byte, source string) (version int64, adopted bool) {
+	digest := sha256.Sum256(raw)
+	n.mu.Lock()
+	last := n.decoded
+	n.mu.Unlock()
+	if last.version > 0 && digest == last.digest {
+		return last.version, false
+	}
 	c, err := n.cfg.Schema.DecodeConfiguration(raw)
 	if err != nil {
 		n.cfg.Log.WithError(err).WithField("source", source).Warn("informer: configuration cannot be read; the present one stays")
@@ -203,6 +220,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.configuration != nil && c.Version <= n.configuration.Version {
+		n.decoded = decoded{digest, c.Version}
 		return c.Version, false
 	}
 	if c.Raw == nil {
@@ -213,7 +231,7 @@
 	}
 	fields := logrus.Fields{"version": c.Version, "source": source, "routes": len(c.Routes)}
 	addTeamChanges(fields, n.configuration, c)
-	n.configuration = c
+	n.configuration, n.decoded = c, decoded{digest, c.Version}
 	n.proofs.ObserveVersion(c.Version)
 	n.publish()
 	n.cfg.Log.WithFields(fields).Info("informer: configuration is in force")
