noder, informer: work for a list of instances or a configuration is done once

Cause: each request for primary leases (nine a second) and each refusal made the list of peers anew and sorted it to choose the relay, isReader as well. Change: package noder keeps the list of peers, the chosen jobs and the relay until the registrar has another list. A configuration is passed on in the form in which it came if it is the same.

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -192,7 +192,8 @@
 		n.cfg.Log.WithError(err).WithField("source", source).Warn("informer: configuration cannot be read; the present one stays")
 		return false
 	}
-	return n.Offer(raw, source)
+	_, adopted := n.offerWith(raw, packed, source)
+	return adopted
 }
 
 // decoded is the digest of a configuration that was decoded, and its version.
@@ -205,6 +206,11 @@
 // if the configuration is the one that was decoded last: readers read the same one again and
 // again.
 func (n *Informer) offer(raw []byte, source string) (version int64, adopted bool) {
+	return n.offerWith(raw, nil, source)
+}
+
+// offerWith is offer with the packed form if there is one.
+func (n *Informer) offerWith(raw, packed []byte, source string) (version int64, adopted bool) {
 	digest := sha256.Sum256(raw)
 	n.mu.Lock()
 	last := n.decoded
@@ -226,7 +232,9 @@
 	if c.Raw == nil {
 		c.Raw = bytes.Clone(raw)
 	}
-	if c.Packed, err = pack(c.Raw); err != nil {
+	if packed != nil && bytes.Equal(c.Raw, raw) {
+		c.Packed = packed
+	} else if c.Packed, err = pack(c.Raw); err != nil {
 		n.cfg.Log.WithError(err).Warn("informer: configuration cannot be passed on to other instances")
 	}
 	fields := logrus.Fields{"version": c.Version, "source": source, "routes": len(c.Routes)}
--- a/internal/noder/instances_test.go
+++ b/internal/noder/instances_test.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"marigoldhub.example/hub/internal/placer"
 	"marigoldhub.example/hub/internal/registrar"
 	"marigoldhub.example/hub/internal/storer/storertest"
 	"marigoldhub.example/hub/platform"
@@ -70,3 +71,33 @@
 		})
 	}
 }
+
+// Guards against work in proportion to the fleet for each request for primary leases and each
+// refusal: an instance makes the list of peers and chooses its relay nine times a second and more.
+func TestRosterIsMadeOncePerList(t *testing.T) {
+	for _, instances := range []int{30, 100, 300} {
+		store, log := storertest.New(), logrus.New()
+		log.SetOutput(io.Discard)
+		for i := range instances {
+			name := fmt.Sprint("i", i)
+			store.Put(registrar.Prefix+name, fmt.Appendf(nil, `{"name":%q,"zone":"z%d","address":%q,"incarnation":1}`, name, i%4, name))
+		}
+		r := registrar.New(registrar.Config{Store: store, Self: registrar.Instance{Name: "a", Zone: "z0"}, Clock: clockwork.NewRealClock(), Log: log})
+		for !r.HasList() {
+			time.Sleep(time.Millisecond)
+		}
+		n := &Node{settings: platform.Settings{Instance: "a", Zone: "z0"}, registrar: r, clock: clockwork.NewRealClock()}
+		r.Close()
+		relay, hasRelay := n.relay()
+		if want, ok := placer.PrimaryLeaseRelay(n.self(), n.instances()); relay != want || hasRelay != ok || len(n.instances()) != instances+1 {
+			t.Errorf("%d instances: relay %v, %v, want %v, %v", instances, relay, hasRelay, want, ok)
+		}
+		if got := testing.AllocsPerRun(100, func() { n.instances(); n.isReader(); n.relay() }); got > 0 {
+			t.Errorf("%d instances: %.0f allocations while the list stays the same, want none", instances, got)
+		}
+		r.Remove("i7")
+		if got := len(n.instances()); got != instances {
+			t.Errorf("%d instances after one has left, want %d", got, instances)
+		}
+	}
+}
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"time"
 
@@ -141,9 +140,8 @@
 	draining bool
 	// hasLeft is set when the other instances have been told that this one is stopping.
 	hasLeft bool
-	// lastPeers is what instances last returned.
-	lastPeers []placer.Peer
-	done      chan struct{}
+	roster  roster
+	done    chan struct{}
 }
 
 // New starts an instance that writes its log to out.
@@ -245,7 +243,7 @@
 }
 
 // instances returns all listed instances, this one included if the others count it in: it has
-// a list of the store, and has not left them.
+// a list of the store, and has not left them. The list must not be changed.
 //
 // A stopping instance keeps its last list when fewer than two would be left: with a shorter one
 // it would take the whole connection limit of each server, and when all instances stop together,
@@ -253,19 +251,7 @@
 func (n *Node) instances() []placer.Peer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	others := n.registrar.Others()
-	var peers []placer.Peer
-	if !n.hasLeft && !n.registrar.IsListFromInstance() || len(others) == 0 {
-		peers = append(peers, n.self())
-	}
-	for _, o := range others {
-		peers = append(peers, placer.Peer{Name: o.Name, Zone: o.Zone, Address: o.Address, Processor: o.Processor})
-	}
-	if n.draining && len(peers) < 2 && len(n.lastPeers) > 0 {
-		return n.lastPeers
-	}
-	n.lastPeers = peers
-	return peers
+	return n.roster.update(n)
 }
 
 // seeds returns the instances of the settings, whose names are not known.
@@ -326,9 +312,10 @@
 // isAmong reports whether this instance is one of count instances that rendezvous
 // hashing selects for the job.
 func (n *Node) isAmong(job string, count int) bool {
-	return slices.ContainsFunc(placer.Rendezvous(job, n.instances(), count), func(p placer.Peer) bool {
-		return p.Name == n.settings.Instance
-	})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.roster.update(n)
+	return n.roster.isAmong(job, count, n.settings.Instance)
 }
 
 // listInterval returns the mean pause between two lists of the servers.
--- a/internal/noder/primary_leases.go
+++ b/internal/noder/primary_leases.go
@@ -44,13 +44,21 @@
 	if v.holder.IsCoordinator() {
 		return "", true
 	}
-	if relay, ok := placer.PrimaryLeaseRelay(v.self(), v.instances()); ok && !direct {
+	if relay, ok := v.relay(); ok && !direct {
 		return relay.Address, false
 	}
 	name, _ := v.coordinator.get()
 	return v.addressOf(name), false
 }
 
+// relay returns the relay of this instance for primary leases, if it has one.
+func (n *Node) relay() (placer.Peer, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.roster.update(n)
+	return n.roster.relayOf(n.self())
+}
+
 // Leases implements [gossiper.View].
 func (v view) Leases() *wire.PermitResponse {
 	<-v.built
