reconciler: a pass without a change looks only at the servers that concern the instance

Change: a complete pass is made only when the view of the informer, the list of instances or the phase of the start has changed; otherwise only for servers of which the instance is a gateway, that have none, or to which it holds connections. Lists of peers are compared once, not for each server.

--- a/internal/connector/backend.go
+++ b/internal/connector/backend.go
@@ -222,6 +222,16 @@
 	}
 }
 
+// HasOwnWork reports whether this instance holds connections to the server, or would send work
+// to it itself: it is one of its gateways, or there is none.
+func (b *Backend) HasOwnWork() bool {
+	if !b.UsesGateways() || b.IsGateway() {
+		return true
+	}
+	open, _, waiting := b.Stats()
+	return open > 0 || waiting > 0
+}
+
 // IsShortOfConns reports whether requests wait for a connection, none is idle and no more
 // may be opened.
 func (b *Backend) IsShortOfConns() bool {
--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -77,6 +77,8 @@
 	backends map[string]*connector.Backend
 	// unlisted is the health of servers without a pool.
 	unlisted map[string]unlistedHealth
+	// last is what the last complete pass was made of.
+	last basis
 }
 
 // New returns a reconciler without backends.
@@ -105,19 +107,32 @@
 }
 
 // Reconcile opens and closes pools as servers are listed and removed, and updates
-// their gateways and shares of connections.
+// their gateways and shares of connections. While nothing has changed that the shares depend
+// on, it looks only at the servers with which this instance has to do: there are as many others
+// as the fleet is large.
 func (r *Reconciler) Reconcile() {
-	state := r.cfg.Informer.State()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	peers := r.cfg.Instances()
+	now := r.basis()
+	if now.equal(r.last) {
+		for _, b := range r.backends {
+			if b.HasOwnWork() {
+				r.reconcileServer(now.state, b.Entry(), now.peers)
+			}
+		}
+		if len(r.unlisted) > 0 {
+			r.forgetUnlisted()
+		}
+		return
+	}
+	state := now.state
 	listed := map[string]bool{}
 	for _, service := range state.Services() {
 		ofService := map[string]bool{}
 		for _, srv := range state.ServersOf(service) {
 			ofService[srv.ID] = true
 			listed[srv.ID] = true
-			r.reconcileServer(state, srv, peers)
+			r.reconcileServer(state, srv, now.peers)
 		}
 		r.cfg.KeepListed(service, ofService)
 	}
@@ -128,8 +143,9 @@
 			delete(r.backends, id)
 		}
 	}
-	r.forgetUnlisted(listed)
+	r.forgetUnlisted()
 	r.cfg.Selector.Keep(listed, r.rankings())
+	r.last = now
 }
 
 // rankings returns the rankings of all backends. The caller holds mu.
--- a/internal/reconciler/unlisted.go
+++ b/internal/reconciler/unlisted.go
@@ -42,10 +42,10 @@
 
 // forgetUnlisted drops the health of servers that are listed again or have not been
 // probed for a while. The caller holds mu.
-func (r *Reconciler) forgetUnlisted(listed map[string]bool) {
+func (r *Reconciler) forgetUnlisted() {
 	now := r.cfg.Clock.Now()
 	maps.DeleteFunc(r.unlisted, func(id string, h unlistedHealth) bool {
-		return listed[id] || now.Sub(h.probed) > unlistedHealthRetention
+		return r.backends[id] != nil || now.Sub(h.probed) > unlistedHealthRetention
 	})
 }
 
--- a/internal/selector/plan.go
+++ b/internal/selector/plan.go
@@ -16,7 +16,7 @@
 
 // of returns the server's n gateways among the peers.
 func (p *plan) of(srv informer.Server, peers []placer.Peer, n int) []placer.Peer {
-	if p.byServer == nil || !slices.Equal(p.peers, peers) {
+	if p.byServer == nil || !isSame(p.peers, peers) {
 		p.peers, p.byServer = peers, map[string][]placer.Peer{}
 	}
 	chosen, ok := p.byServer[srv.ID]
@@ -27,6 +27,12 @@
 	return chosen
 }
 
+// isSame reports whether two lists are equal. Those of one list, as for all servers of a pass,
+// need no comparison.
+func isSame(a, b []placer.Peer) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0] || slices.Equal(a, b))
+}
+
 // forget removes servers that are not listed any more.
 func (p *plan) forget(listed map[string]bool) {
 	for id := range p.byServer {
