noder, gossiper: a relay collects its leases once, and a view reads the clock once

Cause: a relay of primary leases went through all services, with two reads of the clock each, for each of the 144 requests a second of its clients; a view read the clock for each service with a sample. Change: what remains of the leases is collected when new ones were learnt, or after 60 ms, and is passed on less the time since; a view takes its time before it collects samples.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -153,9 +153,11 @@
 	// lastRefresh is when Refresh last ran.
 	lastRefresh time.Time
 	pulling     atomic.Bool
-	detector    *FailureDetector
-	handouts    *handouts
-	news        spreader
+	// version is that of this instance's configuration at the last exchange.
+	version  atomic.Int64
+	detector *FailureDetector
+	handouts *handouts
+	news     spreader
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -196,14 +198,14 @@
 		}
 		interval := exchangeInterval
 		if !g.pulling.Load() {
-			if g.cfg.View.State(nil).GetConfigurationVersion() == 0 {
-				interval = startInterval
-			}
 			if address := g.choosePeer(); address != "" {
 				if _, _, err := g.exchangeWithin(ctx, address, transferTimeout); err != nil {
 					g.cfg.Log.WithError(err).Debug("gossiper: exchange with an instance failed")
 				}
 			}
+			if g.version.Load() == 0 {
+				interval = startInterval
+			}
 		}
 		wait = interval*3/4 + rand.N(interval/2)
 	}
@@ -237,7 +239,9 @@
 		return nil, false, err
 	}
 	asked := g.cfg.Clock.Now()
-	state, err = wire.NewDRPCPeersClient(conn).Exchange(ctx, g.cfg.View.State(nil))
+	own := g.cfg.View.State(nil)
+	g.version.Store(own.GetConfigurationVersion())
+	state, err = wire.NewDRPCPeersClient(conn).Exchange(ctx, own)
 	if err != nil {
 		return nil, false, errors.Wrap(err, address)
 	}
--- a/internal/gossiper/spread.go
+++ b/internal/gossiper/spread.go
@@ -122,7 +122,6 @@
 // sends it the configuration. It reports whether the instance answered in time.
 func (g *Gossiper) tell(address string) bool {
 	answer := make(chan *wire.PeerState, 1)
-	version := g.cfg.View.State(nil).GetConfigurationVersion()
 	go func() {
 		state, _, err := g.exchangeWithin(g.ctx, address, exchangeTimeout)
 		if err != nil {
@@ -132,7 +131,7 @@
 	}()
 	select {
 	case state := <-answer:
-		if state != nil && state.GetConfigurationVersion() < version {
+		if state != nil && state.GetConfigurationVersion() < g.version.Load() {
 			// It fetches the configuration now.
 			g.pause(g.handouts.duration(len(g.cfg.View.State(state).GetConfiguration())))
 		}
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -128,6 +128,7 @@
 	holder        *holder.Holder
 	replacer      *replacer.Replacer
 	coordinator   knownCoordinator
+	relayed       relayedLeases
 	httpServers   []*http.Server
 	budget        *budgeter.Budget
 	sockets       sockets
--- a/internal/noder/primary_leases.go
+++ b/internal/noder/primary_leases.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"marigoldhub.example/hub/internal/holder"
+	"marigoldhub.example/hub/internal/informer"
 	"marigoldhub.example/hub/internal/messenger/wire"
 	"marigoldhub.example/hub/internal/placer"
 )
@@ -82,20 +83,78 @@
 	return resp
 }
 
-// addRelayedLeases adds what remains of this instance's primary leases.
-func (v view) addRelayedLeases(resp *wire.PermitResponse) {
+// relayedLeases are the primary leases of this instance as it passes them on. They are collected
+// once for the leases that it has learnt last: a relay is asked 150 times a second, and a large
+// fleet has a thousand services.
+type relayedLeases struct {
+	mu sync.Mutex
+	// at is the time from which what remains is counted; zero if the leases must be collected.
+	at          time.Time
+	state       *informer.State
+	leases      []relayedLease
+	switchovers []relayedLease
+}
+
+// maxRelayedAge is how old the collected leases may be. What has changed since is like a response
+// that was as long on its way: leases are learnt about as often.
+const maxRelayedAge = 60 * time.Millisecond
+
+// relayedLease is a primary lease, or one for a switchover to the server next.
+type relayedLease struct {
+	service, primary, next string
+	term                   uint64
+	remaining              time.Duration
+}
+
+// forget makes the leases be collected again.
+func (r *relayedLeases) forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.at = time.Time{}
+}
+
+// collect returns the leases and for how long ago what remains of them is told. The time is read
+// before the leases, so that none is told to last longer than it does.
+func (r *relayedLeases) collect(v view, now time.Time) (leases, switchovers []relayedLease, age time.Duration) {
 	state := v.informer.State()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.at.IsZero() && r.state == state && now.Sub(r.at) < maxRelayedAge {
+		return r.leases, r.switchovers, now.Sub(r.at)
+	}
+	r.at, r.state, r.leases, r.switchovers = now, state, nil, nil
 	if !state.HasConfiguration() {
-		return
+		return nil, nil, 0
 	}
 	for name := range state.Configuration.Services {
 		g := v.dispatcher.Group(name)
 		if server, term, remaining, ok := g.LeaseRemaining(); ok {
-			resp.Permits = append(resp.Permits, &wire.Permit{Service: name, Primary: server, Term: term, ForUs: uint64(remaining.Microseconds())})
+			r.leases = append(r.leases, relayedLease{service: name, primary: server, term: term, remaining: remaining})
 		}
 		if server, next, term, remaining, ok := g.SwitchoverRemaining(); ok {
+			r.switchovers = append(r.switchovers, relayedLease{service: name, primary: server, next: next, term: term, remaining: remaining})
+		}
+	}
+	return r.leases, r.switchovers, 0
+}
+
+// addRelayedLeases adds what remains of this instance's primary leases.
+func (v view) addRelayedLeases(resp *wire.PermitResponse) {
+	leases, switchovers, age := v.relayed.collect(v, v.clock.Now())
+	permits := make([]wire.Permit, len(leases))
+	resp.Permits = make([]*wire.Permit, 0, len(leases))
+	for i, l := range leases {
+		if l.remaining <= age {
+			continue
+		}
+		p := &permits[i]
+		p.Service, p.Primary, p.Term, p.ForUs = l.service, l.primary, l.term, uint64((l.remaining - age).Microseconds())
+		resp.Permits = append(resp.Permits, p)
+	}
+	for _, l := range switchovers {
+		if l.remaining > age {
 			resp.Switchovers = append(resp.Switchovers, &wire.SwitchoverPermit{
-				Service: name, Primary: server, Term: term, Next: next, ForUs: uint64(remaining.Microseconds()),
+				Service: l.service, Primary: l.primary, Term: l.term, Next: l.next, ForUs: uint64((l.remaining - age).Microseconds()),
 			})
 		}
 	}
@@ -121,6 +180,7 @@
 		}
 		v.dispatcher.Group(p.GetService()).ExtendSwitchover(p.GetPrimary(), p.GetNext(), p.GetTerm(), leaseEnd(asked, p.GetForUs()))
 	}
+	v.relayed.forget()
 	return lacks
 }
 
--- a/internal/noder/view.go
+++ b/internal/noder/view.go
@@ -34,6 +34,9 @@
 	if other != nil && other.GetConfigurationVersion() < c.Version {
 		s.Configuration = c.Packed
 	}
+	// The time is read once: a read is a system call, and there may be a thousand services. A
+	// caller counts ages from before its request, so that they are not too short.
+	now := v.clock.Now()
 	for name := range c.Services {
 		g := v.dispatcher.Group(name)
 		sv := &wire.ServiceView{Service: name}
@@ -44,7 +47,7 @@
 		sv.Acknowledged = &wire.Position{Term: p.Term, Offset: p.Offset}
 		if sample, ok := g.LatestSample(); ok {
 			sv.Sample = &wire.Position{Term: sample.Position.Term, Offset: sample.Position.Offset}
-			sv.SampleTerm, sv.SampleAgeUs = sample.Term, uint64(v.clock.Since(sample.At).Microseconds())+1
+			sv.SampleTerm, sv.SampleAgeUs = sample.Term, uint64(max(now.Sub(sample.At), 0).Microseconds())+1
 		}
 		s.Services = append(s.Services, sv)
 	}
