informer: an entry of a server that is the one of the last list is not decoded again

Cause: by a profile of instances in a fleet of 300 (2,600 servers, in process) 21 % of what is left of the processor time in calm is the decoding of entries, 4 us each; nearly all are those of the last list. Change: the entries of the last list are kept with what they say; equal bytes are not decoded. Lists stay full lists, and all checks of a server in the view are made as before. Result: TestUnchangedEntriesAreDecodedOnce; without the kept entries it decodes 3 or 4 where 1 or 2 are allowed.

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -40,6 +41,8 @@
 	// checked is what the last check of the configuration found.
 	checked check
 	servers map[string]Server
+	// entries are those of the last list, by key.
+	entries map[string]decodedEntry
 	// versions has the newest known entry of each server, removed ones included.
 	versions map[string]entryVersion
 	rejected *rejections
@@ -83,6 +86,7 @@
 	n := &Informer{
 		cfg:       cfg,
 		servers:   map[string]Server{},
+		entries:   map[string]decodedEntry{},
 		versions:  map[string]entryVersion{},
 		rejected:  newRejections(cfg.Log),
 		order:     storer.NewListOrder(cfg.Schema.ServerPrefix, cfg.Clock, cfg.Log),
@@ -509,6 +513,7 @@
 		n.complete, n.firstListed = false, now
 	}
 	n.list = newList(entries, revision, now)
+	n.forgetEntries(entries)
 	changed := !n.listed
 	n.listed = true
 	if n.firstListed.IsZero() {
@@ -549,7 +554,7 @@
 	usable := make([]storer.Entry, 0, len(entries))
 	servers := make([]Server, 0, len(entries))
 	for _, e := range entries {
-		srv, err := n.cfg.Schema.DecodeServer(e.Key, e.Value)
+		srv, err := n.decodeServer(e)
 		if err == nil && n.isInPlaceOf(srv) {
 			err = errOtherServer
 		}
@@ -566,6 +571,37 @@
 // errOtherServer means that an entry describes another server than the one with its id.
 var errOtherServer = errors.New("the server with this id has another service or address")
 
+// decodedEntry is a server's entry in the last list, with what it says.
+type decodedEntry struct {
+	value  []byte
+	server Server
+}
+
+// decodeServer decodes a server's entry unless it is that of the last list: nearly all are. The
+// caller holds mu.
+func (n *Informer) decodeServer(e storer.Entry) (Server, error) {
+	if last, ok := n.entries[e.Key]; ok && bytes.Equal(last.value, e.Value) {
+		return last.server, nil
+	}
+	srv, err := n.cfg.Schema.DecodeServer(e.Key, e.Value)
+	if err == nil {
+		n.entries[e.Key] = decodedEntry{e.Value, srv}
+	}
+	return srv, err
+}
+
+// forgetEntries drops the decoded entries that the list lacks. The caller holds mu.
+func (n *Informer) forgetEntries(listed []storer.Entry) {
+	if len(n.entries) == len(listed) {
+		return
+	}
+	keep := make(map[string]bool, len(listed))
+	for _, e := range listed {
+		keep[e.Key] = true
+	}
+	maps.DeleteFunc(n.entries, func(key string, _ decodedEntry) bool { return !keep[key] })
+}
+
 // isInPlaceOf reports whether the entry has the id of a known server but cannot be its:
 // a server has one service and one address from its start on. The caller holds mu.
 func (n *Informer) isInPlaceOf(srv Server) bool {
--- a/internal/informer/refresh_test.go
+++ b/internal/informer/refresh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,3 +68,49 @@
 		t.Errorf("first service: %v", err)
 	}
 }
+
+// Guards against lists that decode all entries again although nearly all are those of the last
+// one: a fleet of 300 instances has 2,600 servers, and each instance lists them every few seconds.
+func TestUnchangedEntriesAreDecodedOnce(t *testing.T) {
+	var decodes atomic.Int64
+	f := start(t, func(c *informer.Config) {
+		c.ListInterval = func() time.Duration { return time.Hour }
+		decode := c.Schema.DecodeServer
+		c.Schema.DecodeServer = func(key string, value []byte) (informer.Server, error) {
+			decodes.Add(1)
+			return decode(key, value)
+		}
+	})
+	put := func(id, address string) {
+		f.store.Put("backend/"+id, encode(t, informer.Server{Service: "x", Address: address, Slots: 1, Born: 7}))
+	}
+	put("a", "1")
+	put("b", "1")
+	f.store.Put("backend/odd", []byte("{"))
+	eventually(t, "the servers are listed", f.informer.HasServerList)
+	for _, step := range []struct {
+		name    string
+		do      func()
+		decodes int64
+		want    int
+	}{
+		// The odd entry is decoded with each list.
+		{"no change", func() {}, 1, 2},
+		{"new server", func() { put("c", "1") }, 2, 3},
+		{"entry written again", func() { put("c", "1") }, 1, 3},
+		{"server that is gone", func() { f.store.Delete("backend/c") }, 1, 3},
+		{"its entry is back", func() { put("c", "1") }, 2, 3},
+	} {
+		step.do()
+		before := decodes.Load()
+		if err := f.informer.Refresh(); err != nil {
+			t.Fatal(err)
+		}
+		if got := decodes.Load() - before; got != step.decodes {
+			t.Errorf("%s: %d entries were decoded, want %d", step.name, got, step.decodes)
+		}
+		if got := len(f.informer.State().ServersOf("x")); got != step.want {
+			t.Errorf("%s: %d servers, want %d", step.name, got, step.want)
+		}
+	}
+}
