reconciler: the servers whose work an instance schedules are looked for among its own

Cause: each request for primary leases, nine a second of each instance and 144 of a relay's clients, looked at all servers of the fleet for those that the instance schedules: 22 % of what is left of the processor time in calm (profile at 300 instances and 2,600 servers, in process), 0.4 ms each time. Change: the servers of which the instance is a gateway are kept since the last complete pass.

--- a/internal/reconciler/pass_test.go
+++ b/internal/reconciler/pass_test.go
@@ -82,6 +82,15 @@
 		if got, most := clock.reads.Load()-before, int64(10*gateways+10); got > most {
 			t.Errorf("%d instances: the clock is read %d times in a pass without a change, want ten times for each of the %d servers that it is a gateway of at most", instances, got, gateways)
 		}
+		scheduled := 0
+		for _, b := range r.backends {
+			if b.IsScheduler(time.Now()) {
+				scheduled++
+			}
+		}
+		if got := len(r.Scheduled(time.Now())); got != scheduled || len(r.ranked) != gateways {
+			t.Errorf("%d instances: schedules the work of %d servers among %d, want %d among %d", instances, got, len(r.ranked), scheduled, gateways)
+		}
 		// A change is seen: the instance becomes the only one.
 		peers = peers[:1]
 		r.Reconcile()
--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -77,8 +77,10 @@
 	backends map[string]*connector.Backend
 	// unlisted is the health of servers without a pool.
 	unlisted map[string]unlistedHealth
-	// last is what the last complete pass was made of.
-	last basis
+	// last is what the last complete pass was made of, and ranked has the servers of which this
+	// instance is a gateway since then.
+	last   basis
+	ranked []*connector.Backend
 }
 
 // New returns a reconciler without backends.
@@ -146,6 +148,7 @@
 	r.forgetUnlisted()
 	r.cfg.Selector.Keep(listed, r.rankings())
 	r.last = now
+	r.ranked = slices.DeleteFunc(slices.Collect(maps.Values(r.backends)), func(b *connector.Backend) bool { return !b.IsGateway() })
 }
 
 // rankings returns the rankings of all backends. The caller holds mu.
@@ -226,7 +229,7 @@
 func (r *Reconciler) Scheduled(now time.Time) []*connector.Backend {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return slices.DeleteFunc(slices.Collect(maps.Values(r.backends)), func(b *connector.Backend) bool { return !b.IsScheduler(now) })
+	return slices.DeleteFunc(slices.Clone(r.ranked), func(b *connector.Backend) bool { return !b.IsScheduler(now) })
 }
 
 // AcceptsNewWork reports whether a server may get new work. A draining one gets it
