--- a/internal/noder/spread.go
+++ b/internal/noder/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"marigoldhub.example/hub/internal/placer"
@@ -25,7 +26,8 @@
 		byZone[p.Zone] = append(byZone[p.Zone], p)
 	}
 	var blocks [][]string
-	for _, near := range byZone {
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
+		near := byZone[zone]
 		slices.SortFunc(near, func(a, b placer.Peer) int { return cmp.Compare(a.Name, b.Name) })
 		isFirst := func(p placer.Peer) bool { return slices.Contains(readers, p) }
 		if !slices.ContainsFunc(near, isFirst) {
