gossiper: lists of servers are sent as fast as the link carries them

Change: the limit of configurations counts lists as well; who gets none sees it and asks again. The shorter interval of instances without a configuration is taken back. Result: TestRecordsAreSentAsFastAsTheLinkCarries: 300 askers in 3 s were sent 48 MB over a link of 10 Mbit/s, 2.7 to 3.3 MB now. TestConfigurationInAFleet: in force after a change in 0.3 / 0.8 / 0.8 s.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -58,10 +58,8 @@
 	// leaseRequestInterval keeps leases of 300 ms from ending when one response is
 	// late. A request and its response take about 200 bytes.
 	leaseRequestInterval = 110 * time.Millisecond
-	// firstExchangeJitter spreads the first exchanges of instances that start together, and
-	// startInterval replaces exchangeInterval until an instance has a configuration.
+	// firstExchangeJitter spreads the first exchanges of instances that start together.
 	firstExchangeJitter = 200 * time.Millisecond
-	startInterval       = 350 * time.Millisecond
 	// transferTimeout limits an exchange that may bring a configuration, which takes some
 	// tenths of a second on a slow link.
 	transferTimeout = time.Second
@@ -206,18 +204,14 @@
 		case <-ctx.Done():
 			return
 		}
-		interval := exchangeInterval
 		if !g.pulling.Load() {
 			if address := g.choosePeer(); address != "" {
 				if _, _, err := g.exchangeWithin(ctx, address, transferTimeout); err != nil {
 					g.cfg.Log.WithError(err).Debug("gossiper: exchange with an instance failed")
 				}
 			}
-			if g.version.Load() == 0 {
-				interval = startInterval
-			}
 		}
-		wait = interval*3/4 + rand.N(interval/2)
+		wait = exchangeInterval*3/4 + rand.N(exchangeInterval/2)
 	}
 }
 
--- a/internal/gossiper/service.go
+++ b/internal/gossiper/service.go
@@ -22,13 +22,22 @@
 		s.Gossiper.Pull(in.GetHeader().GetInstance())
 	}
 	state := s.View.State(in)
-	if len(state.GetConfiguration()) > 0 && !s.Gossiper.handouts.take(len(state.GetConfiguration())) {
-		// The caller sees the version and asks again.
-		state.Configuration = nil
+	if size := recordsSize(state); size > 0 && !s.Gossiper.handouts.take(size) {
+		// The caller sees that its records are older and asks again.
+		state.Configuration, state.Servers = nil, nil
 	}
 	return state, nil
 }
 
+// recordsSize returns the size of the configuration and the list of servers in the message.
+func recordsSize(s *wire.PeerState) int {
+	size := len(s.GetConfiguration())
+	for _, e := range s.GetServers() {
+		size += len(e.GetKey()) + len(e.GetValue())
+	}
+	return size
+}
+
 // EndTenure implements the Peers service: this instance stops acting as the
 // coordinator in the tenure with the token.
 func (s Service) EndTenure(_ context.Context, in *wire.EndTenureRequest) (*wire.EndTenureResponse, error) {
