--- a/internal/gossiper/service.go
+++ b/internal/gossiper/service.go
@@ -21,7 +21,21 @@
 	if s.View.Learn(in, time.Time{}) {
 		s.Gossiper.Pull(in.GetHeader().GetInstance())
 	}
-	return s.View.State(in), nil
+	state := s.View.State(in)
+	if size := recordsSize(state); size > 0 && !s.Gossiper.handouts.take(size) {
+		// The caller sees that its records are older and asks again.
+		state.Configuration, state.Servers = nil, nil
+	}
+	return state, nil
+}
+
+// recordsSize returns the size of the configuration and the list of servers in the message.
+func recordsSize(s *wire.PeerState) int {
+	size := len(s.GetConfiguration())
+	for _, e := range s.GetServers() {
+		size += len(e.GetKey()) + len(e.GetValue())
+	}
+	return size
 }
 
 // EndTenure implements the Peers service: this instance stops acting as the
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -34,10 +36,13 @@
 
 	mu            sync.Mutex
 	configuration *Configuration
+	decoded       decoded
 	proofs        prover.Ledger
 	// checked is what the last check of the configuration found.
 	checked check
 	servers map[string]Server
+	// entries are those of the last list, by key.
+	entries map[string]decodedEntry
 	// versions has the newest known entry of each server, removed ones included.
 	versions map[string]entryVersion
 	rejected *rejections
@@ -71,6 +76,9 @@
 	if cfg.IsProofRoot == nil {
 		cfg.IsProofRoot = func() bool { return false }
 	}
+	if cfg.FirstReadPause == nil {
+		cfg.FirstReadPause = func() time.Duration { return 0 }
+	}
 	if cfg.AskPeers == nil {
 		cfg.AskPeers = func() {}
 	}
@@ -78,6 +86,7 @@
 	n := &Informer{
 		cfg:       cfg,
 		servers:   map[string]Server{},
+		entries:   map[string]decodedEntry{},
 		versions:  map[string]entryVersion{},
 		rejected:  newRejections(cfg.Log),
 		order:     storer.NewListOrder(cfg.Schema.ServerPrefix, cfg.Clock, cfg.Log),
@@ -157,11 +166,10 @@
 }
 
 // OfferList adopts a list that another instance read if its store revision is
-// higher than that of the last one.
-func (n *Informer) OfferList(l List) {
-	if l.Revision > n.List().Revision {
-		n.apply(l.Entries, l.Revision)
-	}
+// higher than that of the last one. It reports whether a known server has begun to drain,
+// which other instances must learn.
+func (n *Informer) OfferList(l List) (leaving bool) {
+	return l.Revision > n.List().Revision && n.apply(l.Entries, l.Revision)
 }
 
 // Done returns a channel that is closed when the informer has stopped.
@@ -188,11 +196,32 @@
 		n.cfg.Log.WithError(err).WithField("source", source).Warn("informer: configuration cannot be read; the present one stays")
 		return false
 	}
-	return n.Offer(raw, source)
+	_, adopted := n.offerWith(raw, packed, source)
+	return adopted
 }
 
-// offer returns the version as well; 0 if the configuration cannot be read.
+// decoded is the digest of a configuration that was decoded, and its version.
+type decoded struct {
+	digest  [sha256.Size]byte
+	version int64
+}
+
+// offer returns the version as well; 0 if the configuration cannot be read. It decodes nothing
+// if the configuration is the one that was decoded last: readers read the same one again and
+// again.
 func (n *Informer) offer(raw []byte, source string) (version int64, adopted bool) {
+	return n.offerWith(raw, nil, source)
+}
+
+// offerWith is offer with the packed form if there is one.
+func (n *Informer) offerWith(raw, packed []byte, source string) (version int64, adopted bool) {
+	digest := sha256.Sum256(raw)
+	n.mu.Lock()
+	last := n.decoded
+	n.mu.Unlock()
+	if last.version > 0 && digest == last.digest {
+		return last.version, false
+	}
 	c, err := n.cfg.Schema.DecodeConfiguration(raw)
 	if err != nil {
 		n.cfg.Log.WithError(err).WithField("source", source).Warn("informer: configuration cannot be read; the present one stays")
@@ -201,17 +230,20 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.configuration != nil && c.Version <= n.configuration.Version {
+		n.decoded = decoded{digest, c.Version}
 		return c.Version, false
 	}
 	if c.Raw == nil {
 		c.Raw = bytes.Clone(raw)
 	}
-	if c.Packed, err = pack(c.Raw); err != nil {
+	if packed != nil && bytes.Equal(c.Raw, raw) {
+		c.Packed = packed
+	} else if c.Packed, err = pack(c.Raw); err != nil {
 		n.cfg.Log.WithError(err).Warn("informer: configuration cannot be passed on to other instances")
 	}
 	fields := logrus.Fields{"version": c.Version, "source": source, "routes": len(c.Routes)}
 	addTeamChanges(fields, n.configuration, c)
-	n.configuration = c
+	n.configuration, n.decoded = c, decoded{digest, c.Version}
 	n.proofs.ObserveVersion(c.Version)
 	n.publish()
 	n.cfg.Log.WithFields(fields).Info("informer: configuration is in force")
@@ -230,8 +262,12 @@
 func (n *Informer) followConfiguration(ctx context.Context) {
 	for ctx.Err() == nil {
 		follow := n.watchConfiguration
-		if !n.cfg.IsReader() && n.State().HasConfiguration() {
+		switch {
+		case n.cfg.IsReader():
+		case n.State().HasConfiguration():
 			follow = n.pollConfiguration
+		default:
+			follow = n.awaitConfiguration
 		}
 		if err := follow(ctx); err != nil && ctx.Err() == nil {
 			n.cfg.Log.WithError(err).Debug("informer: following the configuration failed")
@@ -243,12 +279,15 @@
 // watchConfiguration reads the configuration and watches it for changes while this
 // instance is a reader.
 func (n *Informer) watchConfiguration(ctx context.Context) error {
-	revision, _, err := n.readConfiguration(ctx, "store")
+	revision, adopted, err := n.readConfiguration(ctx, "store")
 	if err != nil {
 		return err
 	}
 	if !n.cfg.IsReader() {
-		return n.awaitConfiguration(ctx)
+		return nil
+	}
+	if adopted {
+		go n.cfg.OnChange()
 	}
 	w, err := n.cfg.Store.Watch(ctx, n.cfg.Schema.ConfigurationPrefix, revision+1)
 	if err != nil {
@@ -270,21 +309,31 @@
 	return w.Err()
 }
 
-// initialPollInterval is the mean pause between two reads by an instance that has
-// no configuration yet and is no reader. A stale read costs a tenth of a watch.
+// initialPollInterval is the mean pause between two reads by an instance that has no
+// configuration and is no reader.
 const initialPollInterval = 700 * time.Millisecond
 
-// awaitConfiguration polls until a configuration is known, from the store or from
-// another instance, or until this instance is a reader.
+// awaitConfiguration waits for a configuration from another instance, or until this instance
+// is a reader. After [Config.FirstReadPause] it reads the store now and then.
 func (n *Informer) awaitConfiguration(ctx context.Context) error {
-	for ctx.Err() == nil && !n.State().HasConfiguration() && !n.cfg.IsReader() {
-		if err := n.poll(ctx, initialPollInterval); err != nil {
+	due := n.cfg.Clock.Now().Add(n.cfg.FirstReadPause())
+	for ctx.Err() == nil && !n.cfg.IsReader() && !n.State().HasConfiguration() {
+		if wait := n.cfg.Clock.Until(due); wait > 0 {
+			n.pause(ctx, min(wait, awaitStep))
+			continue
+		}
+		if _, _, err := n.readConfiguration(ctx, "store"); err != nil {
 			return err
 		}
+		due = n.cfg.Clock.Now().Add(n.cfg.FirstReadPause() + initialPollInterval*3/4 + rand.N(initialPollInterval/2))
 	}
 	return nil
 }
 
+// awaitStep is how often an instance without a configuration looks whether it has become a
+// reader.
+const awaitStep = 20 * time.Millisecond
+
 // pollConfiguration reads the configuration by stale reads, which the store charges least
 // for, while this instance is no reader. Readers tell it of changes sooner, and their proofs
 // show that there is none: it reads only when the newest proof is as old as the interval.
@@ -321,12 +370,6 @@
 	}
 }
 
-// poll reads the configuration by a stale read after a pause.
-func (n *Informer) poll(ctx context.Context, interval time.Duration) error {
-	n.pause(ctx, interval*3/4+rand.N(interval/2))
-	return n.readStale(ctx)
-}
-
 // readStale adopts the configuration of a stale read.
 func (n *Informer) readStale(ctx context.Context) error {
 	entries, _, err := n.lister(true)(ctx, n.cfg.Schema.ConfigurationKey)
@@ -470,6 +513,7 @@
 		n.complete, n.firstListed = false, now
 	}
 	n.list = newList(entries, revision, now)
+	n.forgetEntries(entries)
 	changed := !n.listed
 	n.listed = true
 	if n.firstListed.IsZero() {
@@ -510,7 +554,7 @@
 	usable := make([]storer.Entry, 0, len(entries))
 	servers := make([]Server, 0, len(entries))
 	for _, e := range entries {
-		srv, err := n.cfg.Schema.DecodeServer(e.Key, e.Value)
+		srv, err := n.decodeServer(e)
 		if err == nil && n.isInPlaceOf(srv) {
 			err = errOtherServer
 		}
@@ -527,6 +571,37 @@
 // errOtherServer means that an entry describes another server than the one with its id.
 var errOtherServer = errors.New("the server with this id has another service or address")
 
+// decodedEntry is a server's entry in the last list, with what it says.
+type decodedEntry struct {
+	value  []byte
+	server Server
+}
+
+// decodeServer decodes a server's entry unless it is that of the last list: nearly all are. The
+// caller holds mu.
+func (n *Informer) decodeServer(e storer.Entry) (Server, error) {
+	if last, ok := n.entries[e.Key]; ok && bytes.Equal(last.value, e.Value) {
+		return last.server, nil
+	}
+	srv, err := n.cfg.Schema.DecodeServer(e.Key, e.Value)
+	if err == nil {
+		n.entries[e.Key] = decodedEntry{e.Value, srv}
+	}
+	return srv, err
+}
+
+// forgetEntries drops the decoded entries that the list lacks. The caller holds mu.
+func (n *Informer) forgetEntries(listed []storer.Entry) {
+	if len(n.entries) == len(listed) {
+		return
+	}
+	keep := make(map[string]bool, len(listed))
+	for _, e := range listed {
+		keep[e.Key] = true
+	}
+	maps.DeleteFunc(n.entries, func(key string, _ decodedEntry) bool { return !keep[key] })
+}
+
 // isInPlaceOf reports whether the entry has the id of a known server but cannot be its:
 // a server has one service and one address from its start on. The caller holds mu.
 func (n *Informer) isInPlaceOf(srv Server) bool {
