noder, registrar: instances are asked for until they are known

Cause: TestStartWithoutTheStoreBesideAStaleInstance failed in 2 of 12 plays at a load of 17 ("the instance that allocates the team's quota is out of reach", or no gateway). An instance that starts while the store is away got the entries of the instances only with its first list of servers. If the one that it asked had no settled list of instances at that time, it never learned the others: its quotas had no allocator and it worked beside the gateways of the servers. Ruled out: the stale configuration, which was replaced in these runs as well. Change: an instance without a list of instances asks with the revision 0 of its servers and their digest, and is told the instances alone if the servers are the same. One that has no list itself tells none: it would be taken for the only one. Result: TestInstancesAreAskedForUntilTheyAreKnown failed before ("is told []", never asked again), and passes; the two tests of starts without the store pass in 9 of 9 plays with -race, three at a time.

--- a/internal/noder/view.go
+++ b/internal/noder/view.go
@@ -54,17 +54,24 @@
 	return s
 }
 
-// addServers adds the revision and the digest of the server list, and the list if
-// that of the other instance is older and differs.
+// addServers adds the revision and the digest of the server list, and the list if that of the
+// other instance is older and differs. An instance that has no list of instances asks for one
+// by the revision 0, together with the digest of its servers: it may have learned these from
+// an instance that had no list of instances either.
 func (v view) addServers(s, other *wire.PeerState) {
 	list := v.informer.List()
 	s.ServersRevision, s.ServersDigest = list.Revision, list.Digest
-	if other == nil || other.GetServersRevision() >= list.Revision || other.GetServersDigest() == list.Digest {
+	if other == nil {
+		if !v.registrar.HasList() {
+			s.ServersRevision = 0
+		}
 		return
 	}
-	entries := list.Entries
+	var entries []storer.Entry
+	if other.GetServersRevision() < list.Revision && other.GetServersDigest() != list.Digest {
+		entries = list.Entries
+	}
 	if other.GetServersRevision() == 0 {
-		// One that has no list of servers has just started, and may have none of the instances.
 		entries = slices.Concat(entries, v.registrar.Entries())
 	}
 	for _, e := range entries {
@@ -99,7 +106,7 @@
 			}
 			servers = append(servers, entry)
 		}
-		if v.informer.OfferList(informer.List{Revision: s.GetServersRevision(), Entries: servers}) {
+		if len(servers) > 0 && v.informer.OfferList(informer.List{Revision: s.GetServersRevision(), Entries: servers}) {
 			v.gossiper.Spread(false)
 		}
 		v.registrar.Offer(instances)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -180,12 +180,13 @@
 }
 
 // Entries returns the known instances, this one included, as the store has them; none while
-// they are likely to come and go, because the list may lack many then.
+// they are likely to come and go, because the list may lack many then, and none without a list:
+// another instance would take this one for the only one.
 func (r *Registrar) Entries() []storer.Entry {
 	r.mu.Lock()
 	isSettled := r.cfg.Clock.Since(r.unsettled) >= togetherTime
 	r.mu.Unlock()
-	if !isSettled {
+	if !isSettled || !r.HasList() {
 		return nil
 	}
 	var entries []storer.Entry
