replacer: the log of a server that left long ago counts as no new departure

Cause: recordLostLogs took a log of an earlier change whose server is not there any more for one that is lost now. The departure was not covered, so the whole log of a stalled primary was needed, with a tail that no replica receives: it was promoted again and again. A switchover then needed the old primary's report as well.

--- a/internal/replacer/departures_test.go
+++ b/internal/replacer/departures_test.go
@@ -278,6 +278,50 @@
 	}
 }
 
+// Guards against a stalled primary that is promoted again and again, because the log of a
+// server that left long ago is missing in the next choice and counts as one that is lost now.
+func TestStalledPrimaryIsReplacedLongAfterAServerHasLeft(t *testing.T) {
+	t.Parallel()
+	// The departure itself counts for 30 s.
+	const retention = 32 * time.Second
+	f := newFixtureWith(t, fixtureOptions{
+		servers: []string{"a", "b", "c", "d", "e"}, known: pos(0), leaseTTL: leaseTTL, removeAfter: removeAfter,
+	})
+	f.election.token.Store(3)
+	eventually(t, 5*time.Second, "a leads", f.leads("a"))
+	f.acknowledge(t, "a", "first")
+	// The change after this failure records the logs of the other servers.
+	f.SetDown("a", true)
+	eventually(t, 5*time.Second, "another server leads", func() bool { return f.changed() && f.Primary() != "a" })
+	f.Remove("a")
+	f.store.Delete("backend/a")
+	second, gone := f.Primary(), "d"
+	if second == gone {
+		gone = "c"
+	}
+	time.Sleep(500 * time.Millisecond)
+	f.drainEntry(t, gone)
+	time.Sleep(300 * time.Millisecond)
+	f.Remove(gone)
+	f.store.Delete("backend/" + gone)
+	time.Sleep(retention)
+	for _, id := range []string{"b", "c", "d", "e"} {
+		if id != second && id != gone {
+			f.SetReplicationCut(id, true)
+		}
+	}
+	before := len(f.Promotions())
+	if err := f.write(second, "not acknowledged"); err == nil {
+		t.Fatal("the write was acknowledged")
+	}
+	f.setPending(time.Now())
+	time.Sleep(6 * time.Second)
+	p := f.Promotions()[before:]
+	if !slices.ContainsFunc(p, func(id string) bool { return id != second }) {
+		t.Errorf("promoted within 6 s: %v, want another than %s: nothing that is acknowledged is missing there", p, second)
+	}
+}
+
 // setPending makes a write unanswered since the time.
 func (f *fixture) setPending(since time.Time) {
 	f.backends.mu.Lock()
