replacer: the log of a replica whose new start has not answered counts as lost

Cause: recordLostLogs skipped a server without a report, whichever start was listed; the update after it forgot the log of the earlier start. In the next choice the empty log of the new start was nothing new, and a commit that the replica and the old primary had acknowledged was lost. Change: a server without a report is skipped only under the start whose log is known; another start without a report counts as gone. Before: TestReplicaRestartsEmptyBetweenTwoChoices/is_listed_before_it_answers lost the commit, two cases of TestLostLogsOfSeveralChoices failed. After: passed, with TestRecordLostLogs, TestRestartDuringTheFailover and TestCommitsOfAReplicaThatLedForAMoment.

--- a/internal/replacer/lost_commits_test.go
+++ b/internal/replacer/lost_commits_test.go
@@ -358,30 +358,44 @@
 
 // Guards against a choice without the log of a replica that was read earlier in the failover
 // and is gone, while the old primary, which has it too, is out of reach: 50 commits of seed
-// 1283 of TestChangesOfServers.
+// 1283 of TestChangesOfServers. The new start may be listed before it answers.
 func TestReplicaRestartsEmptyBetweenTwoChoices(t *testing.T) {
 	t.Parallel()
-	f := newFixture(t, pos(0))
-	var once sync.Once
-	f.beforePromote = func(_ context.Context, id string) error {
-		var err error
-		once.Do(func() {
-			if id != "b" {
-				t.Errorf("%s is chosen first", id)
+	for _, tc := range []struct {
+		name string
+		// isListed is true if the new start is listed at once and cannot be reached for a time.
+		isListed bool
+	}{{"answers before it is listed", false}, {"is listed before it answers", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, pos(0))
+			var once sync.Once
+			f.beforePromote = func(_ context.Context, id string) error {
+				var err error
+				once.Do(func() {
+					if id != "b" {
+						t.Errorf("%s is chosen first", id)
+					}
+					f.Restart("b", true)
+					if tc.isListed {
+						f.setCut("b", true)
+						f.listServer(t, "b")
+						time.AfterFunc(1500*time.Millisecond, func() { f.setCut("b", false) })
+					}
+					err = errors.New("the call was lost")
+				})
+				return err
 			}
-			f.Restart("b", true)
-			err = errors.New("the call was lost")
+			f.election.token.Store(3)
+			f.awaitLeases(t)
+			f.SetReplicationCut("c", true)
+			f.acknowledge(t, "a", "with b only")
+			f.SetDown("a", true)
+			f.keepsCommit(t, "with b only")
+			f.SetDown("a", false)
+			eventually(t, 5*time.Second, "a leads", func() bool { return f.changed() && f.Primary() == "a" })
 		})
-		return err
 	}
-	f.election.token.Store(3)
-	f.awaitLeases(t)
-	f.SetReplicationCut("c", true)
-	f.acknowledge(t, "a", "with b only")
-	f.SetDown("a", true)
-	f.keepsCommit(t, "with b only")
-	f.SetDown("a", false)
-	eventually(t, 5*time.Second, "a leads", func() bool { return f.changed() && f.Primary() == "a" })
 }
 
 // isPaused reports whether the server reports a pause.
--- a/internal/replacer/lost_logs_test.go
+++ b/internal/replacer/lost_logs_test.go
@@ -70,3 +70,41 @@
 		}
 	}
 }
+
+// Guards against a log that is lost in several choices for one term and is not needed: its new
+// start did not answer in the choice that first listed it.
+func TestLostLogsOfSeveralChoices(t *testing.T) {
+	const term = 2
+	had := tracker.Position{Term: 1, Offset: 251}
+	clock := clockwork.NewFakeClock()
+	b := func(born int64, r *exchanger.Report) []outcome {
+		return []outcome{{server: informer.Server{ID: "b", Address: "b", Born: born, Since: clock.Now()}, report: r}}
+	}
+	paused := func(p tracker.Position) *exchanger.Report {
+		return &exchanger.Report{Role: exchanger.Replica, Term: term - 1, PausedTerm: term, Received: p}
+	}
+	for _, tc := range []struct {
+		name    string
+		choices [][]outcome
+		want    bool
+		floor   tracker.Position
+	}{
+		{"silent in between", [][]outcome{b(1, paused(had)), b(1, nil), b(1, paused(had))}, false, tracker.Position{}},
+		{"silent in between, then empty", [][]outcome{b(1, paused(had)), b(1, nil), b(1, paused(tracker.Position{}))}, true, had},
+		{"a new start is silent", [][]outcome{b(1, paused(had)), b(2, nil)}, true, had},
+		{"a new start is silent, then empty", [][]outcome{b(1, paused(had)), b(2, nil), b(2, paused(tracker.Position{}))}, true, had},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := &task{Replacer: &Replacer{cfg: Config{Clock: clock}}, replicaLogs: replicaLogs{}}
+			f := fence{term: term, leader: "a", born: 1}
+			for _, outcomes := range tc.choices {
+				r.recordLostLogs(f.term, outcomes)
+				r.replicaLogs.update(f, outcomes)
+				clock.Advance(150 * time.Millisecond)
+			}
+			if d, got := r.lastDeparture(); got != tc.want || d.floor != tc.floor {
+				t.Errorf("departure recorded: %v, needed up to %v, want %v, %v", got, d.floor, tc.want, tc.floor)
+			}
+		})
+	}
+}
--- a/internal/replacer/unlisted.go
+++ b/internal/replacer/unlisted.go
@@ -70,7 +70,7 @@
 
 // recordLostLogs records a departure if the outcomes show that the log of a replica is gone,
 // which the list may not show yet: the log is shorter than in the last choice, its server is
-// gone since one for the same term, or it is empty although the server has been known for
+// gone or has a new start since one for the same term, or it is empty although the server has been known for
 // long. If the last choice was for the same term, no promotion has shortened the log since,
 // and the next primary needs what it had.
 func (t *task) recordLostLogs(term uint64, outcomes []outcome) {
@@ -80,17 +80,20 @@
 	isKnown := map[string]bool{}
 	for key, last := range t.replicaLogs {
 		isKnown[key.id] = true
-		i := indexOf(key.id)
-		if i < 0 && last.term != term {
-			// Its departure was recorded when it left the list.
+		var report *exchanger.Report
+		isGone := true
+		if i := indexOf(key.id); i >= 0 {
+			report = outcomes[i].report
+			isGone = report == nil && outcomes[i].server.Born != key.born
+		}
+		switch {
+		case isGone && last.term != term:
+			// Its departure was recorded when the list showed it.
 			delete(t.replicaLogs, key)
 			continue
-		}
-		if i >= 0 {
-			r := outcomes[i].report
-			if r == nil || !isReplica(*r) || r.Received.Compare(last.end) >= 0 {
-				continue
-			}
+		case isGone:
+		case report == nil || !isReplica(*report) || report.Received.Compare(last.end) >= 0:
+			continue
 		}
 		delete(t.replicaLogs, key)
 		t.recordDeparture()
