replacer: a lost log is needed for 30 s, not for 60 s

Cause: a replica that left the list is among the outcomes for 30 s, without a report. When it no longer counted as one that may run, its log was missing and counted as lost then, for 30 s more. Change: if the server is not among those that may run any more, its log is forgotten; its departure was recorded when it left the list. TestRecordLostLogs lists the server as one that may run, as before in "gone".

--- a/internal/replacer/departures_test.go
+++ b/internal/replacer/departures_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -322,6 +323,33 @@
 	}
 }
 
+// Guards against a failover that waits for a lost log twice as long as its server may run, 61 s
+// instead of 31 s: neither the old primary nor the replica comes back.
+func TestLostLogIsNeededOnce(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, pos(0))
+	var once sync.Once
+	f.beforePromote = func(_ context.Context, id string) error {
+		var err error
+		once.Do(func() {
+			if id != "b" {
+				t.Errorf("%s is chosen first", id)
+			}
+			f.RemoveServer("b")
+			f.store.Delete("backend/b")
+			err = errors.New("the call was lost")
+		})
+		return err
+	}
+	f.election.token.Store(3)
+	f.awaitLeases(t)
+	f.SetReplicationCut("c", true)
+	f.acknowledge(t, "a", "with b only")
+	f.RemoveServer("a")
+	f.store.Delete("backend/a")
+	eventually(t, 45*time.Second, "c leads", func() bool { return f.Primary() == "c" })
+}
+
 // setPending makes a write unanswered since the time.
 func (f *fixture) setPending(since time.Time) {
 	f.backends.mu.Lock()
--- a/internal/replacer/lost_logs_test.go
+++ b/internal/replacer/lost_logs_test.go
@@ -50,6 +50,7 @@
 			t.Run(fmt.Sprintf("%s/term %d", tc.name, term), func(t *testing.T) {
 				r := &task{Replacer: &Replacer{cfg: Config{Clock: clock}}, replicaLogs: replicaLogs{}}
 				srv := informer.Server{ID: "b", Address: "b", Born: tc.born, Since: clock.Now().Add(-tc.known)}
+				r.lastListed = map[string]listing{srv.ID: {Server: srv, at: clock.Now()}}
 				if tc.last != nil {
 					r.replicaLogs[incarnation{srv.ID, 1}] = replicaLog{*tc.last, lastTerm}
 				}
@@ -72,7 +73,9 @@
 }
 
 // Guards against a log that is lost in several choices for one term and is not needed: its new
-// start did not answer in the choice that first listed it.
+// start did not answer in the choice that first listed it. Also guards against one that is
+// needed twice as long, because its server is missing anew once it does not count as one that
+// may run.
 func TestLostLogsOfSeveralChoices(t *testing.T) {
 	const term = 2
 	had := tracker.Position{Term: 1, Offset: 251}
@@ -86,16 +89,23 @@
 	for _, tc := range []struct {
 		name    string
 		choices [][]outcome
-		want    bool
-		floor   tracker.Position
+		// isForgotten is true if the server left the list longer than unlistedRetention ago.
+		isForgotten bool
+		want        bool
+		floor       tracker.Position
 	}{
-		{"silent in between", [][]outcome{b(1, paused(had)), b(1, nil), b(1, paused(had))}, false, tracker.Position{}},
-		{"silent in between, then empty", [][]outcome{b(1, paused(had)), b(1, nil), b(1, paused(tracker.Position{}))}, true, had},
-		{"a new start is silent", [][]outcome{b(1, paused(had)), b(2, nil)}, true, had},
-		{"a new start is silent, then empty", [][]outcome{b(1, paused(had)), b(2, nil), b(2, paused(tracker.Position{}))}, true, had},
+		{"silent in between", [][]outcome{b(1, paused(had)), b(1, nil), b(1, paused(had))}, false, false, tracker.Position{}},
+		{"silent in between, then empty", [][]outcome{b(1, paused(had)), b(1, nil), b(1, paused(tracker.Position{}))}, false, true, had},
+		{"a new start is silent", [][]outcome{b(1, paused(had)), b(2, nil)}, false, true, had},
+		{"a new start is silent, then empty", [][]outcome{b(1, paused(had)), b(2, nil), b(2, paused(tracker.Position{}))}, false, true, had},
+		{"gone", [][]outcome{b(1, paused(had)), nil}, false, true, had},
+		{"gone, unlisted for long", [][]outcome{b(1, paused(had)), b(1, nil), nil}, true, false, tracker.Position{}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := &task{Replacer: &Replacer{cfg: Config{Clock: clock}}, replicaLogs: replicaLogs{}}
+			if !tc.isForgotten {
+				r.lastListed = map[string]listing{"b": {Server: informer.Server{ID: "b"}, at: clock.Now()}}
+			}
 			f := fence{term: term, leader: "a", born: 1}
 			for _, outcomes := range tc.choices {
 				r.recordLostLogs(f.term, outcomes)
--- a/internal/replacer/unlisted.go
+++ b/internal/replacer/unlisted.go
@@ -81,13 +81,14 @@
 	for key, last := range t.replicaLogs {
 		isKnown[key.id] = true
 		var report *exchanger.Report
+		_, mayRun := t.lastListed[key.id]
 		isGone := true
 		if i := indexOf(key.id); i >= 0 {
-			report = outcomes[i].report
+			report, mayRun = outcomes[i].report, true
 			isGone = report == nil && outcomes[i].server.Born != key.born
 		}
 		switch {
-		case isGone && last.term != term:
+		case isGone && (last.term != term || !mayRun):
 			// Its departure was recorded when the list showed it.
 			delete(t.replicaLogs, key)
 			continue
