replacer: the end of a log that a promotion has shortened is not needed

Cause: after a late promotion for the term of the last choice, a replica that follows the new primary has a shorter log. recordLostLogs took its former end, with commits that nobody was told of, for what the next primary must have. Change: if the server knows a primary of the term, only the departure is recorded. Before: "rolled back by a primary of the term" of TestLostLogsOfSeveralChoices needed 1/251. After: passed.

--- a/internal/replacer/lost_logs_test.go
+++ b/internal/replacer/lost_logs_test.go
@@ -75,7 +75,7 @@
 // Guards against a log that is lost in several choices for one term and is not needed: its new
 // start did not answer in the choice that first listed it. Also guards against one that is
 // needed twice as long, because its server is missing anew once it does not count as one that
-// may run.
+// may run, and against a position that is needed although a promotion has rolled it back.
 func TestLostLogsOfSeveralChoices(t *testing.T) {
 	const term = 2
 	had := tracker.Position{Term: 1, Offset: 251}
@@ -86,6 +86,9 @@
 	paused := func(p tracker.Position) *exchanger.Report {
 		return &exchanger.Report{Role: exchanger.Replica, Term: term - 1, PausedTerm: term, Received: p}
 	}
+	follows := func(p tracker.Position) *exchanger.Report {
+		return &exchanger.Report{Role: exchanger.Replica, Term: term, Received: p}
+	}
 	for _, tc := range []struct {
 		name    string
 		choices [][]outcome
@@ -100,6 +103,7 @@
 		{"a new start is silent, then empty", [][]outcome{b(1, paused(had)), b(2, nil), b(2, paused(tracker.Position{}))}, false, true, had},
 		{"gone", [][]outcome{b(1, paused(had)), nil}, false, true, had},
 		{"gone, unlisted for long", [][]outcome{b(1, paused(had)), b(1, nil), nil}, true, false, tracker.Position{}},
+		{"rolled back by a primary of the term", [][]outcome{b(1, paused(had)), b(1, follows(at(240)))}, false, true, tracker.Position{}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := &task{Replacer: &Replacer{cfg: Config{Clock: clock}}, replicaLogs: replicaLogs{}}
--- a/internal/replacer/unlisted.go
+++ b/internal/replacer/unlisted.go
@@ -71,8 +71,8 @@
 // recordLostLogs records a departure if the outcomes show that the log of a replica is gone,
 // which the list may not show yet: the log is shorter than in the last choice, its server is
 // gone or has a new start since one for the same term, or it is empty although the server has been known for
-// long. If the last choice was for the same term, no promotion has shortened the log since,
-// and the next primary needs what it had.
+// long. If the last choice was for the same term and the server knows no primary of it, no
+// promotion has shortened the log since, and the next primary needs what it had.
 func (t *task) recordLostLogs(term uint64, outcomes []outcome) {
 	indexOf := func(id string) int {
 		return slices.IndexFunc(outcomes, func(o outcome) bool { return o.server.ID == id })
@@ -98,7 +98,8 @@
 		}
 		delete(t.replicaLogs, key)
 		t.recordDeparture()
-		if last.term == term && last.end.Compare(t.departed.floor) > 0 {
+		isRolledBack := report != nil && report.Term >= term
+		if last.term == term && !isRolledBack && last.end.Compare(t.departed.floor) > 0 {
 			t.departed.floor = last.end
 		}
 	}
