replacer: a needed position ends 30 s after the departure that it stands for

Cause: recordDeparture kept the position of an earlier departure and renewed its time. With departures less than 30 s apart a position with commits that nobody was told of was needed without end. Change: the position has its own end, 30 s after its departure, which later departures keep. Before, with the end renewed: both cases of TestNeededPositionEnds failed. After: passed, with TestLostLogsOfSeveralChoices, TestSecondDepartureKeepsTheFirst, TestRestartDuringTheFailover and TestStalledPrimaryIsReplacedAfterAServerHasLeft.

--- a/internal/replacer/lost_logs_test.go
+++ b/internal/replacer/lost_logs_test.go
@@ -122,3 +122,36 @@
 		})
 	}
 }
+
+// Guards against a position that is needed without end, because a replica that restarts every
+// 20 s renews it: the primary's log has commits there that nobody was told of.
+func TestNeededPositionEnds(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	floor := at(100)
+	for _, tc := range []struct {
+		name string
+		// record makes the position needed.
+		record func(r *task)
+	}{
+		{"end of the primary's log", func(r *task) {
+			r.recordDeparture()
+			r.departed = r.departed.covered(floor)
+		}},
+		{"end of a lost log", func(r *task) {
+			r.replicaLogs[incarnation{"b", 1}] = replicaLog{floor, 2}
+			r.recordLostLogs(2, []outcome{{server: informer.Server{ID: "b", Born: 2}}})
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := &task{Replacer: &Replacer{cfg: Config{Clock: clock, Peers: silentPeers{}}}, replicaLogs: replicaLogs{}}
+			tc.record(r)
+			for _, want := range []tracker.Position{floor, {}, {}} {
+				clock.Advance(20 * time.Second)
+				r.recordDeparture()
+				if least, wholeLog := r.requirements(); least != want || !wholeLog {
+					t.Errorf("needed up to %v, whole log %v, want %v, true", least, wholeLog, want)
+				}
+			}
+		})
+	}
+}
--- a/internal/replacer/unlisted.go
+++ b/internal/replacer/unlisted.go
@@ -30,11 +30,29 @@
 	// at is when it was seen; zero if none was.
 	at time.Time
 	// floor is the end of the primary's log as it was read after this departure, if isCovered
-	// is true, or else after an earlier one within unlistedRetention. What was acknowledged
-	// with the server that departed before is in the log up to there. It is at least the end
-	// of a log that is gone since the last choice.
+	// is true, or else after an earlier one. What was acknowledged with the server that
+	// departed before is in the log up to there. It is at least the end of a log that is gone
+	// since the last choice.
 	floor     tracker.Position
 	isCovered bool
+	// floorUntil is unlistedRetention after the departure that the floor stands for. Later
+	// departures do not renew it: the log may have commits there that nobody was told of.
+	floorUntil time.Time
+}
+
+// covered returns the departure with the end of the primary's log as it was read afterwards.
+func (d departure) covered(end tracker.Position) departure {
+	d.floor, d.isCovered, d.floorUntil = end, true, d.at.Add(unlistedRetention)
+	return d
+}
+
+// withLostLog returns the departure with the end of a log that is gone now.
+func (d departure) withLostLog(end tracker.Position) departure {
+	if end.Compare(d.floor) > 0 {
+		d.floor = end
+	}
+	d.floorUntil = d.at.Add(unlistedRetention)
+	return d
 }
 
 // recordListed records which servers are listed now, and whether one has departed.
@@ -99,8 +117,8 @@
 		delete(t.replicaLogs, key)
 		t.recordDeparture()
 		isRolledBack := report != nil && report.Term >= term
-		if last.term == term && !isRolledBack && last.end.Compare(t.departed.floor) > 0 {
-			t.departed.floor = last.end
+		if last.term == term && !isRolledBack {
+			t.departed = t.departed.withLostLog(last.end)
 		}
 	}
 	for _, o := range outcomes {
@@ -112,19 +130,23 @@
 }
 
 // recordDeparture records that a server departs now. What is needed because of an earlier
-// departure is still needed.
+// departure is needed as long as before.
 func (t *task) recordDeparture() {
 	d, _ := t.lastDeparture()
-	t.departed = departure{at: t.cfg.Clock.Now(), floor: d.floor}
+	t.departed = departure{at: t.cfg.Clock.Now(), floor: d.floor, floorUntil: d.floorUntil}
 }
 
 // lastDeparture returns the last departure; false if there was none within
 // unlistedRetention.
 func (t *task) lastDeparture() (departure, bool) {
-	if d := t.departed; !d.at.IsZero() && t.cfg.Clock.Since(d.at) <= unlistedRetention {
-		return d, true
+	d := t.departed
+	if d.at.IsZero() || t.cfg.Clock.Since(d.at) > unlistedRetention {
+		return departure{}, false
+	}
+	if t.cfg.Clock.Now().After(d.floorUntil) {
+		d.floor = tracker.Position{}
 	}
-	return departure{}, false
+	return d, true
 }
 
 // coverDeparture reads how far the primary's log reaches if a server has departed since
@@ -135,7 +157,7 @@
 	}
 	r, err := t.cfg.Backends.Probe(l.Server, exchanger.Statement{Kind: exchanger.Status}, t.cfg.Clock.Now().Add(probeTimeout))
 	if err == nil && r.Role == exchanger.Primary && r.Term == l.Term {
-		t.departed.floor, t.departed.isCovered = r.Received, true
+		t.departed = t.departed.covered(r.Received)
 	}
 }
 
