attester: the next primary of a switchover is needed for 10 s at most

Cause: PendingNext ended only with a recorded primary lease. While none is granted, such as with the store down, commits and strict reads needed the answer of one server; at a coordinator each new tenure waited 10 s more. "A lease was recorded since" compared the ends of leases only, of any server and term, so that a primary lease recorded before the switchover lease ended its need. Change: it ends SettleLimit (10 s, now in package attester) after the last switchover lease, for commits, strict reads and isSettled alike; a primary lease ends it if it is for the same server and term, is recorded afterwards and ends later. Before: three cases of TestPendingNext failed. After: passed, with the tests of the package and TestNoLeaseBeforeTheCallOfASwitchover.

--- a/internal/attester/primary_lease.go
+++ b/internal/attester/primary_lease.go
@@ -10,11 +10,19 @@
 	until  time.Time
 }
 
+// SettleLimit is how long a call of a coordinator to the platform may take effect after the
+// coordinator has lost the role or has granted its last lease. The call is given up after a
+// second, but the platform may run a call that it has received some seconds later when it is
+// slow.
+const SettleLimit = 10 * time.Second
+
 // switchoverLease is the coordinator's guarantee that before a time it will let only one
 // server, the next primary, lead after the present one.
 type switchoverLease struct {
 	lease
 	next string
+	// isOver is true once a primary lease for the server was recorded that was asked for later.
+	isOver bool
 }
 
 // ExtendSwitchover records a switchover lease: before the time, only the next primary
@@ -23,7 +31,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if term >= g.highestTerm && until.After(g.switchover.until) {
-		g.switchover = switchoverLease{lease{server: server, term: term, until: until}, next}
+		g.switchover = switchoverLease{lease: lease{server: server, term: term, until: until}, next: next}
 	}
 }
 
@@ -45,14 +53,15 @@
 }
 
 // PendingNext returns the next primary of the last switchover lease for the leader; false if
-// there was none, or if a primary lease for the leader was recorded since. A call for this
-// server may take effect after the lease, also when the replicas that were paused for it
-// have restarted.
+// there was none, if a primary lease for the leader was recorded since, or if the lease ended
+// longer than [SettleLimit] ago. A call for this server may take effect after the lease, also
+// when the replicas that were paused for it have restarted.
 func (g *Group) PendingNext(l Leader) (string, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.switchover
-	return s.next, s.server == l.Server.ID && s.term == l.Term && s.until.After(g.lease.until)
+	mayTakeEffect := !s.isOver && g.cfg.Clock.Since(s.until) <= SettleLimit
+	return s.next, s.server == l.Server.ID && s.term == l.Term && mayTakeEffect
 }
 
 // ExtendLease records a primary lease: the coordinator will not let another
@@ -63,6 +72,10 @@
 	defer g.mu.Unlock()
 	if term >= g.highestTerm && until.After(g.lease.until) {
 		g.lease = lease{server: server, term: term, until: until}
+		// A lease that ends earlier was asked for before and has arrived late.
+		if s := g.switchover; s.server == server && s.term == term && until.After(s.until) {
+			g.switchover.isOver = true
+		}
 	}
 }
 
--- a/internal/replacer/settle.go
+++ b/internal/replacer/settle.go
@@ -2,16 +2,14 @@
 
 import (
 	"slices"
-	"time"
 
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/exchanger"
 )
 
 // settleLimit is how long after the start of a tenure a call of an earlier
-// coordinator to the platform may still take effect. Such calls end after a
-// second, but the platform may execute one some seconds later.
-const settleLimit = 10 * time.Second
+// coordinator to the platform may still take effect.
+const settleLimit = attester.SettleLimit
 
 // isSettled reports whether no earlier coordinator has left a change unfinished. A
 // replica that is paused for a later term than the leader's shows one: the
