replacer: a new coordinator does not wait for an empty service anew

Cause: no empty server is chosen for 30 s after a departure while the old primary is out of reach, and replicas that are empty though known for long count as one. Each coordinator recorded that departure in its first choice and left the role after 4 s, so that the 30 s began anew. Change: the wait also ends 30 s after the old primary last answered this instance, which is about the same at all instances. Before: TestEmptyServerIsChosenAtLast chose none. After: passed, with TestChoose, TestChoiceHasEveryAcknowledgedCommit, TestCommitsOfAReplicaThatLedForAMoment and the tests of lost logs.

--- a/internal/replacer/choose.go
+++ b/internal/replacer/choose.go
@@ -16,6 +16,9 @@
 	unlisted bool
 	// isOldPrimary is true for the primary of the newest known term.
 	isOldPrimary bool
+	// isGivenUp is true for an old primary that has been silent for so long that its log is
+	// not waited for.
+	isGivenUp bool
 	// asked is true for the server that the platform was last asked to promote, hinted for
 	// one for which an earlier coordinator may have asked.
 	asked, hinted bool
@@ -43,7 +46,7 @@
 // is shorter, a replica that acknowledged it has left, and only the old primary
 // has the commit. If wholeLog is true, the log of an old primary that is fenced is needed
 // even if all replicas are, and none may lead if all replicas are empty while the old primary
-// is out of reach.
+// is out of reach and not given up.
 func choose(members []member, least tracker.Position, wholeLog bool) (string, error) {
 	need, err := neededLog(members, least, wholeLog)
 	if err != nil {
@@ -62,7 +65,7 @@
 			replicas++
 		}
 		if !m.fenced {
-			oldAway = oldAway || m.isOldPrimary
+			oldAway = oldAway || m.isOldPrimary && !m.isGivenUp
 			continue
 		}
 		if m.isOldPrimary {
--- a/internal/replacer/fence.go
+++ b/internal/replacer/fence.go
@@ -165,6 +165,9 @@
 	if asReplica.Compare(least) > 0 {
 		least = asReplica
 	}
+	for i, m := range members {
+		members[i].isGivenUp = wholeLog && m.isOldPrimary && !m.fenced && t.isSilent(m.id)
+	}
 	c.needed, _ = neededLog(members, least, wholeLog)
 	c.server, c.err = choose(members, least, wholeLog)
 	return c
--- a/internal/replacer/lost_logs_test.go
+++ b/internal/replacer/lost_logs_test.go
@@ -155,3 +155,41 @@
 		})
 	}
 }
+
+// silentBackends are servers of which one answered last at the time.
+type silentBackends struct {
+	Backends
+	answered time.Time
+}
+
+func (b silentBackends) Health(string) (time.Time, int) { return b.answered, 100 }
+
+// Guards against a service with empty logs that each new coordinator leaves without a primary
+// for 30 s more: it takes the empty replicas for ones that have lost their logs, and yields the
+// role because of it.
+func TestEmptyServerIsChosenAtLast(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	empty := func(id string) outcome {
+		srv := informer.Server{ID: id, Address: id, Born: 1, Since: clock.Now().Add(-time.Hour)}
+		return outcome{server: srv, report: &exchanger.Report{Role: exchanger.Replica, Term: 1, PausedTerm: 2}}
+	}
+	for _, tc := range []struct {
+		name string
+		// answered is when the old primary last answered this instance.
+		answered time.Time
+		want     string
+	}{
+		{"the old primary answered a moment ago", clock.Now().Add(-time.Second), ""},
+		{"the old primary answered up to the limit", clock.Now().Add(-unlistedRetention), ""},
+		{"the old primary has been silent for longer", clock.Now().Add(-unlistedRetention - time.Second), "b"},
+		{"the old primary never answered this instance", time.Time{}, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := &task{Replacer: &Replacer{cfg: Config{Clock: clock, Peers: silentPeers{}, Backends: silentBackends{answered: tc.answered}}}, replicaLogs: replicaLogs{}}
+			a := outcome{server: informer.Server{ID: "a", Address: "a", Born: 1}}
+			if c := r.chooseFenced(fence{term: 2, leader: "a", born: 1}, []outcome{a, empty("b"), empty("c")}, nil); c.server != tc.want {
+				t.Errorf("%q, %v, want %q", c.server, c.err, tc.want)
+			}
+		})
+	}
+}
--- a/internal/replacer/unlisted.go
+++ b/internal/replacer/unlisted.go
@@ -175,6 +175,14 @@
 	return least, !d.isCovered
 }
 
+// isSilent reports whether the server last answered longer than unlistedRetention ago. One that
+// has never answered this instance is not known to be silent. All instances that reach the
+// server see about the same, so that a new coordinator does not begin to count anew.
+func (t *task) isSilent(id string) bool {
+	answered, _ := t.cfg.Backends.Health(id)
+	return !answered.IsZero() && t.cfg.Clock.Since(answered) > unlistedRetention
+}
+
 // unlisted returns the servers that are not listed any more but may still run, in order
 // of their ids. A server whose address a later one has does not run: one that crashed
 // comes back there under another id, and addresses of servers that have left are used
