replacer: a change that loses the coordinator role and regains it begins anew

Change: promote returns when the token is not that of its change, and failover applies those rules in each round with a new token. isSettled records the tenure, so that its 10 s do not count from an earlier one.

--- a/internal/replacer/lost_commits_test.go
+++ b/internal/replacer/lost_commits_test.go
@@ -246,6 +246,43 @@
 	f.keepsCommit(t, "after the last coordinator's call")
 }
 
+// Guards against a call for another server than the one for which another coordinator asked
+// between two tenures of this instance, which goes on with its call under the new token.
+func TestRoleIsLostAndRegainedDuringACall(t *testing.T) {
+	t.Parallel()
+	f := newFixtureWith(t, fixtureOptions{servers: []string{"a", "b", "c", "d"}, known: pos(0), leaseTTL: leaseTTL, removeAfter: removeAfter})
+	f.SetPromoteDelay(600 * time.Millisecond)
+	var once sync.Once
+	var other atomic.Value
+	f.beforePromote = func(_ context.Context, id string) error {
+		var err error
+		once.Do(func() {
+			if other.Store("c"); id == "c" {
+				other.Store("b")
+			}
+			f.election.token.Store(0)
+			f.Cluster.Promote(context.Background(), "", other.Load().(string), "other", 4)
+			f.election.token.Store(5)
+			err = errors.New("the call is given up with the tenure")
+		})
+		return err
+	}
+	f.election.token.Store(3)
+	f.awaitLeases(t)
+	f.acknowledge(t, "a", "with all")
+	f.SetDown("a", true)
+	eventually(t, 5*time.Second, "the other coordinator's call takes effect", func() bool { return other.Load() != nil && f.Primary() == other.Load() })
+	leader, lacking := other.Load().(string), "b"
+	if leader == "b" {
+		lacking = "c"
+	}
+	f.SetReplicationCut(lacking, true)
+	f.group.CheckLeader()
+	eventually(t, time.Second, "it is known to lead", f.leads(leader))
+	f.acknowledge(t, leader, "after the other coordinator's call")
+	f.keepsCommit(t, "after the other coordinator's call")
+}
+
 // Guards against a call for another server after the call of a switchover, whose answer
 // was lost and which takes effect.
 func TestSwitchoverCallTakesEffectLate(t *testing.T) {
--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -62,7 +62,11 @@
 	// coordinator, it is made nevertheless.
 	var reports []attester.ServerReport
 	hinted := ""
+	lastToken := int64(0)
 	for first := true; t.ctx.Err() == nil && t.cfg.Election.IsCoordinator(); first = false {
+		// Another coordinator may have acted between two tenures of this instance.
+		token, _ := t.cfg.Election.Token()
+		first, lastToken = first || token != lastToken, token
 		isSettled := t.isTenureSettled()
 		if !first || old.Server.ID == "" || !isSettled {
 			reports = t.group().Survey()
@@ -100,7 +104,7 @@
 		}
 		if err == nil {
 			asked = next.id
-			if t.promote(next, f.term, isCurrent, func() (nominee, error) { return t.fenceAndChoose(f.withAsked(next.id), func() {}) }) {
+			if t.promote(next, f.term, token, isCurrent, func() (nominee, error) { return t.fenceAndChoose(f.withAsked(next.id), func() {}) }) {
 				return
 			}
 		}
@@ -256,12 +260,13 @@
 func everyServer(informer.Server) bool { return true }
 
 // promote makes the server the primary and waits until it leads. It returns false
-// if that takes too long or another server should lead; all servers stay fenced then.
+// if that takes too long, if another server should lead, or if the tenure ends before the
+// platform has accepted a call; all servers stay fenced then.
 // Before a call that does not follow the choice at once, or if the choice is not current,
 // chooseAgain tells which server may lead now: one that restarted since may have lost its
 // pause or its log. Right before each call the server must report that it has the log
 // still: the choice may have waited for other servers since its report.
-func (t *task) promote(next nominee, term uint64, isCurrent bool, chooseAgain func() (nominee, error)) bool {
+func (t *task) promote(next nominee, term uint64, tenure int64, isCurrent bool, chooseAgain func() (nominee, error)) bool {
 	id := next.id
 	srv, ok := t.cfg.Informer.State().Server(t.service.Name, id)
 	if !ok {
@@ -272,6 +277,10 @@
 	for t.ctx.Err() == nil && t.cfg.Clock.Now().Before(deadline) {
 		if !called {
 			token, mayAct := t.cfg.Election.Token()
+			if token != tenure {
+				t.logger().WithFields(logrus.Fields{"server": id, "token": token, "chosen_with": tenure}).Info("replacer: the tenure of the choice has ended")
+				return false
+			}
 			if !mayAct {
 				chosenNow = false
 				t.sleep(pollInterval)
--- a/internal/replacer/settle.go
+++ b/internal/replacer/settle.go
@@ -26,6 +26,7 @@
 	if !mayAct {
 		return true
 	}
+	t.recordTenure()
 	now := t.cfg.Clock.Now()
 	if token == t.settled() {
 		return true
--- a/internal/replacer/switchover.go
+++ b/internal/replacer/switchover.go
@@ -22,6 +22,7 @@
 // failover; it does not begin while the next primary does not receive what the old one
 // has, nor in a tenure in which no leases are granted yet: no commit would be proved.
 func (t *task) switchover(old attester.Leader, reason string) {
+	tenure, _ := t.cfg.Election.Token()
 	if !t.cfg.Informer.KnowsAllServers() || !t.isTenureSettled() {
 		return
 	}
@@ -41,7 +42,7 @@
 		t.failover(old, "switchover: "+err.Error(), "")
 		return
 	}
-	if !t.promote(chosen, term, isCurrent, pause) {
+	if !t.promote(chosen, term, tenure, isCurrent, pause) {
 		t.failover(old, "switchover: the next primary did not lead in time", next.ID)
 		return
 	}
