platform: a promote call without a connection counts as not accepted

Cause: any error of the call except an answer with 4xx counted as a call that may take effect, also a refused connection, with which nothing is sent. For 1 s no other server was called for and no lease granted.

--- a/internal/replacer/pending_call.go
+++ b/internal/replacer/pending_call.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// ErrRefused means that the platform has refused to promote a server, so that the call has
-// no effect. After any other error it may take effect.
-var ErrRefused = errors.New("the platform has refused the promotion")
+// ErrRefused means that the platform has refused to promote a server or has not received the
+// call, so that the call has no effect. After any other error it may take effect.
+var ErrRefused = errors.New("the platform has not accepted the promotion")
 
 // callEffectLimit is how long after its end a call to the platform may still take effect.
 // The platform's promotions take 300 to 600 ms.
