--- a/internal/attester/primary_lease.go
+++ b/internal/attester/primary_lease.go
@@ -11,9 +11,9 @@
 }
 
 // SettleLimit is how long a call of a coordinator to the platform may take effect after the
-// coordinator has lost the role or has granted its last lease. The call is given up after a
-// second, but the platform may run a call that it has received some seconds later when it is
-// slow.
+// coordinator has lost the role or has granted its last lease. Promotions usually take some
+// hundred ms, but the platform may run a call some seconds after it received it when it is
+// slow. Only leases and proofs wait for this time; without them callers are still served.
 const SettleLimit = 10 * time.Second
 
 // switchoverLease is the coordinator's guarantee that before a time it will let only one
--- a/internal/replacer/pending_call.go
+++ b/internal/replacer/pending_call.go
@@ -9,8 +9,10 @@
 // call, so that the call has no effect. After any other error it may take effect.
 var ErrRefused = errors.New("the platform has not accepted the promotion")
 
-// callEffectLimit is how long after its end a call to the platform may still take effect.
-// The platform's promotions take 300 to 600 ms.
+// callEffectLimit is how long after its end a call to the platform is expected to take effect.
+// The platform's promotions take some hundred ms (300 to 600). A service without a
+// primary waits for this time, so it is shorter than [attester.SettleLimit], which only leases
+// and the proofs of commits wait for.
 const callEffectLimit = time.Second
 
 // pendingCall is the last call to the platform that may still take effect.
