attester: the package comment names the limit of the next primary's confirmation

Cause: since the limit of 10 s the package comment said that only a primary lease ends the need. Change: it names SettleLimit. No code changes.

--- a/internal/attester/doc.go
+++ b/internal/attester/doc.go
@@ -48,6 +48,6 @@
 // During a switchover all replicas but the next primary are paused while the leader still
 // serves. Under a switchover lease only the next primary is asked, as no other server can
 // lead. After the lease the call for the next primary may still take effect: as long as no
-// primary lease has been recorded since, it must confirm beside the others, whose pauses may
-// be forgotten.
+// primary lease has been recorded since, for up to [SettleLimit], it must confirm beside the
+// others, whose pauses may be forgotten.
 package attester
