--- a/internal/replacer/unlisted.go
+++ b/internal/replacer/unlisted.go
@@ -30,11 +30,29 @@
 	// at is when it was seen; zero if none was.
 	at time.Time
 	// floor is the end of the primary's log as it was read after this departure, if isCovered
-	// is true, or else after an earlier one within unlistedRetention. What was acknowledged
-	// with the server that departed before is in the log up to there. It is at least the end
-	// of a log that is gone since the last choice.
+	// is true, or else after an earlier one. What was acknowledged with the server that
+	// departed before is in the log up to there. It is at least the end of a log that is gone
+	// since the last choice.
 	floor     tracker.Position
 	isCovered bool
+	// floorUntil is unlistedRetention after the departure that the floor stands for. Later
+	// departures do not renew it: the log may have commits there that nobody was told of.
+	floorUntil time.Time
+}
+
+// covered returns the departure with the end of the primary's log as it was read afterwards.
+func (d departure) covered(end tracker.Position) departure {
+	d.floor, d.isCovered, d.floorUntil = end, true, d.at.Add(unlistedRetention)
+	return d
+}
+
+// withLostLog returns the departure with the end of a log that is gone now.
+func (d departure) withLostLog(end tracker.Position) departure {
+	if end.Compare(d.floor) > 0 {
+		d.floor = end
+	}
+	d.floorUntil = d.at.Add(unlistedRetention)
+	return d
 }
 
 // recordListed records which servers are listed now, and whether one has departed.
@@ -70,9 +88,9 @@
 
 // recordLostLogs records a departure if the outcomes show that the log of a replica is gone,
 // which the list may not show yet: the log is shorter than in the last choice, its server is
-// gone, or it is empty although the server has been known for long. If the last choice was
-// for the same term, no promotion has shortened the log since, and the next primary needs
-// what it had.
+// gone or has a new start since one for the same term, or it is empty although the server has been known for
+// long. If the last choice was for the same term and the server knows no primary of it, no
+// promotion has shortened the log since, and the next primary needs what it had.
 func (t *task) recordLostLogs(term uint64, outcomes []outcome) {
 	indexOf := func(id string) int {
 		return slices.IndexFunc(outcomes, func(o outcome) bool { return o.server.ID == id })
@@ -80,16 +98,27 @@
 	isKnown := map[string]bool{}
 	for key, last := range t.replicaLogs {
 		isKnown[key.id] = true
+		var report *exchanger.Report
+		_, mayRun := t.lastListed[key.id]
+		isGone := true
 		if i := indexOf(key.id); i >= 0 {
-			r := outcomes[i].report
-			if r == nil || !isReplica(*r) || r.Received.Compare(last.end) >= 0 {
-				continue
-			}
+			report, mayRun = outcomes[i].report, true
+			isGone = report == nil && outcomes[i].server.Born != key.born
+		}
+		switch {
+		case isGone && (last.term != term || !mayRun):
+			// Its departure was recorded when the list showed it.
+			delete(t.replicaLogs, key)
+			continue
+		case isGone:
+		case report == nil || !isReplica(*report) || report.Received.Compare(last.end) >= 0:
+			continue
 		}
 		delete(t.replicaLogs, key)
 		t.recordDeparture()
-		if last.term == term && last.end.Compare(t.departed.floor) > 0 {
-			t.departed.floor = last.end
+		isRolledBack := report != nil && report.Term >= term
+		if last.term == term && !isRolledBack {
+			t.departed = t.departed.withLostLog(last.end)
 		}
 	}
 	for _, o := range outcomes {
@@ -101,19 +130,23 @@
 }
 
 // recordDeparture records that a server departs now. What is needed because of an earlier
-// departure is still needed.
+// departure is needed as long as before.
 func (t *task) recordDeparture() {
 	d, _ := t.lastDeparture()
-	t.departed = departure{at: t.cfg.Clock.Now(), floor: d.floor}
+	t.departed = departure{at: t.cfg.Clock.Now(), floor: d.floor, floorUntil: d.floorUntil}
 }
 
 // lastDeparture returns the last departure; false if there was none within
 // unlistedRetention.
 func (t *task) lastDeparture() (departure, bool) {
-	if d := t.departed; !d.at.IsZero() && t.cfg.Clock.Since(d.at) <= unlistedRetention {
-		return d, true
+	d := t.departed
+	if d.at.IsZero() || t.cfg.Clock.Since(d.at) > unlistedRetention {
+		return departure{}, false
+	}
+	if t.cfg.Clock.Now().After(d.floorUntil) {
+		d.floor = tracker.Position{}
 	}
-	return departure{}, false
+	return d, true
 }
 
 // coverDeparture reads how far the primary's log reaches if a server has departed since
@@ -124,7 +157,7 @@
 	}
 	r, err := t.cfg.Backends.Probe(l.Server, exchanger.Statement{Kind: exchanger.Status}, t.cfg.Clock.Now().Add(probeTimeout))
 	if err == nil && r.Role == exchanger.Primary && r.Term == l.Term {
-		t.departed.floor, t.departed.isCovered = r.Received, true
+		t.departed = t.departed.covered(r.Received)
 	}
 }
 
@@ -142,6 +175,14 @@
 	return least, !d.isCovered
 }
 
+// isSilent reports whether the server last answered longer than unlistedRetention ago. One that
+// has never answered this instance is not known to be silent. All instances that reach the
+// server see about the same, so that a new coordinator does not begin to count anew.
+func (t *task) isSilent(id string) bool {
+	answered, _ := t.cfg.Backends.Health(id)
+	return !answered.IsZero() && t.cfg.Clock.Since(answered) > unlistedRetention
+}
+
 // unlisted returns the servers that are not listed any more but may still run, in order
 // of their ids. A server whose address a later one has does not run: one that crashed
 // comes back there under another id, and addresses of servers that have left are used
