gossiper: a busy instance does not keep others from being asked

An instance without a configuration got an incomplete answer with each lease, pulled up to four times from that one source, and skipped its exchanges meanwhile: 63 exchanges with the busy one and 3 with all others in 10 s. Exchanges now go on during a pull; after a refusal any other instance is asked in turn with the source. A pull ends when records were sent but not adopted: they were fetched four times each time.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -63,8 +63,8 @@
 	// transferTimeout limits an exchange that may bring a configuration, which takes some
 	// tenths of a second on a slow link.
 	transferTimeout = time.Second
-	// maxPulls is how often an instance is asked for a configuration that it does not send
-	// because its link is busy, with pauses of about pullPause.
+	// maxPulls is how often a newer configuration is asked for while the links of those that
+	// have it are busy, with pauses of about pullPause.
 	maxPulls  = 4
 	pullPause = 120 * time.Millisecond
 	// checkInterval is how often overdue instances are looked for.
@@ -204,11 +204,9 @@
 		case <-ctx.Done():
 			return
 		}
-		if !g.pulling.Load() {
-			if address := g.choosePeer(); address != "" {
-				if _, _, err := g.exchangeWithin(ctx, address, transferTimeout); err != nil {
-					g.cfg.Log.WithError(err).Debug("gossiper: exchange with an instance failed")
-				}
+		if address := g.choosePeer(); address != "" {
+			if _, _, err := g.exchangeWithin(ctx, address, transferTimeout); err != nil {
+				g.cfg.Log.WithError(err).Debug("gossiper: exchange with an instance failed")
 			}
 		}
 		wait = exchangeInterval*3/4 + rand.N(exchangeInterval/2)
@@ -256,27 +254,47 @@
 // nothing while another Pull is running: the next exchange makes up for it.
 func (g *Gossiper) Pull(name string) { g.pullFrom(g.cfg.AddressOf(name)) }
 
-// pullFrom is Pull for the instance at the address. An instance that sends its configuration
-// to others is asked again after a pause.
-func (g *Gossiper) pullFrom(address string) {
-	if address == "" || !g.pulling.CompareAndSwap(false, true) {
+// pullFrom is Pull for the instance at the address. While that one sends its records to others,
+// any other instance is asked in turn with it.
+func (g *Gossiper) pullFrom(source string) {
+	if source == "" || !g.pulling.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer g.pulling.Store(false)
+		address := source
+		var wanted *wire.PeerState
 		for range maxPulls {
-			_, lacks, err := g.exchangeWithin(g.ctx, address, transferTimeout)
+			state, lacks, err := g.exchangeWithin(g.ctx, address, transferTimeout)
 			if err != nil {
 				g.cfg.Log.WithError(err).Debug("gossiper: newer records could not be fetched from an instance")
 			}
-			if err != nil || !lacks {
+			switch {
+			case address != source:
+				if err == nil && !lacks && isAsNew(state, wanted) {
+					return
+				}
+			case err != nil || !lacks || recordsSize(state) > 0:
+				// Records that were sent but not adopted would not be adopted again.
 				return
+			default:
+				wanted = state
 			}
 			g.pause(pullPause*3/4 + rand.N(pullPause/2))
+			if next := g.choosePeer(); address == source && next != "" {
+				address = next
+			} else {
+				address = source
+			}
 		}
 	}()
 }
 
+// isAsNew reports whether the records of the state are as new as those of the other.
+func isAsNew(s, other *wire.PeerState) bool {
+	return s.GetConfigurationVersion() >= other.GetConfigurationVersion() && s.GetServersRevision() >= other.GetServersRevision()
+}
+
 // requestLeases keeps this instance's primary leases up to date.
 func (g *Gossiper) requestLeases(ctx context.Context) {
 	var directUntil time.Time
