informer, noder: news from own stale reads are passed on in the block

An instance passes news on when it adopts them. One that had read a configuration, or a server that begins to drain, by its own stale read did not adopt them when it was told, so that those behind it in its block were told by nobody. It now passes on what a stale read shows (Spread(false)).

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -82,6 +82,9 @@
 	if cfg.FirstReadPause == nil {
 		cfg.FirstReadPause = func() time.Duration { return 0 }
 	}
+	if cfg.OnStaleChange == nil {
+		cfg.OnStaleChange = func() {}
+	}
 	if cfg.AskPeers == nil {
 		cfg.AskPeers = func() {}
 	}
@@ -384,8 +387,8 @@
 		return err
 	}
 	for _, e := range entries {
-		if e.Key == n.cfg.Schema.ConfigurationKey {
-			n.Offer(e.Value, "poll")
+		if e.Key == n.cfg.Schema.ConfigurationKey && n.Offer(e.Value, "poll") {
+			go n.cfg.OnStaleChange()
 		}
 	}
 	return nil
@@ -477,8 +480,11 @@
 	if linearizable {
 		n.recordComplete(began)
 	}
-	if leaving && linearizable {
+	switch {
+	case leaving && linearizable:
 		go n.cfg.OnChange()
+	case leaving:
+		go n.cfg.OnStaleChange()
 	}
 	return nil
 }
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -214,6 +214,7 @@
 		RetryPause:  func() time.Duration { return n.scaleInterval(retryPause) },
 		MaxProofAge: n.settings.RevocationLimit, IsProofRoot: n.isProofRoot, AskPeers: n.refreshFromPeers,
 		ProofRetryPause: func() time.Duration { return n.scaleInterval(proofRetryPause) }, OnChange: n.spreadNews,
+		OnStaleChange:  n.passNews,
 		FirstReadPause: n.firstReadPause,
 	}
 }
@@ -371,6 +372,12 @@
 	n.gossiper.Spread(true)
 }
 
+// passNews makes the instances that this one passes news on to learn what it knows.
+func (n *Node) passNews() {
+	<-n.built
+	n.gossiper.Spread(false)
+}
+
 // refreshFromPeers exchanges state with some other instances.
 func (n *Node) refreshFromPeers() {
 	<-n.built
