docs: comments, log lines and findings say what the code does

Change: the texts; transferLimiter in place of handouts and listSettleTime in place of startTime. No behaviour changes but the words of messages.

--- a/internal/adviser/adviser.go
+++ b/internal/adviser/adviser.go
@@ -67,7 +67,7 @@
 		}
 		lowest, highest := connectionLimits(g)
 		if lowest < highest {
-			a.Add(key, "the connection limits of group %q are from %d to %d: a change of primary changes how many connections it may have", g.Name, lowest, highest)
+			a.Add(key, "the connection limits of the servers of group %q range from %d to %d: a change of primary changes how many connections the group may have", g.Name, lowest, highest)
 		}
 	}
 }
@@ -87,8 +87,8 @@
 	return lowest, highest
 }
 
-// adviseReads looks for rules without effect. Of several rules for a table the one with
-// the lowest age holds.
+// adviseReads looks for rules without effect. Of several rules for a table the one with the
+// lowest age applies.
 func (a *adviser) adviseReads() {
 	for i, r := range a.manifest.Reads {
 		key := fmt.Sprintf("read[%d]", i)
@@ -103,7 +103,7 @@
 			}
 		}
 		if len(r.Tables) > 0 && len(hiding) == len(r.Tables) {
-			a.Add(key, "never holds: other rules allow no higher age (%s)", strings.Join(hiding, ", "))
+			a.Add(key, "never applies: other rules with the same or a lower maximum age apply first (%s)", strings.Join(hiding, ", "))
 		}
 	}
 }
@@ -157,7 +157,7 @@
 		}
 		if t.RatePerSecond > 0 && t.RatePerSecond+t.Burst < 1 {
 			each := time.Duration(float64(time.Second) / t.RatePerSecond)
-			a.Add(key+".rate_per_second", "the quota admits one operation each %s only", each.Round(time.Second/10))
+			a.Add(key+".rate_per_second", "the quota admits only one operation every %s", each.Round(time.Second/10))
 		}
 		a.advisePinned(key, t.Caller())
 	}
--- a/internal/adviser/compare.go
+++ b/internal/adviser/compare.go
@@ -20,18 +20,18 @@
 // String returns the change as a line for operators.
 func (c Change) String() string { return c.Entry + ": " + c.Text }
 
-// Compare returns what the next state of a part changes against the one in force: its
-// groups with their servers, then read rules, callers, teams, drains and switchovers.
-func Compare(inForce, next checker.Manifest) []Change {
+// Compare returns the differences between two states of a part: its groups with their servers,
+// then read rules, callers, teams, drains and switchovers.
+func Compare(before, after checker.Manifest) []Change {
 	var d differ
-	compareLists(&d, inForce.Groups, next.Groups, func(g checker.Group) string { return fmt.Sprintf("group %q", g.Name) }, d.compareGroups)
-	compareLists(&d, inForce.Reads, next.Reads, func(r checker.ReadRule) string { return fmt.Sprintf("read rule %q", r.Name) }, d.compareReads)
-	compareLists(&d, inForce.Callers, next.Callers, func(c checker.Caller) string { return fmt.Sprintf("caller %q", c.Name) }, d.compareCallers)
-	for _, c := range checker.DiffTeams(inForce.Teams, next.Teams) {
+	compareLists(&d, before.Groups, after.Groups, func(g checker.Group) string { return fmt.Sprintf("group %q", g.Name) }, d.compareGroups)
+	compareLists(&d, before.Reads, after.Reads, func(r checker.ReadRule) string { return fmt.Sprintf("read rule %q", r.Name) }, d.compareReads)
+	compareLists(&d, before.Callers, after.Callers, func(c checker.Caller) string { return fmt.Sprintf("caller %q", c.Name) }, d.compareCallers)
+	for _, c := range checker.DiffTeams(before.Teams, after.Teams) {
 		d.add(fmt.Sprintf("team %q", c.Team), "%s", c.Text)
 	}
-	compareLists(&d, inForce.Drains, next.Drains, func(s checker.Drain) string { return fmt.Sprintf("drain of server %q in group %q", s.Server, s.Group) }, nil)
-	compareLists(&d, inForce.Switchovers, next.Switchovers, func(s checker.Switchover) string { return fmt.Sprintf("switchover %q", s.ID) }, d.compareSwitchovers)
+	compareLists(&d, before.Drains, after.Drains, func(s checker.Drain) string { return fmt.Sprintf("drain of server %q in group %q", s.Server, s.Group) }, nil)
+	compareLists(&d, before.Switchovers, after.Switchovers, func(s checker.Switchover) string { return fmt.Sprintf("switchover %q", s.ID) }, d.compareSwitchovers)
 	return d.changes
 }
 
@@ -88,15 +88,15 @@
 func (d *differ) compareCallers(entry string, before, after checker.Caller) {
 	d.list(entry, "groups", before.Groups, after.Groups)
 	if before.ScramVerifier != after.ScramVerifier {
-		d.add(entry, "password changes")
+		d.add(entry, "password changed")
 	}
 	number(d, entry, "connection limit", before.ConnectionLimit, after.ConnectionLimit)
 	number(d, entry, "pinned limit", before.PinnedLimit, after.PinnedLimit)
 	switch {
 	case !before.TLSRequired && after.TLSRequired:
-		d.add(entry, "needs TLS from now on")
+		d.add(entry, "TLS is now required")
 	case before.TLSRequired && !after.TLSRequired:
-		d.add(entry, "needs no TLS any more")
+		d.add(entry, "TLS is no longer required")
 	}
 }
 
--- a/internal/attester/confirmation.go
+++ b/internal/attester/confirmation.go
@@ -38,12 +38,12 @@
 	}
 }
 
-// queryReplicas asks all replicas and returns nil if an established one confirms that it
-// knows no later term, and none that answers is paused for one or knows it. One that
-// confirms is no proof beside one that shows a change: it may have forgotten its pause in
-// a restart that is not listed yet. If no replica is established, all of them must answer
-// and confirm. During a switchover only the next primary is asked; after its last lease that
-// one must confirm besides.
+// queryReplicas asks all replicas and returns nil if an established one confirms that it knows no
+// later term, and none that answers is paused for one or knows it. One that confirms is no proof
+// beside one that shows a change: it may have forgotten its pause in a restart that is not listed
+// yet. If no replica is established, all of them must answer and confirm. During a switchover
+// only the next primary is asked. After the last switchover lease, as long as [Group.PendingNext]
+// names it, the next primary must confirm in addition to the others.
 func (g *Group) queryReplicas(l Leader) error {
 	if next, ok := g.switchoverNext(l); ok {
 		return g.queryNext(l, next)
--- a/internal/attester/doc.go
+++ b/internal/attester/doc.go
@@ -45,9 +45,9 @@
 // listed, so all replicas are asked, and one that is paused for a later term or knows it
 // outweighs those that confirm.
 //
-// During a switchover all replicas but the next primary are paused while the leader still
-// serves. Under a switchover lease only the next primary is asked, as no other server can
-// lead. After the lease the call for the next primary may still take effect: as long as no
-// primary lease has been recorded since, for up to [SettleLimit], it must confirm beside the
-// others, whose pauses may be forgotten.
+// During a switchover all replicas but the next primary are paused while the leader still serves.
+// Under a switchover lease only the next primary is asked, as no other server can lead. After the
+// lease the call for the next primary may still take effect: as long as no primary lease has been
+// recorded since, for up to [SettleLimit], it must confirm in addition to the others, which may
+// have lost their pauses in a restart.
 package attester
--- a/internal/certifier/certifier.go
+++ b/internal/certifier/certifier.go
@@ -90,9 +90,9 @@
 	return res, err
 }
 
-// Check refuses new work while the group confirms nothing, for example because both replicas
-// are down: the outcome of a commit would remain unknown. While the group is suspect, each
-// request asks for a confirmation first.
+// Check refuses new work while the group confirms nothing, for example because all replicas are
+// down: the outcome of a commit would remain unknown. While the group is suspect, each request
+// asks for a confirmation first.
 func (c *Certifier) Check() *pgproto3.ErrorResponse {
 	if !c.suspect.Load() {
 		return nil
--- a/internal/certifier/minimum.go
+++ b/internal/certifier/minimum.go
@@ -40,8 +40,8 @@
 	return m
 }
 
-// Minimum returns the minimum of a session, which is the position of the current primary if
-// the session has none. It has none still if that is not confirmed in time.
+// Minimum returns the minimum of a session, which is the position of the current primary if the
+// session has none. If that position is not confirmed in time, the session still has none.
 func (c *Certifier) Minimum(m Minimum, clock interface{ Now() time.Time }) Minimum {
 	if m.IsSet {
 		return m
--- a/internal/director/doc.go
+++ b/internal/director/doc.go
@@ -7,8 +7,9 @@
 //
 // Invariants:
 //
-//   - A batch runs again only if the conclusion of its last run allows that, a few times at most,
-//     and each retry is paid from the budget of the instance.
+//   - A batch runs again on the primary only if the conclusion of its last run allows that, a few
+//     times at most, and only while the retry budget of the instance allows it. A read that no
+//     replica served runs on the primary even if the budget is used up.
 //   - A batch of a session with state on its connection runs nowhere else.
 //   - When a batch ends without a failure, its whole answer is in the output, or its connection
 //     is retained until Sync.
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -153,10 +153,10 @@
 	lastRefresh time.Time
 	pulling     atomic.Bool
 	// version is that of this instance's configuration at the last exchange.
-	version  atomic.Int64
-	detector *FailureDetector
-	handouts *handouts
-	news     spreader
+	version   atomic.Int64
+	detector  *FailureDetector
+	transfers *transferLimiter
+	news      spreader
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -175,7 +175,7 @@
 		cfg.Blocks = func() [][]string { return nil }
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Gossiper{cfg: cfg, detector: NewFailureDetector(cfg.Clock), handouts: newHandouts(cfg.LinkBytes, cfg.Clock), ctx: ctx, cancel: cancel, done: make(chan struct{})}
+	g := &Gossiper{cfg: cfg, detector: NewFailureDetector(cfg.Clock), transfers: newTransferLimiter(cfg.LinkBytes, cfg.Clock), ctx: ctx, cancel: cancel, done: make(chan struct{})}
 	var wg sync.WaitGroup
 	wg.Go(func() { g.run(ctx) })
 	wg.Go(func() { g.requestLeases(ctx) })
@@ -286,7 +286,7 @@
 			}
 			switch {
 			case address != source:
-				if err == nil && !lacks && isAsNew(state, wanted) {
+				if err == nil && !lacks && isAtLeastAsNew(state, wanted) {
 					return
 				}
 			case err != nil || !lacks || hasRecords(state):
@@ -305,8 +305,8 @@
 	}()
 }
 
-// isAsNew reports whether the records of the state are as new as those of the other.
-func isAsNew(s, other *wire.PeerState) bool {
+// isAtLeastAsNew reports whether the records of the state are at least as new as those of the other.
+func isAtLeastAsNew(s, other *wire.PeerState) bool {
 	return s.GetConfigurationVersion() >= other.GetConfigurationVersion() && s.GetServersRevision() >= other.GetServersRevision()
 }
 
--- a/internal/gossiper/refused_answer_test.go
+++ b/internal/gossiper/refused_answer_test.go
@@ -28,7 +28,7 @@
 // Guards against refused answers that fill the link, and against ones that leave an instance
 // which has just started with only the same few to ask.
 func TestRefusedAnswer(t *testing.T) {
-	g := &Gossiper{ctx: t.Context(), handouts: newHandouts(100_000, clockwork.NewFakeClock())}
+	g := &Gossiper{ctx: t.Context(), transfers: newTransferLimiter(100_000, clockwork.NewFakeClock())}
 	s := Service{View: fullView{}, Gossiper: g}
 	for _, tc := range []struct {
 		name                        string
--- a/internal/gossiper/service.go
+++ b/internal/gossiper/service.go
@@ -26,7 +26,7 @@
 		s.Gossiper.Pull(in.GetHeader().GetInstance())
 	}
 	state := s.View.State(in)
-	if hasRecords(state) && !s.Gossiper.handouts.take(proto.Size(state)) {
+	if hasRecords(state) && !s.Gossiper.transfers.allow(proto.Size(state)) {
 		return withoutRecords(state, in.GetConfigurationVersion() > 0), nil
 	}
 	return state, nil
--- a/internal/gossiper/spread.go
+++ b/internal/gossiper/spread.go
@@ -8,8 +8,9 @@
 	"marigoldhub.example/hub/internal/messenger/wire"
 )
 
-// maxTellTime is how long an instance that spreads news waits for one before it tells the
-// next. The tell goes on meanwhile: it may be slow or not answer.
+// maxTellTime is how long an instance that spreads news waits for another one to answer before it
+// tells the next. It is shorter than exchangeTimeout, so that a silent instance does not delay
+// those behind it; its exchange goes on in the background.
 const maxTellTime = 150 * time.Millisecond
 
 // spreader remembers that there is news to spread.
@@ -125,7 +126,7 @@
 	go func() {
 		state, _, err := g.exchangeWithin(g.ctx, address, exchangeTimeout)
 		if err != nil {
-			g.cfg.Log.WithError(err).Debug("gossiper: an instance was not told of news")
+			g.cfg.Log.WithError(err).Debug("gossiper: a change could not be passed on to an instance")
 		}
 		answer <- state
 	}()
@@ -133,7 +134,7 @@
 	case state := <-answer:
 		if state != nil && state.GetConfigurationVersion() < g.version.Load() {
 			// It fetches the configuration now.
-			g.pause(g.handouts.duration(len(g.cfg.View.State(state).GetConfiguration())))
+			g.pause(g.transfers.duration(len(g.cfg.View.State(state).GetConfiguration())))
 		}
 		return state != nil
 	case <-g.cfg.Clock.After(maxTellTime):
--- a/internal/gossiper/handouts_test.go
+++ b/internal/gossiper/transfer_limiter_test.go
@@ -28,7 +28,7 @@
 // for again. It must answer all, and send its records to as many as its link carries.
 func TestRecordsAreSentAsFastAsTheLinkCarries(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	s := Service{View: recordsView{}, Gossiper: &Gossiper{handouts: newHandouts(1_250_000, clock)}}
+	s := Service{View: recordsView{}, Gossiper: &Gossiper{transfers: newTransferLimiter(1_250_000, clock)}}
 	const seconds, asked = 3, 100
 	sent := 0
 	for range seconds * asked {
--- a/internal/informer/config.go
+++ b/internal/informer/config.go
@@ -77,9 +77,9 @@
 	// the other instances should learn at once: a new configuration, or a server that
 	// has begun to drain.
 	OnChange func()
-	// OnStaleChange is called when a stale read of an instance that is no reader shows the
-	// same. A reader has told the fleet, but those that this instance passes news on to may
-	// lack it: it passes on what it adopts, and this it need not adopt any more. Nil does
-	// nothing.
+	// OnStaleChange is called when a stale read by an instance that is no reader shows such a
+	// change. The instances that this one passes changes on to may lack it: this one passes on
+	// only what it adopts, and will not adopt the same change again when a reader's message
+	// arrives. Nil does nothing.
 	OnStaleChange func()
 }
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -340,8 +340,8 @@
 	return nil
 }
 
-// awaitStep is how often an instance without a configuration looks whether it has become a
-// reader.
+// awaitStep is the interval at which an instance without a configuration checks whether it has
+// received one or has become a reader. A check costs no call.
 const awaitStep = 20 * time.Millisecond
 
 // pollConfiguration reads the configuration by stale reads, which the store charges least
--- a/internal/messenger/places.go
+++ b/internal/messenger/places.go
@@ -42,7 +42,8 @@
 
 func newPlaces(cfg Places) *places { return &places{cfg: cfg, reserved: map[netip.Addr]int{}} }
 
-// add gives the connection a place, and closes another one if that takes the last shared place.
+// add gives the connection a place. If it needs a shared one and none is free, it closes another
+// connection first.
 func (p *places) add(conn net.Conn) net.Conn {
 	if p.cfg.Shared == 0 {
 		return conn
@@ -146,7 +147,7 @@
 	}
 }
 
-// placedConn is a connection that leaves its place with its end.
+// placedConn is a connection that gives up its place when it is closed.
 type placedConn struct {
 	net.Conn
 	places  *places
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -60,8 +60,9 @@
 	// readers is the number of readers in larger fleets. If half of the instances lose
 	// power, the chance that all readers are among them is 1 in 256.
 	readers = 8
-	// startTime is how long the list of instances may lack most of those that start together.
-	startTime = 600 * time.Millisecond
+	// listSettleTime is how long after its start an instance does not rely on a short list: most
+	// of those that start together may not be listed yet.
+	listSettleTime = 600 * time.Millisecond
 	// readerJob is the key by which readers are chosen.
 	readerJob = "store"
 	// readerListInterval is how often any of the readers lists the servers; every
@@ -300,14 +301,14 @@
 	return interval * time.Duration(max(n.fleetSize(), smallFleet)) / smallFleet
 }
 
-// isReader reports whether this instance reads the store on behalf of the fleet. An
-// instance that has not listed the others is no reader: the fleet may be large. So may one that
-// seems small right after the start.
+// isReader reports whether this instance reads the store on behalf of the fleet. An instance that
+// has not listed the others is no reader, because the fleet may be large. For listSettleTime
+// after the start, a list of few instances does not prove that it is small.
 func (n *Node) isReader() bool {
 	if !n.registrar.HasList() {
 		return false
 	}
-	if n.fleetSize() <= smallFleet && n.clock.Since(n.started) >= startTime {
+	if n.fleetSize() <= smallFleet && n.clock.Since(n.started) >= listSettleTime {
 		return true
 	}
 	return n.isAmong(readerJob, readers)
--- a/internal/noder/primary_leases.go
+++ b/internal/noder/primary_leases.go
@@ -95,8 +95,8 @@
 	switchovers []relayedLease
 }
 
-// maxRelayedAge is how old the collected leases may be. What has changed since is like a response
-// that was as long on its way: leases are learnt about as often.
+// maxRelayedAge is how old the collected leases may be. It has the same effect as a response that
+// takes this long, and is about the interval at which a relay renews its own leases.
 const maxRelayedAge = 60 * time.Millisecond
 
 // relayedLease is a primary lease, or one for a switchover to the server next.
@@ -113,8 +113,8 @@
 	r.at = time.Time{}
 }
 
-// collect returns the leases and for how long ago what remains of them is told. The time is read
-// before the leases, so that none is told to last longer than it does.
+// collect returns the leases with the time that remained of each, and how long ago that was. The
+// time is read before the leases, so that the remaining time is never overstated.
 func (r *relayedLeases) collect(v view, now time.Time) (leases, switchovers []relayedLease, age time.Duration) {
 	state := v.informer.State()
 	r.mu.Lock()
--- a/internal/noder/roster.go
+++ b/internal/noder/roster.go
@@ -7,9 +7,9 @@
 	"marigoldhub.example/hub/internal/registrar"
 )
 
-// roster is the list of instances as the others of this instance's components use it, and what
-// follows from it. All of it is computed once for a list: each request for primary leases and
-// each refusal of a request needs some of it, and it takes time in proportion to the fleet.
+// roster is the list of instances that the other components use, and what is derived from it. All
+// of it is computed once for each list: each request for primary leases and each refusal of a
+// request needs some of it, and it takes time in proportion to the fleet.
 type roster struct {
 	peers []placer.Peer
 	// others and the flags are what peers was made of.
--- a/internal/noder/spread.go
+++ b/internal/noder/spread.go
@@ -18,8 +18,9 @@
 	return spreadBlocks(peers, placer.Rendezvous(readerJob, peers, readers))
 }
 
-// spreadBlocks divides the peers into blocks, each of one availability zone and with a reader
-// as its first: a configuration crosses zones only on its way to a zone without readers.
+// spreadBlocks divides the peers into blocks, each within one availability zone. The first of a
+// block is a reader, or the first peer by name in a zone without readers, so that a configuration
+// crosses zones only to the first of a block.
 func spreadBlocks(peers, readers []placer.Peer) [][]string {
 	byZone := map[string][]placer.Peer{}
 	for _, p := range peers {
--- a/internal/relayer/doc.go
+++ b/internal/relayer/doc.go
@@ -29,7 +29,7 @@
 //     session ends first: by a panic, because the caller has gone, or because its access was
 //     withdrawn before the batch ran.
 //   - A batch is retried only if nothing of its answer was passed on and it is
-//     proved that it had no effect; the retries are paid from a budget.
+//     proved that it had no effect; a budget limits the retries.
 //   - A batch that begins outside a transaction has released or discarded its server connection
 //     when it is answered, unless the session retains it.
 //   - What a session holds is given back when it ends, also by a panic, which ends no other
--- a/internal/replacer/replace.go
+++ b/internal/replacer/replace.go
@@ -98,7 +98,7 @@
 			func() (nominee, error) { return t.fenceAndChoose(f, func() {}) },
 		)
 		if err == nil && t.mayAnotherLead(next.id) {
-			t.logger().WithFields(logrus.Fields{"server": next.id}).WithFields(t.callFields()).Info("replacer: an earlier call for another server may take effect")
+			t.logger().WithFields(logrus.Fields{"server": next.id}).WithFields(t.callFields()).Info("replacer: an earlier call for another server may still take effect")
 			t.sleep(fenceRetryInterval)
 			continue
 		}
@@ -327,7 +327,7 @@
 	}
 	t.logger().WithFields(logrus.Fields{
 		"server": srv.ID, "needed": needed.String(), "role": r.Role.String(), "received": r.Received.String(), "error": err,
-	}).Warn("replacer: the chosen server does not report the log any more")
+	}).Warn("replacer: the chosen server no longer reports the log")
 	return false
 }
 
--- a/internal/replier/doc.go
+++ b/internal/replier/doc.go
@@ -1,5 +1,6 @@
-// Package replier answers batches that need no server: statements on settings of the proxy, on
-// prepared statements and on settings that are the same on all server connections.
+// Package replier answers batches that are not sent to a server: statements on settings of the
+// proxy, on prepared statements and on settings that are the same on all server connections. Only
+// SHOW marigold.request_outcome uses a server, through [Config.Outcome].
 //
 // A [Replier] follows the protocol like a server, with portals of its own that end with the
 // batch. Its answers are buffered in the output of the session; package planner decides which
--- a/internal/runner/doc.go
+++ b/internal/runner/doc.go
@@ -11,8 +11,9 @@
 //
 // Invariants:
 //
-//   - The answer to a commit or to a strict read stays in the buffer until it is confirmed; only
-//     rows beyond a limit may be passed on earlier.
+//   - The answer to a commit or to a strict read stays in the buffer until it is confirmed. Only
+//     rows beyond a limit, and results before Flush, may be passed on earlier; ReadyForQuery
+//     never is.
 //   - Every response is read, also when the caller has disconnected or does not read, unless
 //     that would take too long. A [LostError] says that the connection must not be used again.
 //   - A wait for the primary ends when another server has become the primary. A wait for a
--- a/internal/steward/check.go
+++ b/internal/steward/check.go
@@ -33,14 +33,16 @@
 		Short: "Check files of manifest parts before they are proposed",
 		Long: `Check files of manifest parts before they are proposed.
 
-All errors are printed as file:line:column: key: message, and all warnings as
-file:line:column: warning: key: message: entries that no statement can match,
-and limits that contradict each other. A part with warnings can be proposed.
-
-With --against FILE, what the part changes against that file is printed, entry
-by entry; with --against store, what it changes against the revision in force,
-and name conflicts with the other parts in force are errors. Without --against
-store the store is not used. It is only read.
+Errors are printed as file:line:column: key: message, and warnings as
+file:line:column: warning: key: message. Warnings are about entries that no
+statement can match and limits that contradict each other; a part with warnings
+can be proposed.
+
+With --against FILE, the changes relative to that file are printed, entry by
+entry; with --against store, those relative to the revision in force. Names that
+another part in force has are errors then, or warnings if the file of that part
+is checked as well and gives them up. The store is read only with --against
+store, and never written.
 
 Exit codes: 0 neither errors nor warnings, 1 warnings only, 2 errors or wrong
 usage, 3 store unreachable.`,
--- a/internal/steward/check_test.go
+++ b/internal/steward/check_test.go
@@ -40,7 +40,7 @@
 	c.expect(ExitOK, `team "kiosks": rate_per_second lowered from 40 to 0.05`, "check", slower, "--against", councilUnit)
 	c.expect(ExitWarnings, "warning: team: the quotas add up to 40 operations a second", "check", councilUnit, "--capacity", "30")
 	both := c.writeChanged("both.toml", slower, "council-unit", "burst = 20", "burst = 0.5")
-	c.expect(ExitWarnings, "warning: team[0].rate_per_second: the quota admits one operation each 20s only", "check", both)
+	c.expect(ExitWarnings, "warning: team[0].rate_per_second: the quota admits only one operation every 20s", "check", both)
 }
 
 // TestCheckAgainstStore guards against a comparison with a revision that is not in force,
--- a/internal/terminator/doc.go
+++ b/internal/terminator/doc.go
@@ -1,7 +1,8 @@
-// Package terminator decides when a session ends that was told to, and what its caller is told.
+// Package terminator decides when a session that has been asked to end does so, and with which
+// error.
 //
-// A session is told to end in four ways: it is drained before a planned stop, displaced in
-// favor of a new connection, expired at the end of such a stop, or revoked because its caller
+// A session is asked to end in one of four ways: it is drained before a planned stop, displaced
+// in favor of a new connection, expired at the end of such a stop, or revoked because its caller
 // may no longer use it. A drained or displaced one ends when it is idle, which means that it
 // waits for a request with no transaction open. An expired or revoked one ends as soon as no
 // request is running, even inside a transaction, which is then rolled back.
--- a/internal/terminator/terminator.go
+++ b/internal/terminator/terminator.go
@@ -73,8 +73,8 @@
 
 const revokedText = "the access of this connection was withdrawn"
 
-// EndError returns why the session ends that was told to; a drained one ends only
-// outside transactions.
+// EndError returns the error with which the session ends. A drained session ends only outside
+// transactions.
 func (t *Terminator) EndError(expired, inTransaction bool) error {
 	switch {
 	case t.revoked.Load() && inTransaction:
--- a/internal/throttler/precedence.go
+++ b/internal/throttler/precedence.go
@@ -9,15 +9,17 @@
 	// shortTime is how long a team counts as short of tokens after an answer or a refusal
 	// showed it.
 	shortTime = time.Second
-	// urgentTime is how long the most urgent priority counts that an instance has seen.
+	// urgentTime is how long the most urgent priority that an instance has seen for a team is
+	// remembered.
 	urgentTime = 10 * time.Second
-	// yieldPause separates two requests for operations that yield.
+	// yieldPause is the least pause between two requests to the allocator for operations that
+	// yield.
 	yieldPause = 100 * time.Millisecond
 )
 
-// precedence decides which operations of a team that is short of tokens go first. It answers
-// a team that sends several times its limit, whose few urgent operations would be refused
-// like the others:
+// precedence decides which operations of a team that is short of tokens go first. It is for a
+// team that sends several times its limit: without it, the few urgent operations of the team
+// would be refused as often as the others.
 //
 //   - Operations that are less urgent than others of the team yield: the allocator gives them
 //     tokens only from the part of its stock that it does not keep for those that wait.
