review: show acknowledged commits lost by a promotion

Seen: while a replica is being promoted because the coordinator cannot reach the primary, the other replica restarts under its id and forgets its pause. Other nodes commit at the old primary with it, tell their clients of success, and the promoted server lacks these commits.

Cause: a commit counts as proved by one established replica that is not paused if no paused one answers; a restart is seen a second later, and a replica that answers BUSY is not heard.

--- a/review/standin-2/main_test.go
+++ b/review/standin-2/main_test.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(w *world, trouble bool) (breaks []string, err error){
 	"restarted_primary": playRestartedPrimary,
 	"open_transaction":  playOpenTransaction,
+	"restarted_replica": playRestartedReplica,
 }
 
 // TestMain plays the case that the environment names; it runs no tests.
--- a/review/standin-2/server_test.go
+++ b/review/standin-2/server_test.go
@@ -36,8 +36,13 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
-	down  bool
-	seq   int
+	// ran counts the statements of clients by the node that sent them.
+	ran  map[string]int
+	down bool
+	// busy makes the server answer BUSY. cutOff are the nodes that are cut off from it.
+	busy   bool
+	cutOff map[string]bool
+	seq    int
 }
 
 // startServer serves a server of the cluster at an address of its own.
@@ -46,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	s := &server{w: w, id: id, zone: zone, l: l, slots: make(chan struct{}, serverSlots), conns: map[net.Conn]bool{}}
+	s := &server{w: w, id: id, zone: zone, l: l, slots: make(chan struct{}, serverSlots), conns: map[net.Conn]bool{}, ran: map[string]int{}}
 	w.servers[id] = s
 	w.closers = append(w.closers, func() { l.Close() })
 	w.writeEntry(id)
@@ -138,6 +143,7 @@
 	if err != nil {
 		return
 	}
+	s.awaitPath(f[2])
 	s.work(handshakeTime)
 	fmt.Fprintf(conn, "READY I %s\r\n", formatPosition(s.w.Log(s.id)))
 	names := map[string]exchanger.Kind{}
@@ -151,6 +157,16 @@
 			s.w.rec.note("server %s cannot read %q", s.id, line)
 			return
 		}
+		s.awaitPath(f[2])
+		if s.isBusy() {
+			fmt.Fprintf(conn, "ERROR BUSY %s\r\nREADY I %s\r\n", s.id, formatPosition(s.w.Log(s.id)))
+			continue
+		}
+		if st.ID != "-" {
+			s.mu.Lock()
+			s.ran[f[2]]++
+			s.mu.Unlock()
+		}
 		if st.Kind == exchanger.Read || st.Kind == exchanger.Write || st.Kind == exchanger.Commit {
 			s.work(workTime)
 		}
@@ -158,12 +174,59 @@
 		if err != nil {
 			return
 		}
+		s.awaitPath(f[2])
 		if err := writeAnswer(conn, st, answers[0]); err != nil {
 			return
 		}
 	}
 }
 
+func (s *server) isBusy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.busy
+}
+
+// setBusy makes the server answer BUSY to everything, or not any more.
+func (s *server) setBusy(busy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = busy
+}
+
+// cut cuts the nodes off the server. Bytes on their way arrive when the cut ends.
+func (s *server) cut(nodes map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutOff = nodes
+}
+
+// awaitPath waits while the node is cut off the server.
+func (s *server) awaitPath(node string) {
+	for {
+		s.mu.Lock()
+		isCut := s.cutOff[node]
+		s.mu.Unlock()
+		if !isCut {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// scheduler returns the node that has sent most statements of clients.
+func (s *server) scheduler() (node string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for user, count := range s.ran {
+		if count > s.ran[node] {
+			node = user
+		}
+	}
+	clear(s.ran)
+	return node
+}
+
 // work occupies a slot for the time.
 func (s *server) work(d time.Duration) {
 	s.slots <- struct{}{}
--- a/review/standin-2/world_test.go
+++ b/review/standin-2/world_test.go
@@ -35,9 +35,11 @@
 	platform string
 	servers  map[string]*server
 	nodes    []*node
-	stop     chan struct{}
-	ended    sync.WaitGroup
-	closers  []func()
+	// onPromote is called with the server of each promote call that is accepted.
+	onPromote func(id string)
+	stop      chan struct{}
+	ended     sync.WaitGroup
+	closers   []func()
 }
 
 // newWorld starts the store and three servers; the first one is the primary.
@@ -147,5 +149,9 @@
 	w.rec.note("promote %s by %s, token %d: %v", body.ID, holder, token, err)
 	if err != nil {
 		rw.WriteHeader(http.StatusConflict)
+		return
+	}
+	if w.onPromote != nil {
+		w.onPromote(body.ID)
 	}
 }
