--- a/review/standin-2/client_test.go
+++ b/review/standin-2/client_test.go
@@ -4,8 +4,10 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"time"
 )
@@ -74,3 +76,14 @@
 	c.rec.note("%s sent %.40s, after %d ms: %s, %s, %v", a.id, text, time.Since(a.sent).Milliseconds(), a.end, a.ready, a.err)
 	return a
 }
+
+// await waits until the time and returns a message that arrives before; empty if none does.
+func (c *client) await(until time.Time) string {
+	c.conn.SetReadDeadline(until)
+	line, err := c.r.ReadString('\n')
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return ""
+	}
+	c.rec.note("%s got %q, %v, while no request was outstanding", c.name, line, err)
+	return fmt.Sprint(strings.TrimSpace(line), " ", err)
+}
--- a/review/standin-2/open_transaction_test.go
+++ b/review/standin-2/open_transaction_test.go
@@ -54,6 +54,14 @@
 			breaks = append(breaks, b)
 		}
 	}
+	if trouble {
+		select {
+		case <-w.nodes[0].ended:
+			w.rec.note("the process has ended by %d ms after SIGTERM", time.Since(stopped).Milliseconds())
+		case <-time.After(time.Until(stopped.Add(gracePeriod))):
+			w.rec.note("the process runs at the end of the grace period")
+		}
+	}
 	return breaks, nil
 }
 
@@ -70,7 +78,9 @@
 			return fmt.Sprintf("%s: a read of the open transaction %d ms after SIGTERM: %q, %v", c.name, a.sent.Sub(began).Milliseconds(), a.end, a.err)
 		}
 	}
-	time.Sleep(time.Until(end))
+	if line := c.await(end); line != "" {
+		return fmt.Sprintf("%s: the transaction was ended %d ms after SIGTERM, while no request was outstanding: %q", c.name, time.Since(began).Milliseconds(), line)
+	}
 	if a := c.query("COMMIT"); !a.ok() {
 		return fmt.Sprintf("%s: the commit of the open transaction %d ms after SIGTERM: %q, %v", c.name, a.sent.Sub(began).Milliseconds(), a.end, a.err)
 	}
--- a/review/standin-2/server_test.go
+++ b/review/standin-2/server_test.go
@@ -4,9 +4,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,6 +16,7 @@
 
 	"marigoldhub.example/hub/internal/exchanger"
 	"marigoldhub.example/hub/internal/exchanger/exchangertest"
+	"marigoldhub.example/hub/internal/informer"
 	"marigoldhub.example/hub/internal/tracker"
 )
 
@@ -147,6 +150,7 @@
 	s.work(handshakeTime)
 	fmt.Fprintf(conn, "READY I %s\r\n", formatPosition(s.w.Log(s.id)))
 	names := map[string]exchanger.Kind{}
+	state := exchanger.Idle
 	for {
 		line, err := r.ReadString('\n')
 		if err != nil {
@@ -159,7 +163,7 @@
 		}
 		s.awaitPath(f[2])
 		if s.isBusy() {
-			fmt.Fprintf(conn, "ERROR BUSY %s\r\nREADY I %s\r\n", s.id, formatPosition(s.w.Log(s.id)))
+			fmt.Fprintf(conn, "ERROR BUSY %s\r\nREADY %s %s\r\n", s.id, stateWords[state], formatPosition(s.w.Log(s.id)))
 			continue
 		}
 		if st.ID != "-" {
@@ -171,9 +175,14 @@
 			s.work(workTime)
 		}
 		answers, err := backend.Exchange(time.Time{}, st)
+		if err != nil && (st.Kind == exchanger.Write || st.Kind == exchanger.Commit) {
+			// No replica has received the commit yet.
+			answers, err = s.awaitReplica(st.ID)
+		}
 		if err != nil {
 			return
 		}
+		state = answers[0].State
 		s.awaitPath(f[2])
 		if err := writeAnswer(conn, st, answers[0]); err != nil {
 			return
@@ -181,6 +190,31 @@
 	}
 }
 
+// errNoReplica ends the connection of a commit that no replica has received while the server
+// led.
+var errNoReplica = errors.New("no replica has received the commit")
+
+// awaitReplica waits until a replica has received the commit, and returns the answer to it.
+func (s *server) awaitReplica(id string) ([]exchanger.Answer, error) {
+	for s.leads() {
+		if holders := s.w.Holders(id); slices.Contains(holders, s.id) && len(holders) > 1 {
+			return []exchanger.Answer{{Signature: s.id, Position: s.w.Log(s.id)}}, nil
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return nil, errNoReplica
+}
+
+// leads reports whether the server runs and is a primary.
+func (s *server) leads() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return false
+	}
+	return slices.ContainsFunc(s.w.Servers(), func(srv informer.Server) bool { return srv.ID == s.id && srv.Role == exchanger.Primary })
+}
+
 func (s *server) isBusy() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
