noder, sessioner: open transactions have half of the stop limit

What they had written was rolled back.

Cause: Stop ended idle sessions and open transactions at the same time, 0.45 of the stop limit after the signal.

Change: sessioner.Server.Stop gives transactions a time of their own, half of the stop limit and 250 ms for statements on their way. Idle sessions end as before. Running statements are waited for until five sixths of the limit instead of 1 s before its end, which is the same for a limit of 6 s and longer for shorter ones.

The test also found that a caller whose next statement had just arrived lost the interrupt, and that its transaction went on until the process closed the connection without an answer. After their time sessions now end as soon as the running statement is answered.

--- a/internal/noder/stop.go
+++ b/internal/noder/stop.go
@@ -10,11 +10,17 @@
 )
 
 const (
-	// drainShare is the share of the stop limit in which idle sessions are closed and
-	// open transactions may end.
-	drainShare = 0.45
-	// stopMargin is kept between the end of the process and its kill.
-	stopMargin = time.Second
+	// idleShare is the share of the stop limit in which idle sessions are closed one by one.
+	idleShare = 0.45
+	// transactionShare is the share that the platform's rules give a transaction that is open at
+	// the stop signal.
+	transactionShare = 0.5
+	// arrivalTime is how long the last statement of such a transaction may be on its way. A
+	// packet that is lost is sent again after 200 ms.
+	arrivalTime = 250 * time.Millisecond
+	// statementShare is the share in which running statements are answered. The rest is for the
+	// end of the process.
+	statementShare = 5.0 / 6
 )
 
 // Stop ends the instance within the stop limit of its settings. It reports not
@@ -41,11 +47,13 @@
 			n.leave()
 		}()
 		n.withdrawAsGateway()
-		drain := time.Duration(float64(n.settings.StopGracePeriod) * drainShare)
-		n.sessions.Drain(drain - n.clock.Since(began))
-		n.clock.Sleep(drain - n.clock.Since(began))
-		ended := n.sessions.Stop(n.settings.StopGracePeriod - stopMargin - n.clock.Since(began))
-		forwarded := n.dispatcher.AwaitForwardedTransactions(n.settings.StopGracePeriod - stopMargin - n.clock.Since(began))
+		left := func(share float64) time.Duration {
+			return time.Duration(float64(n.settings.StopGracePeriod)*share) - n.clock.Since(began)
+		}
+		n.sessions.Drain(left(idleShare))
+		n.clock.Sleep(left(idleShare))
+		ended := n.sessions.Stop(left(transactionShare)+arrivalTime, left(statementShare))
+		forwarded := n.dispatcher.AwaitForwardedTransactions(left(statementShare))
 		n.close()
 		n.log.WithFields(logrus.Fields{"took": n.clock.Since(began).String(), "all_sessions_ended": ended, "open_for_others": forwarded}).Info("noder: stopped")
 		select {
--- a/internal/sessioner/displace_test.go
+++ b/internal/sessioner/displace_test.go
@@ -107,7 +107,7 @@
 			for _, c := range accepted {
 				c.Abort()
 			}
-			if !s.Stop(5 * time.Second) {
+			if !s.Stop(0, 5*time.Second) {
 				t.Error("a session did not end")
 			}
 		})
--- a/internal/sessioner/server.go
+++ b/internal/sessioner/server.go
@@ -54,8 +54,10 @@
 	unstarted atomic.Int64
 	draining  bool
 	stopping  bool
-	wg        sync.WaitGroup
-	done      chan struct{}
+	// expired is set when the time of open transactions has ended.
+	expired bool
+	wg      sync.WaitGroup
+	done    chan struct{}
 }
 
 // NewServer returns a server that has started to accept callers.
@@ -154,6 +156,13 @@
 	return s.stopping
 }
 
+// mustEnd reports whether a session in the state ends because the instance is stopping.
+func (s *Server) mustEnd(state exchanger.State) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.expired || s.stopping && state == exchanger.Idle
+}
+
 // Drain closes idle sessions, spread over the duration so that their callers do not
 // all connect to the other instances at once. Sessions with an open transaction
 // close at its end. New callers are still accepted.
@@ -173,31 +182,39 @@
 	}
 }
 
-// Stop ends idle sessions, refuses new ones and waits for running statements until the
-// timeout. Then it closes the listener: connections that the process has not accepted are
-// reset by that. It reports whether all sessions have ended; it does not cut off the others.
-func (s *Server) Stop(timeout time.Duration) bool {
-	s.mu.Lock()
-	s.stopping = true
-	open := make([]*session, 0, len(s.sessions))
-	for ss := range s.sessions {
-		open = append(open, ss)
-	}
-	s.mu.Unlock()
+// Stop refuses new callers and ends sessions: idle ones at once, and those with an open
+// transaction, which is rolled back, after the time for transactions. It waits for running
+// statements until the timeout. Then it closes the listener: connections that the process has
+// not accepted are reset by that. It reports whether all sessions have ended; it does not cut
+// off the others.
+func (s *Server) Stop(transactions, timeout time.Duration) bool {
 	defer s.Listener.Close()
-	for _, ss := range open {
-		ss.conn.Interrupt()
-	}
+	expiry, end := s.Clock.After(transactions), s.Clock.After(timeout)
+	s.interruptAll(&s.stopping)
 	ended := make(chan struct{})
 	go func() {
 		s.wg.Wait()
 		close(ended)
 	}()
-	select {
-	case <-ended:
-		return true
-	case <-s.Clock.After(timeout):
-		return false
+	for {
+		select {
+		case <-ended:
+			return true
+		case <-expiry:
+			s.interruptAll(&s.expired)
+		case <-end:
+			return false
+		}
+	}
+}
+
+// interruptAll sets the flag and makes all sessions look at it.
+func (s *Server) interruptAll(flag *bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*flag = true
+	for ss := range s.sessions {
+		ss.conn.Interrupt()
 	}
 }
 
--- a/internal/sessioner/server_test.go
+++ b/internal/sessioner/server_test.go
@@ -96,7 +96,7 @@
 			t.Fatal("the session was not closed")
 		}
 	}
-	if !s.Stop(5 * time.Second) {
+	if !s.Stop(0, 5*time.Second) {
 		t.Error("a session did not end")
 	}
 	if !strings.Contains(out.String(), "unexpected message") {
--- a/internal/sessioner/session.go
+++ b/internal/sessioner/session.go
@@ -138,7 +138,8 @@
 
 // awaitStatement waits for the caller's next statement. It returns false when the
 // session ends: the caller has gone, its key was withdrawn, or the instance is stopping
-// and the session is idle. A transaction that is idle too long is rolled back.
+// and the session is idle or its transaction had its time. A transaction that is idle too
+// long is rolled back.
 func (s *session) awaitStatement() bool {
 	for {
 		if s.isWithdrawn() {
@@ -146,7 +147,7 @@
 			s.conn.End(exchanger.Denied, "no team holds the key any more; an open transaction is rolled back")
 			return false
 		}
-		if s.state == exchanger.Idle && s.isStopping() {
+		if s.mustEnd(s.state) {
 			// A caller that sends its next statement at once would go on until the process ends.
 			s.endStopping()
 			return false
@@ -159,7 +160,7 @@
 			return true
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return false
-		case closing && passed, s.isStopping() && s.state != exchanger.Idle:
+		case closing && passed:
 			s.endStopping()
 			return false
 		case passed:
