connector, informer: a leaving primary gets no new work after its drain time

Callers saw: statements sent to a server that may end at any moment.

Cause: only reads at any server and gateways looked at the drain. Writes, strict reads and the first statements of transactions took the primary as it was, and without a gateway a connection of their own.

Work for the primary waits for another one as if none were known, and is then refused with a time to come back. The drain time counts from the start of the last linearizable list in which the server was not draining, not from the first sight of the sign, and instances tell each other these times in responses (fields 11 and 12 of PeerState; older instances ignore them). Fleets of fewer than eight instances read linearizable lists more often, so that the time is known to a second or so.

--- a/internal/attempter/primary.go
+++ b/internal/attempter/primary.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"marigoldhub.example/hub/internal/attester"
 	"marigoldhub.example/hub/internal/connector"
@@ -16,6 +17,37 @@
 	return l, ok && l.Server.ID == b.ID && g.HasLease(l)
 }
 
+// AwaitPrimary returns the primary and its backend, and waits while none is known or the
+// known one is leaving, which another one must replace. It returns [ErrUnknownServer] if the
+// primary is not listed.
+func (t *Attempter) AwaitPrimary(g *attester.Group, deadline time.Time) (attester.Leader, *connector.Backend, error) {
+	for {
+		changed := g.Changed()
+		l, err := g.AwaitLeader(deadline)
+		if err != nil {
+			return l, nil, err
+		}
+		b := t.cfg.Backends.Backend(l.Server.ID)
+		if b == nil {
+			g.Suspect(l.Server.ID, "not listed")
+			return l, nil, ErrUnknownServer
+		}
+		now := t.cfg.Clock.Now()
+		if !b.IsLeaving(now) {
+			return l, b, nil
+		}
+		// No answer of this server shows that another one leads.
+		g.CheckLeader()
+		timer := t.cfg.Clock.NewTimer(deadline.Sub(now))
+		select {
+		case <-changed:
+			timer.Stop()
+		case <-timer.Chan():
+			return l, nil, connector.ErrLeaving
+		}
+	}
+}
+
 // RecheckPrimary looks for another primary when the known one did not answer.
 func (t *Attempter) RecheckPrimary(g *attester.Group, l attester.Leader) {
 	if b := t.cfg.Backends.Backend(l.Server.ID); b == nil {
--- a/internal/attempter/refusal.go
+++ b/internal/attempter/refusal.go
@@ -1,11 +1,13 @@
 package attempter
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"marigoldhub.example/hub/internal/connector"
 	"marigoldhub.example/hub/internal/exchanger"
 )
 
@@ -19,6 +21,15 @@
 	return exchanger.ErrorAnswer(code, exchanger.Idle, reason+"; retry later")
 }
 
+// NoPrimaryText returns what a caller is told when [Attempter.AwaitPrimary] has returned the
+// error.
+func NoPrimaryText(err error) string {
+	if errors.Is(err, connector.ErrLeaving) {
+		return "the primary is leaving and no other one is known"
+	}
+	return "no primary is known"
+}
+
 // refuseUntil refuses a request of which nothing ran, and tells the caller when to come back.
 func (t *Attempter) refuseUntil(req Request, reason string, err error, after time.Duration) exchanger.Answer {
 	a := t.refuse(req, exchanger.Busy, reason, err)
--- a/internal/attempter/return_time_test.go
+++ b/internal/attempter/return_time_test.go
@@ -18,7 +18,8 @@
 )
 
 // Guards against callers who are told to return after their timeout because the primary,
-// which is asked about once a second, had last answered long before a short fault.
+// which is asked about once a second, had last answered long before a short fault, or because it
+// is not known how long it has been leaving.
 func TestEstimatesRestOnTheFault(t *testing.T) {
 	ms := time.Millisecond
 	now := time.Unix(9, 0)
@@ -33,8 +34,9 @@
 		{"silent before a statement was sent", errors.Join(ErrNotSent, connector.ErrSilent), 400 * ms, 400 * ms},
 		{"not sent", ErrNotSent, 0, observer.AvoidAfterRefusal},
 		{"not confirmed", attester.ErrNotConfirmed, 0, observer.StallTimeout},
+		{"leaving for an unknown time", connector.ErrLeaving, 0, observer.StallTimeout},
 	} {
-		b := connector.New(connector.Config{Server: informer.Server{ID: "a"}, Clock: clockwork.NewFakeClockAt(now)})
+		b := connector.New(connector.Config{Server: informer.Server{ID: "a", Draining: true}, Clock: clockwork.NewFakeClockAt(now)})
 		b.RecordAnswer(now.Add(-3 * time.Second))
 		if tc.pending > 0 {
 			b.Exchanges.Begin(now.Add(-tc.pending))
@@ -45,6 +47,24 @@
 	}
 }
 
+// Guards against callers of a leaving primary who are told to return at once, all together, for
+// as long as no other one leads.
+func TestEstimateOfALeavingPrimary(t *testing.T) {
+	const limit = 7 * time.Second
+	now := time.Unix(90, 0)
+	srv := informer.Server{ID: "a", Draining: true, DrainingAfter: now.Add(-limit)}
+	b := connector.New(connector.Config{Server: srv, DrainLimit: limit, Clock: clockwork.NewFakeClockAt(now)})
+	at, draining := b.LeavesAt()
+	if !draining || !at.Before(now) {
+		t.Fatalf("leaves at %v, draining: %v, want before %v", at, draining, now)
+	}
+	for _, since := range []time.Duration{time.Second, 2 * time.Second} {
+		if got := estimatesAt(at.Add(since), b, errors.Join(ErrNotSent, connector.ErrLeaving), 0); len(got) != 1 || got[0] != since {
+			t.Errorf("%v after the end: %v, want as long again", since, got)
+		}
+	}
+}
+
 // Guards against places that are taken for callers who have left and do not return.
 func TestCallersThatLeftTakeNoPlaces(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/attester/group.go
+++ b/internal/attester/group.go
@@ -87,6 +87,14 @@
 	return g.highestTerm
 }
 
+// Changed returns a channel that is closed when another primary is known, or the present one
+// is suspected not to lead.
+func (g *Group) Changed() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.changed
+}
+
 // AwaitLeader returns the primary, and starts discovery and waits if none is
 // known.
 func (g *Group) AwaitLeader(deadline time.Time) (Leader, error) {
--- a/internal/dispatcher/fixture_test.go
+++ b/internal/dispatcher/fixture_test.go
@@ -39,6 +39,13 @@
 
 // newFixtureWith is newFixture with a changed configuration of the dispatcher.
 func newFixtureWith(t *testing.T, change func(*dispatcher.Config), unlisted ...string) *fixture {
+	t.Helper()
+	return newFixtureOf(t, time.Hour, change, unlisted...)
+}
+
+// newFixtureOf is newFixtureWith for an informer that removes servers after the time, and knows
+// all servers after it.
+func newFixtureOf(t *testing.T, removeAfter time.Duration, change func(*dispatcher.Config), unlisted ...string) *fixture {
 	t.Helper()
 	store := storertest.New()
 	f := &fixture{Cluster: exchangertest.New(append([]string{"a", "b", "c"}, unlisted...)...), store: store}
@@ -48,7 +55,7 @@
 	f.informer = informer.New(informer.Config{
 		Store: store, Clock: clock, Log: log,
 		Schema:       informertest.Schema(),
-		ListInterval: func() time.Duration { return 20 * time.Millisecond }, LinearizableEvery: func() int { return 1 }, RemoveAfter: time.Hour,
+		ListInterval: func() time.Duration { return 20 * time.Millisecond }, LinearizableEvery: func() int { return 1 }, RemoveAfter: removeAfter,
 		CheckInterval: func() time.Duration { return time.Hour }, OnChange: func() {},
 	})
 	for _, srv := range f.Servers() {
--- a/internal/dispatcher/leader_read.go
+++ b/internal/dispatcher/leader_read.go
@@ -32,11 +32,16 @@
 	}
 	d.attempts.EarnRetry(req.Route.Service)
 	for range attempter.MaxAttempts {
-		l, err := g.AwaitLeader(waitDeadline)
+		l, b, err := d.attempts.AwaitPrimary(g, waitDeadline)
+		if errors.Is(err, attempter.ErrUnknownServer) {
+			reason = err
+			d.attempts.LogRetry(req, l.Server.ID, "read at the primary failed", err)
+			continue
+		}
 		if err != nil {
-			return refuse("no primary is known", errors.Join(err, reason))
+			return refuse(attempter.NoPrimaryText(err), errors.Join(err, reason))
 		}
-		a, err := d.confirmedRead(g, l, req, deadline)
+		a, err := d.confirmedRead(g, l, b, req, deadline)
 		if err == nil {
 			return a
 		}
@@ -48,7 +53,7 @@
 			if ended == nil {
 				ended = &exchanger.Answer{Code: exchanger.Aborted, Text: "the primary is not proved to lead; nothing is kept"}
 			}
-		case !errors.Is(err, attempter.ErrNotSent) && !errors.Is(err, attempter.ErrRefused) && !errors.Is(err, attempter.ErrUnknownServer):
+		case !errors.Is(err, attempter.ErrNotSent) && !errors.Is(err, attempter.ErrRefused):
 			ended = &exchanger.Answer{Code: exchanger.Failed, Text: "the answer was lost"}
 		}
 		reason = err
@@ -66,12 +71,7 @@
 // confirmedRead runs a read at the primary and confirms at the same time that the
 // server is still the primary: by its own report and by a replica. Under a primary
 // lease no confirmation is needed.
-func (d *Dispatcher) confirmedRead(g *attester.Group, l attester.Leader, req Request, deadline time.Time) (exchanger.Answer, error) {
-	b := d.backends.Backend(l.Server.ID)
-	if b == nil {
-		g.Suspect(l.Server.ID, "not listed")
-		return exchanger.Answer{}, attempter.ErrUnknownServer
-	}
+func (d *Dispatcher) confirmedRead(g *attester.Group, l attester.Leader, b *connector.Backend, req Request, deadline time.Time) (exchanger.Answer, error) {
 	if g.HasLease(l) {
 		return d.readUnderLease(g, l, b, req, deadline)
 	}
--- a/internal/dispatcher/write.go
+++ b/internal/dispatcher/write.go
@@ -17,16 +17,14 @@
 	var reason error
 	d.attempts.EarnRetry(req.Route.Service)
 	for range attempter.MaxAttempts {
-		l, err := g.AwaitLeader(waitDeadline)
-		if err != nil {
-			return d.attempts.RefuseAtPrimary(req, "no primary is known", errors.Join(err, reason), req.Route.Objective)
-		}
-		b := d.backends.Backend(l.Server.ID)
-		if b == nil {
-			g.Suspect(l.Server.ID, "not listed")
-			reason = attempter.ErrUnknownServer
+		l, b, err := d.attempts.AwaitPrimary(g, waitDeadline)
+		if errors.Is(err, attempter.ErrUnknownServer) {
+			reason = err
 			continue
 		}
+		if err != nil {
+			return d.attempts.RefuseAtPrimary(req, attempter.NoPrimaryText(err), errors.Join(err, reason), req.Route.Objective)
+		}
 		began := d.cfg.Clock.Now()
 		answers, err := d.attempts.AttemptWrite(b, req, deadline)
 		switch {
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -169,7 +169,44 @@
 // higher than that of the last one. It reports whether a known server has begun to drain,
 // which other instances must learn.
 func (n *Informer) OfferList(l List) (leaving bool) {
-	return l.Revision > n.List().Revision && n.apply(l.Entries, l.Revision)
+	return l.Revision > n.List().Revision && n.apply(l.Entries, l.Revision, l.ReadAt)
+}
+
+// ObserveRead records that a list of the revision has every write that the store had
+// acknowledged at the time. So has any list of a later revision in the same epoch.
+func (n *Informer) ObserveRead(revision int64, readAt time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listed && revision <= n.list.Revision && storer.Epoch(revision) == storer.Epoch(n.list.Revision) {
+		n.observeRead(readAt)
+	}
+}
+
+// minDrainingGain is by how much a time from another instance must be later than the known one
+// to replace it. The time that a response takes makes each one a little different.
+const minDrainingGain = 20 * time.Millisecond
+
+// ObserveDraining records a time before which the store had not acknowledged that the server
+// with this birth is draining, as another instance knows it.
+func (n *Informer) ObserveDraining(id string, born int64, after time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	srv, ok := n.servers[id]
+	if !ok || srv.Born != born || !srv.Draining || after.Sub(srv.DrainingAfter) < minDrainingGain {
+		return
+	}
+	srv.DrainingAfter = after
+	n.servers[id] = srv
+	n.publish()
+}
+
+// observeRead records until when the present list has all writes. While the list is not
+// complete, the store may have been restored from a copy without writes that it had
+// acknowledged. The caller holds mu.
+func (n *Informer) observeRead(readAt time.Time) {
+	if n.complete && readAt.After(n.list.ReadAt) {
+		n.list.ReadAt = readAt
+	}
 }
 
 // Done returns a channel that is closed when the informer has stopped.
@@ -466,7 +503,11 @@
 		return errors.Wrap(err, "list servers")
 	}
 	n.observeEpoch(revision)
-	leaving := n.apply(entries, revision)
+	readAt := time.Time{}
+	if linearizable {
+		readAt = began
+	}
+	leaving := n.apply(entries, revision, readAt)
 	if linearizable {
 		n.recordComplete(began)
 	}
@@ -500,9 +541,9 @@
 
 // apply merges a list. It ignores a list of an older revision than the last one, and
 // a first list without servers. An outdated entry of a store that was restored from a copy
-// neither changes a server nor brings back one that had gone. It reports whether a
-// known server has begun to drain, which other instances must learn.
-func (n *Informer) apply(entries []storer.Entry, revision int64) (leaving bool) {
+// neither changes a server nor brings back one that had gone. ReadAt is as in [List]. It
+// reports whether a known server has begun to drain, which other instances must learn.
+func (n *Informer) apply(entries []storer.Entry, revision int64, readAt time.Time) (leaving bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.cfg.Clock.Now()
@@ -515,7 +556,10 @@
 		// entries again.
 		n.complete, n.firstListed = false, now
 	}
-	n.list = newList(entries, revision, now)
+	// A known server that this list is the first to show as draining was not draining before.
+	drainingAfter := n.list.ReadAt
+	n.list = newList(entries, revision, drainingAfter, now)
+	n.observeRead(readAt)
 	n.forgetEntries(entries)
 	changed := !n.listed
 	n.listed = true
@@ -531,7 +575,7 @@
 		seen[srv.ID] = true
 		old, known := n.servers[srv.ID]
 		leaving = leaving || known && srv.Draining && !old.Draining
-		changed = n.merge(srv, now) || changed
+		changed = n.merge(srv, now, drainingAfter) || changed
 	}
 	var missing []string
 	for id, srv := range n.servers {
@@ -618,16 +662,17 @@
 const drainingBeforeSeen = time.Hour
 
 // merge adopts the server's entry and reports whether it differs from the known one.
-func (n *Informer) merge(srv Server, now time.Time) bool {
+// DrainingAfter is for a known server that begins to drain.
+func (n *Informer) merge(srv Server, now, drainingAfter time.Time) bool {
 	old, known := n.servers[srv.ID]
-	srv.Since, srv.DrainingSince = old.Since, old.DrainingSince
+	srv.Since, srv.DrainingSince, srv.DrainingAfter = old.Since, old.DrainingSince, old.DrainingAfter
 	if !known || old.Born != srv.Born {
-		srv.Since, srv.DrainingSince = now, time.Time{}
+		srv.Since, srv.DrainingSince, srv.DrainingAfter = now, time.Time{}, time.Time{}
 	}
 	if srv.Draining && srv.DrainingSince.IsZero() {
-		srv.DrainingSince = now
+		srv.DrainingSince, srv.DrainingAfter = now, drainingAfter
 		if !known {
-			srv.DrainingSince = now.Add(-drainingBeforeSeen)
+			srv.DrainingSince, srv.DrainingAfter = now.Add(-drainingBeforeSeen), time.Time{}
 		}
 	}
 	n.servers[srv.ID] = srv
@@ -638,6 +683,9 @@
 		"server": srv.ID, "service": srv.Service, "draining": srv.Draining, "role": srv.Role.String(), "born": srv.Born,
 		"revision": storer.FormatRevision(n.list.Revision), "changed": differences(old, srv, known),
 	}
+	if !srv.DrainingAfter.IsZero() {
+		fields["draining_at_most"] = now.Sub(srv.DrainingAfter).String()
+	}
 	if !old.MissingSince.IsZero() {
 		fields["missing_for"] = now.Sub(old.MissingSince).String()
 	}
--- a/internal/informer/list.go
+++ b/internal/informer/list.go
@@ -12,13 +12,16 @@
 type List struct {
 	Revision int64
 	Entries  []storer.Entry
+	// ReadAt is a time on this instance's clock: the list has every write that the store had
+	// acknowledged by then. It is zero if none is known.
+	ReadAt time.Time
 	// Adopted is when this instance adopted the list.
 	Adopted time.Time
 	// Digest is equal for lists with equal entries.
 	Digest uint64
 }
 
-func newList(entries []storer.Entry, revision int64, now time.Time) List {
+func newList(entries []storer.Entry, revision int64, readAt, now time.Time) List {
 	h := xxhash.New()
 	for _, e := range entries {
 		h.WriteString(e.Key)
@@ -26,5 +29,5 @@
 		h.Write(e.Value)
 		h.Write([]byte{0})
 	}
-	return List{Revision: revision, Entries: entries, Digest: h.Sum64(), Adopted: now}
+	return List{Revision: revision, Entries: entries, Digest: h.Sum64(), ReadAt: readAt, Adopted: now}
 }
--- a/internal/informer/server.go
+++ b/internal/informer/server.go
@@ -25,12 +25,25 @@
 	// DrainingSince is when this instance first saw the server draining; zero
 	// while it is not.
 	DrainingSince time.Time
+	// DrainingAfter is a time before which the store had not acknowledged that the server is
+	// draining. It is zero while the server is not draining, or if no such time is known.
+	DrainingAfter time.Time
 	// Since is when this instance first saw this incarnation.
 	Since time.Time
 	// MissingSince is when the list first lacked the server; zero while it is listed.
 	MissingSince time.Time
 }
 
+// DrainEnd returns until when a draining server goes on accepting work, if it does so for the
+// limit from the store's acknowledgement on; the zero time if that may be over. It returns
+// false while the server is not draining.
+func (s Server) DrainEnd(limit time.Duration) (end time.Time, draining bool) {
+	if !s.Draining || s.DrainingAfter.IsZero() {
+		return time.Time{}, s.Draining
+	}
+	return s.DrainingAfter.Add(limit), true
+}
+
 // Target returns where to connect.
 func (s Server) Target() exchanger.Target {
 	return exchanger.Target{Service: s.Service, ServerID: s.ID, Address: s.Address}
--- a/internal/informer/state.go
+++ b/internal/informer/state.go
@@ -7,6 +7,7 @@
 type State struct {
 	Configuration *Configuration
 	servers       map[string][]Server
+	draining      []Server
 }
 
 // HasConfiguration reports whether a configuration is in force.
@@ -24,6 +25,9 @@
 // ServersOf returns the service's servers in order of their ids.
 func (s *State) ServersOf(service string) []Server { return s.servers[service] }
 
+// Draining returns the draining servers, in no order.
+func (s *State) Draining() []Server { return s.draining }
+
 // Services returns the names of services that have servers, in order.
 func (s *State) Services() []string {
 	names := make([]string, 0, len(s.servers))
@@ -48,6 +52,9 @@
 	s := &State{Configuration: c, servers: map[string][]Server{}}
 	for _, srv := range servers {
 		s.servers[srv.Service] = append(s.servers[srv.Service], srv)
+		if srv.Draining {
+			s.draining = append(s.draining, srv)
+		}
 	}
 	for _, list := range s.servers {
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
--- a/internal/noder/node.go
+++ b/internal/noder/node.go
@@ -329,10 +329,12 @@
 	return nonReaderListInterval
 }
 
-// linearizableEvery returns n if every n-th list is a linearizable read.
+// linearizableEvery returns n if every n-th list is a linearizable read. The fewer instances
+// there are, the more of their lists must be, so that some instance reads one each second or
+// so: the time since the last one counts as time in which a server may have begun to drain.
 func (n *Node) linearizableEvery() int {
-	if n.fleetSize() <= smallFleet {
-		return linearizableListEvery
+	if size := n.fleetSize(); size <= smallFleet {
+		return min(max(size, 1), linearizableListEvery)
 	}
 	return readerLinearizableEvery
 }
--- a/internal/noder/view.go
+++ b/internal/noder/view.go
@@ -61,6 +61,12 @@
 func (v view) addServers(s, other *wire.PeerState) {
 	list := v.informer.List()
 	s.ServersRevision, s.ServersDigest = list.Revision, list.Digest
+	if other != nil && !list.ReadAt.IsZero() {
+		s.ServersAgeUs = ageOf(v.clock.Since(list.ReadAt))
+	}
+	if other != nil {
+		v.addDraining(s)
+	}
 	if other == nil {
 		if !v.registrar.HasList() {
 			s.ServersRevision = 0
@@ -84,6 +90,7 @@
 // the message was requested, so that the sample is not taken for newer than it is.
 func (v view) Learn(s *wire.PeerState, asked time.Time) (lacks bool) {
 	<-v.built
+	readAt, _ := timeOf(s.GetServersAgeUs(), asked)
 	v.coordinator.update(s.GetDutyHolder(), s.GetDutyToken())
 	source := "instance " + s.GetHeader().GetInstance()
 	state := v.informer.State()
@@ -106,12 +113,20 @@
 			}
 			servers = append(servers, entry)
 		}
-		if len(servers) > 0 && v.informer.OfferList(informer.List{Revision: s.GetServersRevision(), Entries: servers}) {
+		if len(servers) > 0 && v.informer.OfferList(informer.List{Revision: s.GetServersRevision(), Entries: servers, ReadAt: readAt}) {
 			v.gossiper.Spread(false)
 		}
 		v.registrar.Offer(instances)
 		state = v.informer.State()
 	}
+	if !readAt.IsZero() {
+		v.informer.ObserveRead(s.GetServersRevision(), readAt)
+	}
+	for _, d := range s.GetDraining() {
+		if after, ok := timeOf(d.GetAgeUs(), asked); ok {
+			v.informer.ObserveDraining(d.GetId(), d.GetBorn(), after)
+		}
+	}
 	list := v.informer.List()
 	lacks = s.GetServersRevision() > list.Revision && s.GetServersDigest() != list.Digest
 	if !state.HasConfiguration() {
@@ -138,6 +153,32 @@
 	return lacks
 }
 
+// addDraining adds the draining servers of which this instance knows a time at which they were
+// not draining yet.
+func (v view) addDraining(s *wire.PeerState) {
+	for _, srv := range v.informer.State().Draining() {
+		if !srv.DrainingAfter.IsZero() {
+			s.Draining = append(s.Draining, &wire.DrainingServer{Id: srv.ID, Born: srv.Born, AgeUs: ageOf(v.clock.Since(srv.DrainingAfter))})
+		}
+	}
+}
+
+// maxAge is the greatest age that a message may have. It keeps ages from overflowing a duration.
+const maxAge = time.Hour
+
+// ageOf returns an age in microseconds for a message. It is never 0, which means none.
+func ageOf(d time.Duration) uint64 { return uint64(max(d, 0).Microseconds()) + 1 }
+
+// timeOf returns the time that lies the age of a response before it; asked is when it was
+// requested, so that the time is not too late. It returns false without an age, and for a
+// request, which may have been on its way for any time.
+func timeOf(age uint64, asked time.Time) (time.Time, bool) {
+	if asked.IsZero() || age == 0 || age > uint64(maxAge.Microseconds()) {
+		return time.Time{}, false
+	}
+	return asked.Add(-time.Duration(age) * time.Microsecond), true
+}
+
 // LearnStopping implements [gossiper.View].
 func (v view) LearnStopping(name string) { v.registrar.Remove(name) }
 
--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -199,7 +199,7 @@
 
 func (r *Reconciler) newBackend(srv informer.Server, limits linker.Limits) *connector.Backend {
 	return connector.New(connector.Config{
-		Server: srv, Limits: limits, Dialer: r.cfg.Dialer, Clock: r.cfg.Clock,
+		Server: srv, Limits: limits, Dialer: r.cfg.Dialer, DrainLimit: r.cfg.DrainLimit, Clock: r.cfg.Clock,
 		OnDial: func(dial linker.Dial) { r.recordDial(srv.ID, dial) },
 	})
 }
@@ -217,7 +217,7 @@
 	defer r.mu.RUnlock()
 	var out []*connector.Backend
 	for _, srv := range r.cfg.Informer.State().ServersOf(service) {
-		if b := r.backends[srv.ID]; b != nil && r.AcceptsNewWork(srv, now) {
+		if b := r.backends[srv.ID]; b != nil && r.AcceptsNewWork(srv, now) && !b.IsLeaving(now) {
 			out = append(out, b)
 		}
 	}
--- a/internal/transactor/begin.go
+++ b/internal/transactor/begin.go
@@ -73,16 +73,14 @@
 	var reason error
 	t.cfg.Attempter.EarnRetry(t.begin.Route.Service)
 	for range attempter.MaxAttempts {
-		l, err := g.AwaitLeader(waitDeadline)
-		if err != nil {
-			return t.cfg.Attempter.RefuseAtPrimary(req, "no primary is known", errors.Join(err, reason), t.begin.Route.Objective), false
-		}
-		b := t.cfg.Backends.Backend(l.Server.ID)
-		if b == nil {
-			g.Suspect(l.Server.ID, "not listed")
-			reason = attempter.ErrUnknownServer
+		l, b, err := t.cfg.Attempter.AwaitPrimary(g, waitDeadline)
+		if errors.Is(err, attempter.ErrUnknownServer) {
+			reason = err
 			continue
 		}
+		if err != nil {
+			return t.cfg.Attempter.RefuseAtPrimary(req, attempter.NoPrimaryText(err), errors.Join(err, reason), t.begin.Route.Objective), false
+		}
 		begin, err := t.beginStatement(g, req, waitDeadline)
 		if err != nil {
 			return t.cfg.Attempter.RefuseAtPrimary(req, "no current position is known", err, t.begin.Route.Objective), false
