connector, reconciler: one decision on new work for a draining server

Readers of met two: the reconciler's, 2 s after the sign, and the backend's, joined by hand in two places, and two words, leaving and draining, for one state.

Change: reconciler.AcceptsNewWork takes the backend and asks both. A draining server whose time is over is called drained (IsDrained, DrainedAt, ErrDrained). The new code of informer, noder and connector stands in files of its own, and ages in messages are made in one place. No change in what is sent or refused.

Evidence: with the check of drained servers taken out of this code, TestLeavingPrimaryGetsNoNewWork and TestDrainedServerGetsNoNewWork fail (four of the six kinds of work ran in the lines that were kept; "out of a slot: nil"). Result: the tests of the seven packages pass.

--- a/internal/attempter/primary.go
+++ b/internal/attempter/primary.go
@@ -18,7 +18,7 @@
 }
 
 // AwaitPrimary returns the primary and its backend, and waits while none is known or the
-// known one is leaving, which another one must replace. It returns [ErrUnknownServer] if the
+// known one is drained, which another one must replace. It returns [ErrUnknownServer] if the
 // primary is not listed.
 func (t *Attempter) AwaitPrimary(g *attester.Group, deadline time.Time) (attester.Leader, *connector.Backend, error) {
 	for {
@@ -33,7 +33,7 @@
 			return l, nil, ErrUnknownServer
 		}
 		now := t.cfg.Clock.Now()
-		if !b.IsLeaving(now) {
+		if !b.IsDrained(now) {
 			return l, b, nil
 		}
 		// No answer of this server shows that another one leads.
@@ -43,7 +43,7 @@
 		case <-changed:
 			timer.Stop()
 		case <-timer.Chan():
-			return l, nil, connector.ErrLeaving
+			return l, nil, connector.ErrDrained
 		}
 	}
 }
--- a/internal/attempter/refusal.go
+++ b/internal/attempter/refusal.go
@@ -24,7 +24,7 @@
 // NoPrimaryText returns what a caller is told when [Attempter.AwaitPrimary] has returned the
 // error.
 func NoPrimaryText(err error) string {
-	if errors.Is(err, connector.ErrLeaving) {
+	if errors.Is(err, connector.ErrDrained) {
 		return "the primary is leaving and no other one is known"
 	}
 	return "no primary is known"
--- a/internal/attempter/return_time.go
+++ b/internal/attempter/return_time.go
@@ -108,9 +108,9 @@
 	case errors.Is(err, connector.ErrSilent):
 		// The last answer may be seconds older than the fault, as no request was sent meanwhile.
 		since, _ = b.Exchanges.Oldest()
-	case errors.Is(err, connector.ErrLeaving):
+	case errors.Is(err, connector.ErrDrained):
 		// Another primary was needed from then on.
-		since, _ = b.LeavesAt()
+		since, _ = b.DrainedAt()
 	case errors.Is(err, ErrNotSent):
 		// A closed connection, or a gateway that was not reached, says nothing about the server.
 		return []time.Duration{observer.AvoidAfterRefusal}
--- a/internal/attempter/return_time_test.go
+++ b/internal/attempter/return_time_test.go
@@ -34,7 +34,7 @@
 		{"silent before a statement was sent", errors.Join(ErrNotSent, connector.ErrSilent), 400 * ms, 400 * ms},
 		{"not sent", ErrNotSent, 0, observer.AvoidAfterRefusal},
 		{"not confirmed", attester.ErrNotConfirmed, 0, observer.StallTimeout},
-		{"leaving for an unknown time", connector.ErrLeaving, 0, observer.StallTimeout},
+		{"leaving for an unknown time", connector.ErrDrained, 0, observer.StallTimeout},
 	} {
 		b := connector.New(connector.Config{Server: informer.Server{ID: "a", Draining: true}, Clock: clockwork.NewFakeClockAt(now)})
 		b.RecordAnswer(now.Add(-3 * time.Second))
@@ -54,12 +54,12 @@
 	now := time.Unix(90, 0)
 	srv := informer.Server{ID: "a", Draining: true, DrainingAfter: now.Add(-limit)}
 	b := connector.New(connector.Config{Server: srv, DrainLimit: limit, Clock: clockwork.NewFakeClockAt(now)})
-	at, draining := b.LeavesAt()
+	at, draining := b.DrainedAt()
 	if !draining || !at.Before(now) {
 		t.Fatalf("leaves at %v, draining: %v, want before %v", at, draining, now)
 	}
 	for _, since := range []time.Duration{time.Second, 2 * time.Second} {
-		if got := estimatesAt(at.Add(since), b, errors.Join(ErrNotSent, connector.ErrLeaving), 0); len(got) != 1 || got[0] != since {
+		if got := estimatesAt(at.Add(since), b, errors.Join(ErrNotSent, connector.ErrDrained), 0); len(got) != 1 || got[0] != since {
 			t.Errorf("%v after the end: %v, want as long again", since, got)
 		}
 	}
--- a/internal/connector/backend.go
+++ b/internal/connector/backend.go
@@ -106,38 +106,13 @@
 	b.Limiter.SetLimits(slots, placer.QueueLimit(slots, b.MeanLatency()))
 }
 
-// sendTime is the time that new work may take from this instance to the server. A packet that
-// is lost is sent again after 200 ms.
-const sendTime = 300 * time.Millisecond
-
-// LeavesAt returns until when callers' new work may be sent to a draining server, the zero time
-// if that may be over; false while it is not draining.
-func (b *Backend) LeavesAt() (at time.Time, draining bool) {
-	end, draining := b.Entry().DrainEnd(b.drainLimit)
-	if end.IsZero() {
-		return end, draining
-	}
-	return end.Add(-sendTime), draining
-}
-
-// IsLeaving reports whether a draining server gets no new work of callers any more, even if
-// it leads.
-func (b *Backend) IsLeaving(now time.Time) bool {
-	at, draining := b.LeavesAt()
-	return draining && !now.Before(at)
-}
-
-// refuses reports whether the server gets the request no more because it is leaving. The
-// statements of the instance itself run as long as the server does.
-func (b *Backend) refuses(r Request) bool { return !r.IsOwn && b.IsLeaving(b.clock.Now()) }
-
 // checkAdmission returns why a request should not wait for a connection of this
 // instance; nil if it may.
 func (b *Backend) checkAdmission(now time.Time, r Request) error {
 	load := b.Load(r)
 	switch {
 	case b.refuses(r):
-		return ErrLeaving
+		return ErrDrained
 	case b.IsSilent(now):
 		return ErrSilent
 	case r.IsWrite && b.Writes.IsStalled(now):
@@ -154,7 +129,7 @@
 	if err := b.checkAdmission(now, r); err != nil {
 		return nil, nil, err
 	}
-	if at, draining := b.LeavesAt(); draining && !r.IsOwn && at.Before(r.WaitDeadline) {
+	if at, draining := b.DrainedAt(); draining && !r.IsOwn && at.Before(r.WaitDeadline) {
 		r.WaitDeadline = at
 	}
 	slot, err := b.Limiter.Acquire(r.Urgency(), r.WaitDeadline, placer.SlotTimeout(b.MeanLatency()))
@@ -193,12 +168,12 @@
 // AcquireOutOfSlot waits for a connection of this instance without a slot.
 func (b *Backend) AcquireOutOfSlot(r Request) (*linker.Conn, error) {
 	if b.refuses(r) {
-		return nil, ErrLeaving
+		return nil, ErrDrained
 	}
 	c, err := b.Pool.Acquire(r.ofPool())
 	if err == nil && b.refuses(r) {
 		b.Pool.Release(c, true)
-		return nil, ErrLeaving
+		return nil, ErrDrained
 	}
 	return c, err
 }
--- a/internal/connector/doc.go
+++ b/internal/connector/doc.go
@@ -7,7 +7,7 @@
 //
 // A [Request] says whose statements will run, how urgent they are and how long they may
 // wait. It is admitted only if it would probably be answered in time: a server that is
-// silent or leaving, a primary whose commits are not acknowledged and a queue that is too
+// silent or drained, a primary whose commits are not acknowledged and a queue that is too
 // long refuse it at once, with an error that says so. Statements of an open transaction get
 // a slot at once, because others may wait for its end.
 //
--- a/internal/connector/leaving_test.go
+++ b/internal/connector/drained_test.go
@@ -15,7 +15,7 @@
 // Guards against new work of callers at a draining server after the time for which it
 // accepts work at least, also if the work has waited since before, and against an instance that
 // cannot ask or command such a server any more.
-func TestLeavingServerGetsNoNewWork(t *testing.T) {
+func TestDrainedServerGetsNoNewWork(t *testing.T) {
 	const limit = 10 * time.Second
 	for _, tc := range []struct {
 		name     string
@@ -28,9 +28,9 @@
 	}{
 		{"not draining", false, 0, false, nil},
 		{"draining for a moment", true, time.Second, false, nil},
-		{"draining for too long", true, limit, false, connector.ErrLeaving},
-		{"draining for too long when the request arrives", true, limit - 100*time.Millisecond, false, connector.ErrLeaving},
-		{"draining for an unknown time", true, 0, false, connector.ErrLeaving},
+		{"draining for too long", true, limit, false, connector.ErrDrained},
+		{"draining for too long when the request arrives", true, limit - 100*time.Millisecond, false, connector.ErrDrained},
+		{"draining for an unknown time", true, 0, false, connector.ErrDrained},
 		{"statement of the instance itself", true, limit, true, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -57,7 +57,7 @@
 
 // Guards against requests that wait for a slot or a connection of a draining server for longer
 // than it accepts work.
-func TestRequestsDoNotWaitForALeavingServer(t *testing.T) {
+func TestRequestsDoNotWaitForADrainedServer(t *testing.T) {
 	const limit = 10 * time.Second
 	for _, tc := range []struct {
 		name  string
--- a/internal/connector/errors.go
+++ b/internal/connector/errors.go
@@ -20,8 +20,8 @@
 // ErrStalled means that no replica acknowledges the commits of a primary.
 var ErrStalled = errors.New("no replica receives the primary's commits")
 
-// ErrLeaving means that a server is draining and may stop accepting work at any time.
-var ErrLeaving = errors.New("the backend server is leaving")
+// ErrDrained means that the time is over for which a draining server accepts work at least.
+var ErrDrained = errors.New("the backend server is draining and may end at any time")
 
 // ErrSilent means that a server has answered no request for a while.
 var ErrSilent = errors.New("the backend server does not answer")
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -11,15 +11,14 @@
 	"marigoldhub.example/hub/internal/appraiser"
 	"marigoldhub.example/hub/internal/connector"
 	"marigoldhub.example/hub/internal/exchanger"
-	"marigoldhub.example/hub/internal/informer"
 )
 
 // Config holds what an [Executor] needs.
 type Config struct {
 	// Backend returns the listed server with the ID; nil if there is none.
 	Backend func(id string) *connector.Backend
-	// AcceptsNewWork reports whether a server may get new work.
-	AcceptsNewWork func(srv informer.Server, now time.Time) bool
+	// AcceptsNewWork reports whether a server may get new work through a gateway.
+	AcceptsNewWork func(b *connector.Backend, now time.Time) bool
 	// LeaveGateways makes this instance avoid itself as a gateway.
 	LeaveGateways func()
 	// IdleInTransaction returns how long a transaction may be idle by the configuration; 0
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -96,7 +96,7 @@
 // accepts reports whether this instance is a gateway of the server and takes
 // new work of other instances.
 func (e *Executor) accepts(b *connector.Backend, now time.Time) bool {
-	return b.IsGateway() && !e.isStopping.Load() && e.cfg.AcceptsNewWork(b.Entry(), now) && !b.IsLeaving(now)
+	return b.IsGateway() && !e.isStopping.Load() && e.cfg.AcceptsNewWork(b, now)
 }
 
 // pinOrRelease keeps the connection while a transaction is open on it, and releases
@@ -124,7 +124,7 @@
 	var refused *exchanger.RefusedError
 	var o connector.Overload
 	switch {
-	case errors.Is(err, connector.ErrCallerLeft), errors.Is(err, connector.ErrLeaving):
+	case errors.Is(err, connector.ErrCallerLeft), errors.Is(err, connector.ErrDrained):
 		return forwarder.Reply{Failure: forwarder.NotSent, Text: err.Error()}
 	case errors.As(err, &o):
 		return forwarder.Reply{Failure: forwarder.Overloaded, ExpectedWait: o.Wait}
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -172,43 +172,6 @@
 	return l.Revision > n.List().Revision && n.apply(l.Entries, l.Revision, l.ReadAt)
 }
 
-// ObserveRead records that a list of the revision has every write that the store had
-// acknowledged at the time. So has any list of a later revision in the same epoch.
-func (n *Informer) ObserveRead(revision int64, readAt time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.listed && revision <= n.list.Revision && storer.Epoch(revision) == storer.Epoch(n.list.Revision) {
-		n.observeRead(readAt)
-	}
-}
-
-// minDrainingGain is by how much a time from another instance must be later than the known one
-// to replace it. The time that a response takes makes each one a little different.
-const minDrainingGain = 20 * time.Millisecond
-
-// ObserveDraining records a time before which the store had not acknowledged that the server
-// with this birth is draining, as another instance knows it.
-func (n *Informer) ObserveDraining(id string, born int64, after time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	srv, ok := n.servers[id]
-	if !ok || srv.Born != born || !srv.Draining || after.Sub(srv.DrainingAfter) < minDrainingGain {
-		return
-	}
-	srv.DrainingAfter = after
-	n.servers[id] = srv
-	n.publish()
-}
-
-// observeRead records until when the present list has all writes. While the list is not
-// complete, the store may have been restored from a copy without writes that it had
-// acknowledged. The caller holds mu.
-func (n *Informer) observeRead(readAt time.Time) {
-	if n.complete && readAt.After(n.list.ReadAt) {
-		n.list.ReadAt = readAt
-	}
-}
-
 // Done returns a channel that is closed when the informer has stopped.
 func (n *Informer) Done() <-chan struct{} { return n.done }
 
--- a/internal/informer/server.go
+++ b/internal/informer/server.go
@@ -34,16 +34,6 @@
 	MissingSince time.Time
 }
 
-// DrainEnd returns until when a draining server goes on accepting work, if it does so for the
-// limit from the store's acknowledgement on; the zero time if that may be over. It returns
-// false while the server is not draining.
-func (s Server) DrainEnd(limit time.Duration) (end time.Time, draining bool) {
-	if !s.Draining || s.DrainingAfter.IsZero() {
-		return time.Time{}, s.Draining
-	}
-	return s.DrainingAfter.Add(limit), true
-}
-
 // Target returns where to connect.
 func (s Server) Target() exchanger.Target {
 	return exchanger.Target{Service: s.Service, ServerID: s.ID, Address: s.Address}
--- a/internal/noder/view.go
+++ b/internal/noder/view.go
@@ -47,7 +47,7 @@
 		sv.Acknowledged = &wire.Position{Term: p.Term, Offset: p.Offset}
 		if sample, ok := g.LatestSample(); ok {
 			sv.Sample = &wire.Position{Term: sample.Position.Term, Offset: sample.Position.Offset}
-			sv.SampleTerm, sv.SampleAgeUs = sample.Term, uint64(max(now.Sub(sample.At), 0).Microseconds())+1
+			sv.SampleTerm, sv.SampleAgeUs = sample.Term, ageOf(now.Sub(sample.At))
 		}
 		s.Services = append(s.Services, sv)
 	}
@@ -163,22 +163,6 @@
 	}
 }
 
-// maxAge is the greatest age that a message may have. It keeps ages from overflowing a duration.
-const maxAge = time.Hour
-
-// ageOf returns an age in microseconds for a message. It is never 0, which means none.
-func ageOf(d time.Duration) uint64 { return uint64(max(d, 0).Microseconds()) + 1 }
-
-// timeOf returns the time that lies the age of a response before it; asked is when it was
-// requested, so that the time is not too late. It returns false without an age, and for a
-// request, which may have been on its way for any time.
-func timeOf(age uint64, asked time.Time) (time.Time, bool) {
-	if asked.IsZero() || age == 0 || age > uint64(maxAge.Microseconds()) {
-		return time.Time{}, false
-	}
-	return asked.Add(-time.Duration(age) * time.Microsecond), true
-}
-
 // LearnStopping implements [gossiper.View].
 func (v view) LearnStopping(name string) { v.registrar.Remove(name) }
 
--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -217,7 +217,7 @@
 	defer r.mu.RUnlock()
 	var out []*connector.Backend
 	for _, srv := range r.cfg.Informer.State().ServersOf(service) {
-		if b := r.backends[srv.ID]; b != nil && r.AcceptsNewWork(srv, now) && !b.IsLeaving(now) {
+		if b := r.backends[srv.ID]; b != nil && r.AcceptsNewWork(b, now) {
 			out = append(out, b)
 		}
 	}
@@ -232,10 +232,12 @@
 	return slices.DeleteFunc(slices.Clone(r.ranked), func(b *connector.Backend) bool { return !b.IsScheduler(now) })
 }
 
-// AcceptsNewWork reports whether a server may get new work. A draining one gets it
-// for a short time, in case it is the primary and a switchover follows.
-func (r *Reconciler) AcceptsNewWork(srv informer.Server, now time.Time) bool {
-	return srv.DrainingSince.IsZero() || now.Sub(srv.DrainingSince) < min(drainGrace, r.cfg.DrainLimit/2)
+// AcceptsNewWork reports whether a server may get reads that others can run, and work through
+// gateways. A draining one gets it for a short time, in case it is the primary and a switchover
+// follows. Work that only the primary can run goes to it until it is drained.
+func (r *Reconciler) AcceptsNewWork(b *connector.Backend, now time.Time) bool {
+	since := b.Entry().DrainingSince
+	return !b.IsDrained(now) && (since.IsZero() || now.Sub(since) < min(drainGrace, r.cfg.DrainLimit/2))
 }
 
 // drainGrace is how long a server that is seen to drain still gets new work. A
