--- a/review/standin-3/stale_test.go
+++ b/review/standin-3/stale_test.go
@@ -13,6 +13,7 @@
 
 // cases are the cases by their folders.
 var cases = map[string]func(r *record, dir string, trouble bool) (broken string){
+	"11": drainTimeAfterAnOutage,
 	"12": strictReadsAfterARestart,
 }
 
--- a/review/standin-3/world_test.go
+++ b/review/standin-3/world_test.go
@@ -96,6 +96,13 @@
 	log []commit
 }
 
+// arrival is a single statement of a caller, or the first of a transaction, as it reached a
+// server.
+type arrival struct {
+	id, server, sender string
+	at                 time.Time
+}
+
 // promotion is a promote call as the platform received it.
 type promotion struct {
 	holder, server string
@@ -114,6 +121,9 @@
 	backends []*backend
 	runs     map[string]run
 	calls    []promotion
+	arrivals []arrival
+	// isSilent is set while servers write no entries.
+	isSilent bool
 }
 
 func newWorld(r *record) *world {
@@ -190,11 +200,14 @@
 
 func (w *world) heartbeats() {
 	for {
-		for _, b := range w.backends {
+		w.mu.Lock()
+		all, silent := append([]*backend(nil), w.backends...), w.isSilent
+		w.mu.Unlock()
+		for _, b := range all {
 			w.mu.Lock()
-			down := b.down
+			down := b.down || b.listener == nil
 			w.mu.Unlock()
-			if !down {
+			if !down && !silent {
 				w.beat(b)
 			}
 		}
@@ -202,6 +215,13 @@
 	}
 }
 
+// setHeartbeats makes the servers write their entries, or stop to.
+func (w *world) setHeartbeats(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isSilent = !on
+}
+
 // beat writes the server's entry.
 func (w *world) beat(b *backend) {
 	w.mu.Lock()
@@ -280,10 +300,11 @@
 		}
 	}
 	w.replicate(b)
+	all, silent := append([]*backend(nil), w.backends...), w.isSilent
 	w.mu.Unlock()
 	w.add("server %s leads term %d with %d commits", b.id, term+1, len(b.log))
-	for _, o := range w.backends {
-		if !o.down {
+	for _, o := range all {
+		if !o.down && o.listener != nil && !silent {
 			w.beat(o)
 		}
 	}
@@ -291,11 +312,13 @@
 
 // session is a connection to a server.
 type session struct {
-	state    string
-	writable bool
-	writes   []commit
-	wrote    bool
-	prepared map[string][2]string
+	state string
+	// hasStatement is set once a caller's statement has run in the transaction.
+	hasStatement bool
+	writable     bool
+	writes       []commit
+	wrote        bool
+	prepared     map[string][2]string
 }
 
 func (w *world) serve(b *backend, c net.Conn) {
@@ -315,6 +338,7 @@
 		w.mu.Unlock()
 		return
 	}
+	sender := f[2]
 	b.conns[c] = true
 	pos := b.pos
 	w.mu.Unlock()
@@ -335,6 +359,14 @@
 		if f[0] != "QUERY" || len(f) < 3 {
 			return
 		}
+		if f[1] != "-" {
+			w.mu.Lock()
+			if s.state == "I" || !s.hasStatement {
+				w.arrivals = append(w.arrivals, arrival{f[1], b.id, sender, time.Now()})
+			}
+			s.hasStatement = true
+			w.mu.Unlock()
+		}
 		answer, ok := w.execute(b, s, f[1], f[2])
 		if !ok {
 			return
@@ -407,7 +439,7 @@
 		if s.writable = rest == ""; s.writable && b.role != "primary" {
 			return reply("ERROR READONLY " + b.id)
 		}
-		s.state, s.writes = "T", nil
+		s.state, s.writes, s.hasStatement = "T", nil, false
 		return reply("COMPLETE -")
 	case "ROLLBACK":
 		s.state, s.writes = "I", nil
